Lay out the package: types, results, ports, peer messages, telemetry

The borders come first, so that the parts can be built side by side: typed identifiers, results that end in done, refused or unknown, ports for the platform and the targets, messages between the fleet's processes, numbered events, and a check of which parts may import which.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.endivegw-ready
+export PYTHONPATH := src
+SOURCES := src tests benchmarks tools
+
+.PHONY: dev test check format bench bench-decisions bench-budgets bench-requests \
+	capacity soak protos clean
+
+$(STAMP): requirements/dev.txt requirements/run.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -r requirements/dev.txt
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+dev: $(STAMP)
+	$(BIN)/python -m endivegw dev
+
+test: $(STAMP)
+	$(BIN)/python -m tests
+
+check: $(STAMP)
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/isort --quiet --check-only $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy src/endivegw src/endivegw_standins
+	$(BIN)/python -m tools.import_rules
+
+format: $(STAMP)
+	$(BIN)/isort --quiet $(SOURCES)
+	$(BIN)/black --quiet $(SOURCES)
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.path
+
+clean:
+	rm -rf .mypy_cache .hypothesis results build dist
--- /dev/null
+++ b/src/endivegw/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Prepaid budgets: escrowed grants, reservations, sealing, billing."""
--- /dev/null
+++ b/src/endivegw/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' commands: what writes to the platform's table."""
--- /dev/null
+++ b/src/endivegw/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running programs: router and sidecar."""
--- /dev/null
+++ b/src/endivegw/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: the platform's list of machines and the fleet's heartbeats."""
--- /dev/null
+++ b/src/endivegw/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' queries: what only reads."""
--- /dev/null
+++ b/src/endivegw/requests/__init__.py
@@ -0,0 +1,1 @@
+"""One request, one whole answer: identity, claims, attempts, frames, replay."""
--- /dev/null
+++ b/src/endivegw/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons, read from INI files and checked."""
--- /dev/null
+++ b/src/endivegw/telemetry/catalogue/__init__.py
@@ -0,0 +1,43 @@
+"""All numbered events, one module per part, each with its own thousand.
+
+1000 router, 2000 sidecar, 3000 budgets, 4000 configuration, 5000 membership
+and orders, 6000 platform, 7000 operators, 8000 daemons.
+"""
+
+from endivegw.telemetry.catalogue import (
+    budgets,
+    configuration,
+    daemons,
+    membership,
+    operators,
+    platform,
+    router,
+    sidecar,
+)
+from endivegw.telemetry.event import Event
+
+__all__ = ["ALL_EVENTS"]
+
+_MODULES = (
+    router,
+    sidecar,
+    budgets,
+    configuration,
+    membership,
+    platform,
+    operators,
+    daemons,
+)
+
+#: Every event of the product, by number.
+ALL_EVENTS: tuple[Event, ...] = tuple(
+    sorted(
+        (
+            value
+            for module in _MODULES
+            for value in vars(module).values()
+            if isinstance(value, Event)
+        ),
+        key=lambda event: event.number,
+    )
+)
--- /dev/null
+++ b/src/endivegw/telemetry/catalogue/operators.py
@@ -0,0 +1,3 @@
+"""Events of the part named operators, 7000 to 7999."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/src/endivegw/telemetry/catalogue/router.py
@@ -0,0 +1,34 @@
+"""Events of the router, 1000 to 1999."""
+
+from endivegw.telemetry.event import Event, Level
+
+__all__ = ["REQUEST_ENDED", "REQUEST_PLACED", "REQUEST_REFUSED", "REQUEST_RETRIED"]
+
+REQUEST_PLACED = Event(
+    1001,
+    "request-placed",
+    Level.INFO,
+    "A request was placed on a target, with the figures it was decided on.",
+    ("request_id", "attempt_id", "target", "why", "figures"),
+)
+REQUEST_REFUSED = Event(
+    1002,
+    "request-refused",
+    Level.INFO,
+    "A request was refused; it did not run.",
+    ("request_id", "client_account", "reason", "detail"),
+)
+REQUEST_ENDED = Event(
+    1003,
+    "request-ended",
+    Level.INFO,
+    "A request reached its end, with the outcome that the caller was told.",
+    ("request_id", "client_account", "outcome", "total_tokens", "elapsed_s"),
+)
+REQUEST_RETRIED = Event(
+    1004,
+    "request-retried",
+    Level.INFO,
+    "An attempt did not start or failed, and the request is tried elsewhere.",
+    ("request_id", "attempt_id", "target", "reason"),
+)
--- /dev/null
+++ b/src/endivegw/telemetry/log.py
@@ -0,0 +1,65 @@
+"""Structured log lines: one JSON object per event."""
+
+from __future__ import annotations
+
+import json
+import sys
+from datetime import datetime, timezone
+from typing import TextIO
+
+import logbook
+
+from endivegw.telemetry.event import Event, Level
+
+__all__ = ["EventLog", "json_line_handler"]
+
+_LEVELS = {
+    Level.DEBUG: logbook.DEBUG,
+    Level.INFO: logbook.INFO,
+    Level.WARNING: logbook.WARNING,
+    Level.ERROR: logbook.ERROR,
+}
+
+
+def _format(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    line = {
+        "time": datetime.now(timezone.utc).isoformat(timespec="milliseconds"),
+        "level": record.level_name.lower(),
+        "part": record.channel,
+        "message": record.message,
+    }
+    line.update(record.extra)
+    return json.dumps(line, default=str, separators=(",", ":"))
+
+
+def json_line_handler(
+    level: Level = Level.INFO, stream: TextIO | None = None
+) -> logbook.Handler:
+    """Return a handler that writes each record as one line of JSON.
+
+    :param stream: standard error where none is given, so that standard output
+        stays free for a command's result.
+    """
+    handler = logbook.StreamHandler(stream or sys.stderr, level=_LEVELS[level])
+    handler.formatter = _format
+    return handler
+
+
+class EventLog:
+    """Write numbered events of one part of one process.
+
+    :param part: the part's name, such as ``router``.
+    :param common: fields that every line of this process carries.
+    """
+
+    def __init__(self, part: str, **common: object) -> None:
+        self._logger = logbook.Logger(part)
+        self._common = common
+
+    def emit(self, event: Event, **fields: object) -> None:
+        """Write one line; unknown fields are a mistake of the programmer."""
+        unknown = set(fields) - set(event.fields)
+        if unknown:
+            raise ValueError(f"event {event.number} has no fields {sorted(unknown)}")
+        extra = {"event": event.number, **self._common, **fields}
+        self._logger.log(_LEVELS[event.level], event.name, extra=extra)
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,32 @@
+"""Events keep their numbers, and a line carries the event's fields."""
+
+import io
+import json
+import unittest
+
+from endivegw.telemetry import EventLog, json_line_handler
+from endivegw.telemetry.catalogue import ALL_EVENTS
+from endivegw.telemetry.catalogue.router import REQUEST_REFUSED
+
+
+class EventTests(unittest.TestCase):
+    def test_numbers_and_names_are_unique(self):
+        """No two events share a number or a name."""
+        self.assertEqual(len({e.number for e in ALL_EVENTS}), len(ALL_EVENTS))
+        self.assertEqual(len({e.name for e in ALL_EVENTS}), len(ALL_EVENTS))
+
+    def test_line_is_json_with_number_and_fields(self):
+        """A line is one JSON object that names the event and its fields."""
+        stream = io.StringIO()
+        with json_line_handler(stream=stream).applicationbound():
+            log = EventLog("router", instance_id="r1")
+            log.emit(REQUEST_REFUSED, request_id="q1", reason="overloaded")
+        line = json.loads(stream.getvalue())
+        self.assertEqual(line["event"], REQUEST_REFUSED.number)
+        self.assertEqual(line["reason"], "overloaded")
+        self.assertEqual(line["instance_id"], "r1")
+
+    def test_unknown_field_is_an_error(self):
+        """A field that the catalogue does not list cannot slip into a line."""
+        with self.assertRaises(ValueError):
+            EventLog("router").emit(REQUEST_REFUSED, colour="red")
--- /dev/null
+++ b/tools/import_rules.py
@@ -0,0 +1,98 @@
+"""Check which parts of the package may import which others.
+
+The pure parts (decisions, budgets, requests, ...) must run in a test without
+sockets; an import of a socket library there would end that.
+"""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+import sys
+
+ROOT = pathlib.Path("src/endivegw")
+
+#: Packages whose modules decide, and must not reach the network, files or clocks.
+PURE_PACKAGES = ("decisions",)
+
+#: Modules that decide inside packages that also do I/O, as paths below the root.
+PURE_MODULES: tuple[str, ...] = ()
+
+#: What a pure module must not import.
+IO_MODULES = frozenset(
+    {
+        "anyio",
+        "asyncio",
+        "grpclib",
+        "h11",
+        "httpcore",
+        "logbook",
+        "os",
+        "select",
+        "socket",
+        "ssl",
+        "statsd",
+        "threading",
+        "time",
+        "uvicorn",
+    }
+)
+
+#: Parts of the package that do I/O.
+IO_PARTS = frozenset(
+    {
+        "endivegw.cli",
+        "endivegw.commands",
+        "endivegw.composition",
+        "endivegw.daemons",
+        "endivegw.peers",
+        "endivegw.queries",
+        "endivegw.telemetry",
+    }
+)
+
+
+def imported_names(path: pathlib.Path) -> set[str]:
+    """Return the dotted names of all modules that a file imports."""
+    names: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.add(node.module)
+    return names
+
+
+def starts_with_any(name: str, prefixes: frozenset[str]) -> bool:
+    """Return whether a dotted name is one of the prefixes or lies below one."""
+    return any(name == prefix or name.startswith(prefix + ".") for prefix in prefixes)
+
+
+def violations() -> list[str]:
+    """Return one line for each import that breaks a rule."""
+    found: list[str] = []
+    for path in sorted(ROOT.rglob("*.py")):
+        relative = path.relative_to(ROOT).as_posix()
+        names = imported_names(path)
+        pure = relative.startswith(tuple(p + "/" for p in PURE_PACKAGES))
+        if pure or relative in PURE_MODULES:
+            for name in sorted(names):
+                if starts_with_any(name, IO_MODULES | IO_PARTS):
+                    found.append(f"{relative}: pure code imports {name}")
+        for name in sorted(names):
+            standin = name.startswith("endivegw_standins")
+            if standin and not relative.startswith("dev/"):
+                found.append(f"{relative}: the product imports stand-ins")
+    return found
+
+
+def main() -> int:
+    """Print the violations; return 1 when there are any."""
+    lines = violations()
+    for line in lines:
+        print(line)
+    return 1 if lines else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
