--- a/src/endivegw/settings/__init__.py
+++ b/src/endivegw/settings/__init__.py
@@ -1,1 +1,29 @@
 """Settings of the daemons, read from INI files and checked."""
+
+from endivegw.settings.load import load_router_settings, load_sidecar_settings
+from endivegw.settings.model import (
+    HttpLimits,
+    LogSettings,
+    PeerSettings,
+    PlatformSettings,
+    ProcessSettings,
+    RouterSettings,
+    SidecarSettings,
+    TargetSettings,
+)
+from endivegw.settings.reader import Address, SettingsReader
+
+__all__ = [
+    "Address",
+    "HttpLimits",
+    "LogSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "RouterSettings",
+    "SettingsReader",
+    "SidecarSettings",
+    "TargetSettings",
+    "load_router_settings",
+    "load_sidecar_settings",
+]
--- /dev/null
+++ b/src/endivegw/settings/model.py
@@ -0,0 +1,127 @@
+"""The settings of each daemon as data."""
+
+from __future__ import annotations
+
+import pathlib
+
+from attrs import frozen
+
+from endivegw.configuration import TargetKind
+from endivegw.settings.reader import Address
+from endivegw.types import AvailabilityZone, TargetName
+
+__all__ = [
+    "HttpLimits",
+    "LogSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "RouterSettings",
+    "SidecarSettings",
+    "TargetSettings",
+]
+
+
+@frozen
+class ProcessSettings:
+    """Say where a process runs; it learns this from nowhere else.
+
+    :param vm: the platform's id of the machine.
+    :param drain_bound_s: how long a planned stop waits for work in progress.
+    """
+
+    vm: str
+    availability_zone: AvailabilityZone
+    drain_bound_s: float
+
+
+@frozen
+class PeerSettings:
+    """Say how the fleet's processes reach and know each other.
+
+    :param listen: the address on which this process takes its peers' calls.
+    :param router_port: port of every router's peer address.
+    :param sidecar_port: port of every sidecar's peer address.
+    :param plain: whether calls go without authentication.
+    """
+
+    listen: Address
+    router_port: int
+    sidecar_port: int
+    plain: bool
+    tls_ca: pathlib.Path | None = None
+    tls_certificate: pathlib.Path | None = None
+    tls_key: pathlib.Path | None = None
+    shared_key_file: pathlib.Path | None = None
+
+
+@frozen
+class PlatformSettings:
+    """Name the platform's services."""
+
+    table_url: str
+    object_store_url: str
+    vm_list_url: str
+    weight_store_url: str
+    access_key_id: str
+    secret_key_file: pathlib.Path | None
+    timeout_s: float
+
+
+@frozen
+class LogSettings:
+    """Say what is logged and where metrics go."""
+
+    level: str
+    statsd: Address | None
+
+
+@frozen
+class HttpLimits:
+    """Bound what one caller may send.
+
+    The bounds keep a router within 64 MB: a body is held in memory until the
+    request has an answer, so that a repeatable request can be sent again.
+    """
+
+    max_body_bytes: int
+    max_header_bytes: int
+    default_deadline_s: float
+    max_deadline_s: float
+
+
+@frozen
+class RouterSettings:
+    """Hold all settings of a router."""
+
+    process: ProcessSettings
+    listen: Address
+    http: HttpLimits
+    peers: PeerSettings
+    platform: PlatformSettings
+    logs: LogSettings
+
+
+@frozen
+class TargetSettings:
+    """Say what stands beside a sidecar.
+
+    :param models: what the target serves when it starts.
+    """
+
+    target: TargetName
+    kind: TargetKind
+    url: str
+    checks_fence: bool
+    max_running: int
+
+
+@frozen
+class SidecarSettings:
+    """Hold all settings of a sidecar."""
+
+    process: ProcessSettings
+    target: TargetSettings
+    peers: PeerSettings
+    platform: PlatformSettings
+    logs: LogSettings
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,84 @@
+"""Settings are checked before a daemon starts; errors name file, section, key."""
+
+import pathlib
+import tempfile
+import unittest
+
+from endivegw.exceptions import EXIT_USAGE, SettingsError
+from endivegw.settings import load_router_settings, load_sidecar_settings
+
+ROUTER = """
+[process]
+vm = entry-1
+availability_zone = Erie
+[http]
+listen = 127.0.0.1:8080
+[peers]
+listen = 127.0.0.1:7401
+plain = yes
+[platform]
+table_url = http://127.0.0.1:9000
+object_store_url = http://127.0.0.1:9001
+vm_list_url = http://127.0.0.1:9002/vms
+"""
+
+
+class SettingsTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "router.ini"
+
+    def load(self, text):
+        self.path.write_text(text)
+        return load_router_settings(self.path)
+
+    def assert_problem(self, text, *parts):
+        with self.assertRaises(SettingsError) as caught:
+            self.load(text)
+        message = caught.exception.message
+        self.assertEqual(caught.exception.exit_code, EXIT_USAGE)
+        self.assertNotIn("\n", message)
+        for part in (str(self.path), *parts):
+            self.assertIn(part, message)
+
+    def test_complete_file_loads(self):
+        """A complete file gives typed values and the documented defaults."""
+        settings = self.load(ROUTER)
+        self.assertEqual(str(settings.listen), "127.0.0.1:8080")
+        self.assertEqual(settings.process.drain_bound_s, 600.0)
+        self.assertIs(settings.peers.plain, True)
+
+    def test_misspelt_key_is_named(self):
+        """A key that nothing reads is refused rather than ignored."""
+        text = ROUTER.replace("vm = entry-1", "vm = entry-1\ndrain_bounds = 3")
+        self.assert_problem(text, "[process] drain_bounds", "not a known setting")
+
+    def test_value_with_unit_is_refused(self):
+        """A duration with a unit is refused with the unit that is expected."""
+        text = ROUTER.replace("vm = entry-1", "vm = entry-1\ndrain_bound_s = 10min")
+        self.assert_problem(text, "[process] drain_bound_s", "seconds", "10min")
+
+    def test_host_name_is_not_an_address(self):
+        """Addresses are IP numbers; a name is refused."""
+        text = ROUTER.replace("listen = 127.0.0.1:8080", "listen = entry:8080")
+        self.assert_problem(text, "[http] listen", "IP:PORT")
+
+    def test_missing_key_is_named(self):
+        """A required key that is absent is named with its section."""
+        self.assert_problem(
+            ROUTER.replace("availability_zone = Erie", ""),
+            "[process] availability_zone",
+            "missing",
+        )
+
+    def test_unauthenticated_peers_must_be_asked_for(self):
+        """Without TLS, a shared key or an explicit word no daemon starts."""
+        self.assert_problem(ROUTER.replace("plain = yes", ""), "[peers] plain")
+
+    def test_sidecar_names_its_target(self):
+        """A sidecar's file without a target is refused."""
+        self.path.write_text(ROUTER)
+        with self.assertRaises(SettingsError) as caught:
+            load_sidecar_settings(self.path)
+        self.assertIn("[target] name", caught.exception.message)
