--- /dev/null
+++ b/src/endivegw/daemons/http_messages.py
@@ -0,0 +1,119 @@
+"""What callers send and are sent: header names, refusals, error bodies."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Mapping
+
+from attrs import frozen
+
+from endivegw.results import Reason, Refused, Unknown
+from endivegw.types import Outcome
+
+__all__ = [
+    "BUDGET_HEADER",
+    "DEADLINE_HEADER",
+    "HttpError",
+    "IDEMPOTENCY_HEADER",
+    "OUTCOME_HEADER",
+    "REPEATABLE_HEADER",
+    "error_body",
+    "http_error",
+]
+
+DEADLINE_HEADER = "endivegw-deadline-s"
+BUDGET_HEADER = "endivegw-budget"
+IDEMPOTENCY_HEADER = "idempotency-key"
+REPEATABLE_HEADER = "endivegw-repeatable"
+OUTCOME_HEADER = "endivegw-outcome"
+
+_BAD_REQUEST = 400
+_UNAVAILABLE = 503
+_TIMEOUT = 504
+_BAD_GATEWAY = 502
+
+#: Status of a request that did not run, by reason; 503 where none is named.
+_STATUS: Mapping[Reason, int] = {
+    Reason.BAD_REQUEST: _BAD_REQUEST,
+    Reason.KEY_REQUIRED: _BAD_REQUEST,
+    Reason.BAD_KEY: 401,
+    Reason.BUDGET_UNKNOWN: 403,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.NOT_FOUND: 404,
+    Reason.KEY_CONFLICT: 409,
+    Reason.ALREADY_RUN: 409,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BUDGET_EXHAUSTED: 429,
+    Reason.DEADLINE: _TIMEOUT,
+}
+
+#: Reasons that a new try of the same request cannot mend.
+_FINAL = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.KEY_REQUIRED,
+        Reason.BAD_KEY,
+        Reason.BUDGET_UNKNOWN,
+        Reason.UNKNOWN_MODEL,
+        Reason.UNKNOWN_SERVICE,
+        Reason.NOT_FOUND,
+        Reason.KEY_CONFLICT,
+        Reason.ALREADY_RUN,
+        Reason.BODY_TOO_LARGE,
+        Reason.BUDGET_EXHAUSTED,
+    }
+)
+
+
+@frozen
+class HttpError:
+    """Hold an error answer, ready to be sent."""
+
+    status: int
+    fields: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def http_error(problem: Refused | Unknown) -> HttpError:
+    """Return the answer for a request that did not run or may have run.
+
+    The outcome stands in a header of its own, so that a client can tell "did
+    not run" from "may have run" without knowing the codes.
+    """
+    fields = [("content-type", "application/json")]
+    match problem:
+        case Refused():
+            status = _STATUS.get(problem.reason, _UNAVAILABLE)
+            final = problem.reason in _FINAL
+            fields.append((OUTCOME_HEADER, Outcome.NOT_RUN.value))
+            fields.append(("x-should-retry", "false" if final else "true"))
+            if problem.retry_after_s is not None and not final:
+                seconds = max(1, math.ceil(problem.retry_after_s))
+                fields.append(("retry-after", str(seconds)))
+        case Unknown():
+            timed_out = problem.reason in (Reason.DEADLINE, Reason.TIMEOUT)
+            status = _TIMEOUT if timed_out else _BAD_GATEWAY
+            fields.append((OUTCOME_HEADER, Outcome.UNKNOWN.value))
+            # A retry under the same key joins or replays; without a key the
+            # client must decide, so the header does not invite one.
+            fields.append(("x-should-retry", "false"))
+    return HttpError(status, tuple(fields), error_body(problem))
+
+
+def error_body(problem: Refused | Unknown) -> bytes:
+    """Return the error object in the shape that the ecosystem's clients read."""
+    outcome = Outcome.NOT_RUN if isinstance(problem, Refused) else Outcome.UNKNOWN
+    status = _STATUS.get(problem.reason, _UNAVAILABLE)
+    kind = "invalid_request_error" if status < 429 else "server_error"
+    if problem.reason is Reason.BUDGET_EXHAUSTED:
+        kind = Reason.BUDGET_EXHAUSTED.value
+    error = {
+        "message": problem.detail or problem.reason.value.replace("_", " "),
+        "type": kind,
+        "param": None,
+        "code": problem.reason.value,
+        "outcome": outcome.value,
+    }
+    return json.dumps({"error": error}).encode()
