--- a/src/endivegw/targets/__init__.py
+++ b/src/endivegw/targets/__init__.py
@@ -1,5 +1,7 @@
 """Adapters for what stands behind a sidecar: model engines and plain services."""
 
+from endivegw.targets.http_service import HttpService
+from endivegw.targets.openai_engine import OpenAiEngine
 from endivegw.targets.ports import (
     CacheChange,
     EngineEnded,
@@ -26,6 +28,8 @@
     "EnginePort",
     "EngineRequest",
     "EngineText",
+    "HttpService",
+    "OpenAiEngine",
     "OrderKind",
     "ServiceAnswerHead",
     "ServicePort",
