--- /dev/null
+++ b/src/endivegw_standins/platform_app.py
@@ -0,0 +1,142 @@
+"""The stand-in platform: table, objects, VM list and weights in one ASGI app.
+
+Paths: ``/table`` speaks the DynamoDB JSON interface, ``/objects/NAME`` the S3
+REST interface, ``/vms`` returns the list of virtual machines, and
+``/weights/NAME`` answers GET and HEAD at a limited rate.
+"""
+
+from __future__ import annotations
+
+import time
+from urllib.parse import unquote
+
+import anyio
+from attrs import define, field
+
+from endivegw.platform import ListedVm
+from endivegw_standins.dynamo_server import WRITE_ACTIONS, answer_action
+from endivegw_standins.faults import Faults, PlatformFaults
+from endivegw_standins.http_exchange import (
+    Receive,
+    Reply,
+    Scope,
+    Send,
+    json_reply,
+    read_body,
+    send_reply,
+)
+from endivegw_standins.memory_table import MemoryTable
+from endivegw_standins.object_server import MemoryObjects
+
+__all__ = ["StandinPlatform"]
+
+
+@define
+class StandinPlatform:
+    """Be the platform's services for tests and for ``endivegw dev``.
+
+    :ivar weight_sizes_bytes: size of each model's weights by name.
+    :ivar weight_calls_per_s: calls of the weight store answered each second;
+        the others get 429.
+    """
+
+    table: MemoryTable = field(factory=MemoryTable)
+    objects: MemoryObjects = field(factory=MemoryObjects)
+    vms: list[ListedVm] = field(factory=list)
+    weight_sizes_bytes: dict[str, int] = field(factory=dict)
+    weight_calls_per_s: float = 10.0
+    faults: PlatformFaults = field(factory=PlatformFaults)
+    _weights_free_at_s: float = 0.0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one HTTP exchange."""
+        if scope["type"] != "http":
+            return
+        body = await read_body(receive)
+        service, _, name = unquote(scope["path"]).lstrip("/").partition("/")
+        faults = self._faults_of(service)
+        if faults is None:
+            await send_reply(send, Reply(404))
+            return
+        headers = {key.decode(): value.decode() for key, value in scope["headers"]}
+        address = scope["client"][0] if scope.get("client") else ""
+        if faults.latency_s:
+            await anyio.sleep(faults.latency_s)
+        if faults.swallows(headers.get("user-agent", ""), address):
+            await _stay_silent(receive)
+            return
+        if faults.outage:
+            await send_reply(send, Reply(503))
+            return
+        reply = self._answer(service, scope["method"], name, headers, body)
+        if _is_write(scope["method"], headers) and faults.loses_answer():
+            await _stay_silent(receive)
+            return
+        await send_reply(send, reply)
+
+    def _faults_of(self, service: str) -> Faults | None:
+        match service:
+            case "table":
+                return self.faults.table
+            case "objects":
+                return self.faults.objects
+            case "vms":
+                return self.faults.vms
+            case "weights":
+                return self.faults.weights
+        return None
+
+    def _answer(
+        self, service: str, method: str, name: str, headers: dict[str, str], body: bytes
+    ) -> Reply:
+        match service, method:
+            case "table", "POST":
+                action = headers.get("x-amz-target", "").rpartition(".")[2]
+                return answer_action(self.table, action, body)
+            case "objects", "GET":
+                return self.objects.get(name)
+            case "objects", "PUT":
+                return self.objects.put(
+                    name, body, headers.get("if-match"), headers.get("if-none-match")
+                )
+            case "vms", "GET":
+                return json_reply(200, {"vms": [_vm_line(vm) for vm in self.vms]})
+            case "weights", "GET" | "HEAD":
+                return self._weights(name, method)
+        return Reply(405)
+
+    def _weights(self, name: str, method: str) -> Reply:
+        now_s = time.monotonic()
+        if now_s < self._weights_free_at_s:
+            wait_s = self._weights_free_at_s - now_s
+            return Reply(429, b"", {"retry-after": f"{wait_s:.3f}"})
+        self._weights_free_at_s = now_s + 1 / self.weight_calls_per_s
+        size = self.weight_sizes_bytes.get(name)
+        if size is None:
+            return Reply(404)
+        if method == "HEAD":
+            return Reply(200, b"", length=size)
+        # The weights themselves are only their size here; engines fetch them.
+        return json_reply(200, {"name": name, "size_bytes": size})
+
+
+def _vm_line(vm: ListedVm) -> dict[str, str]:
+    return {
+        "vm": vm.vm,
+        "address": vm.address,
+        "availability_zone": vm.availability_zone,
+        "role": vm.role,
+        "state": vm.state.value,
+    }
+
+
+def _is_write(method: str, headers: dict[str, str]) -> bool:
+    if method == "PUT":
+        return True
+    return headers.get("x-amz-target", "").rpartition(".")[2] in WRITE_ACTIONS
+
+
+async def _stay_silent(receive: Receive) -> None:
+    """Answer nothing until the caller hangs up."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
