--- /dev/null
+++ b/src/endivegw/composition.py
@@ -0,0 +1,122 @@
+"""The composition root: the one place where the parts are wired together."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+from typing import Callable
+
+from attrs import frozen
+
+from endivegw.budgets import BudgetKeeper
+from endivegw.daemons.attempt_runner import AttemptRunner
+from endivegw.daemons.held_configuration import HeldConfiguration
+from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.router import Router, RouterParts
+from endivegw.daemons.target_watch import TargetWatch
+from endivegw.decisions import Dispatcher, Policy
+from endivegw.peers import SidecarClient
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.platform import TablePort, VmListPort
+from endivegw.platform.dynamo_table import DynamoTable
+from endivegw.platform.http_vm_list import HttpVmList
+from endivegw.platform.signing import Credentials
+from endivegw.settings import (
+    LogSettings,
+    PlatformSettings,
+    ProcessSettings,
+    RouterSettings,
+)
+from endivegw.telemetry import EventLog, Metrics, NoMetrics, statsd_metrics
+from endivegw.types import InstanceId
+
+__all__ = ["PROTOCOL_VERSION", "Platform", "build_router", "open_platform"]
+
+#: Version of the messages between the fleet's processes.
+PROTOCOL_VERSION = 1
+
+
+@frozen
+class Platform:
+    """Hold the platform's services that a daemon uses."""
+
+    table: TablePort
+    vms: VmListPort
+
+
+def open_platform(settings: PlatformSettings, client_name: str) -> Platform:
+    """Return the adapters that the settings name."""
+    credentials = None
+    if settings.secret_key_file is not None:
+        secret = settings.secret_key_file.read_text(encoding="utf-8").strip()
+        credentials = Credentials(settings.access_key_id, secret)
+    return Platform(
+        table=DynamoTable(
+            settings.table_url, credentials=credentials, client_name=client_name
+        ),
+        vms=HttpVmList(settings.vm_list_url, client_name=client_name),
+    )
+
+
+def build_router(settings: RouterSettings) -> Router:
+    """Wire a router."""
+    instance_id = new_instance_id(settings.process)
+    rng = random.Random()
+    clock = time.monotonic
+    platform = open_platform(settings.platform, instance_id)
+    log = EventLog("router", instance=instance_id)
+    configuration = HeldConfiguration(
+        platform.table, rng, timeout_s=settings.platform.timeout_s
+    )
+    header = header_of(settings.process, instance_id, configuration)
+    dispatcher = Dispatcher(Policy(), settings.process.availability_zone, rng)
+    queue = PlacementQueue(dispatcher, clock)
+
+    def on_header(received: pb.Header) -> None:
+        configuration.heard(received.config_revision)
+
+    def connect(address: str) -> SidecarClient:
+        return SidecarClient(address, settings.peers.sidecar_port)
+
+    parts = RouterParts(
+        settings=settings,
+        instance_id=instance_id,
+        configuration=configuration,
+        keeper=BudgetKeeper(instance_id, platform.table, clock, rng, None, log),
+        queue=queue,
+        watch=TargetWatch(platform.vms, connect, header, on_header, queue, clock),
+        attempts=AttemptRunner(header, on_header, clock),
+        clock=clock,
+        log=log,
+        metrics=metrics_of(settings.logs, "endivegw.router"),
+    )
+    return Router(parts)
+
+
+def new_instance_id(process: ProcessSettings) -> InstanceId:
+    """Return a name for this start of this process, never used again."""
+    return InstanceId(f"{process.vm}-{uuid.uuid4().hex[:12]}")
+
+
+def header_of(
+    process: ProcessSettings, instance_id: InstanceId, configuration: HeldConfiguration
+) -> Callable[[], pb.Header]:
+    """Return what makes the header of each message to another process."""
+
+    def header() -> pb.Header:
+        return pb.Header(
+            protocol_version=PROTOCOL_VERSION,
+            instance_id=instance_id,
+            availability_zone=process.availability_zone,
+            config_revision=configuration.revision,
+        )
+
+    return header
+
+
+def metrics_of(logs: LogSettings, prefix: str) -> Metrics:
+    """Return the metrics client that the settings name, or none."""
+    if logs.statsd is None:
+        return NoMetrics()
+    return statsd_metrics(logs.statsd.ip, logs.statsd.port, prefix)
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -148,7 +148,9 @@
             status = "ready" if ready else "not ready"
             await send_json(send, 200 if ready else 503, {"status": status})
             return
-        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]}
+        headers = {
+            k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]
+        }
         if not self._ready():
             refused = Refused(Reason.NOT_READY, "this router takes no new work", 1.0)
             await send_error(send, http_error(refused))
@@ -218,7 +220,9 @@
             )
         return allowed_s
 
-    async def _models(self, method: str, path: str, caller: _Caller, send: Send) -> None:
+    async def _models(
+        self, method: str, path: str, caller: _Caller, send: Send
+    ) -> None:
         if method != "GET":
             refused = Refused(Reason.BAD_REQUEST, "models are listed with GET")
             await send_error(send, http_error(refused))
--- a/src/endivegw/daemons/request_runner.py
+++ b/src/endivegw/daemons/request_runner.py
@@ -21,8 +21,8 @@
 )
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.routed import (
-    AnswerSink,
     Answered,
+    AnswerSink,
     EngineCall,
     RequestEnd,
     RoutedRequest,
@@ -239,9 +239,7 @@
                 cancelled = result.reason is Reason.CANCELLED
                 kind = AttemptKind.CANCELLED if cancelled else AttemptKind.FAILED
         end = AttemptEnd(kind, run.billed.prompt_tokens, run.billed.completion_tokens)
-        self._queue.dispatcher.ended(
-            run.request.request_id, placed.target, end, now_s
-        )
+        self._queue.dispatcher.ended(run.request.request_id, placed.target, end, now_s)
         self._queue.kick()
 
     def _settle_lost(
--- /dev/null
+++ b/src/endivegw/daemons/router.py
@@ -0,0 +1,143 @@
+"""The router daemon: callers' HTTP in front, sidecars behind."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from attrs import frozen
+
+from endivegw.budgets import BudgetKeeper
+from endivegw.daemons.attempt_runner import AttemptRunner
+from endivegw.daemons.held_configuration import HeldConfiguration
+from endivegw.daemons.http_front import HttpFront
+from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.request_runner import RequestRunner
+from endivegw.daemons.target_watch import TargetWatch
+from endivegw.http_server import ServedAddress, serve_asgi
+from endivegw.settings import RouterSettings
+from endivegw.telemetry import EventLog, Metrics
+from endivegw.telemetry.catalogue import daemons as events
+from endivegw.types import InstanceId
+
+__all__ = ["Router", "RouterParts"]
+
+#: How often a planned stop looks whether all answers have ended.
+_DRAIN_LOOK_S = 0.05
+
+#: How long the balancer is given to notice that the health page fails, before
+#: idle connections are closed. Requests that arrive meanwhile are refused as
+#: not run, and the balancer's next try goes elsewhere.
+_DRAIN_NOTICE_S = 1.0
+
+#: What settling and returning grants may take at the end of a planned stop.
+_CLOSE_BOUND_S = 10.0
+
+
+@frozen
+class RouterParts:
+    """Hold what the composition root wired for one router."""
+
+    settings: RouterSettings
+    instance_id: InstanceId
+    configuration: HeldConfiguration
+    keeper: BudgetKeeper
+    queue: PlacementQueue
+    watch: TargetWatch
+    attempts: AttemptRunner
+    clock: Callable[[], float]
+    log: EventLog
+    metrics: Metrics
+
+
+class Router:
+    """Run one router until it is drained or cancelled."""
+
+    def __init__(self, parts: RouterParts) -> None:
+        self._parts = parts
+        self._draining = False
+        self._stopped = anyio.Event()
+        self._front: HttpFront | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        return self._parts.configuration.ready and not self._draining
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many requests have not ended."""
+        return 0 if self._front is None else self._front.in_progress
+
+    async def run(
+        self, *, task_status: TaskStatus[ServedAddress] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until :meth:`drain` has ended or the task is cancelled."""
+        parts = self._parts
+        async with anyio.create_task_group() as tasks:
+            self._front = self._build_front(tasks)
+            tasks.start_soon(parts.configuration.run)
+            tasks.start_soon(parts.watch.run)
+            tasks.start_soon(parts.queue.run)
+            tasks.start_soon(parts.keeper.run)
+            listen = parts.settings.listen
+            address = await tasks.start(serve_asgi, self._front, listen.ip, listen.port)
+            parts.log.emit(
+                events.DAEMON_STARTED,
+                role="router",
+                instance_id=parts.instance_id,
+                address=f"{address[0]}:{address[1]}",
+            )
+            task_status.started(address)
+            await self._stopped.wait()
+            tasks.cancel_scope.cancel()
+
+    async def drain(self) -> None:
+        """Take no new work, let what runs end, settle, and stop.
+
+        Cutting off an answer would cost a caller its request, so the bound is
+        long; it is there for an answer that never ends.
+        """
+        parts = self._parts
+        self._draining = True
+        parts.log.emit(
+            events.DAEMON_DRAINING,
+            role="router",
+            instance_id=parts.instance_id,
+            in_progress=self.in_progress,
+        )
+        await anyio.sleep(_DRAIN_NOTICE_S)
+        with anyio.move_on_after(parts.settings.process.drain_bound_s):
+            while self.in_progress:
+                await anyio.sleep(_DRAIN_LOOK_S)
+        cut_off = self.in_progress
+        with anyio.move_on_after(_CLOSE_BOUND_S):
+            await parts.keeper.close(parts.clock())
+        parts.log.emit(
+            events.DAEMON_STOPPED,
+            role="router",
+            instance_id=parts.instance_id,
+            cut_off=cut_off,
+        )
+        self._stopped.set()
+
+    def _build_front(self, background: TaskGroup) -> HttpFront:
+        parts = self._parts
+        runner = RequestRunner(
+            parts.keeper,
+            parts.queue,
+            parts.attempts,
+            parts.watch,
+            background,
+            parts.clock,
+            parts.log,
+            parts.metrics,
+        )
+        return HttpFront(
+            runner,
+            lambda: parts.configuration.snapshot,
+            lambda: self.ready,
+            parts.settings.http,
+            parts.clock,
+        )
