--- /dev/null
+++ b/src/endivegw/dev/sample.py
@@ -0,0 +1,96 @@
+"""The sample configuration: two client accounts, a template, and targets."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import TypeVar
+
+from attrs import frozen
+
+from endivegw.budgets import top_up
+from endivegw.commands.account import CreatedKey, create_account
+from endivegw.commands.changes import Operation
+from endivegw.commands.target import set_target
+from endivegw.commands.template import create_template
+from endivegw.configuration import TargetParameters
+from endivegw.configuration.parameters import Parameters
+from endivegw.dev.layout import MODEL, SERVICE, TARGETS
+from endivegw.exceptions import PlatformError
+from endivegw.platform import TablePort
+from endivegw.results import Done, Result
+from endivegw.types import BudgetKey, ClientAccountName, Priority
+
+__all__ = ["SAMPLE_BUDGET_TOKENS", "SampleAccount", "load_sample"]
+
+T = TypeVar("T")
+
+SAMPLE_BUDGET_TOKENS = 2_000_000
+_TEMPLATE = "lobby"
+_TIMEOUT_S = 5.0
+
+
+@frozen
+class SampleAccount:
+    """Hold an account of the sample and its key, which is shown once."""
+
+    client_account: ClientAccountName
+    key: str
+    budget: BudgetKey
+
+
+async def load_sample(
+    table: TablePort, budget_tokens: int = SAMPLE_BUDGET_TOKENS
+) -> tuple[SampleAccount, ...]:
+    """Write the sample configuration and return its accounts."""
+    shared = Parameters(
+        models=(MODEL,),
+        services=(SERVICE,),
+        repeatable_paths=(f"{SERVICE}/status",),
+        max_output_tokens=256,
+    )
+    _done(await create_template(table, _operation(), _TEMPLATE, shared))
+    for target in TARGETS:
+        parameters = TargetParameters(
+            target=target.name,
+            kind=target.kind,
+            availability_zone=target.availability_zone,
+            serves=target.serves,
+        )
+        _done(await set_target(table, _operation(), parameters))
+    return (
+        await _account(table, "kiosks", Priority.URGENT, budget_tokens),
+        await _account(table, "planning", Priority.NORMAL, budget_tokens),
+    )
+
+
+async def _account(
+    table: TablePort, name: str, priority: Priority, budget_tokens: int
+) -> SampleAccount:
+    created: CreatedKey = _done(
+        await create_account(
+            table,
+            _operation(),
+            name,
+            template=_TEMPLATE,
+            parameters=Parameters(priority=priority),
+        )
+    )
+    account = ClientAccountName(name)
+    budget = BudgetKey(account, "main")
+    _done(
+        await top_up(
+            table, budget, budget_tokens, uuid.uuid4().hex, timeout_s=_TIMEOUT_S
+        )
+    )
+    return SampleAccount(account, created.key, budget)
+
+
+def _operation() -> Operation:
+    return Operation(uuid.uuid4().hex, "dev", time.time(), timeout_s=_TIMEOUT_S)
+
+
+def _done(result: Result[T]) -> T:
+    if isinstance(result, Done):
+        return result.value
+    raise PlatformError(f"the sample could not be written: {result}")
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -144,12 +144,15 @@
 
 def _target(reader: SettingsReader) -> TargetSettings:
     kinds = tuple(kind.value for kind in TargetKind)
+    kind = TargetKind(reader.choice("target", "kind", kinds, TargetKind.ENGINE.value))
+    serves = reader.text(
+        "target", "serves", "" if kind is TargetKind.ENGINE else None
+    )
     return TargetSettings(
         target=TargetName(reader.text("target", "name")),
-        kind=TargetKind(
-            reader.choice("target", "kind", kinds, TargetKind.ENGINE.value)
-        ),
+        kind=kind,
         url=reader.url("target", "url"),
+        serves=tuple(serves.split()),
         checks_fence=reader.flag("target", "checks_fence", False),
         max_running=reader.whole("target", "max_running", DEFAULT_MAX_RUNNING, least=1),
     )
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -106,12 +106,14 @@
 class TargetSettings:
     """Say what stands beside a sidecar.
 
-    :param models: what the target serves when it starts.
+    :param serves: names of the plain services that stand there; an engine
+        tells itself which models it serves.
     """
 
     target: TargetName
     kind: TargetKind
     url: str
+    serves: tuple[str, ...]
     checks_fence: bool
     max_running: int
 
