--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := src
 SOURCES := src tests benchmarks tools
 
-.PHONY: dev test check format bench bench-decisions bench-budgets bench-requests \
+.PHONY: docs dev test check format bench bench-decisions bench-budgets bench-requests \
 	capacity soak protos clean
 
 $(STAMP): requirements/dev.txt requirements/run.txt pyproject.toml
@@ -34,5 +34,8 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.path
 
+docs: $(STAMP)
+	$(BIN)/python -m tools.event_catalogue
+
 clean:
 	rm -rf .mypy_cache .hypothesis results build dist
--- a/src/endivegw/daemons/attempt_runner.py
+++ b/src/endivegw/daemons/attempt_runner.py
@@ -70,11 +70,14 @@
     """Say that the attempt started, or may have, and gave no whole answer.
 
     :param usage: what it consumed, None where that is not known for certain.
+    :param replaced: whether the sidecar answers and cannot tell: its process
+        is not the one that the attempt was handed to.
     """
 
     reason: Reason
     detail: str
     usage: Usage | None
+    replaced: bool = False
 
 
 AttemptResult = AttemptAnswered | AttemptNotRun | AttemptLost
--- a/src/endivegw/telemetry/catalogue/router.py
+++ b/src/endivegw/telemetry/catalogue/router.py
@@ -2,7 +2,7 @@
 
 from endivegw.telemetry.event import Event, Level
 
-__all__ = ["REQUEST_ENDED", "REQUEST_PLACED", "REQUEST_REFUSED", "REQUEST_RETRIED"]
+__all__ = ["ATTEMPT_RESOLVED", "REQUEST_ENDED", "REQUEST_PLACED", "REQUEST_REFUSED", "REQUEST_RETRIED"]
 
 REQUEST_PLACED = Event(
     1001,
@@ -32,3 +32,10 @@
     "An attempt did not start or failed, and the request is tried elsewhere.",
     ("request_id", "attempt_id", "target", "reason"),
 )
+ATTEMPT_RESOLVED = Event(
+    1005,
+    "attempt-resolved",
+    Level.INFO,
+    "It became known what an attempt consumed whose end had not been heard.",
+    ("attempt_id", "target", "how", "total_tokens"),
+)
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -7,6 +7,7 @@
 from endivegw.telemetry import EventLog, json_line_handler
 from endivegw.telemetry.catalogue import ALL_EVENTS
 from endivegw.telemetry.catalogue.router import REQUEST_REFUSED
+from tools.event_catalogue import PAGE, page_text
 
 
 class EventTests(unittest.TestCase):
@@ -15,6 +16,10 @@
         self.assertEqual(len({e.number for e in ALL_EVENTS}), len(ALL_EVENTS))
         self.assertEqual(len({e.name for e in ALL_EVENTS}), len(ALL_EVENTS))
 
+    def test_page_lists_every_event(self):
+        """The page of events says what the code says."""
+        self.assertEqual(PAGE.read_text(), page_text(), "run: make docs")
+
     def test_line_is_json_with_number_and_fields(self):
         """A line is one JSON object that names the event and its fields."""
         stream = io.StringIO()
