--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -26,6 +26,11 @@
     "budgets/sizing.py",
     "budgets/transfer.py",
     "budgets/wallet.py",
+    "configuration/codec.py",
+    "configuration/documents.py",
+    "configuration/ini.py",
+    "configuration/model.py",
+    "configuration/parameters.py",
 )
 
 #: What a pure module must not import.
