--- a/src/endivegw/cli/daemons.py
+++ b/src/endivegw/cli/daemons.py
@@ -4,7 +4,7 @@
 
 import pathlib
 import signal
-from typing import Any, Awaitable, Callable, Protocol
+from typing import Any, Callable, Coroutine, Protocol
 
 import anyio
 import click
@@ -88,7 +88,7 @@
 
 
 async def drain_on_signal(
-    drain: Callable[[], Awaitable[None]], scope: anyio.CancelScope
+    drain: Callable[[], Coroutine[Any, Any, None]], scope: anyio.CancelScope
 ) -> None:
     """Drain on the first SIGTERM or SIGINT, cancel the scope on the second."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/src/endivegw/cli/main.py
+++ b/src/endivegw/cli/main.py
@@ -4,6 +4,8 @@
 
 import click
 
+from endivegw.cli import daemons, dev
+
 __all__ = ["main"]
 
 
@@ -16,3 +18,6 @@
 # Operators' commands.
 
 # Daemons.
+main.add_command(daemons.router)
+main.add_command(daemons.sidecar)
+main.add_command(dev.dev)
--- a/src/endivegw/composition.py
+++ b/src/endivegw/composition.py
@@ -9,11 +9,16 @@
 
 from attrs import frozen
 
-from endivegw.budgets import BudgetKeeper
+from endivegw.budgets import BudgetKeeper, GrantLedger
+from endivegw.configuration import TargetKind
 from endivegw.daemons.attempt_runner import AttemptRunner
 from endivegw.daemons.held_configuration import HeldConfiguration
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.router import Router, RouterParts
+from endivegw.daemons.sidecar import Sidecar
+from endivegw.daemons.sidecar_jobs import EngineTarget, ServiceTarget, Target
+from endivegw.daemons.sidecar_ports import SidecarSettings as SidecarOptions
+from endivegw.daemons.sidecar_process import SidecarProcess, SidecarProcessParts
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.decisions import Dispatcher, Policy
 from endivegw.peers import SidecarClient
@@ -22,16 +27,27 @@
 from endivegw.platform.dynamo_table import DynamoTable
 from endivegw.platform.http_vm_list import HttpVmList
 from endivegw.platform.signing import Credentials
+from endivegw.requests.starts import StartRegistry
 from endivegw.settings import (
     LogSettings,
     PlatformSettings,
     ProcessSettings,
     RouterSettings,
+    SidecarSettings,
+    TargetSettings,
 )
+from endivegw.targets.http_service import HttpService
+from endivegw.targets.openai_engine import OpenAiEngine
 from endivegw.telemetry import EventLog, Metrics, NoMetrics, statsd_metrics
-from endivegw.types import InstanceId
+from endivegw.types import ConfigRevision, InstanceId
 
-__all__ = ["PROTOCOL_VERSION", "Platform", "build_router", "open_platform"]
+__all__ = [
+    "PROTOCOL_VERSION",
+    "Platform",
+    "build_router",
+    "build_sidecar",
+    "open_platform",
+]
 
 #: Version of the messages between the fleet's processes.
 PROTOCOL_VERSION = 1
@@ -63,7 +79,7 @@
     """Wire a router."""
     instance_id = new_instance_id(settings.process)
     rng = random.Random()
-    clock = time.monotonic
+    clock = steady_unix_clock()
     platform = open_platform(settings.platform, instance_id)
     log = EventLog("router", instance=instance_id)
     configuration = HeldConfiguration(
@@ -74,7 +90,7 @@
     queue = PlacementQueue(dispatcher, clock)
 
     def on_header(received: pb.Header) -> None:
-        configuration.heard(received.config_revision)
+        configuration.heard(ConfigRevision(received.config_revision))
 
     def connect(address: str) -> SidecarClient:
         return SidecarClient(address, settings.peers.sidecar_port)
@@ -94,6 +110,67 @@
     return Router(parts)
 
 
+def build_sidecar(settings: SidecarSettings) -> SidecarProcess:
+    """Wire a sidecar."""
+    instance_id = new_instance_id(settings.process)
+    clock = steady_unix_clock()
+    platform = open_platform(settings.platform, instance_id)
+    log = EventLog("sidecar", instance=instance_id)
+    configuration = HeldConfiguration(
+        platform.table, random.Random(), timeout_s=settings.platform.timeout_s
+    )
+    options = SidecarOptions(
+        target=settings.target.target,
+        instance_id=instance_id,
+        availability_zone=settings.process.availability_zone,
+        serves=settings.target.serves,
+        slots=settings.target.max_running,
+        drain_bound_s=settings.process.drain_bound_s,
+    )
+    adapter = open_adapter(settings.target)
+    sidecar = Sidecar(
+        target_of(adapter),
+        GrantLedger(),
+        StartRegistry(instance_id, options.starts, clock()),
+        configuration,
+        clock,
+        log,
+        metrics_of(settings.logs, "endivegw.sidecar"),
+        options,
+    )
+    return SidecarProcess(
+        SidecarProcessParts(settings, instance_id, configuration, sidecar, adapter, log)
+    )
+
+
+def open_adapter(settings: TargetSettings) -> OpenAiEngine | HttpService:
+    """Return the adapter for what stands beside a sidecar."""
+    match settings.kind:
+        case TargetKind.ENGINE:
+            return OpenAiEngine(settings.url)
+        case TargetKind.SERVICE:
+            return HttpService(settings.url)
+
+
+def target_of(adapter: OpenAiEngine | HttpService) -> Target:
+    """Return the target as the sidecar's jobs take it."""
+    match adapter:
+        case OpenAiEngine():
+            return EngineTarget(adapter)
+        case HttpService():
+            return ServiceTarget(adapter)
+
+
+def steady_unix_clock() -> Callable[[], float]:
+    """Return a clock near Unix time that never goes back.
+
+    The system's own clock may be set back while the process runs; a deadline
+    or a lease measured on it would then last too long.
+    """
+    offset_s = time.time() - time.monotonic()
+    return lambda: offset_s + time.monotonic()
+
+
 def new_instance_id(process: ProcessSettings) -> InstanceId:
     """Return a name for this start of this process, never used again."""
     return InstanceId(f"{process.vm}-{uuid.uuid4().hex[:12]}")
--- a/src/endivegw/daemons/held_configuration.py
+++ b/src/endivegw/daemons/held_configuration.py
@@ -7,12 +7,8 @@
 
 import anyio
 
-from endivegw.configuration import (
-    EMPTY_SNAPSHOT,
-    Snapshot,
-    load_revision,
-    load_snapshot,
-)
+from endivegw.configuration import EMPTY_SNAPSHOT, Snapshot
+from endivegw.configuration.store import load_revision, load_snapshot
 from endivegw.exceptions import InvariantError
 from endivegw.platform import TablePort
 from endivegw.results import Done
@@ -25,7 +21,6 @@
     """Hold the newest snapshot that this process has.
 
     :param poll_interval_s: mean time between two looks at the revision row.
-    :param on_change: called with each newer snapshot.
     """
 
     def __init__(
@@ -35,15 +30,15 @@
         *,
         poll_interval_s: float = 1.0,
         timeout_s: float = 2.0,
-        on_change: Callable[[Snapshot], None] = lambda snapshot: None,
     ) -> None:
         self._table = table
         self._rng = rng
         self._poll_interval_s = poll_interval_s
         self._timeout_s = timeout_s
-        self._on_change = on_change
+        self._listeners: list[Callable[[Snapshot], None]] = []
         self._heard = ConfigRevision(0)
         self._wake = anyio.Event()
+        self._changed = anyio.Event()
         self.snapshot = EMPTY_SNAPSHOT
 
     @property
@@ -62,6 +57,15 @@
             self._heard = revision
             self._wake.set()
 
+    def on_change(self, listener: Callable[[Snapshot], None]) -> None:
+        """Call a listener with each newer snapshot."""
+        self._listeners.append(listener)
+
+    async def wait_until_current(self) -> None:
+        """Wait until the newest revision that was heard of is in force here."""
+        while self.revision < self._heard:
+            await self._changed.wait()
+
     def newer_than(self, revision: ConfigRevision) -> bytes:
         """Return the encoded snapshot where it is newer."""
         return b""
@@ -74,7 +78,10 @@
             )
         if snapshot.revision > self.revision:
             self.snapshot = snapshot
-            self._on_change(snapshot)
+            for listener in self._listeners:
+                listener(snapshot)
+            self._changed.set()
+            self._changed = anyio.Event()
 
     async def run(self) -> None:
         """Poll for as long as the process lives."""
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -35,7 +35,7 @@
     RoutedRequest,
     ServiceCall,
 )
-from endivegw.results import Reason, Refused, Unknown
+from endivegw.results import Reason, Refused
 from endivegw.settings import HttpLimits
 from endivegw.types import BudgetKey
 
--- a/src/endivegw/daemons/request_runner.py
+++ b/src/endivegw/daemons/request_runner.py
@@ -10,7 +10,8 @@
 from anyio.abc import TaskGroup
 from attrs import define, field
 
-from endivegw.budgets import BillLine, BudgetKeeper, Reservation, prompt_bound_tokens
+from endivegw.budgets import BillLine, BudgetKeeper, Reservation
+from endivegw.budgets.bound import prompt_bound_tokens
 from endivegw.daemons.attempt_runner import (
     AttemptAnswered,
     AttemptLost,
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -63,7 +63,9 @@
     @property
     def ready(self) -> bool:
         """Return whether the balancer should send callers here."""
-        return self._parts.configuration.ready and not self._draining
+        parts = self._parts
+        known = parts.configuration.ready and parts.watch.settled
+        return known and not self._draining
 
     @property
     def in_progress(self) -> int:
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -22,6 +22,9 @@
 
 _TARGET_ROLE = "target"
 
+#: Long enough for three heartbeats of a target that is slow to start.
+_SETTLE_BOUND_S = 5.0
+
 
 @define
 class _Peer:
@@ -66,6 +69,25 @@
         self._heartbeat_interval_s = heartbeat_interval_s
         self._heartbeats_missed = heartbeats_missed
         self._peers: dict[str, _Peer] = {}
+        self._listed_at_s: float | None = None
+        self._settled = False
+
+    @property
+    def settled(self) -> bool:
+        """Return whether what is listed was heard, or had time to be.
+
+        A fresh router that took requests before would refuse them although
+        targets are there. The bound is for a listed target that never answers.
+        """
+        if not self._settled and self._listed_at_s is not None:
+            waited_s = self._clock() - self._listed_at_s
+            heard = all(map(self._is_heard, self._peers.values()))
+            self._settled = heard or waited_s > _SETTLE_BOUND_S
+        return self._settled
+
+    def _is_heard(self, peer: _Peer) -> bool:
+        serving = peer.view is not None and bool(peer.view.models)
+        return serving or peer.missed >= self._heartbeats_missed
 
     def client(self, target: TargetName) -> SidecarClient | None:
         """Return the connection to a target's sidecar, None when it is gone."""
@@ -106,6 +128,8 @@
                 tasks.start_soon(self._watch, peer)
             else:
                 known.vm = vm
+        if self._listed_at_s is None:
+            self._listed_at_s = self._clock()
         self._publish()
 
     async def _watch(self, peer: _Peer) -> None:
--- a/src/endivegw/dev/fleet.py
+++ b/src/endivegw/dev/fleet.py
@@ -8,9 +8,10 @@
 from anyio.abc import TaskGroup, TaskStatus
 from attrs import define, field
 
-from endivegw.composition import Sidecar, build_router, build_sidecar
+from endivegw.composition import build_router, build_sidecar
 from endivegw.configuration import TargetKind
 from endivegw.daemons.router import Router
+from endivegw.daemons.sidecar_process import SidecarProcess
 from endivegw.dev.layout import (
     MODEL,
     TARGETS,
@@ -53,7 +54,7 @@
     number: int
     target: DevTarget
     url: str
-    sidecar: Sidecar
+    sidecar: SidecarProcess
     scope: anyio.CancelScope
 
     def kill(self) -> None:
@@ -161,4 +162,3 @@
 
 #: Where the routers of ``endivegw dev`` listen, unless told otherwise.
 DEFAULT_HTTP_PORTS = (8080, 8081)
-
--- a/src/endivegw/dev/layout.py
+++ b/src/endivegw/dev/layout.py
@@ -57,7 +57,9 @@
 TARGETS = tuple(
     DevTarget(TargetName(f"engine-{n}"), TargetKind.ENGINE, zone, (MODEL,))
     for n, zone in enumerate(ZONES, 1)
-) + (DevTarget(TargetName("lobby-1"), TargetKind.SERVICE, ZONES[0], (SERVICE,)),)
+) + (
+    DevTarget(TargetName("lobby-1"), TargetKind.SERVICE, ZONES[0], (SERVICE,)),
+)
 
 
 def router_address(number: int) -> str:
--- a/src/endivegw/dev/sample.py
+++ b/src/endivegw/dev/sample.py
@@ -80,7 +80,12 @@
     budget = BudgetKey(account, "main")
     _done(
         await top_up(
-            table, budget, budget_tokens, uuid.uuid4().hex, timeout_s=_TIMEOUT_S
+            table,
+            budget,
+            uuid.uuid4().hex,
+            budget_tokens,
+            timeout_s=_TIMEOUT_S,
+            now_s=time.time(),
         )
     )
     return SampleAccount(account, created.key, budget)
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -145,9 +145,7 @@
 def _target(reader: SettingsReader) -> TargetSettings:
     kinds = tuple(kind.value for kind in TargetKind)
     kind = TargetKind(reader.choice("target", "kind", kinds, TargetKind.ENGINE.value))
-    serves = reader.text(
-        "target", "serves", "" if kind is TargetKind.ENGINE else None
-    )
+    serves = reader.text("target", "serves", "" if kind is TargetKind.ENGINE else None)
     return TargetSettings(
         target=TargetName(reader.text("target", "name")),
         kind=kind,
--- a/src/endivegw/telemetry/catalogue/router.py
+++ b/src/endivegw/telemetry/catalogue/router.py
@@ -2,7 +2,13 @@
 
 from endivegw.telemetry.event import Event, Level
 
-__all__ = ["ATTEMPT_RESOLVED", "REQUEST_ENDED", "REQUEST_PLACED", "REQUEST_REFUSED", "REQUEST_RETRIED"]
+__all__ = [
+    "ATTEMPT_RESOLVED",
+    "REQUEST_ENDED",
+    "REQUEST_PLACED",
+    "REQUEST_REFUSED",
+    "REQUEST_RETRIED",
+]
 
 REQUEST_PLACED = Event(
     1001,
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -4,10 +4,11 @@
 import json
 import unittest
 
+from tools.event_catalogue import PAGE, page_text
+
 from endivegw.telemetry import EventLog, json_line_handler
 from endivegw.telemetry.catalogue import ALL_EVENTS
 from endivegw.telemetry.catalogue.router import REQUEST_REFUSED
-from tools.event_catalogue import PAGE, page_text
 
 
 class EventTests(unittest.TestCase):
