Add the sidecar: gate, starts, answer buffers, and the calls between processes

Cause: a target needs a last gate that refuses stale, sealed, doubled and late orders before anything runs, and holds answers for callers that retry.

--- /dev/null
+++ b/src/endivegw/daemons/sidecar.py
@@ -0,0 +1,309 @@
+"""The daemon beside each target: the last gate before work runs."""
+
+from __future__ import annotations
+
+import ssl
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+
+from endivegw.daemons.sidecar_body import BodyChannel
+from endivegw.daemons.sidecar_frames import (
+    answer_gone_frame,
+    offer_of,
+    refusal,
+    refusal_frame,
+)
+from endivegw.daemons.sidecar_gate import PROTOCOL_VERSION, Gate
+from endivegw.daemons.sidecar_jobs import Jobs, Target, engine_of
+from endivegw.daemons.sidecar_load import LoadWatch
+from endivegw.daemons.sidecar_ports import (
+    ClaimDesk,
+    Clock,
+    GrantGate,
+    KnownConfiguration,
+    SidecarSettings,
+)
+from endivegw.daemons.sidecar_run import Run
+from endivegw.daemons.sidecar_work import Work
+from endivegw.peers import serve_peers
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.peers._generated.endivegw_peers_grpc import SidecarBase
+from endivegw.requests.starts import (
+    AnswerGone,
+    Follow,
+    MayStart,
+    NeverStarted,
+    Started,
+    StartRegistry,
+)
+from endivegw.results import Reason, Refused
+from endivegw.telemetry import EventLog, Metrics
+from endivegw.telemetry.catalogue.sidecar import (
+    ATTEMPT_CANCELLED,
+    ATTEMPT_JOINED,
+    ATTEMPT_REFUSED,
+    DRAIN_ENDED,
+    DRAIN_STARTED,
+    GRANTS_SEALED,
+)
+from endivegw.types import AttemptId, ConfigRevision, GrantId
+
+__all__ = ["Sidecar"]
+
+
+class Sidecar(SidecarBase):  # type: ignore[misc]
+    """Serve the calls of routers and operators beside one target.
+
+    :param target: what it stands beside.
+    :param claims: answers claims where the sidecar owns key slots; None where
+        it owns none.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        grants: GrantGate,
+        registry: StartRegistry,
+        configuration: KnownConfiguration,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        settings: SidecarSettings,
+        claims: ClaimDesk | None = None,
+    ) -> None:
+        self._grants = grants
+        self._registry = registry
+        self._configuration = configuration
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._settings = settings
+        self._claims = claims
+        self._jobs = Jobs(target, grants, settings, clock)
+        self._work = Work(registry, grants, settings, clock, log, metrics)
+        self._gate = Gate(registry, grants, configuration, clock)
+        self._load = LoadWatch(engine_of(target), settings, clock)
+        self._leaving = ""
+
+    async def serve(
+        self,
+        host: str,
+        port: int,
+        tls: ssl.SSLContext | None = None,
+        *,
+        task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; report the bound port when it listens."""
+        async with anyio.create_task_group() as tasks:
+            self._work.attach(tasks)
+            tasks.start_soon(self._load.poll)
+            tasks.start_soon(self._expire)
+            bound = await tasks.start(serve_peers, (self,), host, port, tls)
+            task_status.started(bound)
+
+    def leave(self, why: str) -> None:
+        """Take no new work from now on, such as when the VM list says so.
+
+        :param why: a sentence for routers and operators; "" takes work again.
+        """
+        self._leaving = why
+
+    async def drain(self, bound_s: float | None = None) -> bool:
+        """Take no new work and wait until running work has ended.
+
+        :param bound_s: how long at most; the settings' bound where None.
+        :returns: whether all of it ended.
+        """
+        bound_s = self._settings.drain_bound_s if bound_s is None else bound_s
+        started_s = self._clock()
+        self.leave("the sidecar stops as planned")
+        self._log.emit(DRAIN_STARTED, running=self._work.running, bound_s=bound_s)
+        with anyio.move_on_after(bound_s):
+            await self._work.wait_idle()
+        running = self._work.running
+        elapsed_s = round(self._clock() - started_s, 3)
+        self._log.emit(DRAIN_ENDED, running=running, elapsed_s=elapsed_s)
+        return running == 0
+
+    async def Execute(self, stream: Any) -> None:
+        """Start, join or replay an attempt and send the frames of its answer."""
+        message = await stream.recv_message()
+        if message is None or message.WhichOneof("kind") != "start":
+            refused = Refused(Reason.BAD_REQUEST, "the first message is no start")
+            await stream.send_message(refusal_frame(self._header(), "", refused))
+            return
+        start = message.start
+        self._refresh_leaving()
+        match self._gate.check(start):
+            case Refused() as refused:
+                self._log_refusal(start, refused)
+                frame = refusal_frame(self._header(), start.attempt_id, refused)
+                await stream.send_message(frame)
+            case AnswerGone():
+                await stream.send_message(answer_gone_frame(start.attempt_id))
+            case Follow(attempt_id=attempt_id):
+                await self._join(stream, start, attempt_id)
+            case MayStart():
+                await self._start(stream, start)
+
+    async def Cancel(self, stream: Any) -> None:
+        """Bar an attempt that has not started, stop one that runs."""
+        request = await stream.recv_message()
+        attempt_id = AttemptId(request.attempt_id)
+        bound_to = request.target_instance_id
+        answer = self._registry.cancel(attempt_id, bound_to, self._clock())
+        run = self._work.find(attempt_id)
+        # Another caller may have joined; its answer must not be cut off by the
+        # one who goes away. The one who cancels has left its own stream.
+        if answer == Started(running=True) and run is not None and not run.readers:
+            run.scope.cancel()
+            with anyio.move_on_after(self._settings.cancel_timeout_s):
+                await run.ended.wait()
+            answer = self._registry.cancel(attempt_id, bound_to, self._clock())
+        self._log.emit(ATTEMPT_CANCELLED, attempt_id=attempt_id, answer=repr(answer))
+        reply = pb.CancelReply(header=self._header())
+        reply.never_started = isinstance(answer, NeverStarted)
+        reply.ended = answer == Started(running=False)
+        if run is not None:
+            reply.prompt_tokens = run.usage.prompt_tokens
+            reply.completion_tokens = run.usage.completion_tokens
+        await stream.send_message(reply)
+
+    async def Seal(self, stream: Any) -> None:
+        """Refuse later work under grants; tell what each consumed."""
+        request = await stream.recv_message()
+        ids = tuple(GrantId(grant_id) for grant_id in request.grant_ids)
+        sealed = self._grants.seal(ids, self._clock())
+        reply = pb.SealReply(header=self._header())
+        for grant in sealed:
+            reply.grants.add(
+                grant_id=grant.grant_id,
+                consumed_tokens=grant.consumed_tokens,
+                running_tokens=grant.running_tokens,
+                running=grant.running,
+            )
+        self._log.emit(
+            GRANTS_SEALED,
+            grants=len(ids),
+            consumed_tokens=sum(grant.consumed_tokens for grant in sealed),
+            running_tokens=sum(grant.running_tokens for grant in sealed),
+        )
+        await stream.send_message(reply)
+
+    async def Heartbeat(self, stream: Any) -> None:
+        """Tell the target's load and whether it takes new work."""
+        request = await stream.recv_message()
+        self._gate.check_sender(request.header)
+        self._refresh_leaving()
+        leaving = bool(self._gate.leaving)
+        reply = pb.HeartbeatReply(
+            header=self._header(),
+            load=self._load.report(self._work.running, leaving),
+            leaving=leaving,
+            start_incarnation=self._registry.incarnation,
+        )
+        if self._claims is not None:
+            reply.owned_slots.extend(self._claims.owned_slots())
+        await stream.send_message(reply)
+
+    async def Claim(self, stream: Any) -> None:
+        """Answer for the key slots that this process owns."""
+        request = await stream.recv_message()
+        refused = self._gate.check_sender(request.header)
+        if refused is None and self._claims is None:
+            refused = Refused(Reason.CLAIM_UNAVAILABLE, "owns no key slots")
+        if refused is not None or self._claims is None:
+            reply = pb.ClaimReply()
+            if refused is not None:
+                reply.refused.CopyFrom(refusal(refused))
+        else:
+            reply = await self._claims.claim(request)
+        reply.header.CopyFrom(self._header())
+        await stream.send_message(reply)
+
+    async def Configuration(self, stream: Any) -> None:
+        """Hand out the configuration to a process that has an older one."""
+        request = await stream.recv_message()
+        revision = ConfigRevision(request.header.config_revision)
+        self._configuration.heard(revision)
+        snapshot = self._configuration.newer_than(revision)
+        await stream.send_message(
+            pb.ConfigReply(header=self._header(), snapshot=snapshot)
+        )
+
+    async def _start(self, stream: Any, start: pb.ExecuteStart) -> None:
+        # No wait lies between the gate's word and the recorded start.
+        run = self._work.new_run(offer_of(start), start.remaining_s)
+        run.reserved = bool(start.grant_id)
+        body = BodyChannel() if start.service.more_body else None
+        job = self._jobs.job(run, start, body)
+        if job is None:
+            await self._refuse_work(stream, start, run)
+            return
+        self._work.start(run, job)
+        async with anyio.create_task_group() as tasks:
+            if body is not None:
+                tasks.start_soon(body.pump, stream)
+            await self._send(stream, run, start.resume_offset, joined=False)
+            tasks.cancel_scope.cancel()
+
+    async def _join(
+        self, stream: Any, start: pb.ExecuteStart, attempt_id: AttemptId
+    ) -> None:
+        run = self._work.find(attempt_id)
+        if run is None:
+            await stream.send_message(answer_gone_frame(start.attempt_id))
+            return
+        self._log.emit(
+            ATTEMPT_JOINED,
+            attempt_id=start.attempt_id,
+            joined_attempt_id=attempt_id,
+            client_account=start.client_account,
+            offset_bytes=start.resume_offset,
+        )
+        self._metrics.incr("attempts.joined")
+        await self._send(stream, run, start.resume_offset, joined=True)
+
+    async def _send(self, stream: Any, run: Run, offset: int, joined: bool) -> None:
+        async for frame in run.follow(self._header(), offset, joined):
+            await stream.send_message(frame)
+
+    async def _refuse_work(self, stream: Any, start: pb.ExecuteStart, run: Run) -> None:
+        # The grant was admitted and nothing runs under it.
+        if run.reserved:
+            self._grants.end(run.offer.attempt_id, run.usage, self._clock())
+        refused = Refused(Reason.NO_TARGET, "another kind of target stands here")
+        self._log_refusal(start, refused)
+        frame = refusal_frame(self._header(), start.attempt_id, refused)
+        await stream.send_message(frame)
+
+    def _refresh_leaving(self) -> None:
+        why = self._leaving
+        if not why and self._load.leaving:
+            why = "the target takes no new work"
+        self._gate.leaving = why
+
+    async def _expire(self) -> None:
+        while True:
+            await anyio.sleep(self._settings.load_interval_s)
+            self._work.expire()
+
+    def _header(self) -> pb.Header:
+        return pb.Header(
+            protocol_version=PROTOCOL_VERSION,
+            instance_id=self._settings.instance_id,
+            availability_zone=self._settings.availability_zone,
+            config_revision=self._configuration.revision,
+        )
+
+    def _log_refusal(self, start: pb.ExecuteStart, refused: Refused) -> None:
+        self._metrics.incr(f"attempts.refused.{refused.reason.value}")
+        self._log.emit(
+            ATTEMPT_REFUSED,
+            attempt_id=start.attempt_id,
+            client_account=start.client_account,
+            reason=refused.reason.value,
+            detail=refused.detail,
+        )
--- /dev/null
+++ b/src/endivegw/daemons/sidecar_work.py
@@ -0,0 +1,175 @@
+"""All attempts of one sidecar: starting, following, keeping and ending them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from endivegw.daemons.sidecar_ports import Clock, GrantGate, SidecarSettings
+from endivegw.daemons.sidecar_run import Run
+from endivegw.exceptions import InvariantError
+from endivegw.requests.buffer import AnswerBuffer, BufferEnd
+from endivegw.requests.starts import Offer, StartRegistry
+from endivegw.results import Reason, Refused
+from endivegw.telemetry import EventLog, Metrics
+from endivegw.telemetry.catalogue.sidecar import (
+    ATTEMPT_BROKE,
+    ATTEMPT_ENDED,
+    ATTEMPT_STARTED,
+)
+from endivegw.types import AttemptId, Usage
+
+__all__ = ["Job", "Work"]
+
+
+class Job(Protocol):
+    """What the target does for one attempt."""
+
+    async def run(self) -> Usage:
+        """Work until the buffer has its outcome; return what is charged."""
+
+    async def stop(self, reason: Reason) -> Usage:
+        """Free the target and give the buffer its outcome."""
+
+
+class Work:
+    """Run jobs in tasks of their own and keep their answers within bounds.
+
+    :ivar registry: what was started.
+    """
+
+    def __init__(
+        self,
+        registry: StartRegistry,
+        grants: GrantGate,
+        settings: SidecarSettings,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.registry = registry
+        self._grants = grants
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._runs: dict[AttemptId, Run] = {}
+        self._ended: OrderedDict[AttemptId, Run] = OrderedDict()
+        self._tasks: TaskGroup | None = None
+
+    def attach(self, tasks: TaskGroup) -> None:
+        """Set the task group in which jobs run from now on."""
+        self._tasks = tasks
+
+    @property
+    def running(self) -> int:
+        """Return how many attempts have not ended."""
+        return len(self._runs) - len(self._ended)
+
+    def find(self, attempt_id: AttemptId) -> Run | None:
+        """Return an attempt whose answer is held."""
+        return self._runs.get(attempt_id)
+
+    def new_run(self, offer: Offer, remaining_s: float) -> Run:
+        """Return a run that is not started yet."""
+        deadline_s = self._clock() + remaining_s
+        buffer = AnswerBuffer(self._settings.answer_bytes)
+        run = Run(offer, buffer, deadline_s)
+        run.scope.deadline = anyio.current_time() + remaining_s
+        return run
+
+    def start(self, run: Run, job: Job) -> None:
+        """Record the start and hand the work over.
+
+        :raises InvariantError: where it would be a second start.
+        """
+        if self._tasks is None:
+            raise InvariantError("the sidecar does not serve yet")
+        self.registry.start(run.offer, self._clock())
+        self._runs[run.offer.attempt_id] = run
+        self._log.emit(
+            ATTEMPT_STARTED,
+            attempt_id=run.attempt_id,
+            client_account=run.offer.identity.client_account,
+            repeatable=run.offer.repeatable,
+            running=self.running,
+        )
+        self._metrics.incr("attempts.started")
+        self._tasks.start_soon(self._drive, run, job)
+
+    def expire(self) -> None:
+        """Give up ended answers that are old, or that memory has no room for."""
+        now_s = self._clock()
+        held = sum(run.buffer.held_bytes for run in self._ended.values())
+        for attempt_id, run in tuple(self._ended.items()):
+            age_s = now_s - (run.ended_s or now_s)
+            in_bounds = held <= self._settings.kept_bytes
+            if in_bounds and age_s < self._settings.kept_s:
+                return
+            held -= run.buffer.held_bytes
+            self._forget(attempt_id)
+
+    async def wait_idle(self) -> None:
+        """Wait until every attempt has ended and every reader has its answer."""
+        while True:
+            busy = [r for r in self._runs.values() if r.ended_s is None or r.readers]
+            if not busy:
+                return
+            await busy[0].idle()
+
+    async def _drive(self, run: Run, job: Job) -> None:
+        started_s = self._clock()
+        usage = Usage()
+        reason = Reason.CANCELLED
+        try:
+            with run.scope:
+                usage = await job.run()
+        except Exception as error:
+            # A mistake in one attempt must not cut off the others, which share
+            # this process; it is logged as an error and ends its own answer.
+            reason = Reason.TARGET_FAILED
+            self._log.emit(ATTEMPT_BROKE, attempt_id=run.attempt_id, detail=repr(error))
+        if run.buffer.outcome is None:
+            if self._clock() >= run.deadline_s:
+                reason = Reason.DEADLINE
+            # Freeing the engine must go on while the daemon stops.
+            with anyio.CancelScope(shield=True):
+                usage = await job.stop(reason)
+        self._finish(run, usage, started_s)
+
+    def _finish(self, run: Run, usage: Usage, started_s: float) -> None:
+        now_s = self._clock()
+        attempt_id = run.offer.attempt_id
+        outcome = run.buffer.outcome
+        if run.reserved:
+            self._grants.end(attempt_id, usage, now_s)
+        if isinstance(outcome, Refused):
+            self.registry.never_began(attempt_id)
+            del self._runs[attempt_id]
+        else:
+            self.registry.ended(attempt_id, whole=isinstance(outcome, BufferEnd))
+            self._ended[attempt_id] = run
+        run.ended_s = now_s
+        run.usage = usage
+        run.ended.set()
+        run.changed()
+        self._log.emit(
+            ATTEMPT_ENDED,
+            attempt_id=attempt_id,
+            client_account=run.offer.identity.client_account,
+            outcome=type(outcome).__name__,
+            total_tokens=usage.total_tokens,
+            elapsed_s=round(now_s - started_s, 6),
+        )
+        self._metrics.timing("attempts.time", (now_s - started_s) * 1000)
+        self.expire()
+
+    def _forget(self, attempt_id: AttemptId) -> None:
+        run = self._ended.pop(attempt_id)
+        del self._runs[attempt_id]
+        self.registry.forget_answer(attempt_id)
+        if run.readers == 0:
+            run.buffer.discard()
--- a/src/endivegw/requests/__init__.py
+++ b/src/endivegw/requests/__init__.py
@@ -1,1 +1,1 @@
-"""One request, one whole answer: identity, claims, attempts, frames, replay."""
+"""Identity, claims, attempts and answers of requests, without input or output."""
--- a/src/endivegw/telemetry/catalogue/sidecar.py
+++ b/src/endivegw/telemetry/catalogue/sidecar.py
@@ -1,3 +1,79 @@
 """Events of the part named sidecar, 2000 to 2999."""
 
-__all__: list[str] = []
+from endivegw.telemetry.event import Event, Level
+
+__all__ = [
+    "ATTEMPT_BROKE",
+    "ATTEMPT_CANCELLED",
+    "ATTEMPT_ENDED",
+    "ATTEMPT_JOINED",
+    "ATTEMPT_REFUSED",
+    "ATTEMPT_STARTED",
+    "DRAIN_ENDED",
+    "DRAIN_STARTED",
+    "GRANTS_SEALED",
+]
+
+ATTEMPT_STARTED = Event(
+    2001,
+    "attempt-started",
+    Level.INFO,
+    "An attempt was handed to the target.",
+    ("attempt_id", "client_account", "repeatable", "running"),
+)
+ATTEMPT_JOINED = Event(
+    2002,
+    "attempt-joined",
+    Level.INFO,
+    "A caller's retry reads the answer of an attempt that was started before.",
+    ("attempt_id", "joined_attempt_id", "client_account", "offset_bytes"),
+)
+ATTEMPT_REFUSED = Event(
+    2003,
+    "attempt-refused",
+    Level.INFO,
+    "An attempt was refused before anything ran.",
+    ("attempt_id", "client_account", "reason", "detail"),
+)
+ATTEMPT_ENDED = Event(
+    2004,
+    "attempt-ended",
+    Level.INFO,
+    "An attempt at the target ended, whole or not.",
+    ("attempt_id", "client_account", "outcome", "total_tokens", "elapsed_s"),
+)
+ATTEMPT_CANCELLED = Event(
+    2005,
+    "attempt-cancelled",
+    Level.INFO,
+    "A router asked for the end of an attempt.",
+    ("attempt_id", "answer"),
+)
+ATTEMPT_BROKE = Event(
+    2006,
+    "attempt-broke",
+    Level.ERROR,
+    "An attempt met a mistake in the program; its answer ends in an error.",
+    ("attempt_id", "detail"),
+)
+DRAIN_STARTED = Event(
+    2010,
+    "drain-started",
+    Level.INFO,
+    "The sidecar takes no new work and lets running work end.",
+    ("running", "bound_s"),
+)
+DRAIN_ENDED = Event(
+    2011,
+    "drain-ended",
+    Level.INFO,
+    "Running work ended, or the bound of the drain passed.",
+    ("running", "elapsed_s"),
+)
+GRANTS_SEALED = Event(
+    2012,
+    "grants-sealed",
+    Level.INFO,
+    "Grants of a router were sealed; later work under them is refused.",
+    ("grants", "consumed_tokens", "running_tokens"),
+)
--- /dev/null
+++ b/tests/test_sidecar_execute.py
@@ -0,0 +1,357 @@
+"""A sidecar over real sockets: starts, joins, replays, cancels, drains."""
+
+import unittest
+
+import anyio
+
+from endivegw.peers import Broken, NotDelivered, SidecarClient
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from tests.sidecar_fakes import FakeEngine, FakeService, kind_of, served, text_of
+
+WHOLE = b'{"n":0}\n{"n":1}\n{"n":2}\n{"n":3}\n{"n":4}\n'
+
+
+class ExecuteTests(unittest.IsolatedAsyncioTestCase):
+    async def test_answer_is_whole(self):
+        """Head, bytes and an end with the right length come in this order."""
+        async with served(FakeEngine()) as rig:
+            frames = await rig.frames(rig.start_message())
+        self.assertEqual(kind_of(frames[0]), "head")
+        self.assertEqual(text_of(frames), WHOLE)
+        self.assertEqual(frames[-1].end.length, len(WHOLE))
+        self.assertEqual(rig.grants.charged, {"a1": 8})
+
+    async def test_router_death_leaves_the_answer_for_the_retry(self):
+        """
+        A router dies while it streams; its caller retries through another one
+        with the same key. The caller gets the whole answer, made once.
+        """
+        engine = FakeEngine(pause_s=0.05)
+        async with served(engine) as rig:
+            dying = SidecarClient("127.0.0.1", rig.port)
+            async for frame in dying.execute(rig.start_message()):
+                if frame.data:
+                    break
+            dying.close()
+            frames = await rig.frames(rig.start_message(attempt="a2"))
+        self.assertEqual(text_of(frames), WHOLE)
+        self.assertIs(frames[0].head.joined, True)
+        self.assertEqual(engine.starts, ["a1"])
+
+    async def test_replay_from_an_offset(self):
+        """An ended answer is read again from the bytes that the caller lacks."""
+        async with served(FakeEngine()) as rig:
+            await rig.frames(rig.start_message())
+            again = rig.start_message(attempt="a2", resume_offset=8)
+            frames = await rig.frames(again)
+        self.assertEqual(text_of(frames), WHOLE[8:])
+
+    async def test_stopped_sidecar_is_not_delivered(self):
+        """
+        A router calls a sidecar whose machine is gone. It learns that nothing
+        can have started, and places the request elsewhere.
+        """
+        async with served(FakeEngine()) as rig:
+            start = rig.start_message()
+        client = SidecarClient("127.0.0.1", rig.port)
+        with self.assertRaises(NotDelivered):
+            async for _ in client.execute(start):
+                pass
+        client.close()
+
+    async def test_sidecar_death_is_broken(self):
+        """
+        A sidecar dies after it took an order. Its router must not take the
+        request for one that did not run.
+        """
+        with self.assertRaises(Broken):
+            async with served(FakeEngine(pause_s=0.1)) as rig:
+                start = rig.start_message()
+                client = SidecarClient("127.0.0.1", rig.port)
+                async with anyio.create_task_group() as tasks:
+                    async for frame in client.execute(start):
+                        if frame.data:
+                            rig.sidecar._work._tasks.cancel_scope.cancel()
+                    tasks.cancel_scope.cancel()
+
+    async def test_two_accounts_with_one_key(self):
+        """
+        Two client accounts choose the same key. Each gets its own answer, not
+        the other one's.
+        """
+        engine = FakeEngine()
+        async with served(engine) as rig:
+            first = await rig.frames(rig.start_message())
+            other = rig.start_message(attempt="a2", client_account="gates")
+            second = await rig.frames(other)
+        self.assertEqual(engine.starts, ["a1", "a2"])
+        self.assertEqual(first[0].attempt_id, "a1")
+        self.assertEqual(second[0].attempt_id, "a2")
+
+
+class RefusalTests(unittest.IsolatedAsyncioTestCase):
+    async def refused(self, rig, start):
+        frames = await rig.frames(start)
+        self.assertEqual([kind_of(frame) for frame in frames], ["refused"])
+        return frames[0].refused.reason
+
+    async def test_each_check_refuses_before_the_engine_is_asked(self):
+        """Every refusal names its reason, and the engine has seen nothing."""
+        engine = FakeEngine()
+        async with served(engine) as rig:
+            rig.grants.sealed.add("sealed")
+            cases = {
+                "grant_sealed": rig.start_message(grant_id="sealed"),
+                "wrong_instance": rig.start_message(target_instance_id="s0.0"),
+                "insufficient_quota": rig.start_message(reservation_tokens=3),
+                "not_found": rig.start_message(join_only=True),
+            }
+            for reason, start in cases.items():
+                self.assertEqual(await self.refused(rig, start), reason)
+            version = rig.start_message()
+            version.header.protocol_version = 99
+            self.assertEqual(await self.refused(rig, version), "bad_request")
+        self.assertEqual(engine.starts, [])
+
+    async def test_stale_revision_is_refused_and_the_newer_one_told(self):
+        """
+        A router that was cut off comes back with an old configuration. Its
+        work is refused, and the refusal tells it which revision is in force.
+        """
+        engine = FakeEngine()
+        async with served(engine) as rig:
+            rig.configuration.revision = 7
+            frames = await rig.frames(rig.start_message())
+            self.assertEqual(frames[0].refused.reason, "stale_configuration")
+            self.assertEqual(frames[0].header.config_revision, 7)
+        self.assertEqual(engine.starts, [])
+
+    async def test_same_key_with_another_body(self):
+        """A key that was used for another body is a conflict."""
+        async with served(FakeEngine()) as rig:
+            await rig.frames(rig.start_message())
+            other = rig.start_message(attempt="a2", body_digest=b"other")
+            reason = await self.refused(rig, other)
+        self.assertEqual(reason, "idempotency_key_conflict")
+
+    async def test_engine_that_does_not_begin(self):
+        """
+        The engine turns an order away. The router learns that nothing ran, the
+        tokens are free again, and the doubled order does not start either.
+        """
+        engine = FakeEngine()
+        engine.refuse = True
+        async with served(engine) as rig:
+            self.assertEqual(await self.refused(rig, rig.start_message()), "overloaded")
+            self.assertEqual(rig.grants.charged, {"a1": 0})
+            engine.refuse = False
+            self.assertEqual(await self.refused(rig, rig.start_message()), "cancelled")
+        self.assertEqual(engine.starts, ["a1"])
+
+
+class NotRepeatableTests(unittest.IsolatedAsyncioTestCase):
+    async def test_doubled_order_runs_once(self):
+        """
+        A stand booking is sent twice, by the network or by two routers. The
+        stand is booked once and both callers get the one answer.
+        """
+        service = FakeService(pause_s=0.05)
+        async with served(service) as rig:
+            answers = []
+
+            async def call(attempt):
+                answers.append(await rig.frames(rig.service_start(attempt)))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, "a1")
+                tasks.start_soon(call, "a1")
+                tasks.start_soon(call, "a2")
+        self.assertEqual(service.bodies, [b"order"])
+        self.assertEqual([text_of(frames) for frames in answers], [b"order"] * 3)
+
+    async def test_restarted_sidecar_refuses_what_was_bound_to_the_old_one(self):
+        """
+        A sidecar restarts and remembers nothing; a late order for its
+        predecessor arrives. It may have run there, so it does not run again.
+        """
+        service = FakeService()
+        async with served(service, instance="s1") as rig:
+            start = rig.service_start()
+            await rig.frames(start)
+        async with served(service, instance="s2") as rig:
+            frames = await rig.frames(start)
+        self.assertEqual(frames[0].refused.reason, "wrong_instance")
+        self.assertEqual(len(service.bodies), 1)
+
+    async def test_broken_upload_does_not_look_whole(self):
+        """
+        A router dies in the middle of a request's body. The service is not
+        given the half of it as if it were all.
+        """
+
+        async def half():
+            yield b"half"
+            raise ConnectionResetError
+
+        service = FakeService()
+        async with served(service) as rig:
+            start = rig.service_start(body=b"")
+            start.service.more_body = True
+            client = SidecarClient("127.0.0.1", rig.port)
+            with anyio.move_on_after(0.2):
+                async for _ in client.execute(start, half()):
+                    pass
+            client.close()
+            retry = await rig.frames(rig.service_start("a2", body=b""))
+        self.assertEqual(service.bodies, [])
+        self.assertEqual(kind_of(retry[-1]), "failed")
+
+
+class CancelTests(unittest.IsolatedAsyncioTestCase):
+    async def test_cancel_before_start_bars_the_attempt(self):
+        """
+        A router gives an attempt up whose order is still under way. The cancel
+        arrives first: the order that comes late starts nothing.
+        """
+        engine = FakeEngine()
+        async with served(engine) as rig:
+            request = pb.CancelRequest(
+                header=rig.header(),
+                attempt_id="a1",
+                target_instance_id=rig.registry.incarnation,
+            )
+            reply = await rig.client.cancel(request, 1.0)
+            frames = await rig.frames(rig.start_message())
+        self.assertIs(reply.never_started, True)
+        self.assertEqual(frames[0].refused.reason, "cancelled")
+        self.assertEqual(engine.starts, [])
+
+    async def test_cancel_of_an_older_incarnation_tells_nothing(self):
+        """
+        A sidecar restarted between an order and its cancel. It cannot know
+        whether the order ran, and must not say that it did not.
+        """
+        async with served(FakeEngine()) as rig:
+            request = pb.CancelRequest(
+                header=rig.header(), attempt_id="a1", target_instance_id="s0.0"
+            )
+            reply = await rig.client.cancel(request, 1.0)
+        self.assertIs(reply.never_started, False)
+        self.assertIs(reply.ended, False)
+
+    async def test_cancel_frees_engine_and_reservation(self):
+        """
+        A caller hangs up in the middle of its answer. The engine stops and only
+        what it made is charged.
+        """
+        engine = FakeEngine(pieces=500, pause_s=0.02)
+        async with served(engine) as rig:
+            async for frame in rig.client.execute(
+                rig.start_message(reservation_tokens=900)
+            ):
+                if frame.data:
+                    break
+            await anyio.sleep(0.05)
+            request = pb.CancelRequest(header=rig.header(), attempt_id="a1")
+            reply = await rig.client.cancel(request, 2.0)
+        self.assertIs(reply.ended, True)
+        self.assertEqual(engine.cancelled, ["a1"])
+        self.assertEqual(rig.grants.charged, {"a1": 4})
+
+    async def test_deadline_frees_the_engine(self):
+        """
+        An engine is too slow for a request's deadline. The answer ends in an
+        explicit error, and the engine is freed.
+        """
+        engine = FakeEngine(pieces=500, pause_s=0.02)
+        async with served(engine) as rig:
+            start = rig.start_message()
+            start.remaining_s = 0.2
+            frames = await rig.frames(start)
+        self.assertEqual(frames[-1].failed.reason, "deadline_exceeded")
+        self.assertEqual(engine.cancelled, ["a1"])
+
+
+class EngineStreamTests(unittest.IsolatedAsyncioTestCase):
+    async def test_broken_engine_stream_is_resumed(self):
+        """
+        The connection to the engine breaks while it generates. The answer goes
+        on where it stopped, and the caller notices a short pause at most.
+        """
+        engine = FakeEngine(break_after=2)
+        async with served(engine, resume_pause_s=0.01) as rig:
+            frames = await rig.frames(rig.start_message())
+        self.assertEqual(text_of(frames), WHOLE)
+        self.assertEqual(engine.resumes, [2])
+        self.assertEqual(engine.starts, ["a1"])
+
+    async def test_stream_that_cannot_be_resumed_ends_in_an_error(self):
+        """
+        The engine is gone for good in the middle of an answer. The answer ends
+        in an explicit error, not as if it were whole.
+        """
+        engine = FakeEngine(break_after=2)
+        async with served(engine, resume_tries=0) as rig:
+            frames = await rig.frames(rig.start_message())
+        self.assertEqual(kind_of(frames[-1]), "failed")
+        self.assertIs(frames[-1].failed.usage_final, True)
+
+    async def test_engine_beyond_its_bound_is_stopped(self):
+        """
+        An engine ignores how many tokens it may make. It is stopped before the
+        client account pays for more than was reserved.
+        """
+        engine = FakeEngine(pieces=10)
+        async with served(engine) as rig:
+            frames = await rig.frames(rig.start_message(reservation_tokens=7))
+        self.assertEqual(kind_of(frames[-1]), "failed")
+        self.assertEqual(engine.cancelled, ["a1"])
+
+
+class DrainTests(unittest.IsolatedAsyncioTestCase):
+    async def test_drain_refuses_new_work_and_lets_running_work_end(self):
+        """
+        A sidecar is stopped as planned while it streams. The running answer
+        comes whole, a retry still joins it, and new work is refused.
+        """
+        engine = FakeEngine(pause_s=0.05)
+        async with served(engine) as rig:
+            answers = {}
+
+            async def call(name, start):
+                answers[name] = await rig.frames(start)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(call, "running", rig.start_message())
+                await anyio.sleep(0.1)
+                tasks.start_soon(rig.sidecar.drain, 5.0)
+                await anyio.sleep(0.02)
+                tasks.start_soon(call, "joined", rig.start_message("a2"))
+                tasks.start_soon(call, "new", rig.start_message("a3", "k3"))
+        self.assertEqual(text_of(answers["running"]), WHOLE)
+        self.assertEqual(text_of(answers["joined"]), WHOLE)
+        self.assertEqual(answers["new"][0].refused.reason, "draining")
+
+    async def test_drain_ends_at_its_bound(self):
+        """Work that never ends holds up a planned stop for the bound only."""
+        async with served(FakeEngine(pieces=1, pause_s=30)) as rig:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(rig.frames, rig.start_message())
+                await anyio.sleep(0.05)
+                self.assertIs(await rig.sidecar.drain(0.1), False)
+                tasks.cancel_scope.cancel()
+
+    async def test_own_sign_of_the_target(self):
+        """
+        An engine says itself that it is leaving. Its sidecar refuses new work,
+        also from a router that is cut off from the table.
+        """
+        engine = FakeEngine()
+        engine.draining = True
+        async with served(engine, load_interval_s=0.01) as rig:
+            await anyio.sleep(0.05)
+            frames = await rig.frames(rig.start_message())
+            request = pb.HeartbeatRequest(header=rig.header())
+            beat = await rig.client.heartbeat(request, 1.0)
+        self.assertEqual(frames[0].refused.reason, "draining")
+        self.assertIs(beat.leaving, True)
