--- /dev/null
+++ b/src/endivegw/peers/server.py
@@ -0,0 +1,74 @@
+"""The listening side of the calls between the fleet's processes."""
+
+from __future__ import annotations
+
+import ssl
+import weakref
+from typing import Any, Collection
+
+import anyio
+from anyio.abc import TaskStatus
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server
+
+from endivegw.peers.limits import BoundedCodec, peer_configuration
+
+__all__ = ["serve_peers"]
+
+
+class _ClosingServer(Server):
+    """Close connections when it closes.
+
+    grpclib cancels the running calls and leaves their connections open. The
+    other side would wait for answers that never come, where a daemon stops
+    inside a process that lives on.
+    """
+
+    def __init__(self, handlers: Collection[Any]) -> None:
+        super().__init__(handlers, codec=BoundedCodec(), config=peer_configuration())
+        self._protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    def close_connections(self) -> None:
+        """Close every connection that is open."""
+        for protocol in tuple(self._protocols):
+            # Set once the connection is made.
+            connection = getattr(protocol, "connection", None)
+            if connection is not None:
+                connection.close()
+
+
+async def serve_peers(
+    handlers: Collection[Any],
+    host: str,
+    port: int,
+    tls: ssl.SSLContext | None = None,
+    *,
+    task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until cancelled; report the bound port when it listens.
+
+    :param port: 0 for any free one.
+    :param tls: None for plain TCP.
+    """
+    server = _ClosingServer(handlers)
+    await server.start(host, port, ssl=tls)
+    try:
+        task_status.started(_bound_port(server))
+        await anyio.sleep_forever()
+    finally:
+        server.close()
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1):
+            await server.wait_closed()
+        server.close_connections()
+
+
+def _bound_port(server: Server) -> int:
+    # grpclib has no public way to ask for the port that was chosen.
+    listener: Any = server._server
+    port: int = listener.sockets[0].getsockname()[1]
+    return port
