Recover grants by sealing; settle exactly what the same write bills

Recovery fences the holder's row, seals its grants at every registered sidecar and settles, returns or holds back by versions. A fresh sidecar registers before it asks about holders, so a recovered router finds it unwilling too.

The first version settled with each draw and flushed lines by the clock.

--- a/src/endivegw/budgets/batch.py
+++ b/src/endivegw/budgets/batch.py
@@ -11,6 +11,7 @@
 
 from attrs import frozen
 
+from endivegw.budgets.bills import BillDraft
 from endivegw.budgets.rows import (
     HolderId,
     budget_row_key,
@@ -28,13 +29,12 @@
 class BilledChunk:
     """Hold one row of bill lines.
 
-    :param sort: the row's sort key in the partition of bills.
-    :param body: the lines as text, one JSON object a line.
+    :param body: the records as text.
     """
 
     key: RowKey
     body: str
-    lines: int
+    draft: BillDraft
 
 
 @frozen
@@ -44,12 +44,14 @@
     :param operation_id: chosen before the write; a lost answer is resolved by
         reading it back from the holder's row.
     :param drawers: changes of how many holders draw on a budget.
+    :param closed_below: all grants with lower numbers were closed before.
     """
 
     operation_id: str
     changes: tuple[GrantChange, ...]
     drawers: tuple[tuple[BudgetKey, int], ...] = ()
     chunk: BilledChunk | None = None
+    closed_below: int = 0
 
 
 def holder_put(
@@ -57,6 +59,7 @@
     instance_id: InstanceId,
     operation_id: str,
     version: int,
+    closed_below: int,
     now_s: float,
 ) -> Put:
     """Return the write that orders, dedups and fences all others of a holder."""
@@ -64,6 +67,7 @@
         "instance_id": instance_id,
         "operation": operation_id,
         "sealed": 0,
+        "closed_below": closed_below,
         "written_at_s": int(now_s),
     }
     return Put(holder_row_key(holder), fields, version)
@@ -127,7 +131,14 @@
     :param version: of the holder's row as last written by it.
     """
     writes: list[Write] = [
-        holder_put(holder, instance_id, batch.operation_id, version, now_s)
+        holder_put(
+            holder,
+            instance_id,
+            batch.operation_id,
+            version,
+            batch.closed_below,
+            now_s,
+        )
     ]
     by_budget: dict[BudgetKey, list[GrantChange]] = {}
     for change in batch.changes:
@@ -139,7 +150,7 @@
     if batch.chunk is not None:
         fields: dict[str, RowValue] = {
             "lines": batch.chunk.body,
-            "count": batch.chunk.lines,
+            "count": len(batch.chunk.draft.records),
         }
         writes.append(Put(batch.chunk.key, fields, 0))
     return Transaction(tuple(writes))
--- a/src/endivegw/budgets/bills.py
+++ b/src/endivegw/budgets/bills.py
@@ -2,17 +2,18 @@
 
 At 3,900 requests a second a row for each line would need ten times the writes
 that the table carries. The lines of one router are put together into one row
-every few seconds, in the same transaction that settles their tokens: what was
-settled and what was billed cannot part, and a repeated write adds nothing.
+every few seconds, in the transaction that settles exactly their tokens: what was
+settled and what was billed cannot part when the router dies between the two, and
+a repeated write adds nothing.
 """
 
 from __future__ import annotations
 
 import enum
 import json
-from typing import Iterable
+from typing import Callable, Iterable, Mapping
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from endivegw.budgets.rows import budget_key_of
 from endivegw.exceptions import InvariantError
@@ -21,6 +22,7 @@
 
 __all__ = [
     "BILL_PARTITION",
+    "BillDraft",
     "BillKind",
     "BillLine",
     "BillRecord",
@@ -80,8 +82,8 @@
     RECOVERED = "recovered"
     #: Charged without proof of consumption: the sidecar that knew is gone.
     WRITTEN_OFF = "written-off"
-    #: On a request's line already, and settled by recovery: counted once.
-    TAKEN_OVER = "taken-over"
+    #: Consumed by an attempt whose request got no line until a planned stop.
+    UNBILLED = "unbilled"
 
 
 @frozen
@@ -89,7 +91,8 @@
     """Hold one record of the bill as it is kept.
 
     :param name: the request's key, the attempt or the grant, by kind.
-    :param charged_tokens: negative for :attr:`BillKind.TAKEN_OVER`.
+    :param charged_tokens: what this record settles. Less than a request
+        consumed where recovery has settled a part under the grant's name.
     """
 
     kind: BillKind
@@ -160,6 +163,19 @@
     return RowKey(BILL_PARTITION, f"{hour_prefix(at_s)}/{writer}/{number:08d}")
 
 
+@frozen
+class BillDraft:
+    """Hold the records of the next row and what they settle.
+
+    :param settle_tokens: by budget, the sum of the records.
+    :param recovered_tokens: by budget, what recovery has settled in their place.
+    """
+
+    records: tuple[BillRecord, ...]
+    settle_tokens: Mapping[BudgetKey, int]
+    recovered_tokens: Mapping[BudgetKey, int]
+
+
 class LineQueue:
     """Hold records until they are in the table, and notice a second line.
 
@@ -170,6 +186,7 @@
     def __init__(self) -> None:
         self._waiting: list[BillRecord] = []
         self._identities: dict[RequestIdentity, None] = {}
+        self._recovered: dict[BudgetKey, int] = {}
         self.oldest_at_s: float | None = None
 
     def __len__(self) -> int:
@@ -193,11 +210,45 @@
             self.oldest_at_s = now_s
         self._waiting.append(record)
 
-    def peek(self) -> tuple[BillRecord, ...]:
-        """Return what the next row holds."""
-        return tuple(self._waiting[:MAX_CHUNK_LINES])
+    def settled_by_recovery(self, budget: BudgetKey, tokens: int) -> None:
+        """Charge that much less on this budget's lines.
+
+        Recovery, which knows grants and not requests, bills the tokens under
+        the grant's name; on a line as well they would be charged twice.
+        """
+        if tokens:
+            self._recovered[budget] = self._recovered.get(budget, 0) + tokens
 
-    def written(self, count: int, now_s: float) -> None:
+    def draft(self, room_items: int, items_of: Callable[[BudgetKey], int]) -> BillDraft:
+        """Return what the next row holds.
+
+        :param room_items: how many rows the same write may touch.
+        :param items_of: how many rows it touches to settle a budget.
+        """
+        records: list[BillRecord] = []
+        settle: dict[BudgetKey, int] = {}
+        recovered: dict[BudgetKey, int] = {}
+        for record in self._waiting[:MAX_CHUNK_LINES]:
+            budget = record.budget
+            if budget not in settle:
+                room_items -= items_of(budget)
+                if room_items < 0 and settle:
+                    break
+            left_tokens = self._recovered.get(budget, 0) - recovered.get(budget, 0)
+            less_tokens = min(record.charged_tokens, left_tokens)
+            charged_tokens = record.charged_tokens - less_tokens
+            recovered[budget] = recovered.get(budget, 0) + less_tokens
+            settle[budget] = settle.get(budget, 0) + charged_tokens
+            records.append(evolve(record, charged_tokens=charged_tokens))
+        return BillDraft(tuple(records), settle, recovered)
+
+    def written(self, draft: BillDraft, now_s: float) -> None:
         """Drop records that are in the table."""
-        del self._waiting[:count]
+        del self._waiting[: len(draft.records)]
+        for budget, tokens in draft.recovered_tokens.items():
+            left_tokens = self._recovered.get(budget, 0) - tokens
+            if left_tokens > 0:
+                self._recovered[budget] = left_tokens
+            else:
+                self._recovered.pop(budget, None)
         self.oldest_at_s = now_s if self._waiting else None
--- a/src/endivegw/budgets/escrow.py
+++ b/src/endivegw/budgets/escrow.py
@@ -101,7 +101,12 @@
         put back meanwhile would be given back a second time when it arrives.
         """
         barrier = holder_put(
-            self.holder, self._instance_id, barrier_id, self._version, now_s
+            self.holder,
+            self._instance_id,
+            barrier_id,
+            self._version,
+            batch.closed_below,
+            now_s,
         )
         result = await self._table.transact(
             Transaction((barrier,)), timeout_s=timeout_s
--- a/src/endivegw/budgets/ledger.py
+++ b/src/endivegw/budgets/ledger.py
@@ -10,17 +10,13 @@
 
 from attrs import define, field, frozen
 
-from endivegw.budgets.rows import HolderId, holder_of
+from endivegw.budgets.rows import HolderId, grant_number_of, holder_named, holder_of
 from endivegw.exceptions import InvariantError
 from endivegw.results import Reason, Refused
 from endivegw.types import AttemptId, BudgetKey, GrantId, Usage
 
 __all__ = ["GrantLedger", "GrantUse", "SealedGrant"]
 
-#: How long a grant without running work stays in memory before its use, once
-#: checkpointed, is read back from the checkpoint alone.
-IDLE_GRANT_S = 1800.0
-
 
 @frozen
 class SealedGrant:
@@ -68,8 +64,8 @@
 class GrantLedger:
     """Count what each grant consumed at one target, and refuse sealed ones.
 
-    Memory is bounded: a grant's entry goes away some time after its last work,
-    and of a sealed holder only the holder's name stays.
+    Memory is bounded: a grant's entry goes away once its holder has closed it,
+    and of a sealed holder only the name stays.
 
     :param checks_holders: whether a grant of a holder that
         :meth:`learn_holder` was not told about is refused. A sidecar that was
@@ -178,12 +174,22 @@
     ) -> tuple[SealedGrant, ...]:
         """Refuse all later work under the grants and say what they consumed.
 
+        An id of :func:`rows.all_grants_of` seals a holder, and is answered with
+        each of its grants that work ran under here.
+
         Running work goes on: its caller may still be joined to it through
         another router. The asker comes back until nothing runs any more.
         """
+        named: list[GrantId] = []
         for grant_id in grant_ids:
-            self._sealed.add(grant_id)
-        return tuple(self._sealed_grant(grant_id) for grant_id in grant_ids)
+            holder = holder_named(grant_id)
+            if holder is None:
+                self._sealed.add(grant_id)
+                named.append(grant_id)
+            else:
+                self.learn_holder(holder, sealed=True)
+                named.extend(one for one in self._grants if holder_of(one) == holder)
+        return tuple(self._sealed_grant(grant_id) for grant_id in named)
 
     def is_sealed(self, grant_id: GrantId) -> bool:
         """Return whether work under the grant would be refused as sealed."""
@@ -210,24 +216,35 @@
             if grant and self._use(use.grant_id, grant) == use:
                 grant.dirty = False
 
-    def forget(self, closed: tuple[GrantId, ...]) -> None:
-        """Drop grants whose rows are gone from the table.
+    def forget_closed(self, holder: HolderId, closed_below: int) -> int:
+        """Drop a holder's grants that are closed and settled; return how many.
 
-        A closed grant has nothing left to settle, and its holder, which closed
-        it itself, sends no more work under it. A sealed one is kept as sealed.
+        Its holder closed them itself when no attempt was left under them, so it
+        sends no more work under them.
         """
+        closed = [
+            grant_id
+            for grant_id, grant in self._grants.items()
+            if not grant.running
+            and holder_of(grant_id) == holder
+            and grant_number_of(grant_id) < closed_below
+        ]
         for grant_id in closed:
-            grant = self._grants.get(grant_id)
-            if grant is not None and not grant.running:
+            del self._grants[grant_id]
+        return len(closed)
+
+    def forget_holder(self, holder: HolderId) -> None:
+        """Drop the grants of a sealed holder; its name stays, as sealed."""
+        self.learn_holder(holder, sealed=True)
+        gone = [name for name in self._grants if holder_of(name) == holder]
+        for grant_id in gone:
+            if not self._grants[grant_id].running:
                 del self._grants[grant_id]
 
-    def idle_grants(self, now_s: float) -> tuple[GrantId, ...]:
-        """Return grants without work for long, to ask the table about."""
-        return tuple(
-            grant_id
-            for grant_id, grant in self._grants.items()
-            if not grant.running and now_s - grant.touched_at_s > IDLE_GRANT_S
-        )
+    def holders(self) -> tuple[HolderId, ...]:
+        """Return the open holders and those with grants, to ask the table about."""
+        counted = {holder_of(grant_id) for grant_id in self._grants}
+        return tuple(sorted(self._open_holders | counted))
 
     def __len__(self) -> int:
         return len(self._grants)
--- a/src/endivegw/budgets/planning.py
+++ b/src/endivegw/budgets/planning.py
@@ -7,21 +7,34 @@
 from endivegw.budgets.rows import BudgetRow, grant_id_of
 from endivegw.budgets.sizing import SizePolicy, draw_tokens, idle_tokens
 from endivegw.budgets.wallet import BudgetWallet, GrantChange, HeldGrant
+from endivegw.exceptions import InvariantError
 from endivegw.types import BudgetKey, GrantId
 
-__all__ = ["DrawDecision", "Plan", "plan_wallet", "wants_draw", "wants_write"]
+__all__ = [
+    "DrawDecision",
+    "Plan",
+    "is_closable",
+    "is_forgettable",
+    "items_of",
+    "next_look_s",
+    "plan_wallet",
+    "wants_draw",
+    "wants_write",
+]
 
 #: A grant older than this takes no further draws. A sidecar that is gone for
 #: good leaves in doubt only the grants that it may have seen, and those end.
 ROTATE_S = 600.0
 
-#: Use that is known waits no longer than this for its settlement. Shorter costs
-#: writes for budgets that draw seldom; longer lets ``budget show`` lag.
-SETTLE_S = 15.0
-
 #: A budget without a request for this long gives all its free tokens back.
 IDLE_S = 120.0
 
+#: How often a budget with tokens in hand is looked at for a demand that fell.
+_DECAY_LOOK_S = 15.0
+
+#: No budget is looked at more often than this without being touched.
+_LEAST_LOOK_S = 0.5
+
 
 @frozen
 class DrawDecision:
@@ -35,6 +48,15 @@
     drawers: int
     rate_tokens_per_s: float
 
+    def figures(self) -> dict[str, float]:
+        """Return what the size was decided on, for the log."""
+        return {
+            "needed_tokens": self.needed_tokens,
+            "available_tokens": self.available_tokens,
+            "drawers": self.drawers,
+            "rate_tokens_per_s": round(self.rate_tokens_per_s, 1),
+        }
+
 
 @define
 class Plan:
@@ -68,15 +90,46 @@
 def wants_write(
     policy: SizePolicy, wallet: BudgetWallet, now_s: float, closing: bool
 ) -> bool:
-    """Return whether there is something to settle, give back or close by now."""
-    if closing:
-        return bool(wallet.grants)
-    since_s = wallet.unsettled_since_s
-    if since_s is not None and now_s - since_s >= SETTLE_S:
+    """Return whether there is something to give back or close by now."""
+    if closing and is_closable(wallet):
+        return True
+    if any(_can_close(grant) for grant in wallet.grants.values()):
         return True
     return _give_back_tokens(policy, wallet, now_s, closing) > 0
 
 
+def items_of(wallet: BudgetWallet) -> int:
+    """Return the most rows that a budget's part of a write touches."""
+    return len(wallet.grants) + 2
+
+
+def next_look_s(wallet: BudgetWallet, now_s: float) -> float:
+    """Return when a budget that nothing happens to needs to be looked at."""
+    times_s = [now_s + IDLE_S]
+    if wallet.free_tokens:
+        times_s.append(now_s + _DECAY_LOOK_S)
+    return max(min(times_s), now_s + _LEAST_LOOK_S)
+
+
+def is_forgettable(wallet: BudgetWallet, now_s: float) -> bool:
+    """Return whether nothing of a budget is in hand and none will be wanted."""
+    empty = not wallet.grants and not wallet.reservations
+    return empty and now_s - wallet.used_at_s > IDLE_S
+
+
+def is_closable(wallet: BudgetWallet) -> bool:
+    """Return whether a write at a planned stop has something to do for a budget."""
+    return any(_has_rest(grant) for grant in wallet.grants.values())
+
+
+def _has_rest(grant: HeldGrant) -> bool:
+    if grant.sealed:
+        return False
+    if grant.free_tokens or grant.consumed_tokens or grant.transit_tokens:
+        return True
+    return _can_close(grant)
+
+
 def _give_back_tokens(
     policy: SizePolicy, wallet: BudgetWallet, now_s: float, closing: bool
 ) -> int:
@@ -90,12 +143,14 @@
     policy: SizePolicy,
     wallet: BudgetWallet,
     row: BudgetRow | None,
+    settle_tokens: int,
     now_s: float,
     closing: bool,
 ) -> None:
     """Add what one budget needs to a plan, and move its tokens out.
 
     :param row: as read just now, None where no draw is wanted.
+    :param settle_tokens: what the bill records of the same write charge.
     """
     drew = _plan_draw(plan, policy, wallet, row, now_s)
     give_back_tokens = 0
@@ -109,7 +164,9 @@
         if not back_tokens and _is_leftover(wallet, grant, now_s):
             back_tokens = grant.free_tokens
         give_back_tokens -= min(back_tokens, give_back_tokens)
-        moved = wallet.move_out(grant, back_tokens)
+        use_tokens = min(settle_tokens, grant.consumed_tokens)
+        settle_tokens -= use_tokens
+        moved = wallet.move_out(grant, use_tokens, back_tokens)
         drawn = draws.get(grant.grant_id)
         if drawn is not None:
             plan.changes.remove(drawn)
@@ -120,11 +177,14 @@
                 settle_tokens=moved.settle_tokens,
                 give_back_tokens=moved.give_back_tokens,
             )
-        elif _can_close(grant, now_s, closing):
+        elif _can_close(grant):
             moved = _closing(moved, grant)
         if _is_worth_writing(moved):
             plan.changes.append(moved)
-    wallet.unsettled_since_s = None
+    if settle_tokens:
+        raise InvariantError(
+            f"budget {wallet.budget}: {settle_tokens} tokens billed, not consumed"
+        )
     _count_drawers(plan, wallet)
 
 
@@ -138,8 +198,7 @@
     if row is None:
         return False
     state = wallet.state(now_s)
-    own = any(grant.owned for grant in wallet.grants.values())
-    drawers = row.drawers + (0 if own else 1)
+    drawers = row.drawers + (0 if wallet.counted else 1)
     draw = draw_tokens(policy, state, row.available_tokens, drawers)
     if draw.tokens <= 0:
         return False
@@ -175,9 +234,10 @@
     return grant.free_tokens < wallet.demand.bound_tokens(now_s)
 
 
-def _can_close(grant: HeldGrant, now_s: float, closing: bool) -> bool:
+def _can_close(grant: HeldGrant) -> bool:
     held_tokens = grant.free_tokens + grant.reserved_tokens + grant.lent_tokens
-    return grant.owned and grant.version > 0 and held_tokens == 0
+    is_over = held_tokens + grant.consumed_tokens == 0
+    return grant.owned and grant.version > 0 and is_over and not grant.sealed
 
 
 def _closing(change: GrantChange, grant: HeldGrant) -> GrantChange:
@@ -200,8 +260,7 @@
     changes = [change for change in plan.changes if change.budget == wallet.budget]
     opened = sum(change.opens for change in changes)
     closed = sum(change.closes_version is not None for change in changes)
-    own = sum(grant.owned for grant in wallet.grants.values())
-    before = own > 0
-    after = own + opened - closed > 0
-    if before != after:
-        plan.drawers[wallet.budget] = 1 if after else -1
+    own = sum(grant.owned and not grant.sealed for grant in wallet.grants.values())
+    draws = own + opened - closed > 0
+    if changes and draws != wallet.counted:
+        plan.drawers[wallet.budget] = 1 if draws else -1
--- a/src/endivegw/budgets/rows.py
+++ b/src/endivegw/budgets/rows.py
@@ -21,10 +21,15 @@
     "HolderId",
     "HolderRow",
     "TOPUP_PARTITION",
+    "all_grants_of",
     "budget_key_of",
     "budget_row_key",
     "check_budget",
+    "grant_id_of",
+    "grant_number_of",
+    "grant_prefix_of",
     "grant_row_key",
+    "holder_named",
     "holder_of",
     "holder_row_key",
     "topup_row_key",
@@ -41,6 +46,9 @@
 #: Separates the holder from the number of the grant in a grant's id.
 _GRANT_SEPARATOR = "#"
 
+#: In place of the number: all grants of the holder, also those never heard of.
+_ALL_GRANTS = "*"
+
 
 def budget_row_key(budget: BudgetKey) -> RowKey:
     """Return the key of a budget's row."""
@@ -77,6 +85,22 @@
     return grant_id.rpartition(_GRANT_SEPARATOR)[0]
 
 
+def grant_number_of(grant_id: GrantId) -> int:
+    """Return the number of a grant among its holder's."""
+    return int(grant_id.rpartition(_GRANT_SEPARATOR)[2])
+
+
+def all_grants_of(holder: HolderId) -> GrantId:
+    """Return the id that stands for every grant of a holder in a seal."""
+    return GrantId(f"{holder}{_GRANT_SEPARATOR}{_ALL_GRANTS}")
+
+
+def holder_named(grant_id: GrantId) -> HolderId | None:
+    """Return the holder where the id stands for all of its grants, else None."""
+    holder, _, number = grant_id.rpartition(_GRANT_SEPARATOR)
+    return holder if number == _ALL_GRANTS else None
+
+
 def budget_key_of(text: str) -> BudgetKey:
     """Return the budget that a row's sort key or field names."""
     account, _, name = text.partition("/")
@@ -166,6 +190,9 @@
 
     :param operation_id: the last write that took effect.
     :param sealed: True once recovery has fenced the holder off.
+    :param written_at_s: when the holder wrote last, or when it was sealed.
+    :param closed_below: all grants with lower numbers are closed and settled.
+    :param recovered: True once nothing of a sealed holder is left open.
     """
 
     holder: HolderId
@@ -173,6 +200,9 @@
     instance_id: InstanceId
     operation_id: str
     sealed: bool
+    written_at_s: int
+    closed_below: int
+    recovered: bool
 
     @classmethod
     def of(cls, row: Row) -> HolderRow:
@@ -183,4 +213,7 @@
             instance_id=InstanceId(str(row.fields["instance_id"])),
             operation_id=str(row.fields["operation"]),
             sealed=_number(row, "sealed") == 1,
+            written_at_s=_number(row, "written_at_s"),
+            closed_below=_number(row, "closed_below"),
+            recovered=_number(row, "recovered") == 1,
         )
--- a/src/endivegw/budgets/wallet.py
+++ b/src/endivegw/budgets/wallet.py
@@ -83,7 +83,8 @@
 
     :ivar known_available_tokens: what the table had left when it was last
         read, None before.
-    :ivar unsettled_since_s: when the oldest unsettled use became known.
+    :ivar counted: whether the budget's row counts this router as drawing.
+    :ivar unbilled_tokens: finished, and on no request's line yet.
     """
 
     budget: BudgetKey
@@ -93,7 +94,8 @@
     demand: DemandEstimate = field(factory=DemandEstimate)
     wanted_tokens: int = 0
     known_available_tokens: int | None = None
-    unsettled_since_s: float | None = None
+    counted: bool = False
+    unbilled_tokens: int = 0
     used_at_s: float = 0.0
 
     @property
@@ -142,11 +144,13 @@
             return reservation
         return None
 
-    def give(self, reservation: Reservation, used_tokens: int, now_s: float) -> int:
+    def give(
+        self, reservation: Reservation, used_tokens: int, now_s: float
+    ) -> int | None:
         """End a reservation; return how many of its tokens are unsettled here.
 
         :returns: ``used_tokens``, or 0 where the grant is sealed, since
-            recovery settles those, or where the reservation ended before.
+            recovery settles those; None where the reservation ended before.
         :raises InvariantError: where more was used than reserved.
         """
         if used_tokens > reservation.tokens:
@@ -155,7 +159,7 @@
                 f"a reservation of {reservation.tokens}"
             )
         if self.reservations.pop(reservation.reservation_id, None) is None:
-            return 0
+            return None
         grant = self.grants[reservation.grant_id]
         grant.reserved_tokens -= reservation.tokens
         self.demand.consumed(used_tokens, now_s)
@@ -164,8 +168,6 @@
             return 0
         grant.free_tokens += reservation.tokens - used_tokens
         grant.consumed_tokens += used_tokens
-        if used_tokens and self.unsettled_since_s is None:
-            self.unsettled_since_s = now_s
         return used_tokens
 
     def seal(self, grant_id: GrantId) -> int:
@@ -262,15 +264,21 @@
         elif not grant.owned or grant.sealed:
             self._drop_if_empty(grant)
 
-    def move_out(self, grant: HeldGrant, give_back_tokens: int) -> GrantChange:
+    def move_out(
+        self, grant: HeldGrant, settle_tokens: int, give_back_tokens: int
+    ) -> GrantChange:
         """Debit what a write settles and gives back, before the write."""
         if give_back_tokens > grant.free_tokens:
             raise InvariantError(
                 f"grant {grant.grant_id}: {give_back_tokens} tokens to give back "
                 f"and only {grant.free_tokens} free"
             )
-        settle_tokens = grant.consumed_tokens
-        grant.consumed_tokens = 0
+        if settle_tokens > grant.consumed_tokens:
+            raise InvariantError(
+                f"grant {grant.grant_id}: {settle_tokens} tokens to settle and "
+                f"only {grant.consumed_tokens} consumed"
+            )
+        grant.consumed_tokens -= settle_tokens
         grant.free_tokens -= give_back_tokens
         grant.transit_tokens += settle_tokens + give_back_tokens
         return GrantChange(
--- a/tests/test_budgets_keeper.py
+++ b/tests/test_budgets_keeper.py
@@ -104,7 +104,12 @@
 
     def test_request_is_billed_once(self):
         """A second line for one request is refused inside the program."""
-        self.keeper.bill(_line("a", 1))
+        self.keeper.bill(_line("a", 0))
+        with self.assertRaises(InvariantError):
+            self.keeper.bill(_line("a", 0))
+
+    def test_more_than_was_consumed_is_not_billed(self):
+        """A line beyond what the request's attempts consumed is refused."""
         with self.assertRaises(InvariantError):
             self.keeper.bill(_line("a", 1))
 
