Resume any broken engine stream, and ask about holders before the gate

Cause: the engine adapter reports a cut answer as a failed target, which was not resumed; a freshly started sidecar admits only holders that the table was asked about.

--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -22,6 +22,7 @@
     ClaimDesk,
     Clock,
     GrantGate,
+    HolderDirectory,
     KnownConfiguration,
     SidecarSettings,
 )
@@ -57,6 +58,8 @@
     """Serve the calls of routers and operators beside one target.
 
     :param target: what it stands beside.
+    :param holders: asked before a grant is admitted; None where the ledger
+        admits every holder.
     :param claims: answers claims where the sidecar owns key slots; None where
         it owns none.
     """
@@ -72,6 +75,7 @@
         metrics: Metrics,
         settings: SidecarSettings,
         claims: ClaimDesk | None = None,
+        holders: HolderDirectory | None = None,
     ) -> None:
         self._grants = grants
         self._registry = registry
@@ -81,6 +85,7 @@
         self._metrics = metrics
         self._settings = settings
         self._claims = claims
+        self._holders = holders
         self._jobs = Jobs(target, grants, settings, clock)
         self._work = Work(registry, grants, settings, clock, log, metrics)
         self._gate = Gate(registry, grants, configuration, clock)
@@ -136,7 +141,7 @@
             return
         start = message.start
         self._refresh_leaving()
-        match self._gate.check(start):
+        match await self._decide(start):
             case Refused() as refused:
                 self._log_refusal(start, refused)
                 frame = refusal_frame(self._header(), start.attempt_id, refused)
@@ -233,6 +238,26 @@
             pb.ConfigReply(header=self._header(), snapshot=snapshot)
         )
 
+    async def _decide(
+        self, start: pb.ExecuteStart
+    ) -> MayStart | Follow | AnswerGone | Refused:
+        if self._holders is not None and start.grant_id:
+            refused = await self._holders.ready_for(GrantId(start.grant_id))
+            if refused is not None:
+                return self._decide_without_start(start, refused)
+        return self._gate.check(start)
+
+    def _decide_without_start(
+        self, start: pb.ExecuteStart, why: Refused
+    ) -> MayStart | Follow | AnswerGone | Refused:
+        # Joins need no grant, and pass also where the table is away.
+        start.join_only = True
+        match self._gate.check(start):
+            case Refused(reason=Reason.NOT_FOUND):
+                return why
+            case decision:
+                return decision
+
     async def _start(self, stream: Any, start: pb.ExecuteStart) -> None:
         # No wait lies between the gate's word and the recorded start.
         run = self._work.new_run(offer_of(start), start.remaining_s)
--- a/src/endivegw/daemons/sidecar_engine.py
+++ b/src/endivegw/daemons/sidecar_engine.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import AsyncIterator
+from contextlib import aclosing
+from typing import Any
 
 import anyio
 
@@ -26,8 +27,8 @@
 #: What a broken stream to the engine looks like.
 _BROKEN = (TargetError, OSError)
 
-#: Reasons of an engine's failure after which its answer may still be growing.
-_RESUMABLE = frozenset({Reason.UNREACHABLE, Reason.TIMEOUT})
+#: Reasons for which an answer is given up rather than resumed.
+_FINAL = frozenset({Reason.BUDGET_EXHAUSTED, Reason.CANCELLED, Reason.DEADLINE})
 
 
 class EngineJob:
@@ -83,32 +84,40 @@
         """
         return await self._fail(self._failed(reason, "stopped by the fleet"))
 
-    async def _consume(
-        self, events: AsyncIterator[EngineEvent]
-    ) -> EngineEnded | EngineFailed:
+    async def _consume(self, events: Any) -> EngineEnded | EngineFailed:
+        event: EngineEvent
         try:
-            async for event in events:
-                if not isinstance(event, EngineText):
-                    return event
-                if self._tokens + event.tokens > self._request.max_completion_tokens:
-                    # The grant holds no more: an engine that ignores its bound
-                    # would spend beyond the prepaid budget.
-                    detail = "the engine went beyond its token bound"
-                    return self._failed(Reason.TARGET_FAILED, detail)
-                self._pieces += 1
-                self._tokens += event.tokens
-                now_s = self._clock()
-                self._grants.consume(self._request.attempt_id, event.tokens, now_s)
-                await self._run.append(_line(event.data))
+            # Closing it at once, not at some later time, tells the engine that
+            # nobody reads any more.
+            async with aclosing(events):
+                async for event in events:
+                    if not isinstance(event, EngineText):
+                        return event
+                    if self._beyond_bound(event.tokens):
+                        detail = "the engine went beyond its token bound"
+                        return self._failed(Reason.BUDGET_EXHAUSTED, detail)
+                    await self._take(event)
         except _BROKEN as error:
             return self._failed(Reason.UNREACHABLE, str(error))
         return self._failed(Reason.UNREACHABLE, "the stream ended early")
 
+    def _beyond_bound(self, tokens: int) -> bool:
+        # The grant holds no more: an engine that ignores its bound would spend
+        # beyond the prepaid budget.
+        return self._tokens + tokens > self._request.max_completion_tokens
+
+    async def _take(self, event: EngineText) -> None:
+        self._pieces += 1
+        self._tokens += event.tokens
+        now_s = self._clock()
+        self._grants.consume(self._request.attempt_id, event.tokens, now_s)
+        await self._run.append(_line(event.data))
+
     def _resumable(self, failed: EngineFailed) -> bool:
         return (
             failed.started
             and not failed.usage_final
-            and failed.reason in _RESUMABLE
+            and failed.reason not in _FINAL
             and self._resumed < self._settings.resume_tries
             and self._clock() < self._run.deadline_s
         )
--- a/src/endivegw/daemons/sidecar_ports.py
+++ b/src/endivegw/daemons/sidecar_ports.py
@@ -24,6 +24,7 @@
     "ClaimDesk",
     "Clock",
     "GrantGate",
+    "HolderDirectory",
     "KnownConfiguration",
     "SidecarSettings",
 ]
@@ -69,6 +70,20 @@
         """Refuse later work under the grants; return what each consumed."""
 
 
+class HolderDirectory(Protocol):
+    """What knows the routers whose grants come in."""
+
+    async def ready_for(self, grant_id: GrantId) -> Refused | None:
+        """Ask the table about the grant's holder where it was not asked yet.
+
+        A sidecar that was just started has forgotten every seal. It asks before
+        the gate decides, since the gate itself must not wait: between its word
+        and the recorded start nothing else may come in.
+
+        :returns: why nothing can be admitted now, None where the gate decides.
+        """
+
+
 class ClaimDesk(Protocol):
     """What answers claims where this sidecar owns key slots."""
 
--- a/src/endivegw/daemons/sidecar_work.py
+++ b/src/endivegw/daemons/sidecar_work.py
@@ -145,7 +145,7 @@
         attempt_id = run.offer.attempt_id
         outcome = run.buffer.outcome
         if run.reserved:
-            self._grants.end(attempt_id, usage, now_s)
+            self._charge(attempt_id, usage, now_s)
         if isinstance(outcome, Refused):
             self.registry.never_began(attempt_id)
             del self._runs[attempt_id]
@@ -167,6 +167,14 @@
         self._metrics.timing("attempts.time", (now_s - started_s) * 1000)
         self.expire()
 
+    def _charge(self, attempt_id: AttemptId, usage: Usage, now_s: float) -> None:
+        try:
+            self._grants.end(attempt_id, usage, now_s)
+        except InvariantError as error:
+            # The target consumed more than was reserved. The ledger has counted
+            # it; the answer and the other attempts are not to suffer for it.
+            self._log.emit(ATTEMPT_BROKE, attempt_id=attempt_id, detail=error.message)
+
     def _forget(self, attempt_id: AttemptId) -> None:
         run = self._ended.pop(attempt_id)
         del self._runs[attempt_id]
