--- a/src/endivegw/configuration/codec.py
+++ b/src/endivegw/configuration/codec.py
@@ -140,18 +140,23 @@
 
 
 def encode_message(message: ConfigMessage) -> bytes:
-    """Return a message as compressed bytes."""
+    """Return a message as compressed bytes.
+
+    One line holds one document or change: the JSON of the whole, several
+    megabytes, would be made in one step of the interpreter, and a daemon that
+    answers requests meanwhile would stand still for it.
+    """
     match message:
         case DocumentsMessage(documents):
-            items = [
-                [name.kind.value, name.name, _encode_document(document)]
+            lines = [_dump({"form": _FORM, "revision": documents.revision})]
+            lines += [
+                _dump([name.kind.value, name.name, _encode_document(document)])
                 for name, document in sorted(documents.by_name.items())
             ]
-            value: Json = {"revision": documents.revision, "documents": items}
         case ChangesMessage(after, changes):
-            value = {"after": after, "changes": [_change_value(c) for c in changes]}
-    value["form"] = _FORM
-    return zlib.compress(_dump(value).encode(), 6)
+            lines = [_dump({"form": _FORM, "after": after})]
+            lines += [_dump(_change_value(change)) for change in changes]
+    return zlib.compress("\n".join(lines).encode(), 6)
 
 
 def parse_message(body: bytes) -> Done[ConfigMessage] | Refused:
@@ -173,14 +178,16 @@
 
 
 def _parse_plain(plain: bytes) -> Done[ConfigMessage] | Refused:
-    value = json.loads(plain)
+    head, *lines = plain.split(b"\n")
+    value = json.loads(head)
     if value["form"] != _FORM:
         return Refused(Reason.BAD_REQUEST, f"configuration of form {value['form']}")
-    if "changes" in value:
-        changes = tuple(_parse_change_value(item) for item in value["changes"])
+    if "after" in value:
+        changes = tuple(_parse_change_value(json.loads(line)) for line in lines)
         return Done(ChangesMessage(ConfigRevision(int(value["after"])), changes))
     by_name = {}
-    for kind, name, item in value["documents"]:
+    for line in lines:
+        kind, name, item = json.loads(line)
         document_name = DocumentName(DocumentKind(kind), name)
         by_name[document_name] = _parse_document(document_name, item)
     revision = ConfigRevision(int(value["revision"]))
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -31,6 +31,8 @@
     "configuration/ini.py",
     "configuration/model.py",
     "configuration/parameters.py",
+    "configuration/spread.py",
+    "configuration/view.py",
     "platform/circuit.py",
     "platform/rate_cap.py",
 )
