--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -27,6 +27,9 @@
     "budgets/options.py",
     "budgets/planning.py",
     "budgets/recovery_writes.py",
+    "budgets/demand.py",
+    "budgets/ledger.py",
+    "budgets/planning.py",
     "budgets/rows.py",
     "budgets/sizing.py",
     "budgets/transfer.py",
@@ -36,6 +39,10 @@
     "configuration/ini.py",
     "configuration/model.py",
     "configuration/parameters.py",
+    "configuration/spread.py",
+    "configuration/view.py",
+    "platform/circuit.py",
+    "platform/rate_cap.py",
 )
 
 #: What a pure module must not import.
