--- /dev/null
+++ b/src/endivegw/membership/policy.py
@@ -0,0 +1,54 @@
+"""Times and limits of membership, each with the load it is made for."""
+
+from __future__ import annotations
+
+from attrs import field, frozen, validators
+
+__all__ = ["MembershipPolicy"]
+
+
+def _positive(default: float) -> float:
+    value: float = field(default=default, validator=validators.gt(0))
+    return value
+
+
+@frozen
+class MembershipPolicy:
+    """Hold the times and limits by which peers are watched.
+
+    The defaults are for 370 routers before 650 sidecars. A heartbeat costs
+    about 0.6 KB on the wire and a millisecond of processor time a side, and a
+    daemon may spend 6 KB and 10 ms a second on control; docs/CAPACITY.md has
+    the measured figures.
+
+    :param heartbeat_interval_s: with the timeout below 3 s together, so that
+        a draining target is known in that time without the table.
+    :param targets_per_router: 12 each 2.5 s make 4.8 heartbeats a second, half
+        of what the processor limit allows; the rest is for the table, the
+        configuration and other routers.
+    :param routers_per_router: partners for moving tokens between routers.
+    :param router_interval_s: routers tell each other little that is urgent.
+    :param silence_s: two lost heartbeats in a row, not one: on an ordinary day
+        single losses are far more common than dead peers.
+    :param list_interval_s: 1,020 processes each 30 s make 34 listings a second.
+    :param list_lag_s: how far the list may trail; a peer is forgotten only
+        when it has been both unlisted and silent for longer.
+    :param flap_window_s: how long returns from silence are remembered.
+    :param flap_limit: how many returns in the window mark a peer as flapping.
+    :param steady_s: how long a flapping peer must answer to be preferred again.
+    :param cut_off_share: from which share of silent peers on the observer
+        takes itself for the one that is cut off.
+    """
+
+    heartbeat_interval_s: float = _positive(2.5)
+    heartbeat_timeout_s: float = _positive(0.4)
+    targets_per_router: int = 12
+    routers_per_router: int = 4
+    router_interval_s: float = _positive(5.0)
+    silence_s: float = _positive(6.0)
+    list_interval_s: float = _positive(30.0)
+    list_lag_s: float = _positive(120.0)
+    flap_window_s: float = _positive(60.0)
+    flap_limit: int = 3
+    steady_s: float = _positive(10.0)
+    cut_off_share: float = 0.67
--- /dev/null
+++ b/src/endivegw/membership/ports.py
@@ -0,0 +1,52 @@
+"""What membership needs of the transport between processes."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from attrs import frozen
+
+from endivegw.results import Result
+from endivegw.targets.ports import EngineLoad
+from endivegw.types import AvailabilityZone, ConfigRevision, InstanceId
+
+__all__ = ["Heartbeat", "HeartbeatPort", "PeerAddress"]
+
+
+@frozen(order=True)
+class PeerAddress:
+    """Name where a peer is reached, and as what.
+
+    :param vm: the platform's id of its machine.
+    :param role: ``router`` or ``target``.
+    """
+
+    vm: str
+    address: str
+    role: str
+
+
+@frozen
+class Heartbeat:
+    """Hold what a peer said of itself.
+
+    :param draining: it takes no new work for now; it may take some again.
+    :param leaving: this instance ends and never takes new work again.
+    :param load: None from routers.
+    """
+
+    instance_id: InstanceId
+    availability_zone: AvailabilityZone
+    config_revision: ConfigRevision
+    draining: bool = False
+    leaving: bool = False
+    load: EngineLoad | None = None
+
+
+class HeartbeatPort(Protocol):
+    """One heartbeat to one peer."""
+
+    async def heartbeat(
+        self, peer: PeerAddress, *, timeout_s: float
+    ) -> Result[Heartbeat]:
+        """Return what the peer answers; it never raises for an absent peer."""
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -16,7 +16,12 @@
 PURE_PACKAGES = ("decisions",)
 
 #: Modules that decide inside packages that also do I/O, as paths below the root.
-PURE_MODULES: tuple[str, ...] = ()
+PURE_MODULES: tuple[str, ...] = (
+    "membership/conclusions.py",
+    "membership/peer.py",
+    "membership/policy.py",
+    "membership/view.py",
+)
 
 #: What a pure module must not import.
 IO_MODULES = frozenset(
