--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -21,6 +21,20 @@
     "membership/peer.py",
     "membership/policy.py",
     "membership/view.py",
+    "budgets/batch.py",
+    "budgets/bills.py",
+    "budgets/demand.py",
+    "budgets/ledger.py",
+    "budgets/planning.py",
+    "budgets/rows.py",
+    "budgets/sizing.py",
+    "budgets/transfer.py",
+    "budgets/wallet.py",
+    "configuration/codec.py",
+    "configuration/documents.py",
+    "configuration/ini.py",
+    "configuration/model.py",
+    "configuration/parameters.py",
 )
 
 #: What a pure module must not import.
