Authenticate calls between processes by TLS or a shared key

Whoever can call a sidecar can spend any budget. Each call gets a key of its own from the shared one; each message carries a numbered tag under it, so that a reply is bound to its request. Strangers without key, with another key, with another certificate or with a recorded call reach no handler in the tests, for all six calls of a sidecar.

--- /dev/null
+++ b/src/endivegw/peers/security.py
@@ -0,0 +1,278 @@
+"""Open channels and servers between the fleet's processes, authenticated.
+
+A sidecar starts work, seals grants and orders its engine about, so that
+whoever can call it can spend any budget. It therefore takes calls of the
+fleet's own processes only: by mutual TLS, or by messages that carry a keyed
+tag. Calls without either are taken only where the settings say so.
+"""
+
+from __future__ import annotations
+
+import contextvars
+import pathlib
+import secrets
+import ssl
+import time
+from typing import Any, Callable, Collection
+
+from attrs import frozen
+from grpclib.client import Channel, Stream
+from grpclib.const import Cardinality, Status
+from grpclib.encoding.proto import ProtoCodec
+from grpclib.events import RecvRequest, listen
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from endivegw.exceptions import PeerError, SettingsError
+from endivegw.peers.call_auth import (
+    AUTH_HEADER,
+    MIN_KEY_BYTES,
+    CallTags,
+    NonceMemory,
+    derive_call_key,
+    make_credentials,
+    parse_credentials,
+    verify_credentials,
+)
+from endivegw.results import Refused
+
+__all__ = [
+    "KeyedPeers",
+    "PeerSecurity",
+    "PlainPeers",
+    "TlsPeers",
+    "keyed_peers",
+    "open_channel",
+    "open_server",
+    "server_tls",
+    "tls_peers",
+]
+
+Clock = Callable[[], float]
+
+#: A message holds at most a caller's body; larger ones are a fault or an attack.
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+_NONCE_BYTES = 12
+
+
+@frozen
+class PlainPeers:
+    """Take any call; only where the settings say so."""
+
+
+@frozen
+class KeyedPeers:
+    """Tag each message under a key that the fleet's processes share.
+
+    :param keys: the first one signs, each one is accepted.
+    """
+
+    keys: tuple[bytes, ...]
+
+
+@frozen(eq=False)
+class TlsPeers:
+    """Take calls from holders of a certificate of the fleet's own authority."""
+
+    client: ssl.SSLContext
+    server: ssl.SSLContext
+
+
+PeerSecurity = PlainPeers | KeyedPeers | TlsPeers
+
+
+def keyed_peers(key_file: pathlib.Path) -> KeyedPeers:
+    """Read a key file: one key a line, the signing one first.
+
+    :raises SettingsError: for an unreadable file and for a short key.
+    """
+    try:
+        lines = key_file.read_bytes().split()
+    except OSError as error:
+        raise SettingsError(f"[peers] key_file: {error}") from error
+    if not lines:
+        raise SettingsError(f"[peers] key_file: {key_file} holds no key")
+    if any(len(line) < MIN_KEY_BYTES for line in lines):
+        raise SettingsError(
+            f"[peers] key_file: each key must have {MIN_KEY_BYTES} characters or more"
+        )
+    return KeyedPeers(tuple(lines))
+
+
+def tls_peers(
+    ca: pathlib.Path, certificate: pathlib.Path, key: pathlib.Path
+) -> TlsPeers:
+    """Load the authority and this process's certificate.
+
+    :raises SettingsError: where a file cannot be read or does not fit.
+    """
+    try:
+        client = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        # Machines are replaced under changing addresses all day. The authority
+        # signs for this fleet alone, so that its signature is the proof, not
+        # the name in the certificate.
+        client.check_hostname = False
+        server = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        for context in (client, server):
+            context.minimum_version = ssl.TLSVersion.TLSv1_3
+            context.verify_mode = ssl.CERT_REQUIRED
+            context.load_verify_locations(ca)
+            context.load_cert_chain(certificate, key)
+            context.set_alpn_protocols(["h2"])
+    except (OSError, ssl.SSLError) as error:
+        raise SettingsError(f"[peers] tls: {error}") from error
+    return TlsPeers(client, server)
+
+
+def server_tls(security: PeerSecurity) -> ssl.SSLContext | None:
+    """Return what ``Server.start`` takes as ``ssl``."""
+    return security.server if isinstance(security, TlsPeers) else None
+
+
+def open_channel(
+    host: str,
+    port: int,
+    security: PeerSecurity,
+    *,
+    sender: str,
+    clock: Clock = time.time,
+) -> Channel:
+    """Return a channel to a peer; it connects with the first call.
+
+    :param sender: the instance id of this process.
+    :param clock: seconds since the epoch.
+    """
+    match security:
+        case PlainPeers():
+            return Channel(host, port, codec=_LimitedCodec())
+        case KeyedPeers(keys):
+            return _KeyedChannel(host, port, keys[0], sender, clock)
+        case TlsPeers(client):
+            return Channel(host, port, codec=_LimitedCodec(), ssl=client)
+
+
+def open_server(
+    handlers: Collection[Any], security: PeerSecurity, *, clock: Clock = time.time
+) -> Server:
+    """Return a server; start it with ``ssl=server_tls(security)``."""
+    if not isinstance(security, KeyedPeers):
+        return Server(handlers, codec=_LimitedCodec())
+    server = Server(handlers, codec=_ServerCodec())
+    guard = _Guard(security.keys, clock)
+    listen(server, RecvRequest, guard.check)
+    return server
+
+
+class _LimitedCodec(ProtoCodec):
+    """Refuse messages that are larger than any that the fleet sends."""
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        data: bytes = super().encode(message, message_type)
+        _check_size(data)
+        return data
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        _check_size(data)
+        return super().decode(data, message_type)
+
+
+class _CallCodec(_LimitedCodec):
+    """Tag what is sent in one call, and check what comes back."""
+
+    def __init__(self, sent: CallTags, received: CallTags) -> None:
+        self._sent = sent
+        self._received = received
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        return self._sent.add(super().encode(message, message_type))
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        payload = self._received.remove(data)
+        if payload is None:
+            raise PeerError("a message's tag does not hold")
+        return super().decode(payload, message_type)
+
+
+#: The codec of the call that the present task serves. Each call has a task of
+#: its own, and the tasks which that one starts inherit it.
+_served_call: contextvars.ContextVar[_CallCodec] = contextvars.ContextVar("served_call")
+
+
+class _ServerCodec(ProtoCodec):
+    """Use the codec of the call that is being served."""
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        return _served_call.get().encode(message, message_type)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        return _served_call.get().decode(data, message_type)
+
+
+class _Guard:
+    """Refuse calls without valid credentials, before their body is read."""
+
+    def __init__(self, keys: tuple[bytes, ...], clock: Clock) -> None:
+        self._keys = keys
+        self._clock = clock
+        self._nonces = NonceMemory()
+
+    async def check(self, event: RecvRequest) -> None:
+        value = event.metadata.get(AUTH_HEADER)
+        credentials = parse_credentials(value) if isinstance(value, str) else None
+        if credentials is None:
+            raise GRPCError(Status.UNAUTHENTICATED, "the call has no credentials")
+        result = verify_credentials(
+            self._keys, event.method_name, credentials, self._nonces, self._clock()
+        )
+        if isinstance(result, Refused):
+            raise GRPCError(Status.UNAUTHENTICATED, result.detail)
+        key = result.value
+        _served_call.set(_CallCodec(CallTags(key, b"s"), CallTags(key, b"c")))
+
+
+class _KeyedChannel(Channel):
+    """Give each call its credentials and its codec."""
+
+    def __init__(
+        self, host: str, port: int, key: bytes, sender: str, clock: Clock
+    ) -> None:
+        super().__init__(host, port)
+        self._shared_key = key
+        self._sender = sender
+        self._clock = clock
+
+    def request(
+        self,
+        name: str,
+        cardinality: Cardinality,
+        request_type: Any,
+        reply_type: Any,
+        *,
+        timeout: Any = None,
+        deadline: Any = None,
+        metadata: Any = None,
+    ) -> Stream[Any, Any]:
+        """Open a call under a key of its own."""
+        nonce = secrets.token_hex(_NONCE_BYTES)
+        time_ms = int(self._clock() * 1000)
+        key = derive_call_key(self._shared_key, name, self._sender, time_ms, nonce)
+        credentials = make_credentials(key, self._sender, time_ms, nonce)
+        stream = super().request(
+            name,
+            cardinality,
+            request_type,
+            reply_type,
+            timeout=timeout,
+            deadline=deadline,
+            metadata={**dict(metadata or ()), AUTH_HEADER: credentials.to_header()},
+        )
+        # The library has one codec for a channel. The tags are numbered within
+        # a call, and so each call needs its own.
+        stream._codec = _CallCodec(CallTags(key, b"c"), CallTags(key, b"s"))
+        return stream
+
+
+def _check_size(data: bytes) -> None:
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise PeerError(f"a message of {len(data)} bytes is too large")
--- /dev/null
+++ b/tests/test_peer_security.py
@@ -0,0 +1,270 @@
+"""Only the fleet's own processes can call a sidecar, over real sockets."""
+
+import contextlib
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from endivegw.exceptions import SettingsError
+from endivegw.peers._generated import endivegw_peers_pb2 as messages
+from endivegw.peers._generated.endivegw_peers_grpc import SidecarBase, SidecarStub
+from endivegw.peers.call_auth import (
+    MAX_CLOCK_SKEW_S,
+    CallTags,
+    NonceMemory,
+    derive_call_key,
+    make_credentials,
+    verify_credentials,
+)
+from endivegw.peers.security import (
+    KeyedPeers,
+    PlainPeers,
+    keyed_peers,
+    open_channel,
+    open_server,
+    server_tls,
+    tls_peers,
+)
+from endivegw.results import Done, Refused
+
+KEY = KeyedPeers((b"k" * 32,))
+CERTIFICATES = pathlib.Path(__file__).parent / "certificates"
+
+
+def certificates(name):
+    return tls_peers(
+        CERTIFICATES / f"{name}-ca.pem",
+        CERTIFICATES / f"{name}.pem",
+        CERTIFICATES / f"{name}.key",
+    )
+
+
+class RecordingSidecar(SidecarBase):
+    def __init__(self):
+        self.calls = []
+
+    async def Execute(self, stream):
+        async for message in stream:
+            self.calls.append("execute")
+            attempt = message.start.attempt_id
+            for offset in range(3):
+                await stream.send_message(
+                    messages.Frame(attempt_id=attempt, offset=offset)
+                )
+
+    async def _unary(self, stream, reply):
+        await stream.recv_message()
+        self.calls.append(type(reply).__name__)
+        await stream.send_message(reply)
+
+    async def Cancel(self, stream):
+        await self._unary(stream, messages.CancelReply())
+
+    async def Seal(self, stream):
+        await self._unary(stream, messages.SealReply())
+
+    async def Heartbeat(self, stream):
+        await self._unary(stream, messages.HeartbeatReply(leaving=True))
+
+    async def Claim(self, stream):
+        await self._unary(stream, messages.ClaimReply())
+
+    async def Configuration(self, stream):
+        await self._unary(stream, messages.ConfigReply())
+
+
+@contextlib.asynccontextmanager
+async def serving(sidecar, security):
+    server = open_server([sidecar], security)
+    await server.start("127.0.0.1", 0, ssl=server_tls(security))
+    try:
+        yield server._server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+        await server.wait_closed()
+
+
+async def execute(stub, attempts):
+    frames = []
+    async with stub.Execute.open() as stream:
+        for number, attempt in enumerate(attempts):
+            start = messages.ExecuteStart(attempt_id=attempt)
+            message = messages.ExecuteMessage(start=start)
+            await stream.send_message(message, end=number == len(attempts) - 1)
+        async for frame in stream:
+            frames.append((frame.attempt_id, frame.offset))
+    return frames
+
+
+async def call_everything(stub):
+    """Return how each call of the stub ended."""
+    endings = []
+    calls = [
+        lambda: execute(stub, ["a1"]),
+        lambda: stub.Seal(messages.SealRequest(grant_ids=["g1"]), timeout=2),
+        lambda: stub.Cancel(messages.CancelRequest(attempt_id="a1"), timeout=2),
+        lambda: stub.Heartbeat(messages.HeartbeatRequest(), timeout=2),
+        lambda: stub.Claim(messages.ClaimRequest(), timeout=2),
+        lambda: stub.Configuration(messages.ConfigRequest(), timeout=2),
+    ]
+    for call in calls:
+        try:
+            with anyio.fail_after(5):
+                await call()
+            endings.append("answered")
+        except GRPCError as error:
+            endings.append(error.status)
+        except (OSError, StreamTerminatedError, TimeoutError) as error:
+            endings.append(type(error).__name__)
+    return endings
+
+
+class PeerSecurityTests(unittest.TestCase):
+    def attempt(self, server_security, channel_of):
+        """Return how calls end, and which ones reached the sidecar."""
+        sidecar = RecordingSidecar()
+
+        async def main():
+            async with serving(sidecar, server_security) as port:
+                channel = channel_of(port)
+                try:
+                    return await call_everything(SidecarStub(channel))
+                finally:
+                    channel.close()
+
+        return anyio.run(main), sidecar.calls
+
+    def member(self, security, **options):
+        return lambda port: open_channel(
+            "127.0.0.1", port, security, sender="router-1", **options
+        )
+
+    def test_members_are_answered(self):
+        """Each way of authentication lets the fleet's own calls through."""
+        for security in (PlainPeers(), KEY, certificates("fleet")):
+            with self.subTest(type(security).__name__):
+                endings, calls = self.attempt(security, self.member(security))
+                self.assertEqual(endings, ["answered"] * 6)
+                self.assertEqual(len(calls), 6)
+
+    def test_stranger_without_a_key_reaches_nothing(self):
+        """Somebody in the network finds a sidecar's port. If it answered, they
+        could spend any budget and seal any grant.
+        """
+        endings, calls = self.attempt(KEY, lambda port: Channel("127.0.0.1", port))
+        self.assertEqual(endings, [Status.UNAUTHENTICATED] * 6)
+        self.assertEqual(calls, [])
+
+    def test_stranger_with_another_key_reaches_nothing(self):
+        """A process of another fleet is pointed at this one by mistake. Work of
+        strangers would be billed to this fleet's accounts.
+        """
+        other = self.member(KeyedPeers((b"x" * 32,)))
+        endings, calls = self.attempt(KEY, other)
+        self.assertEqual(endings, [Status.UNAUTHENTICATED] * 6)
+        self.assertEqual(calls, [])
+
+    def test_stranger_without_our_certificate_reaches_nothing(self):
+        """Somebody calls a sidecar with no certificate, or with one of another
+        authority, and must not get as far as a call.
+        """
+        fleet = certificates("fleet")
+        stranger = certificates("stranger")
+        stranger.client.verify_mode = 0
+        for name, security in (("stranger", stranger), ("plain", PlainPeers())):
+            with self.subTest(name):
+                endings, calls = self.attempt(fleet, self.member(security))
+                self.assertNotIn("answered", endings)
+                self.assertEqual(calls, [])
+
+    def test_member_does_not_talk_to_a_strangers_server(self):
+        """A stranger listens under a sidecar's old address. Sent there, requests
+        of callers would be read, and refused seals would be believed.
+        """
+        endings, calls = self.attempt(
+            certificates("stranger"), self.member(certificates("fleet"))
+        )
+        self.assertNotIn("answered", endings)
+        self.assertEqual(calls, [])
+
+    def test_keys_can_be_replaced_process_by_process(self):
+        """While a key is replaced, half of the fleet signs with the old one."""
+        both = KeyedPeers((b"n" * 32, b"k" * 32))
+        endings, _ = self.attempt(both, self.member(KEY))
+        self.assertEqual(endings, ["answered"] * 6)
+
+    def test_old_call_is_refused(self):
+        """A recorded call is sent again an hour later; it is too old to count."""
+        late = self.member(KEY, clock=lambda: 1_000_000.0)
+        endings, calls = self.attempt(KEY, late)
+        self.assertEqual(endings, [Status.UNAUTHENTICATED] * 6)
+        self.assertEqual(calls, [])
+
+    def test_many_messages_in_one_call_keep_their_order(self):
+        """Tags are numbered, and long streams in both directions pass."""
+        sidecar = RecordingSidecar()
+
+        async def main():
+            async with serving(sidecar, KEY) as port:
+                channel = self.member(KEY)(port)
+                try:
+                    return await execute(SidecarStub(channel), ["a", "b", "c"])
+                finally:
+                    channel.close()
+
+        frames = anyio.run(main)
+        expected = [(name, offset) for name in "abc" for offset in range(3)]
+        self.assertEqual(frames, expected)
+
+    def test_recorded_call_is_not_taken_twice(self):
+        """Somebody records a seal or a heartbeat and sends it once more within
+        the allowed difference of clocks.
+        """
+        key = derive_call_key(KEY.keys[0], "/Seal", "router-1", 5_000, "n1")
+        credentials = make_credentials(key, "router-1", 5_000, "n1")
+        nonces = NonceMemory()
+        first = verify_credentials(KEY.keys, "/Seal", credentials, nonces, 5.0)
+        self.assertEqual(first, Done(key))
+        again = verify_credentials(KEY.keys, "/Seal", credentials, nonces, 6.0)
+        self.assertIsInstance(again, Refused)
+        edge_s = 5.0 + MAX_CLOCK_SKEW_S
+        late = verify_credentials(KEY.keys, "/Seal", credentials, nonces, edge_s)
+        self.assertIsInstance(late, Refused)
+
+    def test_credentials_hold_for_one_method(self):
+        """Credentials of a heartbeat, overheard, do not open a call that seals."""
+        key = derive_call_key(KEY.keys[0], "/Heartbeat", "router-1", 5_000, "n1")
+        credentials = make_credentials(key, "router-1", 5_000, "n1")
+        result = verify_credentials(KEY.keys, "/Seal", credentials, NonceMemory(), 5.0)
+        self.assertIsInstance(result, Refused)
+
+    def test_changed_doubled_and_reordered_messages_are_noticed(self):
+        """Somebody in the path changes a message, sends it twice or swaps two."""
+        key = b"c" * 32
+        sender = CallTags(key, b"c")
+        first, second = sender.add(b"one"), sender.add(b"two")
+        self.assertEqual(CallTags(key, b"c").remove(first), b"one")
+        self.assertIsNone(CallTags(key, b"c").remove(second))
+        self.assertIsNone(CallTags(key, b"s").remove(first))
+        changed = first.replace(b"one", b"0ne")
+        self.assertIsNone(CallTags(key, b"c").remove(changed))
+        receiver = CallTags(key, b"c")
+        receiver.remove(first)
+        self.assertIsNone(receiver.remove(first))
+
+    def test_short_and_absent_keys_are_errors_of_the_settings(self):
+        """A key that could be guessed ends the start of a daemon."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "key"
+            with self.assertRaises(SettingsError):
+                keyed_peers(path)
+            path.write_text("short\n")
+            with self.assertRaises(SettingsError):
+                keyed_peers(path)
+            path.write_text("n" * 40 + "\n" + "o" * 40 + "\n")
+            self.assertEqual(len(keyed_peers(path).keys), 2)
