--- a/src/endivegw/telemetry/catalogue/membership.py
+++ b/src/endivegw/telemetry/catalogue/membership.py
@@ -2,7 +2,15 @@
 
 from endivegw.telemetry.event import Event, Level
 
-__all__ = ["INSTANCE_REPLACED", "LIST_UNREAD", "PEER_CHANGED"]
+__all__ = [
+    "INSTANCE_REPLACED",
+    "LIST_UNREAD",
+    "ORDER_ENDED",
+    "ORDER_REPAIRED",
+    "ORDER_SENT",
+    "ORDER_WINDOW_MISSED",
+    "PEER_CHANGED",
+]
 
 PEER_CHANGED = Event(
     5001,
@@ -25,3 +33,31 @@
     "The platform's list of machines could not be read; the last reading stays.",
     ("reason",),
 )
+ORDER_SENT = Event(
+    5101,
+    "order-sent",
+    Level.INFO,
+    "A sidecar sends its engine an order under a fencing number.",
+    ("target", "kind", "name", "version", "fence"),
+)
+ORDER_ENDED = Event(
+    5102,
+    "order-ended",
+    Level.INFO,
+    "An order was confirmed by a read-back, or has failed.",
+    ("target", "sequence", "state", "attempts", "detail"),
+)
+ORDER_REPAIRED = Event(
+    5103,
+    "order-repaired",
+    Level.WARNING,
+    "An engine was not in the state that its orders add up to, and was brought back.",
+    ("target", "kind", "name", "version"),
+)
+ORDER_WINDOW_MISSED = Event(
+    5104,
+    "order-window-missed",
+    Level.WARNING,
+    "A claim was too old to send under: the sidecar was paused, or the table slow.",
+    ("target", "fence"),
+)
