--- a/src/endivegw_standins/engine_model.py
+++ b/src/endivegw_standins/engine_model.py
@@ -8,14 +8,14 @@
 
 import heapq
 import itertools
-import json
-import random
-from collections import OrderedDict, deque
+from collections import deque
 
 import anyio
 from attrs import define, field, frozen
 
+from endivegw_standins.engine_chunks import text_chunk, usage_chunk
 from endivegw_standins.engine_text import Prompt, answer_pieces
+from endivegw_standins.prefix_cache import PrefixCache
 
 __all__ = [
     "AppliedOrder",
@@ -106,14 +106,6 @@
         self.changed = anyio.Event()
 
 
-@frozen
-class _CacheEvent:
-    sequence: int
-    prefix: bytes
-    evicted: bool
-    at_s: float
-
-
 @define
 class FakeEngine:
     """Serve generations in slots, as a batching engine does.
@@ -133,11 +125,18 @@
     _highest_fence: int = 0
     _waiting: list[tuple[int, int, anyio.Event]] = field(factory=list)
     _order_of_arrival: itertools.count[int] = field(factory=itertools.count)
-    _cache: OrderedDict[bytes, None] = field(factory=OrderedDict)
-    _cache_events: deque[_CacheEvent] = field(factory=lambda: deque(maxlen=1000))
-    _cache_sequence: int = 0
+    _cache: PrefixCache = field(init=False)
     _figures: deque[tuple[float, int, int]] = field(factory=lambda: deque(maxlen=500))
 
+    def __attrs_post_init__(self) -> None:
+        knobs = self.knobs
+        self._cache = PrefixCache(
+            knobs.cache_blocks,
+            knobs.cache_event_delay_s,
+            knobs.cache_event_loss,
+            self.seed,
+        )
+
     def total_tokens(self) -> int:
         """Return all tokens consumed, of every attempt."""
         counts = self.consumed.values()
@@ -211,7 +210,7 @@
             "tokens_per_s": running * self._tokens_per_s(),
             "models": sorted(self.models),
             "age_s": now_s - at_s,
-            "cache_changes": self._due_cache_events(after, now_s),
+            "cache_changes": self._cache.due_events(after, now_s),
         }
 
     def _check_fence(self, fence: int) -> None:
@@ -259,7 +258,7 @@
             wait_s = fresh / self.knobs.prefill_tokens_per_s * self.knobs.slow_factor
             await anyio.sleep(wait_s)
         for digest in digests:
-            self._remember(digest)
+            self._cache.remember(digest, anyio.current_time())
 
     async def _decode(self, generation: Generation, count: Consumed) -> None:
         prompt = generation.prompt
@@ -271,11 +270,11 @@
                 await anyio.lowlevel.checkpoint()
             count.completion_tokens += 1
             count.text += piece
-            generation.chunks.append(_text_chunk(generation, piece, None))
+            generation.chunks.append(text_chunk(generation, piece, None))
             generation.wake()
         reason = "length" if len(pieces) > prompt.max_tokens else "stop"
-        generation.chunks.append(_text_chunk(generation, "", reason))
-        generation.chunks.append(_usage_chunk(generation, count))
+        generation.chunks.append(text_chunk(generation, "", reason))
+        generation.chunks.append(usage_chunk(generation))
 
     def _tokens_per_s(self) -> float:
         """Return the rate of one stream: a full batch runs at two thirds."""
@@ -292,69 +291,3 @@
         seen = [figure for figure in self._figures if figure[0] <= edge_s]
         running, waiting = (seen[-1][1], seen[-1][2]) if seen else (0, 0)
         return edge_s, running, waiting
-
-    def _remember(self, digest: bytes) -> None:
-        if digest in self._cache:
-            self._cache.move_to_end(digest)
-            return
-        self._cache[digest] = None
-        self._publish(digest, evicted=False)
-        if len(self._cache) > self.knobs.cache_blocks:
-            oldest, _ = self._cache.popitem(last=False)
-            self._publish(oldest, evicted=True)
-
-    def _publish(self, digest: bytes, *, evicted: bool) -> None:
-        self._cache_sequence += 1
-        chance = random.Random(f"{self.seed}/{self._cache_sequence}").random()
-        if chance >= self.knobs.cache_event_loss:
-            at_s = anyio.current_time()
-            event = _CacheEvent(self._cache_sequence, digest, evicted, at_s)
-            self._cache_events.append(event)
-
-    def _due_cache_events(self, after: int, now_s: float) -> list[dict[str, object]]:
-        edge_s = now_s - self.knobs.cache_event_delay_s
-        return [
-            {
-                "sequence": event.sequence,
-                "prefix": event.prefix.hex(),
-                "evicted": event.evicted,
-            }
-            for event in self._cache_events
-            if event.sequence > after and event.at_s <= edge_s
-        ]
-
-
-def _text_chunk(generation: Generation, piece: str, reason: str | None) -> str:
-    choice: dict[str, object] = {"index": 0, "finish_reason": reason}
-    if generation.prompt.chat:
-        choice["delta"] = {"content": piece} if piece else {}
-    else:
-        choice["text"] = piece
-    return _chunk(generation, [choice], None)
-
-
-def _usage_chunk(generation: Generation, count: Consumed) -> str:
-    usage = {
-        "prompt_tokens": generation.prompt.tokens,
-        "completion_tokens": len(generation.chunks) - 1,
-        "total_tokens": generation.prompt.tokens + len(generation.chunks) - 1,
-    }
-    return _chunk(generation, [], usage)
-
-
-def _chunk(
-    generation: Generation,
-    choices: list[object] | list[dict[str, object]],
-    usage: object,
-) -> str:
-    chat = generation.prompt.chat
-    fields: dict[str, object] = {
-        "id": generation.attempt_id,
-        "object": "chat.completion.chunk" if chat else "text_completion",
-        "created": 0,
-        "model": generation.prompt.model,
-        "choices": choices,
-    }
-    if usage is not None:
-        fields["usage"] = usage
-    return json.dumps(fields, separators=(",", ":"))
