--- a/src/endivegw/composition.py
+++ b/src/endivegw/composition.py
@@ -21,15 +21,23 @@
 from endivegw.daemons.sidecar_process import SidecarProcess, SidecarProcessParts
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.decisions import Dispatcher, Policy
-from endivegw.peers import SidecarClient
+from endivegw.peers import (
+    PeerSecurity,
+    PlainPeers,
+    SidecarClient,
+    keyed_peers,
+    tls_peers,
+)
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import TablePort, VmListPort
+from endivegw.platform import TablePort, VmListPort, WeightStorePort
 from endivegw.platform.dynamo_table import DynamoTable
 from endivegw.platform.http_vm_list import HttpVmList
 from endivegw.platform.signing import Credentials
+from endivegw.platform.weight_store import HttpWeightStore
 from endivegw.requests.starts import StartRegistry
 from endivegw.settings import (
     LogSettings,
+    PeerSettings,
     PlatformSettings,
     ProcessSettings,
     RouterSettings,
@@ -38,6 +46,7 @@
 )
 from endivegw.targets.http_service import HttpService
 from endivegw.targets.openai_engine import OpenAiEngine
+from endivegw.targets.order_keeper import KeeperPolicy, OrderKeeper
 from endivegw.telemetry import EventLog, Metrics, NoMetrics, statsd_metrics
 from endivegw.types import ConfigRevision, InstanceId
 
@@ -59,6 +68,7 @@
 
     table: TablePort
     vms: VmListPort
+    weights: WeightStorePort
 
 
 def open_platform(settings: PlatformSettings, client_name: str) -> Platform:
@@ -72,6 +82,7 @@
             settings.table_url, credentials=credentials, client_name=client_name
         ),
         vms=HttpVmList(settings.vm_list_url, client_name=client_name),
+        weights=HttpWeightStore(settings.weight_store_url, client_name=client_name),
     )
 
 
@@ -92,8 +103,11 @@
     def on_header(received: pb.Header) -> None:
         configuration.heard(ConfigRevision(received.config_revision))
 
+    security = peer_security(settings.peers)
+
     def connect(address: str) -> SidecarClient:
-        return SidecarClient(address, settings.peers.sidecar_port)
+        port = settings.peers.sidecar_port
+        return SidecarClient(address, port, security, sender=instance_id)
 
     parts = RouterParts(
         settings=settings,
@@ -138,11 +152,52 @@
         metrics_of(settings.logs, "endivegw.sidecar"),
         options,
     )
-    return SidecarProcess(
-        SidecarProcessParts(settings, instance_id, configuration, sidecar, adapter, log)
+    parts = SidecarProcessParts(
+        settings=settings,
+        instance_id=instance_id,
+        configuration=configuration,
+        sidecar=sidecar,
+        target=adapter,
+        security=peer_security(settings.peers),
+        orders=open_orders(settings, instance_id, adapter, platform, log),
+        log=log,
+    )
+    return SidecarProcess(parts)
+
+
+def open_orders(
+    settings: SidecarSettings,
+    instance_id: InstanceId,
+    adapter: OpenAiEngine | HttpService,
+    platform: Platform,
+    log: EventLog,
+) -> OrderKeeper | None:
+    """Return what carries out orders; None for a plain service, which has none."""
+    if not isinstance(adapter, OpenAiEngine):
+        return None
+    return OrderKeeper(
+        settings.target.target,
+        instance_id,
+        adapter,
+        platform.table,
+        platform.weights,
+        log,
+        checks_fence=settings.target.checks_fence,
+        policy=KeeperPolicy(table_timeout_s=settings.platform.timeout_s),
+        clock=time.monotonic,
+        rng=random.Random(),
     )
 
 
+def peer_security(settings: PeerSettings) -> PeerSecurity:
+    """Return how calls between processes are authenticated."""
+    if settings.tls_ca and settings.tls_certificate and settings.tls_key:
+        return tls_peers(settings.tls_ca, settings.tls_certificate, settings.tls_key)
+    if settings.shared_key_file:
+        return keyed_peers(settings.shared_key_file)
+    return PlainPeers()
+
+
 def open_adapter(settings: TargetSettings) -> OpenAiEngine | HttpService:
     """Return the adapter for what stands beside a sidecar."""
     match settings.kind:
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ssl
 from typing import Any
 
 import anyio
@@ -28,7 +27,7 @@
 )
 from endivegw.daemons.sidecar_run import Run
 from endivegw.daemons.sidecar_work import Work
-from endivegw.peers import serve_peers
+from endivegw.peers import PeerSecurity, PlainPeers, serve_peers
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarBase
 from endivegw.requests.starts import (
@@ -96,7 +95,7 @@
         self,
         host: str,
         port: int,
-        tls: ssl.SSLContext | None = None,
+        security: PeerSecurity = PlainPeers(),
         *,
         task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
@@ -105,7 +104,7 @@
             self._work.attach(tasks)
             tasks.start_soon(self._load.poll)
             tasks.start_soon(self._expire)
-            bound = await tasks.start(serve_peers, (self,), host, port, tls)
+            bound = await tasks.start(serve_peers, (self,), host, port, security)
             task_status.started(bound)
 
     def leave(self, why: str) -> None:
--- a/src/endivegw/daemons/sidecar_process.py
+++ b/src/endivegw/daemons/sidecar_process.py
@@ -11,7 +11,9 @@
 from endivegw.configuration import Snapshot
 from endivegw.daemons.held_configuration import HeldConfiguration
 from endivegw.daemons.sidecar import Sidecar
+from endivegw.peers import PeerSecurity
 from endivegw.settings import SidecarSettings
+from endivegw.targets.order_keeper import OrderKeeper
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import daemons as events
 from endivegw.types import InstanceId
@@ -30,13 +32,18 @@
 
 @frozen
 class SidecarProcessParts:
-    """Hold what the composition root wired for one sidecar."""
+    """Hold what the composition root wired for one sidecar.
+
+    :param orders: None beside a plain service, which takes no orders.
+    """
 
     settings: SidecarSettings
     instance_id: InstanceId
     configuration: HeldConfiguration
     sidecar: Sidecar
     target: _Closable
+    security: PeerSecurity
+    orders: OrderKeeper | None
     log: EventLog
 
 
@@ -58,7 +65,11 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(parts.configuration.run)
-                port = await tasks.start(parts.sidecar.serve, listen.ip, listen.port)
+                if parts.orders is not None:
+                    tasks.start_soon(parts.orders.run)
+                port = await tasks.start(
+                    parts.sidecar.serve, listen.ip, listen.port, parts.security
+                )
                 parts.log.emit(
                     events.DAEMON_STARTED,
                     role="sidecar",
--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 from typing import Any, AsyncGenerator, AsyncIterator
 
-from grpclib.client import Channel
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from endivegw.exceptions import PeerError
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarStub
 from endivegw.peers.errors import Broken, NotDelivered
-from endivegw.peers.limits import BODY_CHUNK_BYTES, BoundedCodec, peer_configuration
+from endivegw.peers.limits import BODY_CHUNK_BYTES
+from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
 
-__all__ = ["DEFAULT_CONNECT_TIMEOUT_S", "SidecarClient", "open_channel"]
+__all__ = ["DEFAULT_CONNECT_TIMEOUT_S", "SidecarClient"]
 
 #: How long a connection may take to be made. Two regions are some 100 ms apart;
 #: a second covers one lost packet and leaves time to place the request elsewhere.
@@ -31,19 +31,11 @@
 )
 
 
-def open_channel(host: str, port: int, tls: ssl.SSLContext | None = None) -> Channel:
-    """Return a channel that connects at its first call.
-
-    :param tls: None for plain TCP.
-    """
-    return Channel(
-        host, port, codec=BoundedCodec(), ssl=tls, config=peer_configuration()
-    )
-
-
 class SidecarClient:
     """Call one sidecar over one connection, which is made anew when it breaks.
 
+    :param security: how calls prove that they come from the fleet.
+    :param sender: the instance id of this process.
     :param connect_timeout_s: how long making the connection may take.
     """
 
@@ -51,11 +43,12 @@
         self,
         host: str,
         port: int,
-        tls: ssl.SSLContext | None = None,
+        security: PeerSecurity = PlainPeers(),
         *,
+        sender: str = "",
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
     ) -> None:
-        self._channel = open_channel(host, port, tls)
+        self._channel = open_channel(host, port, security, sender=sender)
         self._stub = SidecarStub(self._channel)
         self._connect_timeout_s = connect_timeout_s
 
@@ -131,11 +124,16 @@
 
 
 def _lost(written: bool, error: BaseException) -> PeerError:
-    if written:
+    if written and not _unauthenticated(error):
         return Broken(_describe(error))
     return NotDelivered(_describe(error))
 
 
+def _unauthenticated(error: BaseException) -> bool:
+    # Said before any handler runs, so that the call had no effect.
+    return isinstance(error, GRPCError) and error.status is Status.UNAUTHENTICATED
+
+
 def _describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
 
--- a/src/endivegw/peers/security.py
+++ b/src/endivegw/peers/security.py
@@ -13,17 +13,17 @@
 import secrets
 import ssl
 import time
-from typing import Any, Callable, Collection
+from typing import Any, Callable
 
 from attrs import frozen
 from grpclib.client import Channel, Stream
 from grpclib.const import Cardinality, Status
 from grpclib.encoding.proto import ProtoCodec
 from grpclib.events import RecvRequest, listen
-from grpclib.exceptions import GRPCError
+from grpclib.exceptions import GRPCError, ProtocolError
 from grpclib.server import Server
 
-from endivegw.exceptions import PeerError, SettingsError
+from endivegw.exceptions import SettingsError
 from endivegw.peers.call_auth import (
     AUTH_HEADER,
     MIN_KEY_BYTES,
@@ -34,6 +34,7 @@
     parse_credentials,
     verify_credentials,
 )
+from endivegw.peers.limits import BoundedCodec, peer_configuration
 from endivegw.results import Refused
 
 __all__ = [
@@ -42,17 +43,15 @@
     "PlainPeers",
     "TlsPeers",
     "keyed_peers",
+    "guard_server",
     "open_channel",
-    "open_server",
+    "server_codec",
     "server_tls",
     "tls_peers",
 ]
 
 Clock = Callable[[], float]
 
-#: A message holds at most a caller's body; larger ones are a fault or an attack.
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-
 _NONCE_BYTES = 12
 
 
@@ -126,7 +125,7 @@
 
 
 def server_tls(security: PeerSecurity) -> ssl.SSLContext | None:
-    """Return what ``Server.start`` takes as ``ssl``."""
+    """Return what the server's ``start`` takes as ``ssl``."""
     return security.server if isinstance(security, TlsPeers) else None
 
 
@@ -135,49 +134,41 @@
     port: int,
     security: PeerSecurity,
     *,
-    sender: str,
+    sender: str = "",
     clock: Clock = time.time,
 ) -> Channel:
     """Return a channel to a peer; it connects with the first call.
 
-    :param sender: the instance id of this process.
+    :param sender: the instance id of this process; used with keyed messages.
     :param clock: seconds since the epoch.
     """
+    config = peer_configuration()
     match security:
         case PlainPeers():
-            return Channel(host, port, codec=_LimitedCodec())
+            return Channel(host, port, codec=BoundedCodec(), config=config)
         case KeyedPeers(keys):
             return _KeyedChannel(host, port, keys[0], sender, clock)
         case TlsPeers(client):
-            return Channel(host, port, codec=_LimitedCodec(), ssl=client)
-
+            return Channel(host, port, codec=BoundedCodec(), config=config, ssl=client)
 
-def open_server(
-    handlers: Collection[Any], security: PeerSecurity, *, clock: Clock = time.time
-) -> Server:
-    """Return a server; start it with ``ssl=server_tls(security)``."""
-    if not isinstance(security, KeyedPeers):
-        return Server(handlers, codec=_LimitedCodec())
-    server = Server(handlers, codec=_ServerCodec())
-    guard = _Guard(security.keys, clock)
-    listen(server, RecvRequest, guard.check)
-    return server
 
+def server_codec(security: PeerSecurity) -> ProtoCodec:
+    """Return the codec of a server that takes calls in this way."""
+    return _ServerCodec() if isinstance(security, KeyedPeers) else BoundedCodec()
 
-class _LimitedCodec(ProtoCodec):
-    """Refuse messages that are larger than any that the fleet sends."""
 
-    def encode(self, message: Any, message_type: Any) -> bytes:
-        data: bytes = super().encode(message, message_type)
-        _check_size(data)
-        return data
+def guard_server(
+    server: Server, security: PeerSecurity, *, clock: Clock = time.time
+) -> None:
+    """Let a server refuse strangers' calls, where messages are keyed.
 
-    def decode(self, data: bytes, message_type: Any) -> Any:
-        _check_size(data)
-        return super().decode(data, message_type)
+    With TLS the handshake refuses them.
+    """
+    if isinstance(security, KeyedPeers):
+        listen(server, RecvRequest, _Guard(security.keys, clock).check)
 
 
-class _CallCodec(_LimitedCodec):
+class _CallCodec(BoundedCodec):
     """Tag what is sent in one call, and check what comes back."""
 
     def __init__(self, sent: CallTags, received: CallTags) -> None:
@@ -190,7 +181,7 @@
     def decode(self, data: bytes, message_type: Any) -> Any:
         payload = self._received.remove(data)
         if payload is None:
-            raise PeerError("a message's tag does not hold")
+            raise ProtocolError("a message's tag does not hold")
         return super().decode(payload, message_type)
 
 
@@ -237,7 +228,7 @@
     def __init__(
         self, host: str, port: int, key: bytes, sender: str, clock: Clock
     ) -> None:
-        super().__init__(host, port)
+        super().__init__(host, port, config=peer_configuration())
         self._shared_key = key
         self._sender = sender
         self._clock = clock
@@ -271,8 +262,3 @@
         # a call, and so each call needs its own.
         stream._codec = _CallCodec(CallTags(key, b"c"), CallTags(key, b"s"))
         return stream
-
-
-def _check_size(data: bytes) -> None:
-    if len(data) > MAX_MESSAGE_BYTES:
-        raise PeerError(f"a message of {len(data)} bytes is too large")
--- a/src/endivegw/peers/server.py
+++ b/src/endivegw/peers/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ssl
 import weakref
 from typing import Any, Collection
 
@@ -11,7 +10,14 @@
 from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
-from endivegw.peers.limits import BoundedCodec, peer_configuration
+from endivegw.peers.limits import peer_configuration
+from endivegw.peers.security import (
+    PeerSecurity,
+    PlainPeers,
+    guard_server,
+    server_codec,
+    server_tls,
+)
 
 __all__ = ["serve_peers"]
 
@@ -24,8 +30,10 @@
     inside a process that lives on.
     """
 
-    def __init__(self, handlers: Collection[Any]) -> None:
-        super().__init__(handlers, codec=BoundedCodec(), config=peer_configuration())
+    def __init__(self, handlers: Collection[Any], security: PeerSecurity) -> None:
+        codec = server_codec(security)
+        super().__init__(handlers, codec=codec, config=peer_configuration())
+        guard_server(self, security)
         self._protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
 
     def _protocol_factory(self) -> H2Protocol:
@@ -46,17 +54,17 @@
     handlers: Collection[Any],
     host: str,
     port: int,
-    tls: ssl.SSLContext | None = None,
+    security: PeerSecurity = PlainPeers(),
     *,
     task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until cancelled; report the bound port when it listens.
 
     :param port: 0 for any free one.
-    :param tls: None for plain TCP.
+    :param security: which calls are taken for the fleet's own.
     """
-    server = _ClosingServer(handlers)
-    await server.start(host, port, ssl=tls)
+    server = _ClosingServer(handlers, security)
+    await server.start(host, port, ssl=server_tls(security))
     try:
         task_status.started(_bound_port(server))
         await anyio.sleep_forever()
--- a/src/endivegw/targets/order_keeper.py
+++ b/src/endivegw/targets/order_keeper.py
@@ -67,6 +67,9 @@
     :param poll_s: how often the table is asked for new orders. 650 sidecars
         each 10 s make 65 reads a second, of 2,000 for the fleet; a load takes
         minutes, so that asking sooner would gain nothing.
+    :param waiting_poll_s: how often one that waits for a claim or a weight slot
+        asks again. Two reads each 5 s make 40 a second where 100 engines of a
+        zone wait for their turn to load.
     :param engine_check_s: how often the engine's state is compared with what
         is wanted. It bounds how long a late order of a paused sidecar stands.
     :param window_s: for how long a claim allows a send to begin. Longer
@@ -76,6 +79,7 @@
     """
 
     poll_s: float = 10.0
+    waiting_poll_s: float = 5.0
     engine_check_s: float = 2.0
     window_s: float = 5.0
     confirm_s: float = 600.0
@@ -124,14 +128,26 @@
 
     async def run(self) -> None:
         """Carry orders out until cancelled."""
-        poll_at_s = self._clock()
+        due_s = self._clock()
+        last = KeeperStep.IDLE
         while True:
-            if self._clock() >= poll_at_s or await self._deviates():
-                step = await self.step()
-                soon = step in (KeeperStep.WORKED, KeeperStep.WAITING)
-                wait_s = self._policy.confirm_poll_s if soon else self._policy.poll_s
-                poll_at_s = self._clock() + wait_s * self._rng.uniform(0.8, 1.0)
-            await anyio.sleep(min(self._policy.engine_check_s, wait_s))
+            due = self._clock() >= due_s
+            # Only an idle keeper looks by itself: one that waits, for a claim
+            # or a slot, would ask the table again at every look.
+            if due or (last is KeeperStep.IDLE and await self._deviates()):
+                last = await self.step()
+                wait_s = self._wait_behind(last)
+                due_s = self._clock() + wait_s * self._rng.uniform(0.8, 1.0)
+            await anyio.sleep(self._policy.engine_check_s)
+
+    def _wait_behind(self, step: KeeperStep) -> float:
+        match step:
+            case KeeperStep.WORKED:
+                return 0.0
+            case KeeperStep.WAITING:
+                return self._policy.waiting_poll_s
+            case _:
+                return self._policy.poll_s
 
     async def step(self) -> KeeperStep:
         """Carry out the next order, or bring the engine back to what is wanted."""
--- a/tests/test_peer_security.py
+++ b/tests/test_peer_security.py
@@ -26,10 +26,9 @@
     PlainPeers,
     keyed_peers,
     open_channel,
-    open_server,
-    server_tls,
     tls_peers,
 )
+from endivegw.peers.server import serve_peers
 from endivegw.results import Done, Refused
 
 KEY = KeyedPeers((b"k" * 32,))
@@ -80,13 +79,9 @@
 
 @contextlib.asynccontextmanager
 async def serving(sidecar, security):
-    server = open_server([sidecar], security)
-    await server.start("127.0.0.1", 0, ssl=server_tls(security))
-    try:
-        yield server._server.sockets[0].getsockname()[1]
-    finally:
-        server.close()
-        await server.wait_closed()
+    async with anyio.create_task_group() as tasks:
+        yield await tasks.start(serve_peers, [sidecar], "127.0.0.1", 0, security)
+        tasks.cancel_scope.cancel()
 
 
 async def execute(stub, attempts):
