--- /dev/null
+++ b/src/endivegw/daemons/claim_desk.py
@@ -0,0 +1,207 @@
+"""Own key slots beside a target: take them, keep them, answer claims."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import frozen
+
+from endivegw.daemons.claim_messages import ask_of, identity_of, reply_of
+from endivegw.daemons.claim_slot import KeptSlot
+from endivegw.daemons.sidecar_ports import Clock
+from endivegw.daemons.slot_map_reader import read_slot_map
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.platform import TablePort, VmListPort, VmState
+from endivegw.requests.claim_rows import take_transaction
+from endivegw.requests.claims import ClaimAnswer, ClaimLimits, SlotOwner
+from endivegw.requests.slots import Beat, Slot, SlotWatch, Take, TakeRule, slot_of
+from endivegw.results import Done, Reason, Refused
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue.sidecar import (
+    CLAIM_ANSWERED,
+    SLOT_LOST,
+    SLOT_RELEASED,
+    SLOT_TAKEN,
+)
+from endivegw.types import InstanceId, TargetName
+
+__all__ = ["DeskSettings", "SlotDesk"]
+
+
+@frozen
+class DeskSettings:
+    """Hold who owns slots here.
+
+    :param vm: the platform's id of this machine, as the VM list names it.
+    :param address: where the sidecar is reached, as ``host:port``.
+    :param watch_s: how often the map and the VM list are read. 650 sidecars at
+        10 seconds cost the table 65 reads a second.
+    :param wait_s: how long a claim may wait for its row within one call.
+    """
+
+    vm: str
+    target: TargetName
+    instance_id: InstanceId
+    address: str
+    watch_s: float = 10.0
+    wait_s: float = 2.0
+    rule: TakeRule = TakeRule()
+    limits: ClaimLimits = ClaimLimits()
+
+
+class SlotDesk:
+    """Answer claims for the slots that this process owns.
+
+    :param wall: seconds since the epoch on this machine's clock.
+    """
+
+    def __init__(
+        self,
+        settings: DeskSettings,
+        table: TablePort,
+        vm_list: VmListPort,
+        clock: Clock,
+        wall: Callable[[], float],
+        log: EventLog,
+    ) -> None:
+        self._settings = settings
+        self._table = table
+        self._vm_list = vm_list
+        self._clock = clock
+        self._wall = wall
+        self._log = log
+        self._watch = SlotWatch(
+            settings.vm,
+            settings.target,
+            settings.instance_id,
+            settings.rule,
+            settings.limits,
+        )
+        self._kept: dict[int, KeptSlot] = {}
+        self._absent_before: frozenset[str] = frozenset()
+        self._leaving = False
+
+    def owned_slots(self) -> tuple[int, ...]:
+        """Return the slots that this process owns."""
+        return tuple(self._kept)
+
+    async def run(self) -> None:
+        """Watch the map and keep what is owned until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                if not self._leaving:
+                    await self._look(tasks)
+                await anyio.sleep(self._settings.watch_s)
+
+    async def claim(self, request: pb.ClaimRequest) -> pb.ClaimReply:
+        """Return the owner's word on one request identity."""
+        identity = identity_of(request)
+        slot = slot_of(identity, self._settings.rule.slots)
+        kept = self._kept.get(slot)
+        if kept is None:
+            answer: ClaimAnswer = Refused(
+                Reason.CLAIM_UNAVAILABLE, f"slot {slot} is not owned here"
+            )
+        else:
+            answer = await kept.ask(ask_of(request), self._settings.wait_s)
+        self._log.emit(
+            CLAIM_ANSWERED,
+            slot=slot,
+            attempt_id=request.attempt_id,
+            answer=type(answer).__name__,
+        )
+        reply = reply_of(answer)
+        reply.slot_map_version = kept.slot.epoch if kept is not None else 0
+        return reply
+
+    async def release(self) -> None:
+        """Flush and hand back every slot, for a planned stop."""
+        self._leaving = True
+        for number, kept in tuple(self._kept.items()):
+            while not await kept.release():
+                await anyio.sleep(1.0)
+            self._log.emit(SLOT_RELEASED, slot=number, epoch=kept.slot.epoch)
+
+    async def _look(self, tasks: TaskGroup) -> None:
+        current = await read_slot_map(self._table, self._clock)
+        if current is None:
+            return
+        self._watch.read(current)
+        self._adopt(tasks)
+        vms = await self._vm_list.list_vms(timeout_s=1.0)
+        if not isinstance(vms, Done):
+            return
+        targets = [vm for vm in vms.value if vm.role == "target"]
+        named = frozenset(vm.vm for vm in targets)
+        # A list that lacks even this machine is wrong about others as well.
+        if self._settings.vm not in named:
+            return
+        live = frozenset(vm.vm for vm in targets if vm.state is VmState.LIVE)
+        listed = named | self._not_yet_absent(named)
+        for take in self._watch.takes(listed, live, self._clock(), self._wall()):
+            await self._try(take, tasks)
+
+    def _adopt(self, tasks: TaskGroup) -> None:
+        """Own what was taken by a write whose answer was lost."""
+        for number, slot in self._watch.current.slots.items():
+            mine = slot.instance_id == self._settings.instance_id
+            if mine and not slot.released and number not in self._kept:
+                self._own(slot, tasks)
+
+    def _not_yet_absent(self, named: frozenset[str]) -> frozenset[str]:
+        """Return owners that the list lacks for the first time.
+
+        One reading of the list may come from a copy that lags; an owner counts
+        as ended only when two readings in a row lack it.
+        """
+        owners = frozenset(slot.vm for slot in self._watch.current.slots.values())
+        absent = owners - named
+        fresh = absent - self._absent_before
+        self._absent_before = absent
+        return fresh
+
+    async def _try(self, take: Take, tasks: TaskGroup) -> None:
+        if take.slot in self._kept:
+            return
+        own = self._settings
+        transaction = take_transaction(
+            take, own.target, own.instance_id, own.vm, own.address
+        )
+        result = await self._table.transact(transaction, timeout_s=1.0)
+        # Lost answer: the next reading of the map shows whether it took effect.
+        if not isinstance(result, Done):
+            return
+        slot = Slot(
+            take.slot,
+            own.target,
+            own.instance_id,
+            own.vm,
+            own.address,
+            take.epoch,
+            take.tainted,
+            take.expected_version + 1,
+        )
+        self._own(slot, tasks)
+
+    def _own(self, slot: Slot, tasks: TaskGroup) -> None:
+        now_s = self._clock()
+        limits = self._settings.limits
+        owner = SlotOwner(slot.number, limits, beat_at_s=now_s)
+        if slot.tainted:
+            owner.tainted_until_s = now_s + limits.retention_s
+        known = self._watch.current.beats.get(slot.number)
+        count = 0 if known is None else known.count
+        beat = Beat(count, count, int(self._wall()))
+        kept = KeptSlot(slot, owner, beat, self._table, self._clock, self._wall)
+        self._kept[slot.number] = kept
+        self._log.emit(
+            SLOT_TAKEN, slot=slot.number, epoch=slot.epoch, tainted=slot.tainted
+        )
+        tasks.start_soon(self._keep, kept)
+
+    async def _keep(self, kept: KeptSlot) -> None:
+        await kept.keep()
+        del self._kept[kept.slot.number]
+        self._log.emit(SLOT_LOST, slot=kept.slot.number, epoch=kept.slot.epoch)
--- /dev/null
+++ b/src/endivegw/daemons/claim_slot.py
@@ -0,0 +1,218 @@
+"""Keep one owned slot: write its claims and its signs of life."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+import anyio
+
+from endivegw.daemons.sidecar_ports import Clock
+from endivegw.platform import Row, TablePort, Transaction
+from endivegw.requests.claim_rows import (
+    beat_transaction,
+    claims_of_rows,
+    commit_transaction,
+    next_sequence_of_rows,
+    release_transaction,
+    ring_partition,
+    slot_key,
+    slot_map_of_rows,
+    take_transaction,
+)
+from endivegw.requests.claims import ClaimAnswer, ClaimAsk, SlotOwner, Waiting
+from endivegw.requests.slots import Beat, Slot, Take
+from endivegw.results import Done, Reason, Refused
+
+__all__ = ["KeptSlot"]
+
+#: How long a call to the table may take; claims wait for it.
+_TIMEOUT_S = 1.0
+
+#: Wait after a call that failed, so that 32 owners do not add to an outage.
+_RETRY_S = 1.0
+
+#: How often waiting claims look whether the grace time has passed.
+_LOOK_S = 0.1
+
+#: Rows that one listing of the ring returns.
+_PAGE_ROWS = 1000
+
+
+class KeptSlot:
+    """Own one slot until it is lost or released.
+
+    :param wall: seconds since the epoch on this machine's clock.
+    """
+
+    def __init__(
+        self,
+        slot: Slot,
+        owner: SlotOwner,
+        beat: Beat,
+        table: TablePort,
+        clock: Clock,
+        wall: Callable[[], float],
+    ) -> None:
+        self.slot = slot
+        self.owner = owner
+        self._beat = beat
+        self._beat_due_s = clock()
+        self._table = table
+        self._clock = clock
+        self._wall = wall
+        self._loaded = False
+        self._changed = anyio.Event()
+        self._asked = anyio.Event()
+
+    async def ask(self, ask: ClaimAsk, wait_s: float) -> ClaimAnswer:
+        """Answer a claim; waiting where it is not written within ``wait_s``."""
+        give_up_s = self._clock() + wait_s
+        while True:
+            if not self._loaded:
+                answer: ClaimAnswer = Refused(
+                    Reason.CLAIM_UNAVAILABLE, "the slot is being read"
+                )
+            else:
+                answer = self.owner.ask(ask, self._clock())
+            if not isinstance(answer, Waiting) or self._clock() >= give_up_s:
+                return answer
+            changed = self._changed
+            self._asked.set()
+            with anyio.move_on_after(_LOOK_S):
+                await changed.wait()
+
+    async def keep(self) -> None:
+        """Read the earlier owners' claims, then write until the slot is lost."""
+        await self._load()
+        while not self.owner.lost:
+            self._asked = anyio.Event()
+            failed = not await self._write_due()
+            if failed:
+                self.owner.failed()
+                await anyio.sleep(_RETRY_S)
+            self._notify()
+            await self._wait_for_work()
+
+    async def release(self) -> bool:
+        """Flush and let go; return whether the table took it."""
+        self.owner.releasing = True
+        self._asked.set()
+        while not self.owner.flushed and not self.owner.lost:
+            changed = self._changed
+            with anyio.move_on_after(_LOOK_S):
+                await changed.wait()
+        if self.owner.lost:
+            return True
+        tainted = self._tainted()
+        transaction = release_transaction(self.slot, tainted=tainted)
+        done = await self._transact(transaction)
+        if done:
+            self.owner.deposed()
+        return done
+
+    def _tainted(self) -> bool:
+        return self._clock() < self.owner.tainted_until_s
+
+    async def _load(self) -> None:
+        rows: list[Row] = []
+        after: str | None = None
+        partition = ring_partition(self.slot.number)
+        while True:
+            result = await self._table.scan(
+                partition, after=after, limit=_PAGE_ROWS, timeout_s=_TIMEOUT_S
+            )
+            if not isinstance(result, Done):
+                await anyio.sleep(_RETRY_S)
+                continue
+            rows.extend(result.value.rows)
+            after = result.value.next_sort
+            if after is None:
+                break
+        self.owner.load(claims_of_rows(rows), self._clock())
+        self.owner.next_sequence = next_sequence_of_rows(rows)
+        self._loaded = True
+
+    async def _write_due(self) -> bool:
+        """Carry out what is due; return False where the table did not answer."""
+        now_s = self._clock()
+        if now_s >= self._beat_due_s:
+            return await self._write_beat(now_s)
+        commit = self.owner.next_commit(now_s)
+        if commit is not None:
+            ring_rows = self.owner.limits.ring_rows
+            if not await self._transact(
+                commit_transaction(self.slot, commit, ring_rows)
+            ):
+                return self.owner.lost
+            self.owner.committed(commit)
+        if self.slot.tainted and not self._tainted():
+            return await self._clear_taint()
+        return True
+
+    async def _write_beat(self, now_s: float) -> bool:
+        beat = Beat(
+            self._beat.count + 1, self._beat.confirmed, self._beat.confirmed_wall_s
+        )
+        # The number is used up even if the answer is lost.
+        self._beat = beat
+        if not await self._transact(beat_transaction(self.slot, beat)):
+            return self.owner.lost
+        self._beat = Beat(beat.count, beat.count, int(self._wall()))
+        self.owner.beat(self._clock())
+        self._beat_due_s = now_s + self.owner.limits.beat_s
+        return True
+
+    async def _clear_taint(self) -> bool:
+        slot = self.slot
+        take = Take(slot.number, slot.version, slot.epoch, False)
+        transaction = take_transaction(
+            take, slot.target, slot.instance_id, slot.vm, slot.address
+        )
+        if not await self._transact(transaction):
+            return self.owner.lost
+        await self._confirm_owner()
+        return True
+
+    async def _transact(self, transaction: Transaction) -> bool:
+        result = await self._table.transact(transaction, timeout_s=_TIMEOUT_S)
+        match result:
+            case Done():
+                return True
+            case Refused(reason=Reason.CONFLICT):
+                await self._confirm_owner()
+        return False
+
+    async def _confirm_owner(self) -> None:
+        """Read the slot's row: a conflict may come from an own write."""
+        key = slot_key(self.slot.number)
+        result = await self._table.read((key,), timeout_s=_TIMEOUT_S)
+        if not isinstance(result, Done):
+            return
+        row = result.value[0]
+        rows = () if row is None else (row,)
+        found = slot_map_of_rows(rows, self._clock()).slots.get(self.slot.number)
+        mine = found is not None and not found.released
+        if found is None or not mine or not self._is_own(found):
+            self.owner.deposed()
+            return
+        self.slot = found
+
+    def _is_own(self, found: Slot) -> bool:
+        own = self.slot
+        return found.instance_id == own.instance_id and found.epoch == own.epoch
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _wait_for_work(self) -> None:
+        now_s = self._clock()
+        due_s = self._beat_due_s
+        commit_s = self.owner.commit_due_s(now_s)
+        if commit_s is not None:
+            due_s = min(due_s, commit_s)
+            with anyio.move_on_after(max(0.0, due_s - now_s)):
+                await anyio.sleep_forever()
+            return
+        with anyio.move_on_after(max(0.0, due_s - now_s)):
+            await self._asked.wait()
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -162,7 +162,8 @@
         run = self._work.find(attempt_id)
         # Another caller may have joined; its answer must not be cut off by the
         # one who goes away. The one who cancels has left its own stream.
-        if answer == Started(running=True) and run is not None and not run.readers:
+        stoppable = run is not None and not run.readers and not request.bar_only
+        if answer == Started(running=True) and run is not None and stoppable:
             run.scope.cancel()
             with anyio.move_on_after(self._settings.cancel_timeout_s):
                 await run.ended.wait()
@@ -171,6 +172,7 @@
         reply = pb.CancelReply(header=self._header())
         reply.never_started = isinstance(answer, NeverStarted)
         reply.ended = answer == Started(running=False)
+        reply.running = answer == Started(running=True)
         if run is not None:
             reply.prompt_tokens = run.usage.prompt_tokens
             reply.completion_tokens = run.usage.completion_tokens
--- a/src/endivegw/daemons/sidecar_run.py
+++ b/src/endivegw/daemons/sidecar_run.py
@@ -10,7 +10,7 @@
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.requests.buffer import AnswerBuffer, BufferFailure, DataLost
 from endivegw.requests.starts import Offer
-from endivegw.results import Reason
+from endivegw.results import Reason, Refused
 from endivegw.types import Usage
 
 __all__ = ["READ_BYTES", "Run"]
@@ -103,9 +103,11 @@
                     if self.buffer.full:
                         self.changed()
                     continue
-                if self.buffer.outcome is not None:
+                outcome = self.buffer.outcome
+                if outcome is not None:
+                    if not head_sent and not isinstance(outcome, Refused):
+                        yield head_frame(header, self.attempt_id, None, joined)
                     length = self.buffer.length_bytes
-                    outcome = self.buffer.outcome
                     yield outcome_frame(header, self.attempt_id, length, outcome)
                     return
                 await change.wait()
--- a/src/endivegw/telemetry/catalogue/sidecar.py
+++ b/src/endivegw/telemetry/catalogue/sidecar.py
@@ -9,9 +9,13 @@
     "ATTEMPT_JOINED",
     "ATTEMPT_REFUSED",
     "ATTEMPT_STARTED",
+    "CLAIM_ANSWERED",
     "DRAIN_ENDED",
     "DRAIN_STARTED",
     "GRANTS_SEALED",
+    "SLOT_LOST",
+    "SLOT_RELEASED",
+    "SLOT_TAKEN",
 ]
 
 ATTEMPT_STARTED = Event(
@@ -77,3 +81,31 @@
     "Grants of a router were sealed; later work under them is refused.",
     ("grants", "consumed_tokens", "running_tokens"),
 )
+CLAIM_ANSWERED = Event(
+    2020,
+    "claim-answered",
+    Level.INFO,
+    "The owner of a key slot decided on a claim.",
+    ("slot", "attempt_id", "answer"),
+)
+SLOT_TAKEN = Event(
+    2021,
+    "slot-taken",
+    Level.INFO,
+    "The sidecar became the owner of a key slot.",
+    ("slot", "epoch", "tainted"),
+)
+SLOT_LOST = Event(
+    2022,
+    "slot-lost",
+    Level.INFO,
+    "The sidecar is no longer the owner of a key slot.",
+    ("slot", "epoch"),
+)
+SLOT_RELEASED = Event(
+    2023,
+    "slot-released",
+    Level.INFO,
+    "The sidecar flushed a key slot and let go of it.",
+    ("slot", "epoch"),
+)
