Drive each request by its machine, claim keyed ones, gate grants in the sidecar

A caller's retry under the same key at another router ran the engine a second time (2 starts, seen in tests.test_path). The router now asks the key slot's owner before it hands over, and joins the attempt that the owner names; a fresh router is ready only when it knows the slots' owners. After: 1 start, the second caller gets the same answer, one charge.

--- a/src/endivegw/budgets/gate.py
+++ b/src/endivegw/budgets/gate.py
@@ -95,6 +95,19 @@
             grant_id, budget, attempt_id, reservation_tokens, now_s
         )
 
+    async def ready_for(self, grant_id: GrantId) -> Refused | None:
+        """Ask the table about a grant's holder where it was not asked yet.
+
+        :returns: why nothing can be admitted now, None where the ledger decides.
+        """
+        if self._version == 0 or self._ended:
+            return Refused(Reason.NOT_READY, "this sidecar is not registered")
+        if not self.ledger.knows_holder(grant_id):
+            await self._ask(holder_of(grant_id))
+        if self._ended:
+            return Refused(Reason.NOT_READY, "this sidecar is taken for gone")
+        return None
+
     async def run(self) -> None:
         """Write checkpoints and look after holders until cancelled."""
         holders_at_s = self._clock() + HOLDERS_S * self._rng.random()
--- a/src/endivegw/composition.py
+++ b/src/endivegw/composition.py
@@ -9,16 +9,20 @@
 
 from attrs import frozen
 
-from endivegw.budgets import BudgetKeeper, GrantLedger
+from endivegw.budgets import BudgetKeeper
+from endivegw.budgets.gate import GrantGate
 from endivegw.configuration import TargetKind
-from endivegw.daemons.attempt_runner import AttemptRunner
+from endivegw.daemons.claim_client import ClaimClient
+from endivegw.daemons.claim_desk import DeskSettings, SlotDesk
 from endivegw.daemons.held_configuration import HeldConfiguration
 from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.request_runner import RunnerParts
 from endivegw.daemons.router import Router, RouterParts
 from endivegw.daemons.sidecar import Sidecar
 from endivegw.daemons.sidecar_jobs import EngineTarget, ServiceTarget, Target
 from endivegw.daemons.sidecar_ports import SidecarSettings as SidecarOptions
 from endivegw.daemons.sidecar_process import SidecarProcess, SidecarProcessParts
+from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.decisions import Dispatcher, Policy
 from endivegw.peers import (
@@ -105,21 +109,38 @@
 
     security = peer_security(settings.peers)
 
-    def connect(address: str) -> SidecarClient:
-        port = settings.peers.sidecar_port
+    def connect_to(address: str, port: int) -> SidecarClient:
         return SidecarClient(address, port, security, sender=instance_id)
 
+    def connect(address: str) -> SidecarClient:
+        return connect_to(address, settings.peers.sidecar_port)
+
+    keeper = BudgetKeeper(instance_id, platform.table, clock, rng, None, log)
+    watch = TargetWatch(platform.vms, connect, header, on_header, queue, clock)
+    slots = SlotMapReader(platform.table, clock)
+    runner = RunnerParts(
+        keeper=keeper,
+        queue=queue,
+        sidecars=watch,
+        claims=ClaimClient(slots, connect_to, header, on_header),
+        header=header,
+        on_header=on_header,
+        clock=clock,
+        rng=rng,
+        log=log,
+        metrics=metrics_of(settings.logs, "endivegw.router"),
+    )
     parts = RouterParts(
         settings=settings,
         instance_id=instance_id,
         configuration=configuration,
-        keeper=BudgetKeeper(instance_id, platform.table, clock, rng, None, log),
+        keeper=keeper,
         queue=queue,
-        watch=TargetWatch(platform.vms, connect, header, on_header, queue, clock),
-        attempts=AttemptRunner(header, on_header, clock),
+        watch=watch,
+        slots=slots,
+        runner=runner,
         clock=clock,
         log=log,
-        metrics=metrics_of(settings.logs, "endivegw.router"),
     )
     return Router(parts)
 
@@ -142,21 +163,37 @@
         drain_bound_s=settings.process.drain_bound_s,
     )
     adapter = open_adapter(settings.target)
+    rng = random.Random()
+    grants = GrantGate(
+        instance_id, settings.target.target, platform.table, clock, rng, log
+    )
+    desk = SlotDesk(
+        desk_settings(settings, instance_id),
+        platform.table,
+        platform.vms,
+        clock,
+        time.time,
+        log,
+    )
     sidecar = Sidecar(
         target_of(adapter),
-        GrantLedger(),
+        grants.ledger,
         StartRegistry(instance_id, options.starts, clock()),
         configuration,
         clock,
         log,
         metrics_of(settings.logs, "endivegw.sidecar"),
         options,
+        claims=desk,
+        holders=grants,
     )
     parts = SidecarProcessParts(
         settings=settings,
         instance_id=instance_id,
         configuration=configuration,
         sidecar=sidecar,
+        grants=grants,
+        desk=desk,
         target=adapter,
         security=peer_security(settings.peers),
         orders=open_orders(settings, instance_id, adapter, platform, log),
@@ -165,6 +202,16 @@
     return SidecarProcess(parts)
 
 
+def desk_settings(settings: SidecarSettings, instance_id: InstanceId) -> DeskSettings:
+    """Return how the sidecar owns key slots."""
+    return DeskSettings(
+        vm=settings.process.vm,
+        target=settings.target.target,
+        instance_id=instance_id,
+        address=str(settings.peers.listen),
+    )
+
+
 def open_orders(
     settings: SidecarSettings,
     instance_id: InstanceId,
--- a/src/endivegw/daemons/completion_request.py
+++ b/src/endivegw/daemons/completion_request.py
@@ -20,17 +20,15 @@
     """Hold what routing needs of a completion request.
 
     :param body: the caller's JSON as it came.
-    :param prompt: all text of the prompt, for its bound and its prefixes.
-    :param messages: how many messages the prompt holds, for the template's
-        extra tokens.
+    :param texts: the prompt, or the text of each message of a chat, for its
+        bound and its prefixes.
     :param max_tokens: the caller's bound of the answer, None where absent.
     """
 
     body: bytes
     chat: bool
     model: str
-    prompt: str
-    messages: int
+    texts: tuple[str, ...]
     max_tokens: int | None
     stream: bool
     include_usage: bool
@@ -50,9 +48,9 @@
     for name in _SINGLE_FIELDS:
         if document.get(name) not in (None, 1):
             return _bad(f"'{name}' above 1 is not supported")
-    prompt = _chat_prompt(document) if chat else _plain_prompt(document)
-    if isinstance(prompt, Refused):
-        return prompt
+    texts = _chat_texts(document) if chat else _plain_texts(document)
+    if isinstance(texts, Refused):
+        return texts
     max_tokens = document.get("max_completion_tokens", document.get("max_tokens"))
     if max_tokens is not None and not _is_positive(max_tokens):
         return _bad("'max_tokens' must be a positive whole number")
@@ -66,8 +64,7 @@
         body=body,
         chat=chat,
         model=model,
-        prompt=prompt,
-        messages=len(document["messages"]) if chat else 0,
+        texts=texts,
         max_tokens=max_tokens,
         stream=bool(stream),
         include_usage=bool((options or {}).get("include_usage")),
@@ -82,14 +79,14 @@
     return isinstance(value, int) and not isinstance(value, bool) and value > 0
 
 
-def _plain_prompt(document: dict[str, Any]) -> str | Refused:
+def _plain_texts(document: dict[str, Any]) -> tuple[str, ...] | Refused:
     prompt = document.get("prompt")
     if isinstance(prompt, str):
-        return prompt
+        return (prompt,)
     return _bad("'prompt' must be a string")
 
 
-def _chat_prompt(document: dict[str, Any]) -> str | Refused:
+def _chat_texts(document: dict[str, Any]) -> tuple[str, ...] | Refused:
     messages = document.get("messages")
     if not isinstance(messages, list) or not messages:
         return _bad("'messages' must be a list with at least one message")
@@ -104,7 +101,7 @@
     # Tool definitions are part of what the engine reads, so they count.
     if document.get("tools"):
         texts.append(json.dumps(document["tools"]))
-    return "\n".join(texts)
+    return tuple(texts)
 
 
 def _content(content: Any) -> str | None:
--- a/src/endivegw/daemons/held_attempts.py
+++ b/src/endivegw/daemons/held_attempts.py
@@ -11,19 +11,20 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import frozen
+from attrs import evolve, frozen
 
 from endivegw.budgets import BudgetKeeper, Reservation
-from endivegw.daemons.attempt_runner import (
-    AttemptLost,
-    AttemptNotRun,
-    AttemptPlan,
-    AttemptRunner,
+from endivegw.daemons.attempt_stream import (
+    CancelWord,
     SidecarDirectory,
+    cancel_attempt,
 )
+from endivegw.daemons.request_plan import RequestPlan
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.requests.steps import CancelAttempt, HandOver
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import router as events
-from endivegw.types import TargetName, Usage
+from endivegw.types import Usage
 
 __all__ = ["HeldAttempt", "HeldAttempts"]
 
@@ -40,11 +41,15 @@
 
 @frozen
 class HeldAttempt:
-    """Hold an attempt whose end is not known."""
+    """Hold an attempt whose end is not known.
 
-    plan: AttemptPlan
-    target: TargetName
-    reservation: Reservation
+    :param to_cancel: whether nobody waits for its answer any more.
+    """
+
+    step: HandOver
+    reservation: Reservation | None
+    plan: RequestPlan
+    to_cancel: bool
 
 
 class HeldAttempts:
@@ -53,15 +58,15 @@
     def __init__(
         self,
         keeper: BudgetKeeper,
-        attempts: AttemptRunner,
         sidecars: SidecarDirectory,
+        header: Callable[[], pb.Header],
         tasks: TaskGroup,
         clock: Callable[[], float],
         log: EventLog,
     ) -> None:
         self._keeper = keeper
-        self._attempts = attempts
         self._sidecars = sidecars
+        self._header = header
         self._tasks = tasks
         self._clock = clock
         self._log = log
@@ -70,18 +75,25 @@
 
     def add(self, held: HeldAttempt) -> None:
         """Keep the tokens reserved and find out in the background."""
-        self._keeper.hold(held.reservation, self._clock())
+        if held.reservation is not None:
+            self._keeper.hold(held.reservation, self._clock())
         self.count += 1
         self._tasks.start_soon(self._resolve, held)
 
     async def _resolve(self, held: HeldAttempt) -> None:
-        wait_s = _FIRST_WAIT_S
+        step = CancelAttempt(
+            held.step.attempt_id,
+            held.step.target,
+            held.step.incarnation,
+            bar_only=not held.to_cancel,
+        )
+        wait_s = 0.0
         missing_since_s: float | None = None
         while True:
             await anyio.sleep(wait_s)
-            wait_s = min(wait_s * 2, _LONGEST_WAIT_S)
+            wait_s = min(max(wait_s * 2, _FIRST_WAIT_S), _LONGEST_WAIT_S)
             now_s = self._clock()
-            link = self._sidecars.find(held.target)
+            link = self._sidecars.find(held.step.target)
             if link is None:
                 missing_since_s = missing_since_s or now_s
                 if now_s - missing_since_s > _GONE_S:
@@ -89,34 +101,41 @@
                     return
                 continue
             missing_since_s = None
-            match await self._attempts.cancel(link.client, held.plan):
-                case AttemptNotRun():
-                    self._charge(held, Usage(), "never-started")
-                    return
-                case AttemptLost(usage=Usage() as usage):
-                    self._charge(held, usage, "counted")
-                    return
-                case AttemptLost(replaced=True):
-                    # The sidecar's process was replaced and its target does
-                    # not know the attempt: nobody can count it any more.
-                    self._charge(held, self._bound(held), "replaced")
-                    return
+            word = await cancel_attempt(link.client, self._header(), step)
+            if word is not None and self._take(held, word):
+                return
+            step = evolve(step, bar_only=True)
+
+    def _take(self, held: HeldAttempt, word: CancelWord) -> bool:
+        """Settle by a sidecar's word; return whether it settles anything."""
+        if word.never_started:
+            self._charge(held, Usage(), "never-started")
+        elif word.ended:
+            self._charge(held, word.usage, "counted")
+        elif word.running:
+            return False
+        else:
+            # The sidecar's process was replaced: nobody can count it any more.
+            self._charge(held, self._bound(held), "replaced")
+        return True
 
     def _bound(self, held: HeldAttempt) -> Usage:
         """Return the most that the attempt can have consumed.
 
         Charging less could let the account spend beyond its budget.
         """
-        prompt_tokens = min(held.plan.prompt_bound_tokens, held.reservation.tokens)
-        return Usage(prompt_tokens, held.reservation.tokens - prompt_tokens)
+        tokens = held.reservation.tokens if held.reservation is not None else 0
+        prompt_tokens = min(held.plan.bound.prompt_tokens, tokens)
+        return Usage(prompt_tokens, tokens - prompt_tokens)
 
     def _charge(self, held: HeldAttempt, usage: Usage, how: str) -> None:
         self.count -= 1
-        self._keeper.resolve(held.reservation, usage, self._clock())
+        if held.reservation is not None:
+            self._keeper.resolve(held.reservation, usage, self._clock())
         self._log.emit(
             events.ATTEMPT_RESOLVED,
-            attempt_id=held.plan.attempt_id,
-            target=held.target,
+            attempt_id=held.step.attempt_id,
+            target=held.step.target,
             how=how,
             total_tokens=usage.total_tokens,
         )
--- a/src/endivegw/daemons/http_answers.py
+++ b/src/endivegw/daemons/http_answers.py
@@ -77,6 +77,9 @@
         self._begun = False
         self._last: dict[str, Any] = {}
 
+    def reset(self) -> None:
+        """Do nothing: what was sent is sent, and an answer goes on from there."""
+
     async def head(self, status: int, fields: Fields) -> None:
         """Wait for data: until then an error can still have its own status."""
 
@@ -124,8 +127,13 @@
     def __init__(self, send: Send, chat: bool, fields: Fields) -> None:
         self._send = send
         self._fields = fields
+        self._chat = chat
+        self.reset()
+
+    def reset(self) -> None:
+        """Drop what is held: another attempt answers from the first byte."""
         self._splitter = ChunkSplitter()
-        self._text = AnswerText(chat)
+        self._text = AnswerText(self._chat)
 
     async def head(self, status: int, fields: Fields) -> None:
         """Send nothing: the status is known when the answer is whole."""
@@ -163,6 +171,9 @@
         self._fields = fields
         self._begun = False
 
+    def reset(self) -> None:
+        """Do nothing: what was sent is sent, and an answer goes on from there."""
+
     async def head(self, status: int, fields: Fields) -> None:
         """Send the service's own status and header fields."""
         self._begun = True
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -267,7 +267,9 @@
         else:
             sink = ObjectAnswer(send, chat, caller.fields)
         repeatable = caller.account.repeatable_generations
-        request = self._routed(caller, _engine_call(completion), repeatable)
+        request = self._routed(
+            caller, _engine_call(completion), repeatable, completion.stream
+        )
         await self._run(request, sink, receive)
 
     async def _service(
@@ -307,7 +309,11 @@
         await self._run(request, PassedAnswer(send, caller.fields), receive)
 
     def _routed(
-        self, caller: _Caller, call: EngineCall | ServiceCall, repeatable: bool
+        self,
+        caller: _Caller,
+        call: EngineCall | ServiceCall,
+        repeatable: bool,
+        streams: bool = True,
     ) -> RoutedRequest:
         # A caller may ask for more care than its account's parameters, never less.
         if caller.says_repeatable is False:
@@ -322,6 +328,7 @@
             priority=caller.account.priority,
             arrived_s=caller.arrived_s,
             deadline_s=caller.deadline_s,
+            streams=streams,
         )
 
     async def _run(
@@ -354,8 +361,7 @@
         chat=completion.chat,
         model=model,
         adapter=adapter,
-        prompt=completion.prompt,
-        messages=completion.messages,
+        texts=completion.texts,
         max_tokens=completion.max_tokens,
     )
 
--- /dev/null
+++ b/src/endivegw/daemons/request_plan.py
@@ -0,0 +1,79 @@
+"""What a request needs, worked out before anything is done; pure."""
+
+from __future__ import annotations
+
+import hashlib
+
+from attrs import frozen
+
+from endivegw.budgets.bound import RequestBound, request_bound
+from endivegw.daemons.routed import EngineCall, RoutedRequest, ServiceCall
+from endivegw.decisions import SERVICE_PREFIX, WorkItem
+from endivegw.requests.steps import RequestFacts
+from endivegw.types import RequestIdentity, TargetName
+
+__all__ = ["RequestPlan", "plan_request", "work_item"]
+
+
+@frozen
+class RequestPlan:
+    """Hold what is fixed for one request.
+
+    :param bound: the most that one attempt may consume; nothing for a plain
+        service.
+    """
+
+    request: RoutedRequest
+    facts: RequestFacts
+    bound: RequestBound
+    model: str
+
+    @property
+    def can_be_sent_again(self) -> bool:
+        """Return False for a body that flows through and is not held."""
+        call = self.request.call
+        return not (isinstance(call, ServiceCall) and call.rest is not None)
+
+
+def plan_request(request: RoutedRequest) -> RequestPlan:
+    """Return the plan of a request."""
+    match request.call:
+        case EngineCall() as call:
+            digest = hashlib.sha256(call.body).digest()
+            limit_tokens = request.account.max_output_tokens
+            bound = request_bound(call.texts, call.max_tokens, limit_tokens)
+            model = f"{call.model}+{call.adapter}" if call.adapter else call.model
+        case ServiceCall() as call:
+            line = f"{call.service} {call.method} {call.path}\n"
+            digest = hashlib.sha256(line.encode() + call.body).digest()
+            bound = RequestBound(0, 0)
+            model = SERVICE_PREFIX + call.service
+    facts = RequestFacts(
+        identity=RequestIdentity(
+            request.account.client_account,
+            request.idempotency_key or request.request_id,
+        ),
+        body_digest=digest,
+        keyed=request.idempotency_key is not None,
+        repeatable=request.repeatable,
+        deadline_s=request.deadline_s,
+        streams=request.streams,
+    )
+    return RequestPlan(request, facts, bound, model)
+
+
+def work_item(plan: RequestPlan, avoid: frozenset[TargetName]) -> WorkItem:
+    """Return the request as the dispatcher sees it."""
+    request = plan.request
+    return WorkItem(
+        request_id=request.request_id,
+        client_account=request.account.client_account,
+        priority=request.priority,
+        weight=request.account.weight,
+        model=plan.model,
+        deadline_s=request.deadline_s,
+        prompt_tokens=plan.bound.prompt_tokens,
+        output_tokens=plan.bound.completion_tokens,
+        arrived_s=request.arrived_s,
+        excluded=avoid,
+    )
--- a/src/endivegw/daemons/routed.py
+++ b/src/endivegw/daemons/routed.py
@@ -28,8 +28,7 @@
     chat: bool
     model: str
     adapter: str
-    prompt: str
-    messages: int
+    texts: tuple[str, ...]
     max_tokens: int | None
 
 
@@ -57,6 +56,7 @@
     :param request_id: unique, for logs and the answer's header.
     :param idempotency_key: the caller's, None where it sent none.
     :param deadline_s: on the router's clock.
+    :param streams: whether the caller reads the answer while it is made.
     """
 
     request_id: str
@@ -68,6 +68,7 @@
     priority: Priority
     arrived_s: float
     deadline_s: float
+    streams: bool = True
 
 
 @frozen
@@ -83,6 +84,9 @@
 class AnswerSink(Protocol):
     """Where the bytes of an answer go, in order and once."""
 
+    def reset(self) -> None:
+        """Drop bytes that are held back: the answer begins anew."""
+
     async def head(self, status: int, fields: tuple[tuple[str, str], ...]) -> None:
         """Take the status and header fields; called once, before any data."""
 
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -9,15 +9,15 @@
 from attrs import frozen
 
 from endivegw.budgets import BudgetKeeper
-from endivegw.daemons.attempt_runner import AttemptRunner
 from endivegw.daemons.held_configuration import HeldConfiguration
 from endivegw.daemons.http_front import HttpFront
 from endivegw.daemons.placement_queue import PlacementQueue
-from endivegw.daemons.request_runner import RequestRunner
+from endivegw.daemons.request_runner import RequestRunner, RunnerParts
+from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.http_server import ServedAddress, serve_asgi
 from endivegw.settings import RouterSettings
-from endivegw.telemetry import EventLog, Metrics
+from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import daemons as events
 from endivegw.types import InstanceId
 
@@ -45,10 +45,10 @@
     keeper: BudgetKeeper
     queue: PlacementQueue
     watch: TargetWatch
-    attempts: AttemptRunner
+    slots: SlotMapReader
+    runner: RunnerParts
     clock: Callable[[], float]
     log: EventLog
-    metrics: Metrics
 
 
 class Router:
@@ -64,8 +64,9 @@
     def ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         parts = self._parts
-        known = parts.configuration.ready and parts.watch.settled
-        return known and not self._draining
+        if self._draining or not parts.configuration.ready:
+            return False
+        return parts.watch.settled and parts.slots.settled(parts.clock())
 
     @property
     def in_progress(self) -> int:
@@ -81,6 +82,7 @@
             self._front = self._build_front(tasks)
             tasks.start_soon(parts.configuration.run)
             tasks.start_soon(parts.watch.run)
+            tasks.start_soon(parts.slots.run)
             tasks.start_soon(parts.queue.run)
             tasks.start_soon(parts.keeper.run)
             listen = parts.settings.listen
@@ -126,18 +128,8 @@
 
     def _build_front(self, background: TaskGroup) -> HttpFront:
         parts = self._parts
-        runner = RequestRunner(
-            parts.keeper,
-            parts.queue,
-            parts.attempts,
-            parts.watch,
-            background,
-            parts.clock,
-            parts.log,
-            parts.metrics,
-        )
         return HttpFront(
-            runner,
+            RequestRunner(parts.runner, background),
             lambda: parts.configuration.snapshot,
             lambda: self.ready,
             parts.settings.http,
--- a/src/endivegw/daemons/sidecar_process.py
+++ b/src/endivegw/daemons/sidecar_process.py
@@ -8,7 +8,9 @@
 from anyio.abc import TaskStatus
 from attrs import frozen
 
+from endivegw.budgets.gate import GrantGate
 from endivegw.configuration import Snapshot
+from endivegw.daemons.claim_desk import SlotDesk
 from endivegw.daemons.held_configuration import HeldConfiguration
 from endivegw.daemons.sidecar import Sidecar
 from endivegw.peers import PeerSecurity
@@ -25,6 +27,11 @@
 _LEAVE_NOTICE_S = 2.0
 
 
+#: What handing back key slots and writing the last checkpoint may take. Where
+#: the table is away for longer, recovery finds out what is left.
+_CLOSE_BOUND_S = 10.0
+
+
 class _Closable(Protocol):
     async def aclose(self) -> None:
         """Close the connections to the target."""
@@ -41,6 +48,8 @@
     instance_id: InstanceId
     configuration: HeldConfiguration
     sidecar: Sidecar
+    grants: GrantGate
+    desk: SlotDesk
     target: _Closable
     security: PeerSecurity
     orders: OrderKeeper | None
@@ -65,6 +74,8 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(parts.configuration.run)
+                tasks.start_soon(self._keep_grants)
+                tasks.start_soon(parts.desk.run)
                 if parts.orders is not None:
                     tasks.start_soon(parts.orders.run)
                 port = await tasks.start(
@@ -83,12 +94,21 @@
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
                 await parts.target.aclose()
 
+    async def _keep_grants(self) -> None:
+        await self._parts.grants.start()
+        await self._parts.grants.run()
+
     async def drain(self) -> None:
         """Refuse new work, let what runs end, and stop."""
         self._draining = True
         bound_s = self._parts.settings.process.drain_bound_s
         whole = await self._parts.sidecar.drain(bound_s)
-        await anyio.sleep(_LEAVE_NOTICE_S)
+        with anyio.move_on_after(_CLOSE_BOUND_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._parts.desk.release)
+                if whole:
+                    tasks.start_soon(self._parts.grants.close)
+                await anyio.sleep(_LEAVE_NOTICE_S)
         self._parts.log.emit(
             events.DAEMON_STOPPED,
             role="sidecar",
--- a/src/endivegw/daemons/slot_map_reader.py
+++ b/src/endivegw/daemons/slot_map_reader.py
@@ -7,13 +7,19 @@
 from endivegw.daemons.sidecar_ports import Clock
 from endivegw.platform import TablePort
 from endivegw.requests.claim_rows import SLOT_PARTITION, slot_map_of_rows
-from endivegw.requests.slots import SlotMap
+from endivegw.requests.slots import DEFAULT_SLOTS, SlotMap
 from endivegw.results import Done
 
 __all__ = ["SlotMapReader", "read_slot_map"]
 
 _TIMEOUT_S = 1.0
 
+#: Between two readings while a slot has no owner.
+_INCOMPLETE_S = 0.5
+
+#: How long a fresh router waits for owners.
+_SETTLE_S = 5.0
+
 
 async def read_slot_map(table: TablePort, clock: Clock) -> SlotMap | None:
     """Return the map, None where the table gives no answer.
@@ -39,19 +45,41 @@
         self, table: TablePort, clock: Clock, interval_s: float = 10.0
     ) -> None:
         self.current = SlotMap()
+        self._read_at_s: float | None = None
         self._table = table
         self._clock = clock
         self._interval_s = interval_s
         self._wanted = anyio.Event()
 
+    @property
+    def complete(self) -> bool:
+        """Return whether each slot has an owner."""
+        return all(self.current.owner(n) is not None for n in range(DEFAULT_SLOTS))
+
+    def settled(self, now_s: float) -> bool:
+        """Return whether a fresh router may take requests that name a key.
+
+        One that took them before it knows the owners could not find another
+        router's attempt, and would run a repeated request again. The bound is
+        for a table that is away: what may not be repeated waits for its owner
+        in any case.
+        """
+        if self.complete:
+            return True
+        return self._read_at_s is not None and now_s - self._read_at_s > _SETTLE_S
+
     async def run(self) -> None:
-        """Read at the interval, and sooner where a claim found an owner gone."""
+        """Read at the interval, and sooner where an owner is missing or gone."""
         while True:
             self._wanted = anyio.Event()
             current = await read_slot_map(self._table, self._clock)
+            if self._read_at_s is None:
+                self._read_at_s = self._clock()
             if current is not None:
                 self.current = current
-            with anyio.move_on_after(self._interval_s):
+            # Slots without owners are rare: a new fleet, or an owner that ended.
+            wait_s = self._interval_s if self.complete else _INCOMPLETE_S
+            with anyio.move_on_after(wait_s):
                 await self._wanted.wait()
                 # Many claims that fail at once ask for one reading.
                 await anyio.sleep(1.0)
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 from attrs import define, field
 
-from endivegw.daemons.attempt_runner import SidecarLink
+from endivegw.daemons.attempt_stream import SidecarLink
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.decisions import LoadFigures, TargetView
 from endivegw.exceptions import PeerError
--- a/src/endivegw/dev/fleet.py
+++ b/src/endivegw/dev/fleet.py
@@ -102,13 +102,13 @@
         settings = router_settings(
             number, http_port, self.peer_port, self.platform_url, self.log_level
         )
+        zone = ZONES[(number - 1) % len(ZONES)]
+        self._list(f"entry-{number}", router_address(number), zone, "router")
         router = build_router(settings)
         scope = anyio.CancelScope()
         host, port = await tasks.start(_run_in, scope, router.run)
         running = RunningRouter(number, router, f"http://{host}:{port}", scope)
         self.routers.append(running)
-        zone = ZONES[(number - 1) % len(ZONES)]
-        self._list(f"entry-{number}", router_address(number), zone, "router")
         return running
 
     async def start_sidecar(
@@ -118,13 +118,14 @@
         settings = sidecar_settings(
             number, target, url, self.peer_port, self.platform_url
         )
+        # The platform lists a machine before a process runs on it.
+        address = target_address(number)
+        self._list(f"target-{number}", address, target.availability_zone, "target")
         sidecar = build_sidecar(settings)
         scope = anyio.CancelScope()
         await tasks.start(_run_in, scope, sidecar.run)
         running = RunningSidecar(number, target, url, sidecar, scope)
         self.sidecars.append(running)
-        address = target_address(number)
-        self._list(f"target-{number}", address, target.availability_zone, "target")
         return running
 
     async def drain(self) -> None:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -76,6 +76,33 @@
 
         anyio.run(scenario)
 
+    def test_retry_at_another_router_replays_the_answer(self):
+        """A caller's retry under the same key, at another router, gets the
+        same answer; the engine runs once and the budget is charged once."""
+
+        async def scenario():
+            async with running_fleet() as fleet:
+                body = chat("Replan the bank", max_tokens=20)
+                replies = [
+                    await post(
+                        fleet,
+                        "/v1/chat/completions",
+                        body,
+                        router=router,
+                        idempotency_key="replan-7",
+                    )
+                    for router in (0, 1)
+                ]
+                first, second = (json.loads(r.content) for r in replies)
+                self.assertEqual(first["choices"], second["choices"])
+                starts = sum(len(e.consumed) for e in fleet.engines.values())
+                self.assertEqual(starts, 1)
+                total = sum(e.total_tokens() for e in fleet.engines.values())
+                await fleet.drain()
+                self.assertEqual((await settled_tokens(fleet)).settled_tokens, total)
+
+        anyio.run(scenario)
+
     def test_plain_service_answers_through_the_fleet(self):
         """A call of a plain service reaches it once and its answer comes back."""
 
