--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -68,6 +68,7 @@
         :raises Broken: where it may have.
         """
         written = False
+        cancelling = _cancelling()
         try:
             async with self._stub.Execute.open() as stream:
                 await self._connect(stream)
@@ -83,6 +84,7 @@
                 finally:
                     await _stop(sender)
         except _LOST as error:
+            _forget_cancellation(cancelling)
             raise _lost(written, error) from error
 
     async def cancel(self, request: pb.CancelRequest, timeout_s: float) -> Any:
@@ -107,6 +109,7 @@
 
     async def _call(self, method: Any, request: Any, timeout_s: float) -> Any:
         written = False
+        cancelling = _cancelling()
         try:
             async with method.open(timeout=timeout_s) as stream:
                 await self._connect(stream)
@@ -114,6 +117,7 @@
                 await stream.send_message(request, end=True)
                 reply = await stream.recv_message()
         except _LOST as error:
+            _forget_cancellation(cancelling)
             raise _lost(written, error) from error
         if reply is None:
             raise Broken("the call ended without a reply")
@@ -129,6 +133,26 @@
     return NotDelivered(_describe(error))
 
 
+def _cancelling() -> int:
+    task = asyncio.current_task()
+    return task.cancelling() if task else 0
+
+
+def _forget_cancellation(before: int) -> None:
+    """Take back the cancellation by which the library woke this task.
+
+    Where a connection breaks, grpclib cancels the tasks that wait on it and
+    turns the cancellation into an error, but leaves it counted. The next scope
+    of the task that times out would then let a cancellation escape, which ends
+    a caller's request without an answer.
+
+    :param before: how many were counted when the call began.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling() > before:
+        task.uncancel()
+
+
 def _unauthenticated(error: BaseException) -> bool:
     # Said before any handler runs, so that the call had no effect.
     return isinstance(error, GRPCError) and error.status is Status.UNAUTHENTICATED
