Feed the dispatcher from membership, with intervals that follow the fleet's size

A router asked each listed target twice a second: at 650 targets 1,300 heartbeats a second, where the control limit allows about ten. The interval now follows from how many are watched, 4.8 heartbeats a second in all, and a target that the list has lost keeps its connection and the answers on it until it is silent too.

--- a/src/endivegw/composition.py
+++ b/src/endivegw/composition.py
@@ -115,7 +115,9 @@
         configuration=configuration,
         keeper=BudgetKeeper(instance_id, platform.table, clock, rng, None, log),
         queue=queue,
-        watch=TargetWatch(platform.vms, connect, header, on_header, queue, clock),
+        watch=TargetWatch(
+            platform.vms, connect, header, on_header, queue, clock, log, rng
+        ),
         attempts=AttemptRunner(header, on_header, clock),
         clock=clock,
         log=log,
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -1,51 +1,56 @@
-"""Know the targets: one task for each sidecar, which asks for its load."""
+"""Know the targets: what membership says of them, for the dispatcher."""
 
 from __future__ import annotations
 
-from typing import Callable
-
-import anyio
-from anyio.abc import TaskGroup
-from attrs import define, field
+import random
+from typing import Callable, Iterable
 
 from endivegw.daemons.attempt_runner import SidecarLink
 from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.sidecar_heartbeats import SidecarHeartbeats
 from endivegw.decisions import LoadFigures, TargetView
-from endivegw.exceptions import PeerError
+from endivegw.membership import (
+    Change,
+    Heartbeat,
+    MembershipPolicy,
+    MembershipView,
+    Peer,
+    PeerAddress,
+    PeerState,
+    Use,
+)
+from endivegw.membership.agent import MembershipAgent
 from endivegw.peers import SidecarClient
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import ListedVm, VmListPort, VmState
-from endivegw.results import Done
-from endivegw.targets import CacheChange
+from endivegw.platform import VmListPort
+from endivegw.telemetry import EventLog
 from endivegw.types import AvailabilityZone, InstanceId, TargetName
 
-__all__ = ["TargetWatch"]
+__all__ = ["TARGET_ROLE", "ChooseTargets", "TargetWatch", "all_targets"]
 
-_TARGET_ROLE = "target"
+#: What the platform's list calls a machine with a target and its sidecar.
+TARGET_ROLE = "target"
 
 #: Long enough for three heartbeats of a target that is slow to start.
 _SETTLE_BOUND_S = 5.0
 
+#: Heartbeats without an answer after which a fresh router waits no longer.
+_SETTLE_FAILURES = 2
+
+#: Returns which of the known targets this router watches.
+ChooseTargets = Callable[[tuple[Peer, ...]], Iterable[PeerAddress]]
+
 
-@define
-class _Peer:
-    vm: ListedVm
-    client: SidecarClient
-    scope: anyio.CancelScope = field(factory=anyio.CancelScope)
-    view: TargetView | None = None
-    start_incarnation: str = ""
-    missed: int = 0
+def all_targets(peers: tuple[Peer, ...]) -> Iterable[PeerAddress]:
+    """Watch every target, as small fleets do."""
+    return (peer.address for peer in peers)
 
 
 class TargetWatch:
-    """Follow the platform's list and ask each listed target's sidecar.
+    """Watch targets through the list and heartbeats; feed the dispatcher.
 
     :param connect: opens the connection to the sidecar at an address.
-    :param list_interval_s: between two readings of the platform's list.
-    :param heartbeat_interval_s: between two heartbeats of one sidecar.
-    :param heartbeats_missed: how many unanswered heartbeats take a target out
-        of placement. One lost packet must not, and a dead target must not
-        stay for long: each request placed on it costs a connect timeout.
+    :param choose: which targets this router watches.
     """
 
     def __init__(
@@ -56,21 +61,30 @@
         on_header: Callable[[pb.Header], None],
         queue: PlacementQueue,
         clock: Callable[[], float],
+        log: EventLog,
+        rng: random.Random,
         *,
-        list_interval_s: float = 2.0,
-        heartbeat_interval_s: float = 0.5,
-        heartbeats_missed: int = 3,
+        policy: MembershipPolicy = MembershipPolicy(),
+        choose: ChooseTargets = all_targets,
     ) -> None:
-        self._vms = vms
-        self._connect = connect
-        self._header = header
-        self._on_header = on_header
         self._queue = queue
         self._clock = clock
-        self._list_interval_s = list_interval_s
-        self._heartbeat_interval_s = heartbeat_interval_s
-        self._heartbeats_missed = heartbeats_missed
-        self._peers: dict[str, _Peer] = {}
+        self._choose = choose
+        self._view = MembershipView(policy)
+        self._heartbeats = SidecarHeartbeats(connect, header, on_header)
+        self._agent = MembershipAgent(
+            self._view,
+            policy,
+            vms,
+            self._heartbeats,
+            self._watched,
+            self._take_heartbeat,
+            self._take_change,
+            log,
+            rng,
+            clock,
+        )
+        self._published: list[TargetView] = []
         self._listed_at_s: float | None = None
         self._settled = False
 
@@ -83,124 +97,133 @@
         """
         if not self._settled and self._listed_at_s is not None:
             waited_s = self._clock() - self._listed_at_s
-            heard = all(map(self._is_heard, self._peers.values()))
+            heard = all(map(_is_heard, self._chosen_peers()))
             self._settled = heard or waited_s > _SETTLE_BOUND_S
         return self._settled
 
-    def _is_heard(self, peer: _Peer) -> bool:
-        serving = peer.view is not None and bool(peer.view.models)
-        return serving or peer.missed >= self._heartbeats_missed
+    @property
+    def seems_cut_off(self) -> bool:
+        """Return whether so many targets are silent that the fault is here."""
+        return self._view.seems_cut_off(TARGET_ROLE, self._clock())
 
     def find(self, target: TargetName) -> SidecarLink | None:
         """Return how to reach a target's sidecar, None when it is gone."""
-        for peer in self._peers.values():
-            if peer.view is not None and peer.view.target == target:
-                return SidecarLink(peer.client, peer.start_incarnation)
+        for peer in self._view.peers(TARGET_ROLE):
+            heartbeat = peer.heartbeat
+            if heartbeat is None or peer.superseded:
+                continue
+            if heartbeat.target == target:
+                client = self._heartbeats.client(peer.address)
+                return SidecarLink(client, heartbeat.start_incarnation)
         return None
 
     def clients(self) -> dict[TargetName, SidecarClient]:
         """Return the connections to all targets that have answered once."""
         return {
-            peer.view.target: peer.client
-            for peer in self._peers.values()
-            if peer.view is not None
+            peer.heartbeat.target: self._heartbeats.client(peer.address)
+            for peer in self._view.peers(TARGET_ROLE)
+            if peer.heartbeat is not None and not peer.superseded
         }
 
     async def run(self) -> None:
-        """Follow the list for as long as the router lives."""
-        async with anyio.create_task_group() as tasks:
-            while True:
-                listed = await self._vms.list_vms(timeout_s=self._list_interval_s)
-                # A list that cannot be read changes nothing: the sidecars that
-                # are known keep being asked, and answer for themselves.
-                if isinstance(listed, Done):
-                    self._follow(listed.value, tasks)
-                await anyio.sleep(self._list_interval_s)
-
-    def _follow(self, listed: tuple[ListedVm, ...], tasks: TaskGroup) -> None:
-        targets = {vm.vm: vm for vm in listed if vm.role == _TARGET_ROLE}
-        for vm_id in set(self._peers) - set(targets):
-            peer = self._peers.pop(vm_id)
-            peer.scope.cancel()
-        for vm_id, vm in targets.items():
-            known = self._peers.get(vm_id)
-            if known is None:
-                peer = _Peer(vm, self._connect(vm.address))
-                self._peers[vm_id] = peer
-                tasks.start_soon(self._watch, peer)
-            else:
-                known.vm = vm
-        if self._listed_at_s is None:
-            self._listed_at_s = self._clock()
-        self._publish()
-
-    async def _watch(self, peer: _Peer) -> None:
-        with peer.scope:
-            try:
-                while True:
-                    await self._ask(peer)
-                    await anyio.sleep(self._heartbeat_interval_s)
-            finally:
-                peer.client.close()
-
-    async def _ask(self, peer: _Peer) -> None:
-        request = pb.HeartbeatRequest(header=self._header())
-        timeout_s = self._heartbeat_interval_s * 2
+        """Watch for as long as the router lives."""
         try:
-            reply = await peer.client.heartbeat(request, timeout_s)
-        except PeerError:
-            peer.missed += 1
-            if peer.missed == self._heartbeats_missed:
-                self._publish()
-            return
-        peer.missed = 0
-        self._on_header(reply.header)
-        before = peer.view
-        peer.view = _view(peer.vm, reply)
-        peer.start_incarnation = reply.start_incarnation
-        if before != peer.view:
-            self._publish()
-        self._queue.dispatcher.report(
-            peer.view.target, _figures(reply.load), self._clock()
+            await self._agent.run()
+        finally:
+            self._heartbeats.close()
+
+    def _watched(self, view: MembershipView) -> frozenset[PeerAddress]:
+        if self._listed_at_s is None and view.list_read:
+            self._listed_at_s = self._clock()
+        return frozenset(peer.address for peer in self._chosen_peers())
+
+    def _chosen_peers(self) -> tuple[Peer, ...]:
+        peers = tuple(
+            peer for peer in self._view.peers(TARGET_ROLE) if not peer.superseded
         )
-        self._queue.kick()
+        chosen = frozenset(self._choose(peers))
+        return tuple(peer for peer in peers if peer.address in chosen)
+
+    def _take_heartbeat(
+        self, peer: PeerAddress, heartbeat: Heartbeat, now_s: float
+    ) -> None:
+        self._publish(now_s)
+        if heartbeat.load is not None:
+            figures = _figures(heartbeat)
+            self._queue.dispatcher.report(heartbeat.target, figures, now_s)
+            self._queue.kick()
+
+    def _take_change(self, change: Change) -> None:
+        if change.after is PeerState.GONE:
+            self._heartbeats.forget(change.peer)
+        self._publish(self._clock())
+
+    def _publish(self, now_s: float) -> None:
+        """Hand the dispatcher what has changed, if anything has."""
+        views = self._target_views(now_s)
+        if views != self._published:
+            self._published = views
+            self._queue.dispatcher.set_targets(views, now_s)
+            self._queue.kick()
+
+    def _target_views(self, now_s: float) -> list[TargetView]:
+        """Return all targets that were heard; those not for new work drain.
+
+        A silent target is offered only for models that nobody else serves:
+        trying it may cost a caller time, and refusing costs the answer.
+        """
+        heard = [peer for peer in self._chosen_peers() if peer.heartbeat is not None]
+        uses = {
+            peer.address: self._view.conclusion(peer.address.vm, now_s).use
+            for peer in heard
+        }
+        served: set[str] = set()
+        for peer in heard:
+            if uses[peer.address] is Use.PREFERRED:
+                served.update(_models(peer))
+        views: list[TargetView] = []
+        for peer in heard:
+            use = uses[peer.address]
+            alone = use is Use.LAST_RESORT and not served.issuperset(_models(peer))
+            offered = use is Use.PREFERRED or alone
+            views.append(_view(peer, draining=not offered))
+        return views
 
-    def _publish(self) -> None:
-        views = [
-            peer.view
-            for peer in self._peers.values()
-            if peer.view is not None and peer.missed < self._heartbeats_missed
-        ]
-        self._queue.dispatcher.set_targets(views, self._clock())
-        self._queue.kick()
 
+def _is_heard(peer: Peer) -> bool:
+    return bool(_models(peer)) or peer.failures >= _SETTLE_FAILURES
 
-def _view(vm: ListedVm, reply: pb.HeartbeatReply) -> TargetView:
-    leaving = reply.leaving or vm.state is VmState.LEAVING
+
+def _models(peer: Peer) -> frozenset[str]:
+    load = peer.heartbeat.load if peer.heartbeat else None
+    return frozenset(load.models) if load else frozenset()
+
+
+def _view(peer: Peer, *, draining: bool) -> TargetView:
+    assert peer.heartbeat is not None
+    load = peer.heartbeat.load
     return TargetView(
-        target=TargetName(reply.load.target),
-        instance_id=InstanceId(reply.header.instance_id),
-        address=vm.address,
-        availability_zone=AvailabilityZone(vm.availability_zone),
-        models=frozenset(reply.load.models),
-        slots=reply.load.slots,
-        draining=reply.load.draining or leaving,
+        target=peer.heartbeat.target,
+        instance_id=InstanceId(peer.heartbeat.instance_id),
+        address=peer.address.address,
+        availability_zone=AvailabilityZone(peer.availability_zone),
+        models=_models(peer),
+        slots=load.slots if load else 0,
+        draining=draining,
     )
 
 
-def _figures(load: pb.LoadReport) -> LoadFigures:
-    changes = tuple(
-        CacheChange(event.sequence, event.prefix_digest, event.evicted)
-        for event in load.cache_events
-    )
+def _figures(heartbeat: Heartbeat) -> LoadFigures:
+    load = heartbeat.load
+    assert load is not None
     return LoadFigures(
         running=load.running,
         waiting=load.waiting,
         slots=load.slots,
         tokens_per_s=load.tokens_per_s,
         age_s=load.age_s,
-        models=tuple(load.models),
-        sequence=load.cache_event_sequence,
-        cache_changes=changes,
-        draining=load.draining,
+        models=load.models,
+        sequence=heartbeat.cache_sequence,
+        cache_changes=load.cache_changes,
+        draining=heartbeat.draining,
     )
--- a/src/endivegw/membership/agent.py
+++ b/src/endivegw/membership/agent.py
@@ -40,6 +40,7 @@
     :param choose: which peers this process watches.
     :param heard: called with each answer.
     :param changed: called with each change of the view.
+    :param clock: seconds that never go back.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         changed: Callable[[Change], None],
         log: EventLog,
         rng: random.Random,
+        clock: Callable[[], float],
     ) -> None:
         self._view = view
         self._policy = policy
@@ -63,6 +65,7 @@
         self._changed = changed
         self._log = log
         self._rng = rng
+        self._clock = clock
         self._watched: dict[PeerAddress, anyio.CancelScope] = {}
 
     async def run(self) -> None:
@@ -77,12 +80,12 @@
         # A fresh process knows nobody and can serve nothing until it has read
         # the list once, so that it asks more often until then.
         if self._view.list_read:
-            return self._policy.list_interval_s
+            return self._policy.listing_interval_s(len(self._view))
         return min(1.0, self._policy.list_interval_s)
 
     async def _read_list(self) -> None:
         result = await self._vm_list.list_vms(timeout_s=_LIST_TIMEOUT_S)
-        now_s = anyio.current_time()
+        now_s = self._clock()
         match result:
             case Done(vms):
                 self._report(self._view.on_vm_list(vms, now_s))
@@ -103,20 +106,20 @@
             tasks.start_soon(self._watch_peer, peer, scope)
 
     async def _watch_peer(self, peer: PeerAddress, scope: anyio.CancelScope) -> None:
-        interval_s = self._interval_s(peer)
         with scope:
-            # The first heartbeats of a fresh process are spread over a second.
-            await anyio.sleep(self._rng.uniform(0, min(1.0, interval_s)))
+            # Spread, so that the answers of many do not come at one moment.
+            await anyio.sleep(self._rng.uniform(0, self._policy.least_interval_s))
             while True:
-                due_s = anyio.current_time() + self._jittered(interval_s)
+                wait_s = self._jittered(self._interval_s(peer))
+                due_s = anyio.current_time() + wait_s
                 await self._beat(peer)
                 await anyio.sleep_until(due_s)
 
     async def _beat(self, peer: PeerAddress) -> None:
-        sent_s = anyio.current_time()
+        sent_s = self._clock()
         timeout_s = self._policy.heartbeat_timeout_s
         result = await self._heartbeats.heartbeat(peer, timeout_s=timeout_s)
-        now_s = anyio.current_time()
+        now_s = self._clock()
         match result:
             case Done(heartbeat):
                 changes = self._view.on_heartbeat(
@@ -130,7 +133,8 @@
     def _interval_s(self, peer: PeerAddress) -> float:
         if peer.role == "router":
             return self._policy.router_interval_s
-        return self._policy.heartbeat_interval_s
+        targets = sum(1 for one in self._watched if one.role == peer.role)
+        return self._policy.target_interval_s(targets)
 
     def _jittered(self, wait_s: float) -> float:
         # Only shorter: the bound on how late a drain is known must hold.
--- a/src/endivegw/membership/policy.py
+++ b/src/endivegw/membership/policy.py
@@ -21,16 +21,23 @@
     daemon may spend 6 KB and 10 ms a second on control; docs/CAPACITY.md has
     the measured figures.
 
-    :param heartbeat_interval_s: with the timeout below 3 s together, so that
-        a draining target is known in that time without the table.
-    :param targets_per_router: 12 each 2.5 s make 4.8 heartbeats a second, half
-        of what the processor limit allows; the rest is for the table, the
+    :param heartbeat_interval_s: the longest; with the timeout below 3 s
+        together, so that a draining target is known in that time without the
+        table.
+    :param least_interval_s: the shortest, for the small fleets of today.
+    :param heartbeats_per_s: what one process sends to targets at most: half of
+        what the processor limit allows. The rest is for the table, the
         configuration and other routers.
+    :param heartbeat_timeout_s: a sidecar answers within milliseconds; two
+        regions are some 100 ms apart.
     :param routers_per_router: partners for moving tokens between routers.
     :param router_interval_s: routers tell each other little that is urgent.
     :param silence_s: two lost heartbeats in a row, not one: on an ordinary day
         single losses are far more common than dead peers.
-    :param list_interval_s: 1,020 processes each 30 s make 34 listings a second.
+    :param list_interval_s: the longest; 1,020 processes each 30 s make 34
+        listings a second.
+    :param listings_per_s: what the whole fleet asks for, which is how the
+        interval follows from the length of the list.
     :param list_lag_s: how far the list may trail; a peer is forgotten only
         when it has been both unlisted and silent for longer.
     :param flap_window_s: how long returns from silence are remembered.
@@ -42,13 +49,31 @@
 
     heartbeat_interval_s: float = _positive(2.5)
     heartbeat_timeout_s: float = _positive(0.4)
-    targets_per_router: int = 12
+    least_interval_s: float = _positive(0.5)
+    heartbeats_per_s: float = _positive(4.8)
     routers_per_router: int = 4
     router_interval_s: float = _positive(5.0)
     silence_s: float = _positive(6.0)
     list_interval_s: float = _positive(30.0)
+    least_list_interval_s: float = _positive(2.0)
+    listings_per_s: float = _positive(34.0)
     list_lag_s: float = _positive(120.0)
     flap_window_s: float = _positive(60.0)
     flap_limit: int = 3
     steady_s: float = _positive(10.0)
     cut_off_share: float = 0.67
+
+    @property
+    def targets_per_router(self) -> int:
+        """Return how many targets one router can watch at the longest interval."""
+        return int(self.heartbeats_per_s * self.heartbeat_interval_s)
+
+    def target_interval_s(self, watched: int) -> float:
+        """Return the time between two heartbeats to each of so many targets."""
+        wanted_s = watched / self.heartbeats_per_s
+        return min(max(wanted_s, self.least_interval_s), self.heartbeat_interval_s)
+
+    def listing_interval_s(self, listed: int) -> float:
+        """Return the time between two readings of a list of so many machines."""
+        wanted_s = listed / self.listings_per_s
+        return min(max(wanted_s, self.least_list_interval_s), self.list_interval_s)
--- a/src/endivegw/membership/ports.py
+++ b/src/endivegw/membership/ports.py
@@ -8,7 +8,7 @@
 
 from endivegw.results import Result
 from endivegw.targets.ports import EngineLoad
-from endivegw.types import AvailabilityZone, ConfigRevision, InstanceId
+from endivegw.types import AvailabilityZone, ConfigRevision, InstanceId, TargetName
 
 __all__ = ["Heartbeat", "HeartbeatPort", "PeerAddress"]
 
@@ -33,6 +33,9 @@
     :param draining: it takes no new work for now; it may take some again.
     :param leaving: this instance ends and never takes new work again.
     :param load: None from routers.
+    :param target: the target behind a sidecar, "" from routers.
+    :param start_incarnation: what a start at this sidecar must name.
+    :param cache_sequence: the last cache event that the sidecar has seen.
     """
 
     instance_id: InstanceId
@@ -41,6 +44,9 @@
     draining: bool = False
     leaving: bool = False
     load: EngineLoad | None = None
+    target: TargetName = TargetName("")
+    start_incarnation: str = ""
+    cache_sequence: int = 0
 
 
 class HeartbeatPort(Protocol):
--- a/src/endivegw/membership/view.py
+++ b/src/endivegw/membership/view.py
@@ -101,6 +101,9 @@
                 del self._states[vm]
         return tuple(changes)
 
+    def __len__(self) -> int:
+        return len(self._peers)
+
     def peers(self, role: str) -> tuple[Peer, ...]:
         """Return the peers of one role, by id of their machine."""
         return tuple(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,6 +1,7 @@
 """What a process concludes of its peers, under the faults of list and network."""
 
 import random
+import time
 import unittest
 
 import anyio
@@ -335,6 +336,8 @@
         policy = evolve(
             POLICY,
             heartbeat_interval_s=0.25,
+            least_interval_s=0.25,
+            least_list_interval_s=0.2,
             heartbeat_timeout_s=0.04,
             list_interval_s=0.2,
         )
@@ -356,6 +359,7 @@
             changes.append,
             EventLog("router"),
             random.Random(3),
+            time.monotonic,
         )
 
         async def main():
