--- a/src/endivegw/composition.py
+++ b/src/endivegw/composition.py
@@ -116,7 +116,9 @@
         return connect_to(address, settings.peers.sidecar_port)
 
     keeper = BudgetKeeper(instance_id, platform.table, clock, rng, None, log)
-    watch = TargetWatch(platform.vms, connect, header, on_header, queue, clock)
+    watch = TargetWatch(
+        platform.vms, connect, header, on_header, queue, clock, log, rng
+    )
     slots = SlotMapReader(platform.table, clock)
     runner = RunnerParts(
         keeper=keeper,
