--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -21,6 +21,7 @@
 )
 from endivegw.configuration.model import EMPTY_SNAPSHOT
 from endivegw.configuration.parameters import Parameters
+from endivegw.configuration.spread import ReadAllFromTable, Spread
 from endivegw.configuration.view import (
     Adopted,
     ConfigurationView,
@@ -150,6 +151,19 @@
         view.heard_peer(word("p4", "b", 4, 1.0))
         self.assertIs(view.ready, True)
 
+    def test_table_with_a_newer_revision_does_not_make_ready_yet(self):
+        """
+        The table answers that there is a newer revision, and the rest of the
+        answer is lost. Serving at once would be under an old configuration.
+        """
+        view = ConfigurationView()
+        view.adopt(DocumentsMessage(documents(3)))
+        view.heard_table(4)
+        self.assertIs(view.ready, False)
+        view.adopt(ChangesMessage(3, changes(4, 4)))
+        view.heard_table(4)
+        self.assertIs(view.ready, True)
+
     def test_words_that_are_old_do_not_count(self):
         """A peer heard long ago may have died or been cut off since."""
         view = ConfigurationView("a")
@@ -175,6 +189,24 @@
         self.assertIs(view.ready, True)
 
 
+class SpreadTests(unittest.TestCase):
+    def test_gap_is_closed_from_the_table_at_once(self):
+        """
+        A peer's changes do not join up with what the process has. Waiting for
+        the next poll would add seconds to the way of the change.
+        """
+        view = ConfigurationView()
+        spread = Spread(view, random.Random(1))
+        spread.start(0.0)
+        view.adopt(DocumentsMessage(documents(3)))
+        spread.due(1.0)
+        spread.table_gave_changes(3, (), 1.0)
+        spread.heard(word("p1", "a", 6, 1.5))
+        spread.due(1.8)
+        spread.peer_gave("p1", ChangesMessage(4, changes(5, 6)), 1.9)
+        self.assertEqual(spread.due(1.9), (ReadAllFromTable(),))
+
+
 class CodecTests(unittest.TestCase):
     def test_messages_come_back_as_they_were(self):
         """Both kinds of message survive the wire."""
