--- a/src/endivegw/configuration/agent.py
+++ b/src/endivegw/configuration/agent.py
@@ -10,7 +10,12 @@
 import anyio.to_thread
 from attrs import define
 
-from endivegw.configuration.codec import ConfigMessage, encode_message, parse_message
+from endivegw.configuration.codec import (
+    ChangesMessage,
+    ConfigMessage,
+    encode_message,
+    parse_message,
+)
 from endivegw.configuration.model import Snapshot
 from endivegw.configuration.objects import read_newer_object, write_object
 from endivegw.configuration.reports import AdoptionReport, write_report
@@ -72,8 +77,6 @@
 
     :param daemon: the name under which operators know this process.
     :param reports: whether this process writes reports; routers do.
-    :param on_adopted: called with each new snapshot, before any message
-        carries its revision.
     """
 
     def __init__(
@@ -87,7 +90,6 @@
         random_source: random.Random,
         daemons: int = 30,
         reports: bool = False,
-        on_adopted: Callable[[Snapshot], None] | None = None,
         settings: SpreadSettings = SpreadSettings(),
         log: EventLog | None = None,
     ) -> None:
@@ -99,9 +101,12 @@
         self._table = table
         self._objects = objects
         self._peers = peers
-        self._on_adopted = on_adopted
         self._log = log or EventLog("configuration")
         self._heard: dict[InstanceId, _Heard] = {}
+        self._newest_heard = ConfigRevision(0)
+        self._packed: tuple[ConfigRevision, bytes] = (ConfigRevision(0), b"")
+        self._listeners: list[Callable[[Snapshot], None]] = []
+        self._changed = anyio.Event()
         self._wake = anyio.Event()
         self._ready = anyio.Event()
         self._ready_logged = False
@@ -112,15 +117,29 @@
         return self.view.snapshot
 
     @property
-    def announced_revision(self) -> ConfigRevision:
-        """Return the revision for the header of each message sent."""
+    def revision(self) -> ConfigRevision:
+        """Return the revision for the header of each message; 0 until ready."""
         return self.view.announced_revision
 
+    @property
+    def ready(self) -> bool:
+        """Return whether this process may serve."""
+        return self.view.ready
+
     async def wait_ready(self) -> None:
         """Wait until this process may serve."""
         await self._ready.wait()
 
-    def heard(
+    def on_change(self, listener: Callable[[Snapshot], None]) -> None:
+        """Call a listener with each newer snapshot, before it is announced."""
+        self._listeners.append(listener)
+
+    async def wait_until_current(self) -> None:
+        """Wait until the newest revision that was heard of is in force here."""
+        while self.revision < self._newest_heard:
+            await self._changed.wait()
+
+    def heard_peer(
         self,
         peer: InstanceId,
         availability_zone: AvailabilityZone,
@@ -130,24 +149,37 @@
     ) -> None:
         """Take in the header of a message, request or reply.
 
-        :param name: the peer's name for operators; its instance id where the
-            caller knows none.
+        :param name: the peer's VM, by which operators know it; its instance
+            id where the caller knows none.
         """
         now_s = anyio.current_time()
+        self._newest_heard = max(self._newest_heard, revision)
         self.spread.heard(PeerWord(peer, availability_zone, revision, now_s))
         self._heard[peer] = _Heard(name or str(peer), revision, now_s)
         self._note_ready("peers")
         if self.spread.next_due_s() <= now_s + self.spread.settings.pull_jitter_s:
             self._wake.set()
 
-    async def serve(self, have_revision: ConfigRevision) -> bytes:
-        """Answer a peer's ``Configuration`` call."""
-        message = self.view.message_since(have_revision)
+    def heard(self, revision: ConfigRevision) -> None:
+        """Learn of a revision from a sender that cannot be asked for it."""
+        self._newest_heard = max(self._newest_heard, revision)
+        if self.spread.heard_of(revision, anyio.current_time()):
+            self._wake.set()
+
+    def newer_than(self, revision: ConfigRevision) -> bytes:
+        """Return what a peer at a revision lacks; empty where it lacks nothing.
+
+        The whole configuration is packed once for a revision, as many fresh
+        processes may ask for it at the same time.
+        """
+        message = self.view.message_since(revision)
         if message is None:
             return b""
-        # A whole configuration takes a tenth of a second to pack, in which
-        # this process must go on to answer requests.
-        return await anyio.to_thread.run_sync(encode_message, message)
+        if isinstance(message, ChangesMessage):
+            return encode_message(message)
+        if self._packed[0] != self.view.revision:
+            self._packed = (self.view.revision, encode_message(message))
+        return self._packed[1]
 
     async def run(self) -> None:
         """Keep asking until cancelled."""
@@ -255,8 +287,8 @@
 
     def _adopted(self, adopted: Adopted | None, source: str) -> None:
         if adopted is not None:
-            if self._on_adopted is not None:
-                self._on_adopted(self.view.snapshot)
+            for listener in self._listeners:
+                listener(self.view.snapshot)
             self._log.emit(
                 CONFIGURATION_ADOPTED,
                 before=adopted.before,
@@ -264,6 +296,8 @@
                 source=source,
             )
         self._note_ready(source)
+        self._changed.set()
+        self._changed = anyio.Event()
 
     def _note_ready(self, source: str) -> None:
         if self.view.ready and not self._ready_logged:
--- a/src/endivegw/configuration/spread.py
+++ b/src/endivegw/configuration/spread.py
@@ -131,6 +131,7 @@
     table_away: bool = True
     _poll_at_s: float = 0.0
     _polling: bool = False
+    _polled_at_s: float = float("-inf")
     _need_all: bool = False
     _table_heard_at_s: float = float("-inf")
     _pull_at_s: float = _NEVER
@@ -175,6 +176,7 @@
             actions += self._object_actions(now_s)
         if not self._polling and now_s >= self._poll_at_s:
             self._polling = True
+            self._polled_at_s = now_s
             self._poll_at_s = now_s + self._draw_around(self.settings.poll_s)
             actions.append(self._poll())
         if not self._pulling and now_s >= self._pull_at_s:
@@ -196,6 +198,22 @@
             jitter_s = self._random.uniform(0.0, self.settings.pull_jitter_s)
             self._pull_at_s = word.heard_at_s + jitter_s
 
+    def heard_of(self, revision: ConfigRevision, now_s: float) -> bool:
+        """Learn of a revision from a sender that cannot be asked for it.
+
+        :returns: whether the table is polled earlier for it.
+        """
+        jitter_s = self._random.uniform(0.0, self.settings.pull_jitter_s)
+        soon_s = now_s + jitter_s
+        if revision <= self.view.revision or self._poll_at_s <= soon_s:
+            return False
+        if now_s - self._polled_at_s < self.settings.pull_retry_s:
+            # Each refusal of a sidecar names the revision; one question
+            # answers all of them.
+            return False
+        self._poll_at_s = soon_s
+        return True
+
     def table_gave_changes(
         self, after: ConfigRevision, changes: tuple[Change, ...], now_s: float
     ) -> Adopted | None:
--- a/tests/test_configuration_agent.py
+++ b/tests/test_configuration_agent.py
@@ -42,7 +42,7 @@
         agent = self.agents.get(peer)
         if agent is None:
             return Refused(Reason.UNREACHABLE)
-        return Done(await agent.serve(have_revision))
+        return Done(agent.newer_than(have_revision))
 
 
 class Fleet:
@@ -53,7 +53,7 @@
         self.links = set()
         self.closing = []
 
-    def agent(self, name, zone="a", reports=False):
+    def agent(self, name, zone="a", reports=False, settings=FAST):
         table = DynamoTable(f"{self.url}/table", client_name=name)
         objects = S3Objects(f"{self.url}/objects", client_name=name)
         self.closing += [table, objects]
@@ -66,7 +66,7 @@
             random_source=random.Random(name),
             daemons=1,
             reports=reports,
-            settings=FAST,
+            settings=settings,
         )
         self.neighbours.agents[name] = agent
         return agent
@@ -79,7 +79,7 @@
                 for other, sender in agents:
                     if other != name:
                         zone = sender.view.own_zone
-                        agent.heard(other, zone, sender.announced_revision)
+                        agent.heard_peer(other, zone, sender.revision)
             await anyio.sleep(0.1)
 
     async def change(self, name):
@@ -117,11 +117,11 @@
                 with anyio.fail_after(5):
                     await router.wait_ready()
                 await world.change("kiosk")
-                await until(lambda: router.announced_revision == 1)
+                await until(lambda: router.revision == 1)
                 await until(
                     lambda: "config/documents" in world.platform.objects.objects
                 )
-                router.heard("s1", "a", 1, name="sidecar-1")
+                router.heard_peer("s1", "a", 1, name="sidecar-1")
                 table = DynamoTable(f"{world.url}/table")
                 found = ()
                 while len(found) < 2 or {entry.revision for entry in found} != {1}:
@@ -135,6 +135,29 @@
 
         anyio.run(run)
 
+    def test_refusal_of_a_newer_sidecar_makes_a_router_catch_up(self):
+        """
+        A sidecar refuses a router's work because it knows a newer revision.
+        The router looks at once and waits for it, not for its next poll.
+        """
+
+        async def run():
+            async with fleet() as world, anyio.create_task_group() as tasks:
+                slow = SpreadSettings(poll_s=8.0, pull_jitter_s=0.01)
+                router = world.agent("router-1", settings=slow)
+                tasks.start_soon(router.run)
+                with anyio.fail_after(20):
+                    await router.wait_ready()
+                await anyio.sleep(slow.pull_retry_s)
+                await world.change("kiosk")
+                router.heard(1)
+                with anyio.fail_after(2):
+                    await router.wait_until_current()
+                self.assertEqual(router.revision, 1)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_daemon_cut_off_from_the_table_learns_from_a_peer(self):
         """
         One daemon loses the table in a partition but hears another one. A
@@ -153,7 +176,7 @@
                 world.platform.faults.table.cut_off.add("two")
                 world.platform.faults.objects.cut_off.add("two")
                 await world.change("kiosk")
-                await until(lambda: two.announced_revision == 1)
+                await until(lambda: two.revision == 1)
                 tasks.cancel_scope.cancel()
 
         anyio.run(run)
