--- a/src/endivegw/cli/main.py
+++ b/src/endivegw/cli/main.py
@@ -4,7 +4,17 @@
 
 import click
 
-from endivegw.cli import daemons, dev
+from endivegw.cli import (
+    account,
+    budget,
+    completion,
+    config,
+    daemons,
+    dev,
+    status,
+    target,
+    template,
+)
 
 __all__ = ["main"]
 
@@ -16,6 +26,13 @@
 
 
 # Operators' commands.
+main.add_command(template.template)
+main.add_command(account.account)
+main.add_command(budget.budget)
+main.add_command(target.target)
+main.add_command(config.config)
+main.add_command(status.status)
+main.add_command(completion.completion)
 
 # Daemons.
 main.add_command(daemons.router)
--- /dev/null
+++ b/src/endivegw/cli/output.py
@@ -0,0 +1,48 @@
+"""Print lists as aligned text or as JSON."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Callable, Sequence
+
+import click
+
+__all__ = ["output_option", "print_json", "print_table"]
+
+
+def output_option(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Add ``--output text|json``."""
+    return click.option(
+        "--output",
+        type=click.Choice(["text", "json"]),
+        default="text",
+        show_default=True,
+        help="Text for people or JSON for programs.",
+    )(command)
+
+
+def print_json(value: object) -> None:
+    """Print one JSON value."""
+    click.echo(json.dumps(value, indent=2, sort_keys=True))
+
+
+def print_table(
+    columns: tuple[str, ...], rows: Sequence[tuple[object, ...]], output: str
+) -> None:
+    """Print rows; JSON has one object for each, with the columns as names."""
+    if output == "json":
+        print_json([dict(zip(columns, row)) for row in rows])
+        return
+    texts = [columns, *(tuple(_text(cell) for cell in row) for row in rows)]
+    widths = [max(len(row[number]) for row in texts) for number in range(len(columns))]
+    for row in texts:
+        line = "  ".join(cell.ljust(width) for cell, width in zip(row, widths))
+        click.echo(line.rstrip())
+
+
+def _text(cell: object) -> str:
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    if isinstance(cell, (list, tuple)):
+        return ", ".join(str(item) for item in cell) or "-"
+    return str(cell) if cell not in (None, "") else "-"
--- /dev/null
+++ b/src/endivegw/cli/status.py
@@ -0,0 +1,56 @@
+"""``endivegw status``: the fleet at a glance."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+
+import click
+
+from endivegw.cli.config import print_lagging
+from endivegw.cli.operating import OperatorContext, value_of, with_platform
+from endivegw.cli.output import output_option, print_json
+from endivegw.configuration.store import load_snapshot
+from endivegw.queries.fleet import fleet_revisions
+
+__all__ = ["status"]
+
+
+@click.command()
+@output_option
+@with_platform
+async def status(context: OperatorContext, output: str) -> None:
+    """Show VMs, daemons, targets and the configuration's revision."""
+    platform, timeout_s = context.platform, context.operation.timeout_s
+    found = value_of(
+        await fleet_revisions(
+            platform.table, platform.vms, now_s=time.time(), timeout_s=timeout_s
+        )
+    )
+    snapshot = value_of(await load_snapshot(platform.table, timeout_s=timeout_s))
+    vms = Counter(f"{vm.role} {vm.state.value}" for vm in found.vms)
+    drained = sorted(t.target for t in snapshot.targets.values() if t.drained)
+    lagging = found.lagging(found.revision)
+    if output == "json":
+        print_json(
+            {
+                "revision": found.revision,
+                "accounts": len(snapshot.accounts),
+                "targets": len(snapshot.targets),
+                "drained": drained,
+                "daemons": len(found.daemons),
+                "lagging": [entry.daemon for entry in lagging],
+                "unheard": list(found.unheard),
+                "vms": dict(vms),
+            }
+        )
+        return
+    click.echo(f"configuration: revision {found.revision}")
+    click.echo(f"accounts: {len(snapshot.accounts)}")
+    click.echo(f"targets: {len(snapshot.targets)}, drained: {len(drained)}")
+    for name in drained:
+        click.echo(f"  {name}")
+    listed = ", ".join(f"{count} {what}" for what, count in sorted(vms.items()))
+    click.echo(f"VMs: {listed or 'none listed'}")
+    click.echo(f"daemons heard: {len(found.daemons)}, lagging: {len(lagging)}")
+    print_lagging(found, found.revision)
--- a/src/endivegw/commands/account.py
+++ b/src/endivegw/commands/account.py
@@ -90,9 +90,7 @@
         seen_revision=seen.value,
         requires=requires.value,
     )
-    if not isinstance(outcome, Done):
-        return outcome
-    return Done(CreatedKey(key, outcome.value))
+    return _created(key, document, outcome)
 
 
 async def set_account(
@@ -167,8 +165,22 @@
         (Edit(new, version),),
         seen_revision=seen.value,
     )
+    return _created(key, new, outcome)
+
+
+def _created(
+    key: str, document: AccountDocument, outcome: Result[Outcome]
+) -> Result[CreatedKey]:
+    """Return the key, unless another run under the same id made another key."""
     if not isinstance(outcome, Done):
         return outcome
+    change = outcome.value.change
+    if document not in change.puts:
+        detail = (
+            f"an earlier run did it in revision {change.revision}; its key cannot "
+            'be shown again, run "account key rotate"'
+        )
+        return Refused(Reason.ALREADY_RUN, detail)
     return Done(CreatedKey(key, outcome.value))
 
 
--- a/src/endivegw/configuration/ini.py
+++ b/src/endivegw/configuration/ini.py
@@ -18,6 +18,7 @@
     "format_value",
     "parse_assignments",
     "parse_template",
+    "value_texts",
 ]
 
 TEMPLATE_SECTION = "template"
@@ -83,12 +84,19 @@
 def format_parameters(parameters: Parameters) -> str:
     """Return parameters as a template file, which parses to the same again."""
     lines = [f"[{TEMPLATE_SECTION}]"]
-    for name, value in asdict(parameters).items():
-        if value is not None:
-            lines.append(f"{name} = {format_value(value)}")
+    lines += [f"{name} = {text}" for name, text in value_texts(parameters).items()]
     return "\n".join(lines) + "\n"
 
 
+def value_texts(parameters: Parameters) -> dict[str, str]:
+    """Return the parameters that are set, as text by name."""
+    return {
+        name: format_value(value)
+        for name, value in asdict(parameters).items()
+        if value is not None
+    }
+
+
 def format_value(value: object) -> str:
     """Return one parameter's value as it stands in a template file."""
     match value:
--- a/src/endivegw/configuration/store.py
+++ b/src/endivegw/configuration/store.py
@@ -17,6 +17,7 @@
     parse_document,
 )
 from endivegw.configuration.documents import (
+    AccountDocument,
     Change,
     Document,
     DocumentKind,
@@ -25,7 +26,7 @@
     apply_change,
     resolve,
 )
-from endivegw.configuration.model import Snapshot
+from endivegw.configuration.model import AccountParameters, Snapshot
 from endivegw.exceptions import PlatformError
 from endivegw.platform import (
     Check,
@@ -47,8 +48,10 @@
     "Removal",
     "VersionedDocument",
     "commit_change",
+    "load_account_parameters",
     "load_changes",
     "load_document",
+    "load_document_versions",
     "load_documents",
     "load_revision",
     "load_snapshot",
@@ -186,6 +189,20 @@
     return Done(documents)
 
 
+async def load_document_versions(
+    table: TablePort, *, timeout_s: float
+) -> Result[dict[DocumentName, int]]:
+    """Return the version of each document's row, for a change of many."""
+    versions: dict[DocumentName, int] = {}
+    for kind in DocumentKind:
+        rows = await _scan(table, f"config-{kind.value}", None, timeout_s)
+        if not isinstance(rows, Done):
+            return rows
+        for row in rows.value:
+            versions[DocumentName(kind, row.key.sort)] = row.version
+    return Done(versions)
+
+
 async def load_snapshot(table: TablePort, *, timeout_s: float) -> Result[Snapshot]:
     """Return the configuration of one revision as daemons hold it."""
     documents = await load_documents(table, timeout_s=timeout_s)
@@ -208,20 +225,46 @@
     raise PlatformError("the table answered a read of one row with another number")
 
 
+async def load_account_parameters(
+    table: TablePort, client_account: str, *, timeout_s: float
+) -> Result[AccountParameters]:
+    """Return one account's parameters with its template applied."""
+    name = DocumentName(DocumentKind.ACCOUNT, client_account)
+    account = await load_document(table, name, timeout_s=timeout_s)
+    if not isinstance(account, Done):
+        return account
+    document = account.value.document
+    if not isinstance(document, AccountDocument):
+        return Refused(Reason.NOT_FOUND, f"no account named {client_account}")
+    template_name = DocumentName(DocumentKind.TEMPLATE, document.template)
+    template = await load_document(table, template_name, timeout_s=timeout_s)
+    if not isinstance(template, Done):
+        return template
+    by_name: dict[DocumentName, Document] = {name: document}
+    if template.value.document is not None:
+        by_name[template_name] = template.value.document
+    snapshot = resolve(Documents(ConfigRevision(0), by_name))
+    return Done(snapshot.accounts[document.client_account])
+
+
 async def commit_change(
     table: TablePort, draft: Draft, *, timeout_s: float
 ) -> Result[Change]:
     """Write a change under the next revision; return it as it took effect.
 
-    Refused with ``CONFLICT`` where a document is no longer at the version that
-    the operator saw. A change of other documents in between is no conflict:
-    the change is written again behind it.
+    The same operation id, run again, changes nothing and returns the change
+    that it made. Refused with ``CONFLICT`` where a document is no longer at
+    the version that the operator saw. A change of other documents in between
+    is no conflict: the change is written again behind it.
     """
     for _ in range(MAX_REBASES):
-        current = await table.read((REVISION_KEY,), timeout_s=timeout_s)
+        keys = (REVISION_KEY, _operation_key(draft))
+        current = await table.read(keys, timeout_s=timeout_s)
         if not isinstance(current, Done):
             return _not_written(current)
-        (row,) = current.value
+        row, operation = current.value
+        if operation is not None:
+            return await _outcome_before(table, operation, timeout_s=timeout_s)
         revision = _revision_of(row)
         if draft.exact_revision is not None and draft.exact_revision != revision:
             return Refused(Reason.CONFLICT, f"the revision is {revision} now")
@@ -312,7 +355,7 @@
 async def _versions_hold(
     table: TablePort, draft: Draft, *, timeout_s: float
 ) -> Done[None] | Refused:
-    """Refuse where a document itself has moved on, which starting again won't mend."""
+    """Refuse where a document itself has moved on, so that a new start is in vain."""
     expected = {name: version for name, version in draft.requires}
     for edit in draft.edits:
         name = edit.document.name if isinstance(edit, Edit) else edit.name
@@ -327,6 +370,24 @@
     return Done(None)
 
 
+async def _outcome_before(
+    table: TablePort, operation: Row, *, timeout_s: float
+) -> Result[Change]:
+    """Return what an earlier run of the same operation did."""
+    revision = int(operation.fields["revision"])
+    if revision == _ABANDONED:
+        detail = f"operation {operation.key.sort} was given up; use another id"
+        return Refused(Reason.KEY_CONFLICT, detail)
+    read = await table.read((_change_key(revision),), timeout_s=timeout_s)
+    match read:
+        case Done((Row() as row,)):
+            return Done(_parse_change_row(row))
+        case Done():
+            return Refused(Reason.NOT_FOUND, f"change {revision} is missing")
+        case failure:
+            return failure
+
+
 def _change_fields(change: Change) -> dict[str, str | int]:
     return {
         "operation_id": change.operation_id,
--- /dev/null
+++ b/src/endivegw/queries/budgets.py
@@ -0,0 +1,28 @@
+"""List budgets as the table holds them."""
+
+from __future__ import annotations
+
+from endivegw.budgets.rows import BUDGET_PARTITION, BudgetRow
+from endivegw.platform import TablePort
+from endivegw.results import Done, Result
+
+__all__ = ["list_budgets"]
+
+
+async def list_budgets(
+    table: TablePort, *, client_account: str = "", timeout_s: float
+) -> Result[tuple[BudgetRow, ...]]:
+    """Return the budgets of one account, or of all, in order of their names."""
+    prefix = f"{client_account}/" if client_account else ""
+    found: list[BudgetRow] = []
+    after: str | None = None
+    while True:
+        page = await table.scan(
+            BUDGET_PARTITION, prefix=prefix, after=after, timeout_s=timeout_s
+        )
+        if not isinstance(page, Done):
+            return page
+        found += [BudgetRow.of(row) for row in page.value.rows]
+        after = page.value.next_sort
+        if after is None:
+            return Done(tuple(found))
--- a/src/endivegw/settings/__init__.py
+++ b/src/endivegw/settings/__init__.py
@@ -1,6 +1,10 @@
 """Settings of the daemons, read from INI files and checked."""
 
-from endivegw.settings.load import load_router_settings, load_sidecar_settings
+from endivegw.settings.load import (
+    load_platform_settings,
+    load_router_settings,
+    load_sidecar_settings,
+)
 from endivegw.settings.model import (
     HttpLimits,
     LogSettings,
@@ -24,6 +28,7 @@
     "SettingsReader",
     "SidecarSettings",
     "TargetSettings",
+    "load_platform_settings",
     "load_router_settings",
     "load_sidecar_settings",
 ]
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -19,7 +19,11 @@
 from endivegw.settings.reader import Address, SettingsReader
 from endivegw.types import AvailabilityZone, TargetName
 
-__all__ = ["load_router_settings", "load_sidecar_settings"]
+__all__ = [
+    "load_platform_settings",
+    "load_router_settings",
+    "load_sidecar_settings",
+]
 
 DEFAULT_ROUTER_PORT = 7401
 DEFAULT_SIDECAR_PORT = 7402
@@ -66,6 +70,11 @@
     return settings
 
 
+def load_platform_settings(path: pathlib.Path) -> PlatformSettings:
+    """Read the section [platform] alone, from an operator's or a daemon's file."""
+    return _platform(SettingsReader(path))
+
+
 def _process(reader: SettingsReader) -> ProcessSettings:
     return ProcessSettings(
         vm=reader.text("process", "vm"),
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -218,6 +218,28 @@
 
         self.assertIsInstance(anyio.run(run), Unknown)
 
+    def test_same_operation_run_again_changes_nothing(self):
+        """
+        The answer was lost for good, and the operator runs the command again
+        under the id it printed. It says what the first run did; an account's
+        key cannot be shown again, and the new one must not be shown as good.
+        """
+
+        async def run():
+            operation = self.operation()
+            first = await create_template(self.table, operation, "a", Parameters())
+            second = await create_template(self.table, operation, "a", Parameters())
+            operation = self.operation()
+            await create_account(self.table, operation, "lobby")
+            again = await create_account(self.table, operation, "lobby")
+            return first, second, again
+
+        first, second, again = anyio.run(run)
+        self.assertIsInstance(first, Done)
+        self.assertEqual(second.value.change, first.value.change)
+        self.assertEqual(again.reason, Reason.ALREADY_RUN)
+        self.assertEqual(self.snapshot().revision, 2)
+
     def test_dry_run_writes_nothing(self):
         """The change is shown and neither a row nor the revision is written."""
 
