--- /dev/null
+++ b/benchmarks/decisions_baselines.py
@@ -0,0 +1,267 @@
+"""What the decision code is measured against, behind the same names."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from typing import Iterable, Protocol
+
+from attrs import define, field
+
+from benchmarks.decisions_engine import Engine
+from endivegw.decisions import (
+    AttemptEnd,
+    Expired,
+    LoadFigures,
+    Placement,
+    PlacementFigures,
+    Queued,
+    TargetView,
+    WorkItem,
+)
+from endivegw.results import Reason, Refused
+from endivegw.types import TargetName
+
+__all__ = [
+    "Fifo",
+    "LeastOutstanding",
+    "Oracle",
+    "RandomChoice",
+    "RoundRobin",
+    "Router",
+]
+
+
+class Router(Protocol):
+    """What the world calls; the dispatcher's own names."""
+
+    def set_targets(self, views: Iterable[TargetView], now_s: float) -> None: ...
+
+    def report(
+        self, target: TargetName, figures: LoadFigures, now_s: float
+    ) -> None: ...
+
+    def submit(self, item: WorkItem, now_s: float) -> Placement | Queued | Refused: ...
+
+    def poll(self, now_s: float) -> list[Placement | Expired]: ...
+
+    def next_poll_s(self, now_s: float) -> float | None: ...
+
+    def started(self, request_id: str, now_s: float) -> None: ...
+
+    def first_token(self, request_id: str, now_s: float) -> None: ...
+
+    def ended(
+        self, request_id: str, target: TargetName, result: AttemptEnd, now_s: float
+    ) -> None: ...
+
+    def cancel(self, request_id: str, now_s: float) -> None: ...
+
+
+def placed(item: WorkItem, view: TargetView, now_s: float) -> Placement:
+    """Return a placement without figures."""
+    figures = PlacementFigures(0.0, 0, 0, now_s - item.arrived_s, 0.0, 0.0, 0)
+    return Placement(item, view.target, view.instance_id, view.address, "", figures)
+
+
+@define(eq=False)
+class Simple:
+    """Place at once, whatever the load; the target's queue takes the rest."""
+
+    rng: random.Random
+    views: list[TargetView] = field(factory=list)
+    own: dict[TargetName, int] = field(factory=dict)
+
+    def set_targets(self, views: Iterable[TargetView], now_s: float) -> None:
+        self.views = [view for view in views if not view.draining]
+
+    def report(self, target: TargetName, figures: LoadFigures, now_s: float) -> None:
+        pass
+
+    def eligible(self, item: WorkItem) -> list[TargetView]:
+        return [
+            view
+            for view in self.views
+            if item.model in view.models and view.target not in item.excluded
+        ]
+
+    def choose(self, views: list[TargetView], item: WorkItem) -> TargetView:
+        raise NotImplementedError
+
+    def submit(self, item: WorkItem, now_s: float) -> Placement | Queued | Refused:
+        views = self.eligible(item)
+        if not views:
+            return Refused(Reason.NO_TARGET)
+        view = self.choose(views, item)
+        self.own[view.target] = self.own.get(view.target, 0) + 1
+        return placed(item, view, now_s)
+
+    def poll(self, now_s: float) -> list[Placement | Expired]:
+        return []
+
+    def next_poll_s(self, now_s: float) -> float | None:
+        return None
+
+    def started(self, request_id: str, now_s: float) -> None:
+        pass
+
+    def first_token(self, request_id: str, now_s: float) -> None:
+        pass
+
+    def ended(
+        self, request_id: str, target: TargetName, result: AttemptEnd, now_s: float
+    ) -> None:
+        self.own[target] -= 1
+
+    def cancel(self, request_id: str, now_s: float) -> None:
+        pass
+
+
+@define(eq=False)
+class RoundRobin(Simple):
+    """Go round the targets."""
+
+    turn: int = 0
+
+    def choose(self, views: list[TargetView], item: WorkItem) -> TargetView:
+        self.turn += 1
+        return views[self.turn % len(views)]
+
+
+class RandomChoice(Simple):
+    """Draw a target."""
+
+    def choose(self, views: list[TargetView], item: WorkItem) -> TargetView:
+        return self.rng.choice(views)
+
+
+class LeastOutstanding(Simple):
+    """Take the target with the least work of this router."""
+
+    def choose(self, views: list[TargetView], item: WorkItem) -> TargetView:
+        least = min(self.own.get(view.target, 0) for view in views)
+        return self.rng.choice([v for v in views if self.own.get(v.target, 0) == least])
+
+
+@define(eq=False)
+class Fifo(LeastOutstanding):
+    """Queue in the router, first in first out, without bound and admission."""
+
+    routers: int = 1
+    queues: dict[str, deque[WorkItem]] = field(factory=dict)
+
+    def _room(self, item: WorkItem) -> list[TargetView]:
+        return [
+            view
+            for view in self.eligible(item)
+            if self.own.get(view.target, 0) < max(1, view.slots // self.routers)
+        ]
+
+    def submit(self, item: WorkItem, now_s: float) -> Placement | Queued | Refused:
+        if not self.eligible(item):
+            return Refused(Reason.NO_TARGET)
+        queue = self.queues.setdefault(item.model, deque())
+        views = self._room(item)
+        if queue or not views:
+            queue.append(item)
+            return Queued(0.0, len(queue) - 1)
+        view = self.choose(views, item)
+        self.own[view.target] = self.own.get(view.target, 0) + 1
+        return placed(item, view, now_s)
+
+    def poll(self, now_s: float) -> list[Placement | Expired]:
+        decided: list[Placement | Expired] = []
+        for queue in self.queues.values():
+            while queue:
+                views = self._room(queue[0])
+                if not views:
+                    break
+                item = queue.popleft()
+                view = self.choose(views, item)
+                self.own[view.target] = self.own.get(view.target, 0) + 1
+                decided.append(placed(item, view, now_s))
+        return decided
+
+    def cancel(self, request_id: str, now_s: float) -> None:
+        for queue in self.queues.values():
+            for item in queue:
+                if item.request_id == request_id:
+                    queue.remove(item)
+                    return
+
+
+@define(eq=False)
+class Oracle(Simple):
+    """Place for all routers at once with perfect knowledge of the targets.
+
+    It knows each engine's state, each request's true output and every fault.
+    It serves by priority, then earliest latest start, on the target where the
+    work ends first, and gives up what cannot end in time any more.
+    """
+
+    engines: dict[TargetName, Engine] = field(factory=dict)
+    outputs: dict[str, int] = field(factory=dict)
+    taken: dict[TargetName, int] = field(factory=dict)
+    queues: dict[str, list[tuple[int, float, int, WorkItem]]] = field(factory=dict)
+    order: int = 0
+    decided: list[Placement | Expired] = field(factory=list)
+
+    def submit(self, item: WorkItem, now_s: float) -> Placement | Queued | Refused:
+        if not self.eligible(item):
+            return Refused(Reason.NO_TARGET)
+        placement = self._place(item, now_s)
+        if placement is not None:
+            return placement
+        alone_s = self.outputs[item.request_id] * 0.0436 + 0.1
+        self.order += 1
+        queue = self.queues.setdefault(item.model, [])
+        latest = item.deadline_s - alone_s
+        heapq.heappush(queue, (int(item.priority), latest, self.order, item))
+        return Queued(0.0, 0)
+
+    def _place(self, item: WorkItem, now_s: float) -> Placement | None:
+        output = self.outputs[item.request_id]
+        best: tuple[float, TargetView] | None = None
+        for view in self.eligible(item):
+            engine = self.engines[view.target]
+            if engine.failing or engine.running + engine.waiting >= view.slots:
+                continue
+            engine.advance(now_s)
+            taken_s = engine.remaining_s(
+                item.prompt_tokens, output, item.prefix_digests
+            )
+            if now_s + taken_s <= item.deadline_s and (
+                best is None or taken_s < best[0]
+            ):
+                best = (taken_s, view)
+        if best is None:
+            return None
+        view = best[1]
+        self.own[view.target] = self.own.get(view.target, 0) + 1
+        return placed(item, view, now_s)
+
+    def poll(self, now_s: float) -> list[Placement | Expired]:
+        for queue in self.queues.values():
+            while queue:
+                _, latest, _, item = queue[0]
+                if latest < now_s:
+                    heapq.heappop(queue)
+                    return [Expired(item, "", None)]
+                placement = self._place(item, now_s)
+                if placement is None:
+                    break
+                heapq.heappop(queue)
+                return [placement]
+        return []
+
+    def next_poll_s(self, now_s: float) -> float | None:
+        return now_s + 0.05 if any(self.queues.values()) else None
+
+    def cancel(self, request_id: str, now_s: float) -> None:
+        for queue in self.queues.values():
+            for entry in queue:
+                if entry[3].request_id == request_id:
+                    queue.remove(entry)
+                    heapq.heapify(queue)
+                    return
--- /dev/null
+++ b/benchmarks/decisions_loads.py
@@ -0,0 +1,332 @@
+"""The loads of the bench: who asks for what, when, and what goes wrong."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from typing import Callable
+
+from attrs import evolve, field, frozen
+
+from benchmarks.decisions_engine import BLOCK_TOKENS, EngineSpec
+from endivegw.decisions import WorkItem
+from endivegw.types import AvailabilityZone, ClientAccountName, Priority
+
+__all__ = ["Arrival", "Fault", "Load", "TargetSpec", "all_loads"]
+
+ZONES = tuple(AvailabilityZone(name) for name in ("a", "b", "c"))
+
+#: Share of prompt tokens that the capacity formula takes as cached.
+NOMINAL_HIT_SHARE = 0.6
+
+
+@frozen
+class Kind:
+    """Hold one kind of request.
+
+    :param blocks: whole prompt blocks shared within (everyone, one account,
+        one scene of an account).
+    """
+
+    name: str
+    model: str
+    priority: Priority
+    blocks: tuple[int, int, int]
+    own_tokens: int
+    mean_output: int
+    max_output: int
+    deadline_s: float
+    scenes: int = 8
+
+    def prompt_tokens(self) -> int:
+        """Return the length of the prompt."""
+        return sum(self.blocks) * BLOCK_TOKENS + self.own_tokens
+
+
+KIOSK = Kind("kiosk", "badge", Priority.NORMAL, (1, 1, 1), 96, 60, 160, 6.0, 20)
+URGENT_KIOSK = evolve(KIOSK, name="guard", priority=Priority.URGENT)
+EXPLAIN = Kind("explain", "plan", Priority.NORMAL, (1, 2, 1), 200, 120, 256, 15.0)
+PLAN = Kind("plan", "plan", Priority.NORMAL, (1, 7, 2), 300, 300, 600, 40.0)
+BATCH = Kind("report", "plan", Priority.BATCH, (1, 7, 2), 300, 500, 1000, 120.0)
+POLL = Kind("poll", "service:ramp", Priority.URGENT, (0, 0, 0), 0, 3, 4, 1.0)
+
+ENGINE = EngineSpec()
+SERVICE = EngineSpec(
+    slots=32, step_base_s=0.01, step_slope_s=0.0003, overhead_s=0.005, cache_blocks=1
+)
+
+
+@frozen
+class TargetSpec:
+    """Hold one target of a load."""
+
+    name: str
+    availability_zone: AvailabilityZone
+    models: frozenset[str]
+    spec: EngineSpec
+
+
+@frozen
+class Fault:
+    """Hold what goes wrong with one target, from when to when."""
+
+    target: str
+    begin_s: float
+    end_s: float
+    speed: float = 1.0
+    failing: bool = False
+    frozen: bool = False
+    draining: bool = False
+
+
+@frozen
+class Arrival:
+    """Hold one request as the world knows it, with its true output."""
+
+    at_s: float
+    router: int
+    kind: str
+    item: WorkItem
+    output_tokens: int
+
+
+@frozen
+class Load:
+    """Hold one load in whole.
+
+    :param offered: offered work as a share of capacity, for the reader.
+    :param caller_retries: how often a caller comes back after a refusal or a
+        timeout.
+    :param measured_from_s: when the figures begin, after the caches are warm.
+    """
+
+    name: str
+    targets: tuple[TargetSpec, ...]
+    routers: int
+    duration_s: float
+    arrivals: tuple[Arrival, ...]
+    offered: float
+    faults: tuple[Fault, ...] = ()
+    caller_retries: int = 0
+    measured_from_s: float = 10.0
+    report_interval_s: float = 1.0
+    report_lag_s: float = 0.5
+    event_loss: float = 0.1
+
+
+def engines(count: int, models: frozenset[str]) -> tuple[TargetSpec, ...]:
+    """Return engines spread over the availability zones."""
+    return tuple(
+        TargetSpec(f"engine-{n}", ZONES[n % 3], models, ENGINE) for n in range(count)
+    )
+
+
+def services(count: int) -> tuple[TargetSpec, ...]:
+    """Return plain services spread over the availability zones."""
+    ramp = frozenset({"service:ramp"})
+    return tuple(TargetSpec(f"ramp-{n}", ZONES[n % 3], ramp, SERVICE) for n in range(count))
+
+
+def slot_seconds(kind: Kind) -> float:
+    """Return how long a request of this kind holds a slot of a full engine."""
+    cached = NOMINAL_HIT_SHARE * sum(kind.blocks) * BLOCK_TOKENS
+    read_s = (kind.prompt_tokens() - cached) / ENGINE.prefill_tokens_per_s
+    step_s = ENGINE.step_s(ENGINE.slots) * ENGINE.prefill_slowdown
+    return 2.0 * (ENGINE.overhead_s + read_s) + kind.mean_output * step_s
+
+
+@frozen
+class Stream:
+    """Hold one account's requests of one kind.
+
+    :param rate: requests per second at a moment.
+    """
+
+    account: str
+    kind: Kind
+    rate: Callable[[float], float]
+    peak: float
+    weight: float = 1.0
+
+
+def _digest(*parts: object) -> bytes:
+    return hashlib.blake2b(repr(parts).encode(), digest_size=8).digest()
+
+
+def _prefix(kind: Kind, account: str, scene: int) -> tuple[bytes, ...]:
+    shared, own, scenic = kind.blocks
+    digests = [_digest(kind.model, kind.name, n) for n in range(shared)]
+    digests += [_digest(kind.model, kind.name, account, n) for n in range(own)]
+    digests += [_digest(kind.model, kind.name, account, scene, n) for n in range(scenic)]
+    return tuple(digests)
+
+
+def _output(kind: Kind, rng: random.Random) -> int:
+    spread = 0.5
+    drawn = rng.lognormvariate(math.log(kind.mean_output) - spread**2 / 2, spread)
+    return max(2, min(kind.max_output, round(drawn)))
+
+
+def arrivals(
+    streams: list[Stream], duration_s: float, routers: int, rng: random.Random
+) -> tuple[Arrival, ...]:
+    """Draw Poisson arrivals of all streams, thinned to their rates."""
+    found: list[Arrival] = []
+    for stream in streams:
+        now_s = 0.0
+        while True:
+            now_s += rng.expovariate(stream.peak)
+            if now_s >= duration_s:
+                break
+            if rng.random() * stream.peak > stream.rate(now_s):
+                continue
+            kind = stream.kind
+            scene = min(int(rng.expovariate(4.0 / kind.scenes)), kind.scenes - 1)
+            item = WorkItem(
+                request_id=f"r{len(found)}",
+                client_account=ClientAccountName(stream.account),
+                priority=kind.priority,
+                weight=stream.weight,
+                model=kind.model,
+                deadline_s=now_s + kind.deadline_s,
+                prompt_tokens=kind.prompt_tokens(),
+                output_tokens=kind.max_output,
+                arrived_s=now_s,
+                prefix_digests=_prefix(kind, stream.account, scene),
+            )
+            output = _output(kind, rng)
+            router = rng.randrange(routers)
+            found.append(Arrival(now_s, router, kind.name, item, output))
+    return tuple(sorted(found, key=lambda arrival: arrival.at_s))
+
+
+def constant(rate: float) -> Callable[[float], float]:
+    """Return a rate that does not change."""
+    return lambda now_s: rate
+
+
+def _mixed(
+    capacity_slots: float,
+    offered: Callable[[float], float],
+    peak: float,
+    accounts: int = 10,
+    kinds: tuple[tuple[Kind, float], ...] = ((KIOSK, 0.6), (EXPLAIN, 0.3), (PLAN, 0.1)),
+    skew: float = 1.0,
+) -> list[Stream]:
+    """Return streams that together offer a share of ``capacity_slots``.
+
+    :param skew: the share of account n falls with (n + 1) ** -skew.
+    """
+    shares = [(n + 1) ** -skew for n in range(accounts)]
+    total = sum(shares)
+    mean_s = sum(share * slot_seconds(kind) for kind, share in kinds)
+    per_second = capacity_slots / mean_s
+    streams = []
+    for number, share in enumerate(shares):
+        for kind, part in kinds:
+            scale = per_second * part * share / total
+            streams.append(
+                Stream(
+                    f"account-{number}",
+                    kind,
+                    lambda now_s, scale=scale: scale * offered(now_s),  # type: ignore[misc]
+                    scale * peak,
+                )
+            )
+    return streams
+
+
+ENGINES = 12
+ROUTERS = 4
+BOTH = frozenset({"badge", "plan"})
+
+
+def _load(
+    name: str,
+    seed: int,
+    offered: Callable[[float], float],
+    peak: float,
+    duration_s: float = 60.0,
+    faults: tuple[Fault, ...] = (),
+    caller_retries: int = 0,
+    extra: Callable[[], list[Stream]] = list,
+    **mixed: object,
+) -> Load:
+    rng = random.Random(f"{name}/{seed}")
+    slots = ENGINES * ENGINE.slots
+    streams = _mixed(slots, offered, peak, **mixed) + extra()  # type: ignore[arg-type]
+    mean = sum(offered(s * duration_s / 200) for s in range(200)) / 200
+    return Load(
+        name,
+        engines(ENGINES, BOTH) + services(3),
+        ROUTERS,
+        duration_s,
+        arrivals(streams, duration_s, ROUTERS, rng),
+        round(mean, 3),
+        faults,
+        caller_retries,
+    )
+
+
+def _burst(now_s: float) -> float:
+    return 3.0 if 20.0 <= now_s < 26.0 or 40.0 <= now_s < 43.0 else 0.6
+
+
+def _storm(now_s: float) -> float:
+    return 5.0 if 15.0 <= now_s < 30.0 else 0.6
+
+
+def _morning(now_s: float) -> float:
+    return 0.25 + 0.75 * math.exp(-(((now_s - 60.0) / 25.0) ** 2))
+
+
+def _lobby(now_s: float) -> float:
+    return 0.3 if now_s < 20.0 else 0.3 + 0.9 * math.exp(-(now_s - 20.0) / 12.0)
+
+
+def _polls() -> list[Stream]:
+    return [Stream(f"account-{n}", POLL, constant(8.0), 8.0) for n in range(10)]
+
+
+def _one_large() -> list[Stream]:
+    large = ENGINES * ENGINE.slots * 2.0 / slot_seconds(EXPLAIN)
+    return [Stream("account-large", EXPLAIN, constant(large), large)]
+
+
+_URGENT_MIX = (
+    (URGENT_KIOSK, 0.1),
+    (KIOSK, 0.5),
+    (EXPLAIN, 0.3),
+    (PLAN, 0.1),
+)
+_LONG_SHORT = ((KIOSK, 0.85), (BATCH, 0.15))
+
+
+def all_loads(seed: int) -> dict[str, Load]:
+    """Return every load by name.
+
+    :param seed: decides all that is drawn.
+    """
+    slow = Fault("engine-3", 20.0, 40.0, speed=0.2)
+    fails = Fault("engine-3", 20.0, 40.0, failing=True)
+    stuck = Fault("engine-3", 20.0, 40.0, speed=0.2, frozen=True)
+    drains = Fault("engine-3", 20.0, 60.0, draining=True)
+    loads = [
+        _load("steady-0.6", seed, constant(0.6), 0.6, extra=_polls),
+        _load("steady-0.85", seed, constant(0.85), 0.85, extra=_polls),
+        _load("bursts", seed, _burst, 3.0, extra=_polls),
+        _load("skewed-accounts", seed, constant(0.5), 0.5, skew=0.0, extra=_one_large),
+        _load("slow-target", seed, constant(0.75), 0.75, faults=(slow,)),
+        _load("fail-fast-target", seed, constant(0.75), 0.75, faults=(fails,)),
+        _load("frozen-reports", seed, constant(0.75), 0.75, faults=(stuck,)),
+        _load("drain", seed, constant(0.75), 0.75, faults=(drains,)),
+        _load("long-and-short", seed, constant(1.1), 1.1, kinds=_LONG_SHORT),
+        _load("saturation-1x", seed, constant(1.0), 1.0, kinds=_URGENT_MIX),
+        _load("saturation-2x", seed, constant(2.0), 2.0, kinds=_URGENT_MIX),
+        _load("saturation-5x", seed, constant(5.0), 5.0, kinds=_URGENT_MIX),
+        _load("retry-storm", seed, _storm, 5.0, caller_retries=2, kinds=_URGENT_MIX),
+        _load("morning-bank", seed, _morning, 1.0, 120.0, kinds=((PLAN, 0.5), (EXPLAIN, 0.5)), extra=_polls),
+        _load("lobby-opening", seed, _lobby, 1.2, kinds=((KIOSK, 0.9), (URGENT_KIOSK, 0.1))),
+    ]
+    return {load.name: load for load in loads}
