--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -14,7 +14,6 @@
 
 import attrs
 from attrs import asdict, frozen
-
 from benchmarks.decisions_baselines import (
     Fifo,
     LeastOutstanding,
@@ -25,6 +24,7 @@
 from benchmarks.decisions_loads import all_loads
 from benchmarks.decisions_outcomes import Summary, summarise
 from benchmarks.decisions_world import MakeRouter, World
+
 from endivegw.decisions import Dispatcher, Policy
 from endivegw.types import AvailabilityZone
 
@@ -111,7 +111,9 @@
     policy = Policy()
     for setting in options.set:
         name, _, value = setting.partition("=")
-        policy = attrs.evolve(policy, **{name: type(getattr(policy, name))(float(value))})
+        policy = attrs.evolve(
+            policy, **{name: type(getattr(policy, name))(float(value))}
+        )
     loads = [n for n in options.loads.split(",") if n] or list(all_loads(options.seed))
     routers = [n for n in options.routers.split(",") if n] or list(makers(policy, 1))
     runs = [Run(ld, rt, options.seed, policy) for ld in loads for rt in routers]
--- a/benchmarks/decisions_engine.py
+++ b/benchmarks/decisions_engine.py
@@ -180,8 +180,13 @@
             self.notify(job, "ended", now_s)
         self._fill(now_s)
 
-    def remaining_s(self, prompt: int, output: int, digests: tuple[bytes, ...]) -> float:
-        """Return how long a job placed now would take, with perfect knowledge."""
+    def remaining_s(
+        self, prompt: int, output: int, digests: tuple[bytes, ...], full: bool = False
+    ) -> float:
+        """Return how long a job placed now would take, with perfect knowledge.
+
+        :param full: whether the batch stays full meanwhile.
+        """
         cached = self.cached_tokens(digests)
         reading = sum(
             job.prompt_tokens - self.cached_tokens(job.digests)
@@ -190,6 +195,8 @@
         wait_s = max(0.0, self._prefill_left) if self._prefill else 0.0
         read_s = (reading + prompt - cached) / self.spec.prefill_tokens_per_s
         step_s = self.spec.step_s(self._streams + len(self._prefill) + 1)
+        if full:
+            step_s = self.spec.step_s(self.spec.slots) * self.spec.prefill_slowdown
         busy_s = wait_s + read_s + self.spec.overhead_s * (1 + len(self._prefill))
         return (busy_s + output * step_s) / self.speed
 
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from typing import Iterable
 
-from attrs import define, field
-
+from endivegw.decisions import admission, health
+from endivegw.decisions.affinity import PrefixIndex
+from endivegw.decisions.estimates import Estimates
+from endivegw.decisions.fair_queue import Entry, FairQueue
+from endivegw.decisions.placement import Choice, Placer
 from endivegw.decisions.policy import Policy
+from endivegw.decisions.pool import Pool
+from endivegw.decisions.target_state import Outstanding, TargetState
 from endivegw.decisions.work import (
+    SERVICE_PREFIX,
     AttemptEnd,
+    AttemptKind,
     Expired,
     LoadFigures,
     Placement,
@@ -25,27 +31,12 @@
 __all__ = ["Dispatcher"]
 
 
-@define
-class _TargetState:
-    view: TargetView
-    figures: LoadFigures | None = None
-    own: set[str] = field(factory=set)
-    own_at_report: int = 0
-
-    def slots(self) -> int:
-        return self.figures.slots if self.figures else self.view.slots
-
-    def occupied(self) -> int:
-        others = 0
-        if self.figures is not None:
-            reported = self.figures.running + self.figures.waiting
-            others = max(0, reported - self.own_at_report)
-        return others + len(self.own)
-
-
 class Dispatcher:
     """Admit, queue, refuse and place the work of one router.
 
+    The caller reports what happens and asks :meth:`poll` after each event what
+    became decided about queued work. Nothing here waits or reads a clock.
+
     :param availability_zone: where the router runs.
     :param rng: the only source of chance.
     """
@@ -55,111 +46,288 @@
     ) -> None:
         self._policy = policy
         self._zone = availability_zone
-        self._rng = rng
-        self._targets: dict[TargetName, _TargetState] = {}
-        self._queue: deque[WorkItem] = deque()
+        self._targets: dict[TargetName, TargetState] = {}
+        self._pools: dict[str, Pool] = {}
+        #: Where each request's running attempt is.
+        self._placed: dict[str, TargetState] = {}
+        #: Work given up between two polls.
+        self._given_up: list[Expired] = []
+        self._next_sweep_s = 0.0
+        self._estimates = Estimates(policy)
+        self._prefixes = PrefixIndex(
+            policy.prefix_entries, policy.prefix_ttl_s, policy.block_tokens
+        )
+        self._placer = Placer(
+            policy,
+            availability_zone,
+            rng,
+            self._estimates,
+            self._prefixes,
+            self._targets,
+        )
+
+    # What membership and targets say.
 
     def set_targets(self, views: Iterable[TargetView], now_s: float) -> None:
-        """Take over what membership says now; draining targets get no work."""
-        known = self._targets
-        self._targets = {}
+        """Take over what membership says now.
+
+        Draining targets get no new work from this call on. Work that is queued
+        is bound to no target, so it moves to the others by itself.
+        """
+        known = dict(self._targets)
+        self._targets.clear()
+        members: dict[str, list[TargetState]] = {model: [] for model in self._pools}
         for view in views:
             state = known.get(view.target)
             if state is None or state.view.instance_id != view.instance_id:
-                state = _TargetState(view)
+                if state is not None:
+                    self._prefixes.forget(view.target)
+                state = TargetState(view, now_s, max(1, view.slots))
             state.view = view
             self._targets[view.target] = state
+            if view.draining:
+                continue
+            for model in view.models:
+                members.setdefault(model, []).append(state)
+        for model, states in members.items():
+            self._pool(model).set_members(states, self._zone)
 
     def report(self, target: TargetName, figures: LoadFigures, now_s: float) -> None:
-        """Take in a lagged load report."""
+        """Take in a lagged load report of a target."""
         state = self._targets.get(target)
-        if state is not None:
-            state.figures = figures
-            state.own_at_report = len(state.own)
+        if state is None:
+            return
+        believed = state.report(figures, now_s, self._policy.frozen_reports)
+        if not believed:
+            state.others = max(
+                (self._pools[model].mean_others for model in state.view.models),
+                default=0.0,
+            )
+        self._prefixes.events(
+            target,
+            figures.sequence,
+            figures.cache_changes,
+            now_s - figures.age_s,
+            now_s,
+        )
+        self._offer(state)
+
+    # Work.
 
     def submit(self, item: WorkItem, now_s: float) -> Placement | Queued | Refused:
-        """Decide on new work: place it, queue it or refuse it."""
+        """Decide on new work: place it, queue it or refuse it.
+
+        :returns: :class:`Refused` with ``DEADLINE``, ``NO_TARGET`` or
+            ``OVERLOADED``; its ``retry_after_s`` is None where the same request
+            would be refused again.
+        """
+        pool = self._pools.get(item.model)
+        if pool is None or not pool.members:
+            return Refused(Reason.NO_TARGET, f"no target serves {item.model}", 1.0)
         if item.deadline_s <= now_s:
             return Refused(Reason.DEADLINE, "the deadline has passed")
-        if not any(self._eligible(s, item) for s in self._targets.values()):
-            return Refused(Reason.NO_TARGET, "no target serves this", 1.0)
-        placement = self._place(item, now_s)
-        if placement is not None:
-            return placement
-        if len(self._queue) >= self._policy.queue_items:
-            return Refused(Reason.OVERLOADED, "the queue is full", 1.0)
-        self._queue.append(item)
-        return Queued(0.0, len(self._queue) - 1)
+        self._sweep(now_s)
+        head = pool.queue.head()
+        # New work must not overtake queued work of its own or a higher
+        # priority: in a long overload the queue would starve.
+        if head is None or head.item.priority > item.priority:
+            choice = self._placer.choose(pool, item, now_s)
+            if choice is not None:
+                return self._admit(pool, item, choice, now_s)
+        return self._enqueue(pool, item, now_s)
 
     def poll(self, now_s: float) -> list[Placement | Expired]:
         """Return what became decided about queued work."""
-        decided: list[Placement | Expired] = []
-        waiting = self._queue
-        self._queue = deque()
-        for item in waiting:
-            if item.deadline_s <= now_s:
-                decided.append(Expired(item, "the deadline passed in the queue", None))
-                continue
-            placement = self._place(item, now_s)
-            if placement is None:
-                self._queue.append(item)
-            else:
-                decided.append(placement)
+        self._sweep(now_s)
+        decided: list[Placement | Expired] = list(self._given_up)
+        self._given_up.clear()
+        for pool in self._pools.values():
+            if len(pool.queue):
+                self._give_up(pool, now_s, decided)
+                self._serve(pool, now_s, decided)
         return decided
 
     def next_poll_s(self, now_s: float) -> float | None:
         """Return when :meth:`poll` must be called at the latest."""
-        if not self._queue:
-            return None
-        return max(now_s, min(item.deadline_s for item in self._queue))
+        if self._given_up:
+            return now_s
+        latest_s: float | None = None
+        for pool in self._pools.values():
+            expiry_s = pool.queue.next_expiry_s()
+            if expiry_s is None:
+                continue
+            due_s = min(expiry_s, now_s + self._policy.recheck_s)
+            latest_s = due_s if latest_s is None else min(latest_s, due_s)
+        return latest_s
 
     def started(self, request_id: str, now_s: float) -> None:
         """Note that the target took the work."""
 
     def first_token(self, request_id: str, now_s: float) -> None:
         """Note that the answer has begun."""
+        state = self._placed.get(request_id)
+        attempt = state.read(request_id) if state is not None else None
+        if state is None or attempt is None:
+            return
+        attempt.first_s = now_s
+        taken_s = now_s - attempt.placed_s
+        # Times of a sick or overfull target would teach wrong speeds.
+        if state.weight >= 0.5 and attempt.load <= 1.0:
+            model = attempt.item.model
+            self._estimates.learn_first(model, attempt.uncached_tokens, taken_s)
 
     def ended(
         self, request_id: str, target: TargetName, result: AttemptEnd, now_s: float
     ) -> None:
-        """Note that an attempt ended; its place is free."""
-        state = self._targets.get(target)
-        if state is not None:
-            state.own.discard(request_id)
+        """Note that an attempt ended; its slot is free."""
+        state = self._placed.pop(request_id, None)
+        if state is None:
+            return
+        attempt = state.end(request_id, now_s)
+        if attempt is None:
+            return
+        pool = self._pools[attempt.item.model]
+        pool.own -= 1
+        health.judge_end(state, result.kind)
+        if result.kind is AttemptKind.OK:
+            self._learn(state, attempt, result, now_s)
+        self._offer(state)
 
     def cancel(self, request_id: str, now_s: float) -> None:
         """Drop queued work whose caller went away."""
-        self._queue = deque(i for i in self._queue if i.request_id != request_id)
+        for pool in self._pools.values():
+            entry = pool.queue.find(request_id)
+            if entry is not None:
+                pool.queue.remove(entry)
+
+    # Inside.
+
+    def _pool(self, model: str) -> Pool:
+        pool = self._pools.get(model)
+        if pool is None:
+            pool = Pool(model, FairQueue(self._policy.queue_items))
+            self._pools[model] = pool
+        return pool
+
+    def _offer(self, state: TargetState) -> None:
+        """Show queued work a target that may have room now."""
+        if state.view.draining or state.occupied() >= state.limit(1.0):
+            return
+        for model in state.view.models:
+            pool = self._pools.get(model)
+            if pool is not None and len(pool.queue):
+                pool.room[state.view.target] = state
+
+    def _sweep(self, now_s: float) -> None:
+        if now_s < self._next_sweep_s:
+            return
+        self._next_sweep_s = now_s + self._policy.sweep_s
+        for pool in self._pools.values():
+            health.sweep(pool, self._estimates, self._policy, now_s)
+
+    def _admit(
+        self, pool: Pool, item: WorkItem, choice: Choice, now_s: float
+    ) -> Placement | Refused:
+        """Place work that found a target, unless it cannot end in time there."""
+        if now_s + choice.finish_s * self._policy.idle_margin > item.deadline_s:
+            return admission.too_short(item, choice.finish_s, now_s)
+        return self._place(pool, item, choice, now_s)
+
+    def _enqueue(self, pool: Pool, item: WorkItem, now_s: float) -> Queued | Refused:
+        held_s = self._estimates.held_s(item, 1.0)
+        ahead_s = pool.queue.ahead_s(item, held_s)
+        wait_s = ahead_s / max(1, pool.own)
+        refused = admission.refuse(item, wait_s, held_s, self._policy, now_s)
+        if refused is not None:
+            return refused
+        if len(pool.queue) >= self._policy.queue_items:
+            victim = pool.queue.victim(item)
+            if victim is None:
+                return Refused(Reason.OVERLOADED, "the queue is full", wait_s)
+            pool.queue.remove(victim)
+            self._given_up.append(
+                Expired(victim.item, "gave way to an account below its share", wait_s)
+            )
+        position = len(pool.queue)
+        latest_s = item.deadline_s - held_s * self._policy.queue_margin
+        pool.queue.push(item, held_s, latest_s)
+        return Queued(wait_s, position)
 
-    def _eligible(self, state: _TargetState, item: WorkItem) -> bool:
+    def _give_up(
+        self, pool: Pool, now_s: float, decided: list[Placement | Expired]
+    ) -> None:
+        """Answer work that can no longer end in time, now and not later."""
+        while True:
+            entry = pool.queue.expired(now_s)
+            if entry is None:
+                return
+            pool.queue.remove(entry)
+            retry_s = pool.queue.ahead_s(entry.item, entry.held_s) / max(1, pool.own)
+            detail = "it could no longer end before its deadline"
+            decided.append(Expired(entry.item, detail, retry_s))
+
+    def _serve(
+        self, pool: Pool, now_s: float, decided: list[Placement | Expired]
+    ) -> None:
+        while True:
+            entry = pool.queue.head()
+            if entry is None:
+                return
+            choice = self._placer.choose(pool, entry.item, now_s)
+            if choice is None:
+                return
+            pool.queue.take(entry)
+            decided.append(self._place(pool, entry.item, choice, now_s))
+
+    def _place(
+        self, pool: Pool, item: WorkItem, choice: Choice, now_s: float
+    ) -> Placement:
+        state = choice.state
         view = state.view
-        if view.draining or view.target in item.excluded:
-            return False
-        if state.figures is not None and state.figures.draining:
-            return False
-        return item.model in view.models
-
-    def _place(self, item: WorkItem, now_s: float) -> Placement | None:
-        room = [
-            state
-            for state in self._targets.values()
-            if self._eligible(state, item) and state.occupied() < state.slots()
-        ]
-        if not room:
-            return None
-        chosen = self._rng.sample(room, min(self._policy.choices, len(room)))
-        best = min(chosen, key=lambda state: state.occupied() / state.slots())
+        load = state.load()
         figures = PlacementFigures(
-            load=best.occupied() / best.slots(),
-            own_outstanding=len(best.own),
-            cached_tokens=0,
+            load=load,
+            own_outstanding=len(state.own),
+            cached_tokens=choice.cached_tokens,
             queued_s=now_s - item.arrived_s,
-            finish_s=0.0,
-            slack_s=item.deadline_s - now_s,
-            candidates=len(chosen),
+            finish_s=choice.finish_s,
+            slack_s=item.deadline_s - now_s - choice.finish_s,
+            candidates=choice.candidates,
         )
-        best.own.add(item.request_id)
-        view = best.view
+        uncached = item.prompt_tokens - choice.cached_tokens
+        speed = self._estimates.speed(item.model)
+        expected_s = speed.first.at(state.pending_tokens + uncached)
+        state.place(
+            item.request_id, Outstanding(item, now_s, load, uncached, expected_s)
+        )
+        pool.own += 1
+        self._placed[item.request_id] = state
+        if item.prefix_digests:
+            self._prefixes.learn(view.target, item.prefix_digests, now_s)
         return Placement(
-            item, view.target, view.instance_id, view.address, "least-loaded", figures
+            item, view.target, view.instance_id, view.address, choice.why, figures
         )
+
+    def _learn(
+        self, state: TargetState, attempt: Outstanding, end: AttemptEnd, now_s: float
+    ) -> None:
+        item = attempt.item
+        held_s = now_s - attempt.placed_s
+        speed = self._estimates.speed(item.model)
+        well = state.weight >= 0.5
+        if item.model.startswith(SERVICE_PREFIX):
+            health.judge_speed(state, held_s / max(1e-3, speed.held_s.mean))
+            if well:
+                self._estimates.learn_end(item, held_s, end.output_tokens)
+            return
+        if well:
+            self._estimates.learn_end(item, held_s, end.output_tokens)
+        if attempt.first_s is None or end.output_tokens < 8:
+            return
+        step_s = (now_s - attempt.first_s) / (end.output_tokens - 1)
+        load = min(1.0, 0.5 * (attempt.load + state.load()) + 1.0 / state.slots)
+        expected_s = speed.step.at(load)
+        if expected_s > 0.0:
+            health.judge_speed(state, step_s / expected_s)
+        if well:
+            self._estimates.learn_step(item.model, load, step_s)
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -4,23 +4,117 @@
 
 from attrs import frozen
 
+from endivegw.types import Priority
+
 __all__ = ["Policy"]
 
 
 @frozen
 class Policy:
-    """Hold the limits of admission, queueing and placement.
-
-    :param queue_items: bound of the router's queue; it keeps memory and the
-        time that queued callers wait in vain from growing in an overload.
-    :param choices: targets compared for one placement. Two take the peak off
-        the load of the fullest target; many would all pick the same emptiest
-        one while reports lag.
-    :param overfill: work beyond a target's slots, as a share of them. A little
-        keeps a continuous batch full while a report is on its way; more only
-        moves the queue to where nothing can be placed anew.
+    """Hold the limits of admission, queueing, placement and health.
+
+    Queueing and admission:
+
+    :param queue_items: bound of one model's queue. It keeps memory and the
+        cost of giving work up from growing with the length of an overload.
+    :param idle_margin: factor on the expected time of work that can start now;
+        below 1 because a pessimistic estimate refuses work that an idle target
+        would have finished.
+    :param queue_margin: factor on the expected time of work that must queue;
+        above 1 because in an overload late work takes a slot from work that
+        would have been on time.
+    :param wait_margin: factor on the expected wait, for higher priorities that
+        arrive meanwhile.
+    :param batch_slots_share: share of a target's slots open to batch work. In
+        a saturation by long work the rest stays free for callers who wait at a
+        door, who would else wait until a long piece ends.
+    :param urgent_overfill: work beyond its slots that a target takes for
+        urgent callers; the engine starts it first.
+    :param overfill: the same for normal work, as a share of the slots. A
+        little lets routers that found all slots taken by others come in, and
+        keeps the batch full while a report is on its way.
+
+    Placement:
+
+    :param choices: targets drawn for one placement. Two take the peak off the
+        load of the fullest target; many would all pick the same emptiest one
+        while reports lag.
+    :param affinity_choices: targets compared because their cache is expected
+        to hold a prefix of the prompt.
+    :param probes: draws before work is queued because all drawn were full; it
+        bounds the cost of a placement at any size of the fleet.
+    :param zone_penalty_s: what another availability zone must save to be worth
+        the hop there.
+    :param block_tokens: prompt tokens that each prefix digest covers.
+    :param prefix_entries: bound of the prefix index.
+    :param prefix_ttl_s: how long a prefix is believed cached without news.
+    :param recheck_s: how often queued work looks for a free slot unasked.
+
+    Estimates before anything was measured:
+
+    :param prior_first_s: time to the first token of a cached prompt.
+    :param prior_prefill_tokens_per_s: speed of reading a prompt.
+    :param prior_step_s: time between tokens.
+    :param prior_service_s: time of one call of a plain service.
+    :param prior_output_share: generated tokens as a share of the bound.
+
+    Health:
+
+    :param sweep_s: how often health is judged.
+    :param slow_factor: a target this much slower than its peers sheds work;
+        below it the placement's own estimate is enough.
+    :param max_shed_share: the most of a model's capacity that health may take
+        away. Where most targets look bad, the cause is elsewhere, and the rest
+        would be overrun.
+    :param min_weight: what a target keeps at the least, so that it is probed.
+    :param shed_step: factor on a target's weight at most per sweep.
+    :param recover_step: growth of the weight at most per sweep; a target that
+        came back is filled slowly because every router finds it empty.
+    :param probe_interval_s: time between probes of a target that was shed.
+    :param stale_report_s: a report older than this says nothing any more.
+    :param frozen_reports: equal reports in a row, while work came and went,
+        after which they are ignored.
     """
 
     queue_items: int = 512
-    choices: int = 2
+    idle_margin: float = 0.7
+    queue_margin: float = 1.1
+    wait_margin: float = 1.0
+    batch_slots_share: float = 0.9
+    urgent_overfill: float = 0.15
     overfill: float = 0.0
+
+    choices: int = 2
+    affinity_choices: int = 2
+    probes: int = 8
+    zone_penalty_s: float = 0.02
+    block_tokens: int = 256
+    prefix_entries: int = 20_000
+    prefix_ttl_s: float = 300.0
+    recheck_s: float = 0.1
+
+    prior_first_s: float = 0.05
+    prior_prefill_tokens_per_s: float = 4000.0
+    prior_step_s: float = 0.04
+    prior_service_s: float = 0.05
+    prior_output_share: float = 0.5
+
+    sweep_s: float = 0.5
+    slow_factor: float = 1.5
+    max_shed_share: float = 0.3
+    min_weight: float = 0.02
+    shed_step: float = 0.6
+    recover_step: float = 0.05
+    probe_interval_s: float = 1.0
+    stale_report_s: float = 10.0
+    frozen_reports: int = 3
+
+    def slots_share(self, priority: Priority) -> float:
+        """Return the share of a target's slots that a priority may fill."""
+        match priority:
+            case Priority.URGENT:
+                return 1.0 + self.urgent_overfill
+            case Priority.NORMAL:
+                return 1.0 + self.overfill
+            case Priority.BATCH:
+                return self.batch_slots_share
--- /dev/null
+++ b/src/endivegw/decisions/pool.py
@@ -0,0 +1,61 @@
+"""The targets that serve one model, drawn from at a cost that does not grow."""
+
+from __future__ import annotations
+
+import random
+
+from attrs import define, field
+
+from endivegw.decisions.fair_queue import FairQueue
+from endivegw.decisions.target_state import TargetState
+from endivegw.types import AvailabilityZone, TargetName
+
+__all__ = ["Pool"]
+
+
+@define(eq=False)
+class Pool:
+    """Hold the targets of one model and the work that waits for them.
+
+    :param near: members in the router's own availability zone.
+    :param room: targets that were seen to have room; the next queued work
+        looks there first in place of drawing until it finds one.
+    :param own: this router's work on the members.
+    :param mean_others: mean work of other routers per member, for members
+        whose own reports say nothing.
+    :param probe_due: shed members that should get one piece of work.
+    """
+
+    model: str
+    queue: FairQueue
+    members: list[TargetState] = field(factory=list)
+    near: list[TargetState] = field(factory=list)
+    room: dict[TargetName, TargetState] = field(factory=dict)
+    own: int = 0
+    mean_others: float = 0.0
+    probe_due: list[TargetState] = field(factory=list)
+
+    def set_members(self, members: list[TargetState], zone: AvailabilityZone) -> None:
+        """Replace the members."""
+        self.members = members
+        self.near = [m for m in members if m.view.availability_zone == zone]
+        names = {member.view.target for member in members}
+        self.room = {n: s for n, s in self.room.items() if n in names}
+        self.probe_due = [s for s in self.probe_due if s.view.target in names]
+
+    def draw(self, count: int, rng: random.Random) -> list[TargetState]:
+        """Draw targets, the first half of them from the near ones.
+
+        All members can be drawn, so that no target depends on routers in its
+        own availability zone; half of the draws stay near, which finds a near
+        target whenever one has room.
+        """
+        members = self.members
+        if len(members) <= count:
+            return list(members)
+        near = self.near or members
+        drawn = []
+        for number in range(count):
+            source = near if 2 * number < count else members
+            drawn.append(source[int(rng.random() * len(source))])
+        return drawn
--- /dev/null
+++ b/src/endivegw/decisions/target_state.py
@@ -0,0 +1,142 @@
+"""What a router believes about one target right now."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from attrs import define, field
+
+from endivegw.decisions.work import LoadFigures, TargetView, WorkItem
+
+__all__ = ["Outstanding", "TargetState"]
+
+#: Own work is remembered this far back, to be taken out of lagged reports.
+_HISTORY_S = 15.0
+
+
+@define(eq=False)
+class Outstanding:
+    """Hold one attempt that this router has on a target.
+
+    :param expected_s: when its first token was expected, after the placement.
+    """
+
+    item: WorkItem
+    placed_s: float
+    load: float
+    uncached_tokens: int
+    expected_s: float
+    first_s: float | None = None
+
+
+@define(eq=False)
+class TargetState:
+    """Combine the last report with this router's own work since then.
+
+    A report is a second or two old. Counting only reports, every router sends
+    all its work to the target that was emptiest then; counting only own work,
+    a router does not see the others. Both together is the last known work of
+    the others plus the present own work.
+
+    :param others: work of other routers in the last report.
+    :param weight: share of its slots that health leaves to this target.
+    :param slowness: time it takes as a multiple of its peers' time.
+    :param errors: moving share of attempts that failed.
+    :param pending_tokens: prompt tokens sent there that are still being read.
+    """
+
+    view: TargetView
+    joined_s: float
+    slots: int
+    others: float = 0.0
+    reported_s: float | None = None
+    draining: bool = False
+    weight: float = 1.0
+    slowness: float = 1.0
+    errors: float = 0.0
+    pending_tokens: int = 0
+    next_probe_s: float = 0.0
+    same_reports: int = 0
+    moved: bool = False
+    own: dict[str, Outstanding] = field(factory=dict)
+    unread: dict[str, Outstanding] = field(factory=dict)
+    _last: tuple[int, int, float, int] | None = None
+    _history: deque[tuple[float, int]] = field(factory=deque)
+
+    def occupied(self) -> float:
+        """Return the work believed to be there, running or waiting."""
+        return self.others + len(self.own)
+
+    def load(self) -> float:
+        """Return the work per slot."""
+        return self.occupied() / self.slots
+
+    def limit(self, share: float) -> float:
+        """Return how much work may be there, by priority and health."""
+        return max(1.0, self.slots * share * self.weight)
+
+    def place(self, request_id: str, attempt: Outstanding) -> None:
+        """Count an attempt that goes out now."""
+        self.own[request_id] = attempt
+        self.unread[request_id] = attempt
+        self.pending_tokens += attempt.uncached_tokens
+        self._note(attempt.placed_s)
+
+    def read(self, request_id: str) -> Outstanding | None:
+        """Note the first token; None where it is no news."""
+        attempt = self.unread.pop(request_id, None)
+        if attempt is not None:
+            self.pending_tokens -= attempt.uncached_tokens
+        return attempt
+
+    def end(self, request_id: str, now_s: float) -> Outstanding | None:
+        """Take an attempt out; None where it was not there."""
+        self.read(request_id)
+        attempt = self.own.pop(request_id, None)
+        if attempt is not None:
+            self._note(now_s)
+        return attempt
+
+    def _note(self, now_s: float) -> None:
+        self.moved = True
+        self._history.append((now_s, len(self.own)))
+        while self._history[0][0] < now_s - _HISTORY_S and len(self._history) > 1:
+            self._history.popleft()
+
+    def own_at(self, at_s: float) -> int:
+        """Return how much own work was there at a moment of the near past."""
+        for noted_s, count in reversed(self._history):
+            if noted_s <= at_s:
+                return count
+        return 0
+
+    def report(self, figures: LoadFigures, now_s: float, frozen_after: int) -> bool:
+        """Take in a report; False where it repeats itself while work moves.
+
+        A daemon or engine whose figures froze goes on reporting the same ones.
+        A target that filled up since then would look as empty as it was, and
+        every router would send its work there. The figures of a busy target
+        change between two reports, so equal ones while own work came and went
+        are not believed.
+        """
+        self.draining = figures.draining
+        if figures.slots > 0:
+            self.slots = figures.slots
+        seen = (
+            figures.running,
+            figures.waiting,
+            figures.tokens_per_s,
+            figures.sequence,
+        )
+        if seen != self._last:
+            self.same_reports = 0
+        elif self.moved:
+            self.same_reports += 1
+        self._last = seen
+        self.moved = False
+        if self.same_reports >= frozen_after:
+            return False
+        self.reported_s = now_s - figures.age_s
+        own = self.own_at(self.reported_s)
+        self.others = max(0.0, figures.running + figures.waiting - own)
+        return True
