Share slots over all models of a target, and keep shares within a tolerance

With one queue and one share per model, the model looked at first took the slots: badge requests got a tenth of plan requests' slots at 5x. A momentarily free slot in front of a queue counts no more as room for a refused request: that work takes it.

--- a/benchmarks/decisions_loads.py
+++ b/benchmarks/decisions_loads.py
@@ -7,7 +7,7 @@
 import random
 from typing import Callable
 
-from attrs import evolve, field, frozen
+from attrs import evolve, frozen
 from benchmarks.decisions_engine import BLOCK_TOKENS, EngineSpec
 
 from endivegw.decisions import WorkItem
@@ -210,6 +210,11 @@
     return lambda now_s: rate
 
 
+def scaled(scale: float, offered: Callable[[float], float]) -> Callable[[float], float]:
+    """Return a rate times a factor."""
+    return lambda now_s: scale * offered(now_s)
+
+
 def _mixed(
     capacity_slots: float,
     offered: Callable[[float], float],
@@ -234,7 +239,7 @@
                 Stream(
                     f"account-{number}",
                     kind,
-                    lambda now_s, scale=scale: scale * offered(now_s),  # type: ignore[misc]
+                    scaled(scale, offered),
                     scale * peak,
                 )
             )
--- a/benchmarks/decisions_world.py
+++ b/benchmarks/decisions_world.py
@@ -4,9 +4,10 @@
 
 import heapq
 import random
+from functools import partial
 from typing import Callable
 
-from attrs import define, evolve, field
+from attrs import define, evolve
 from benchmarks.decisions_baselines import Oracle, Router
 from benchmarks.decisions_engine import Engine, Job
 from benchmarks.decisions_loads import Arrival, Fault, Load
@@ -130,14 +131,14 @@
         """Run the load to its end; every request has an outcome then."""
         self._set_targets()
         for arrival in self.load.arrivals:
-            self.at(arrival.at_s, lambda a=arrival: self._arrive(a, 0))  # type: ignore[misc]
+            self.at(arrival.at_s, partial(self._arrive, arrival, 0))
         for fault in self.load.faults:
-            self.at(fault.begin_s, lambda f=fault: self._apply(f, True))  # type: ignore[misc]
-            self.at(fault.end_s, lambda f=fault: self._apply(f, False))  # type: ignore[misc]
+            self.at(fault.begin_s, partial(self._apply, fault, True))
+            self.at(fault.end_s, partial(self._apply, fault, False))
         for number in range(len(self.routers)):
             for name in self.engines:
                 offset_s = self._rng.random() * self.load.report_interval_s
-                self.at(offset_s, lambda n=number, t=name: self._read(n, t))  # type: ignore[misc]
+                self.at(offset_s, partial(self._read, number, name))
         while self._events:
             self.now_s, _, action = heapq.heappop(self._events)
             action()
@@ -386,22 +387,38 @@
         self.at(self.now_s + wait_s, lambda: self._arrive(fresh, again, told))
 
     def _room(self, record: Record) -> bool:
-        """Return whether some target would take and finish it in time now."""
+        """Return whether capacity was there for it.
+
+        Targets with a free slot on which it would end in time, and more such
+        slots than there is queued work that could use them: a slot that was
+        free for a moment, in front of a queue, is not capacity to spare.
+        """
         item = record.arrival.item
+        rivals: set[str] = set()
+        for engine in self.engines.values():
+            if item.model in engine.models:
+                rivals |= engine.models
+        queued = sum(
+            1
+            for other in self._open.values()
+            if other.target is None and other.arrival.item.model in rivals
+        )
+        free = 0
         for engine in self.engines.values():
             if item.model not in engine.models or engine.failing:
                 continue
             if engine.name in self._draining:
                 continue
-            if engine.running + engine.waiting >= engine.spec.slots:
+            slots = engine.spec.slots - engine.running - engine.waiting
+            if slots <= 0:
                 continue
             engine.advance(self.now_s)
             taken_s = engine.remaining_s(
                 item.prompt_tokens, record.arrival.output_tokens, item.prefix_digests
             )
             if self.now_s + taken_s <= item.deadline_s:
-                return True
-        return False
+                free += slots
+        return free > queued
 
     # Wakes.
 
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -8,10 +8,11 @@
 from endivegw.decisions import admission, health
 from endivegw.decisions.affinity import PrefixIndex
 from endivegw.decisions.estimates import Estimates
-from endivegw.decisions.fair_queue import Entry, FairQueue
+from endivegw.decisions.fair_queue import FairQueue
 from endivegw.decisions.placement import Choice, Placer
 from endivegw.decisions.policy import Policy
-from endivegw.decisions.pool import Pool
+from endivegw.decisions.pool import Pool, groups
+from endivegw.decisions.shares import Shares
 from endivegw.decisions.target_state import Outstanding, TargetState
 from endivegw.decisions.work import (
     SERVICE_PREFIX,
@@ -51,6 +52,7 @@
         #: Where each request's running attempt is.
         self._placed: dict[str, TargetState] = {}
         #: Work given up between two polls.
+        self._groups: dict[str, int] = {}
         self._given_up: list[Expired] = []
         self._next_sweep_s = 0.0
         self._estimates = Estimates(policy)
@@ -91,6 +93,7 @@
                 members.setdefault(model, []).append(state)
         for model, states in members.items():
             self._pool(model).set_members(states, self._zone)
+        self._regroup()
 
     def report(self, target: TargetName, figures: LoadFigures, now_s: float) -> None:
         """Take in a lagged load report of a target."""
@@ -141,10 +144,10 @@
         self._sweep(now_s)
         decided: list[Placement | Expired] = list(self._given_up)
         self._given_up.clear()
-        for pool in self._pools.values():
-            if len(pool.queue):
-                self._give_up(pool, now_s, decided)
-                self._serve(pool, now_s, decided)
+        waiting = [pool for pool in self._pools.values() if len(pool.queue)]
+        for pool in waiting:
+            self._give_up(pool, now_s, decided)
+        self._serve(waiting, now_s, decided)
         return decided
 
     def next_poll_s(self, now_s: float) -> float | None:
@@ -187,7 +190,7 @@
         if attempt is None:
             return
         pool = self._pools[attempt.item.model]
-        pool.own -= 1
+        pool.queue.shares.running -= 1
         health.judge_end(state, result.kind)
         if result.kind is AttemptKind.OK:
             self._learn(state, attempt, result, now_s)
@@ -205,10 +208,25 @@
     def _pool(self, model: str) -> Pool:
         pool = self._pools.get(model)
         if pool is None:
-            pool = Pool(model, FairQueue(self._policy.queue_items))
+            pool = Pool(model, FairQueue(Shares(), self._policy.share_tolerance_s))
             self._pools[model] = pool
         return pool
 
+    def _regroup(self) -> None:
+        """Let models that share targets share their accounts' shares."""
+        views = (state.view for state in self._targets.values())
+        numbers = groups(view.models for view in views)
+        if numbers == self._groups:
+            return
+        self._groups = numbers
+        shares = {number: Shares() for number in numbers.values()}
+        for model, pool in self._pools.items():
+            pool.regroup(shares[numbers[model]] if model in numbers else Shares())
+        for request_id, state in self._placed.items():
+            attempt = state.own.get(request_id)
+            if attempt is not None:
+                self._pools[attempt.item.model].queue.shares.running += 1
+
     def _offer(self, state: TargetState) -> None:
         """Show queued work a target that may have room now."""
         if state.view.draining or state.occupied() >= state.limit(1.0):
@@ -234,25 +252,37 @@
         return self._place(pool, item, choice, now_s)
 
     def _enqueue(self, pool: Pool, item: WorkItem, now_s: float) -> Queued | Refused:
+        policy = self._policy
         held_s = self._estimates.held_s(item, 1.0)
-        ahead_s = pool.queue.ahead_s(item, held_s)
-        wait_s = ahead_s / max(1, pool.own)
-        refused = admission.refuse(item, wait_s, held_s, self._policy, now_s)
+        most_s = self._estimates.held_s(item, 1.0, policy.queue_deviations)
+        latest_s = item.deadline_s - most_s * policy.queue_margin
+        wait_s = self._wait_s(pool, item, held_s, latest_s)
+        refused = admission.refuse(item, wait_s, most_s, policy, now_s)
         if refused is not None:
             return refused
-        if len(pool.queue) >= self._policy.queue_items:
+        if len(pool.queue) >= policy.queue_items:
             victim = pool.queue.victim(item)
             if victim is None:
                 return Refused(Reason.OVERLOADED, "the queue is full", wait_s)
             pool.queue.remove(victim)
-            self._given_up.append(
-                Expired(victim.item, "gave way to an account below its share", wait_s)
-            )
+            detail = "gave way to an account below its share"
+            self._given_up.append(Expired(victim.item, detail, wait_s))
         position = len(pool.queue)
-        latest_s = item.deadline_s - held_s * self._policy.queue_margin
         pool.queue.push(item, held_s, latest_s)
         return Queued(wait_s, position)
 
+    def _wait_s(
+        self, pool: Pool, item: WorkItem, held_s: float, latest_s: float
+    ) -> float:
+        """Return how long work would wait.
+
+        While there is a queue, each slot that this router's work holds serves
+        one slot-second of the queue per second. It needs no measured rate,
+        which would lag behind the very changes that matter.
+        """
+        shares = pool.queue.shares
+        return shares.ahead_s(item, held_s, latest_s) / max(1, shares.running)
+
     def _give_up(
         self, pool: Pool, now_s: float, decided: list[Placement | Expired]
     ) -> None:
@@ -262,22 +292,30 @@
             if entry is None:
                 return
             pool.queue.remove(entry)
-            retry_s = pool.queue.ahead_s(entry.item, entry.held_s) / max(1, pool.own)
+            retry_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
             detail = "it could no longer end before its deadline"
             decided.append(Expired(entry.item, detail, retry_s))
 
     def _serve(
-        self, pool: Pool, now_s: float, decided: list[Placement | Expired]
+        self, waiting: list[Pool], now_s: float, decided: list[Placement | Expired]
     ) -> None:
-        while True:
-            entry = pool.queue.head()
-            if entry is None:
-                return
+        """Place queued work, the first of all models first, while there is room."""
+        heads = [(pool, pool.queue.head()) for pool in waiting]
+        ready = {pool.model: (pool, entry) for pool, entry in heads if entry}
+        while ready:
+            model = min(ready, key=lambda m: ready[m][0].queue.rank(ready[m][1]))
+            pool, entry = ready[model]
             choice = self._placer.choose(pool, entry.item, now_s)
             if choice is None:
-                return
+                del ready[model]
+                continue
             pool.queue.take(entry)
             decided.append(self._place(pool, entry.item, choice, now_s))
+            head = pool.queue.head()
+            if head is None:
+                del ready[model]
+            else:
+                ready[model] = (pool, head)
 
     def _place(
         self, pool: Pool, item: WorkItem, choice: Choice, now_s: float
@@ -300,7 +338,7 @@
         state.place(
             item.request_id, Outstanding(item, now_s, load, uncached, expected_s)
         )
-        pool.own += 1
+        pool.queue.shares.running += 1
         self._placed[item.request_id] = state
         if item.prefix_digests:
             self._prefixes.learn(view.target, item.prefix_digests, now_s)
--- a/src/endivegw/decisions/estimates.py
+++ b/src/endivegw/decisions/estimates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 
 from attrs import define, field
@@ -81,14 +82,21 @@
 
 @define
 class Average:
-    """Keep a moving mean."""
+    """Keep a moving mean and variance."""
 
     mean: float
+    variance: float = 0.0
     step: float = 0.05
 
     def add(self, value: float) -> None:
         """Learn one sample."""
-        self.mean += self.step * (value - self.mean)
+        off = value - self.mean
+        self.mean += self.step * off
+        self.variance += self.step * (off * off - self.variance)
+
+    def high(self, deviations: float) -> float:
+        """Return a value that lies so many standard deviations up."""
+        return self.mean + deviations * math.sqrt(self.variance)
 
 
 @define
@@ -137,18 +145,22 @@
             Average(policy.prior_output_share),
         )
 
-    def output_tokens(self, item: WorkItem) -> float:
-        """Return the expected length of an answer."""
+    def output_tokens(self, item: WorkItem, deviations: float = 0.0) -> float:
+        """Return the expected length of an answer.
+
+        :param deviations: how many standard deviations above the mean; never
+            more than the request's own bound.
+        """
         own = self._shares.get((item.client_account, item.model))
-        share = own.mean if own else self.speed(item.model).output_share.mean
-        return share * item.output_tokens
+        average = own if own else self.speed(item.model).output_share
+        return min(1.0, average.high(deviations)) * item.output_tokens
 
-    def held_s(self, item: WorkItem, load: float) -> float:
+    def held_s(self, item: WorkItem, load: float, deviations: float = 0.0) -> float:
         """Return how long work holds a slot, without any of its prompt cached."""
         speed = self.speed(item.model)
         if item.model.startswith(SERVICE_PREFIX):
-            return speed.held_s.mean
-        decode_s = self.output_tokens(item) * speed.step.at(load)
+            return speed.held_s.high(deviations)
+        decode_s = self.output_tokens(item, deviations) * speed.step.at(load)
         return speed.first.at(item.prompt_tokens) + decode_s
 
     def learn_first(self, model: str, uncached_tokens: int, first_s: float) -> None:
@@ -170,7 +182,9 @@
         key = (item.client_account, item.model)
         own = self._shares.get(key)
         if own is None:
-            own = self._shares[key] = Average(speed.output_share.mean)
+            own = self._shares[key] = Average(
+                speed.output_share.mean, speed.output_share.variance
+            )
             if len(self._shares) > _ACCOUNTS:
                 self._shares.popitem(last=False)
         own.add(share)
--- a/src/endivegw/decisions/fair_queue.py
+++ b/src/endivegw/decisions/fair_queue.py
@@ -6,6 +6,7 @@
 
 from attrs import define, field
 
+from endivegw.decisions.shares import Shares
 from endivegw.decisions.work import WorkItem
 from endivegw.types import ClientAccountName, Priority
 
@@ -27,35 +28,30 @@
     gone: bool = False
 
 
-@define(eq=False)
-class _Line:
-    """Hold the queued work of one client account in one priority.
-
-    :param tag: its virtual time: slot-seconds served, divided by its weight.
-    """
+_Heap = list[tuple[float, int, Entry]]
 
-    weight: float
-    tag: float = 0.0
-    backlog_s: float = 0.0
-    count: int = 0
-    heap: list[tuple[float, int, Entry]] = field(factory=list)
 
-    def head(self) -> Entry | None:
-        """Return the entry with the least slack."""
-        while self.heap and self.heap[0][2].gone:
-            heapq.heappop(self.heap)
-        return self.heap[0][2] if self.heap else None
+def _prune(heap: _Heap) -> Entry | None:
+    """Return the first entry that is still queued."""
+    while heap and heap[0][2].gone:
+        heapq.heappop(heap)
+    return heap[0][2] if heap else None
 
 
 @define(eq=False)
 class _Class:
-    """Hold the queued work of one priority, as start-time fair queueing."""
+    """Hold the queued work of one priority.
 
-    virtual: float = 0.0
-    backlog_s: float = 0.0
-    active_weight: float = 0.0
-    lines: dict[ClientAccountName, _Line] = field(factory=dict)
-    order: list[tuple[float, ClientAccountName]] = field(factory=list)
+    :param lines: each account's work, the least slack first.
+    :param ready: accounts by the slack of their first work, or of work that
+        was first before.
+    :param parked: accounts ahead of their share, by a tag that is theirs or an
+        older, lower one.
+    """
+
+    lines: dict[ClientAccountName, _Heap] = field(factory=dict)
+    ready: list[tuple[float, ClientAccountName]] = field(factory=list)
+    parked: list[tuple[float, ClientAccountName]] = field(factory=list)
 
 
 @define(eq=False)
@@ -68,120 +64,125 @@
     much, or for ten times as long answers, leaves the others their share.
     Within an account the work with the least slack goes first.
 
-    :param bound: most pieces of work held.
+    Shares are kept within a tolerance: of all accounts that are not further
+    ahead of their share than that, the work with the least slack goes first.
+    In strict turns, short work with little slack is given up before its
+    account's turn comes, and the turn then goes to long work that could have
+    waited.
+
+    :param tolerance_s: slot-seconds per weight.
     """
 
-    bound: int
+    shares: Shares
+    tolerance_s: float
     _classes: dict[Priority, _Class] = field(
         factory=lambda: {priority: _Class() for priority in Priority}
     )
     _entries: dict[str, Entry] = field(factory=dict)
-    _expiry: list[tuple[float, int, Entry]] = field(factory=list)
+    _expiry: _Heap = field(factory=list)
     _numbers: int = 0
 
     def __len__(self) -> int:
         return len(self._entries)
 
-    def backlog_s(self) -> float:
-        """Return the slot-seconds that are queued."""
-        return sum(cls.backlog_s for cls in self._classes.values())
-
-    def ahead_s(self, item: WorkItem, held_s: float) -> float:
-        """Return the slot-seconds that are served before new work."""
-        before_s = 0.0
-        for priority, cls in self._classes.items():
-            if priority < item.priority:
-                before_s += cls.backlog_s
-        cls = self._classes[item.priority]
-        line = cls.lines.get(item.client_account)
-        own_s = line.backlog_s if line is not None else 0.0
-        active = cls.active_weight
-        if line is None or line.count == 0:
-            active += item.weight
-        shared_s = (own_s + held_s) * active / item.weight - held_s
-        return before_s + min(cls.backlog_s, shared_s)
+    def entries(self) -> list[Entry]:
+        """Return all queued work, the oldest first."""
+        return list(self._entries.values())
 
     def push(self, item: WorkItem, held_s: float, latest_s: float) -> Entry:
         """Add work."""
         self._numbers += 1
         entry = Entry(item, held_s, latest_s, self._numbers)
         self._entries[item.request_id] = entry
+        self.shares.add(item, held_s, latest_s)
         cls = self._classes[item.priority]
         line = cls.lines.get(item.client_account)
         if line is None:
-            line = cls.lines[item.client_account] = _Line(item.weight)
-        if line.count == 0:
-            line.weight = item.weight
-            cls.active_weight += line.weight
-            # An account that was away does not save up service for later.
-            line.tag = max(line.tag, cls.virtual)
-            heapq.heappush(cls.order, (line.tag, item.client_account))
-        line.count += 1
-        line.backlog_s += held_s
-        cls.backlog_s += held_s
-        heapq.heappush(line.heap, (latest_s, entry.number, entry))
+            line = cls.lines[item.client_account] = []
+        heapq.heappush(line, (latest_s, entry.number, entry))
+        if line[0][2] is entry:
+            heapq.heappush(cls.ready, (latest_s, item.client_account))
         heapq.heappush(self._expiry, (latest_s, entry.number, entry))
         return entry
 
     def head(self) -> Entry | None:
         """Return what is to be served next."""
-        for cls in self._classes.values():
-            while cls.order:
-                tag, account = cls.order[0]
-                line = cls.lines.get(account)
-                entry = line.head() if line is not None else None
-                if line is not None and entry is not None and tag == line.tag:
-                    return entry
-                heapq.heappop(cls.order)
+        for priority, cls in self._classes.items():
+            entry = self._head(priority, cls)
+            if entry is not None:
+                return entry
+        return None
+
+    def _head(self, priority: Priority, cls: _Class) -> Entry | None:
+        while cls.ready or cls.parked:
+            self._unpark(priority, cls)
+            latest_s, account = cls.ready[0]
+            entry = _prune(cls.lines.get(account, []))
+            if entry is None:
+                heapq.heappop(cls.ready)
+                cls.lines.pop(account, None)
+            elif entry.latest_s > latest_s:
+                heapq.heapreplace(cls.ready, (entry.latest_s, account))
+            elif self.shares.ahead_of_share_s(priority, account) > self.tolerance_s:
+                heapq.heappop(cls.ready)
+                tag = self.shares.tag(priority, account)
+                heapq.heappush(cls.parked, (tag, account))
+            else:
+                return entry
         return None
 
+    def _unpark(self, priority: Priority, cls: _Class) -> None:
+        """Make accounts ready again whose share has caught up."""
+        while cls.parked:
+            tag, account = cls.parked[0]
+            entry = _prune(cls.lines.get(account, []))
+            if entry is None:
+                heapq.heappop(cls.parked)
+                cls.lines.pop(account, None)
+                continue
+            present = self.shares.tag(priority, account)
+            if present > tag:
+                heapq.heapreplace(cls.parked, (present, account))
+                continue
+            if self.shares.ahead_of_share_s(priority, account) > self.tolerance_s:
+                if cls.ready:
+                    return
+                self.shares.catch_up(priority, account)
+            heapq.heappop(cls.parked)
+            heapq.heappush(cls.ready, (entry.latest_s, account))
+
+    def rank(self, entry: Entry) -> tuple[int, bool, float]:
+        """Return the order of an entry beside those of other models."""
+        item = entry.item
+        ahead_s = self.shares.ahead_of_share_s(item.priority, item.client_account)
+        return (item.priority, ahead_s > self.tolerance_s, entry.latest_s)
+
     def take(self, entry: Entry) -> None:
         """Remove work that was placed, and charge its account's share."""
-        item = entry.item
-        cls = self._classes[item.priority]
-        line = cls.lines[item.client_account]
-        cls.virtual = max(cls.virtual, line.tag)
-        line.tag += entry.held_s / line.weight
+        self.shares.charge(entry.item, entry.held_s)
         self.remove(entry)
-        if line.count:
-            heapq.heappush(cls.order, (line.tag, item.client_account))
 
     def remove(self, entry: Entry) -> None:
         """Remove work that is not served here."""
         if entry.gone:
             return
         entry.gone = True
-        item = entry.item
-        del self._entries[item.request_id]
-        cls = self._classes[item.priority]
-        line = cls.lines[item.client_account]
-        line.count -= 1
-        line.backlog_s -= entry.held_s
-        cls.backlog_s -= entry.held_s
-        if line.count == 0:
-            line.backlog_s = 0.0
-            line.heap.clear()
-            cls.active_weight -= line.weight
-            if line.tag <= cls.virtual:
-                # Without work and without debt it is like an unknown account.
-                del cls.lines[item.client_account]
+        del self._entries[entry.item.request_id]
+        self.shares.remove(entry.item, entry.held_s, entry.latest_s)
 
     def find(self, request_id: str) -> Entry | None:
         """Return queued work by its request."""
         return self._entries.get(request_id)
 
-    def expired(self, now_s: float) -> Entry | None:
-        """Return work that can no longer end in time, None where there is none."""
-        while self._expiry and self._expiry[0][2].gone:
-            heapq.heappop(self._expiry)
-        if self._expiry and self._expiry[0][0] <= now_s:
-            return self._expiry[0][2]
-        return None
-
     def next_expiry_s(self) -> float | None:
         """Return when the next work is to be given up."""
-        self.expired(float("-inf"))
-        return self._expiry[0][0] if self._expiry else None
+        entry = _prune(self._expiry)
+        return entry.latest_s if entry is not None else None
+
+    def expired(self, now_s: float) -> Entry | None:
+        """Return work that can no longer end in time, None where there is none."""
+        entry = _prune(self._expiry)
+        return entry if entry is not None and entry.latest_s <= now_s else None
 
     def victim(self, item: WorkItem) -> Entry | None:
         """Return work to give up for ``item`` when the queue is full.
@@ -192,17 +193,13 @@
         for priority in sorted(self._classes, reverse=True):
             if priority < item.priority:
                 return None
-            cls = self._classes[priority]
-            lines = [
-                (line.backlog_s / line.weight, name)
-                for name, line in cls.lines.items()
-                if line.count
-            ]
-            if not lines:
+            lines = self._classes[priority].lines
+            queued = [name for name, line in lines.items() if _prune(line)]
+            if not queued:
                 continue
-            _, name = max(lines)
+            name = max(queued, key=lambda n: self.shares.backlog_s(priority, n))
             if priority == item.priority and name == item.client_account:
                 return None
-            heap = cls.lines[name].heap
-            return max((e for e in heap if not e[2].gone), key=lambda e: e[:2])[2]
+            last = max(e[:2] for e in lines[name] if not e[2].gone)
+            return next(e[2] for e in lines[name] if e[:2] == last)
         return None
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -77,9 +77,7 @@
             best.candidates = max(1, compared)
         return best
 
-    def _candidates(
-        self, pool: Pool, item: WorkItem
-    ) -> dict[int, TargetState] | list[TargetState]:
+    def _candidates(self, pool: Pool, item: WorkItem) -> list[TargetState]:
         policy = self.policy
         found: list[TargetState] = []
         if item.prefix_digests:
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -23,8 +23,12 @@
     :param queue_margin: factor on the expected time of work that must queue;
         above 1 because in an overload late work takes a slot from work that
         would have been on time.
+    :param queue_deviations: the same in standard deviations of the length of
+        answers; their lengths differ much, and a mean is exceeded half the time.
     :param wait_margin: factor on the expected wait, for higher priorities that
         arrive meanwhile.
+    :param share_tolerance_s: slot-seconds per weight that a client account may
+        be ahead of its share while its work has the least slack.
     :param batch_slots_share: share of a target's slots open to batch work. In
         a saturation by long work the rest stays free for callers who wait at a
         door, who would else wait until a long piece ends.
@@ -79,7 +83,9 @@
     queue_items: int = 512
     idle_margin: float = 0.7
     queue_margin: float = 1.1
+    queue_deviations: float = 0.5
     wait_margin: float = 1.0
+    share_tolerance_s: float = 10.0
     batch_slots_share: float = 0.9
     urgent_overfill: float = 0.15
     overfill: float = 0.0
--- a/src/endivegw/decisions/pool.py
+++ b/src/endivegw/decisions/pool.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import random
+from typing import Iterable
 
 from attrs import define, field
 
 from endivegw.decisions.fair_queue import FairQueue
+from endivegw.decisions.shares import Shares
 from endivegw.decisions.target_state import TargetState
 from endivegw.types import AvailabilityZone, TargetName
 
-__all__ = ["Pool"]
+__all__ = ["Pool", "groups"]
 
 
 @define(eq=False)
@@ -20,7 +22,6 @@
     :param near: members in the router's own availability zone.
     :param room: targets that were seen to have room; the next queued work
         looks there first in place of drawing until it finds one.
-    :param own: this router's work on the members.
     :param mean_others: mean work of other routers per member, for members
         whose own reports say nothing.
     :param probe_due: shed members that should get one piece of work.
@@ -31,7 +32,6 @@
     members: list[TargetState] = field(factory=list)
     near: list[TargetState] = field(factory=list)
     room: dict[TargetName, TargetState] = field(factory=dict)
-    own: int = 0
     mean_others: float = 0.0
     probe_due: list[TargetState] = field(factory=list)
 
@@ -59,3 +59,29 @@
             source = near if 2 * number < count else members
             drawn.append(source[int(rng.random() * len(source))])
         return drawn
+
+    def regroup(self, shares: Shares) -> None:
+        """Queue under other shares, after the targets' models changed."""
+        queue = FairQueue(shares, self.queue.tolerance_s)
+        for entry in self.queue.entries():
+            queue.push(entry.item, entry.held_s, entry.latest_s)
+        self.queue = queue
+
+
+def groups(models_of_targets: Iterable[frozenset[str]]) -> dict[str, int]:
+    """Return a group number for each model; models that share targets share it."""
+    found: dict[str, str] = {}
+
+    def root(model: str) -> str:
+        while found.setdefault(model, model) != model:
+            model = found[model]
+        return model
+
+    for models in models_of_targets:
+        names = sorted(models)
+        for name in names[1:]:
+            found[root(name)] = root(names[0])
+        if names:
+            root(names[0])
+    numbers: dict[str, int] = {}
+    return {m: numbers.setdefault(root(m), len(numbers)) for m in sorted(found)}
