--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -258,7 +258,7 @@
         latest_s = item.deadline_s - most_s * policy.queue_margin
         wait_s = self._wait_s(pool, item, held_s, latest_s)
         refused = admission.refuse(item, wait_s, most_s, policy, now_s)
-        if refused is not None:
+        if refused is not None and not self._make_way(pool, item, held_s, latest_s):
             return refused
         if len(pool.queue) >= policy.queue_items:
             victim = pool.queue.victim(item)
@@ -271,6 +271,32 @@
         pool.queue.push(item, held_s, latest_s)
         return Queued(wait_s, position)
 
+    def _make_way(
+        self, pool: Pool, item: WorkItem, held_s: float, latest_s: float
+    ) -> bool:
+        """Give up an account's longest queued work for several shorter ones.
+
+        In an overload not all of an account's work can end in time. Dropping
+        the longest piece whenever the next would be late serves the most
+        callers (Moore and Hodgson's rule for the number of late jobs).
+        """
+        most_s = held_s * self._policy.make_way_factor
+        shares = pool.queue.shares
+        found = None
+        for other in self._pools.values():
+            if other.queue.shares is shares:
+                entry = other.queue.longest_before(item, most_s, latest_s)
+                if entry is not None:
+                    found, most_s = (other, entry), entry.held_s
+        if found is None:
+            return False
+        other, entry = found
+        other.queue.remove(entry)
+        wait_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
+        detail = "gave way to several shorter requests of its account"
+        self._given_up.append(Expired(entry.item, detail, wait_s))
+        return True
+
     def _wait_s(
         self, pool: Pool, item: WorkItem, held_s: float, latest_s: float
     ) -> float:
--- a/src/endivegw/decisions/fair_queue.py
+++ b/src/endivegw/decisions/fair_queue.py
@@ -13,6 +13,11 @@
 __all__ = ["Entry", "FairQueue"]
 
 
+#: Entries of one account that are compared to find its longest; it bounds the
+#: cost of a refusal while an account has hundreds queued.
+_LOOKED_AT = 64
+
+
 @define(eq=False)
 class Entry:
     """Hold one queued piece of work.
@@ -203,3 +208,20 @@
             last = max(e[:2] for e in lines[name] if not e[2].gone)
             return next(e[2] for e in lines[name] if e[:2] == last)
         return None
+
+    def longest_before(
+        self, item: WorkItem, held_s: float, latest_s: float
+    ) -> Entry | None:
+        """Return the account's longest work that stands in the way of shorter.
+
+        :param held_s: only work that holds a slot longer than this is returned.
+        :param latest_s: only work with less slack than this is in the way.
+        """
+        line = self._classes[item.priority].lines.get(item.client_account, [])
+        found: Entry | None = None
+        for _, _, entry in line[:_LOOKED_AT]:
+            if entry.gone or entry.latest_s >= latest_s or entry.held_s <= held_s:
+                continue
+            found = entry
+            held_s = entry.held_s
+        return found
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -29,6 +29,8 @@
         arrive meanwhile.
     :param share_tolerance_s: slot-seconds per weight that a client account may
         be ahead of its share while its work has the least slack.
+    :param make_way_factor: queued work this many times as long as new work of
+        the same account is given up for it, where not both can end in time.
     :param batch_slots_share: share of a target's slots open to batch work. In
         a saturation by long work the rest stays free for callers who wait at a
         door, who would else wait until a long piece ends.
@@ -86,6 +88,7 @@
     queue_deviations: float = 0.5
     wait_margin: float = 1.0
     share_tolerance_s: float = 10.0
+    make_way_factor: float = 1.3
     batch_slots_share: float = 0.9
     urgent_overfill: float = 0.15
     overfill: float = 0.0
