Spread the configuration by agents, exchange heartbeats between routers, recover dead ones

Routers now serve their peers: heartbeats, moves of tokens, configuration. The composition root is a package with one module per daemon. A router takes turns with the others in looking for holders that ended, and seals their grants at every listed sidecar.

--- a/src/endivegw/cli/operating.py
+++ b/src/endivegw/cli/operating.py
@@ -5,6 +5,7 @@
 import functools
 import getpass
 import pathlib
+import random
 import time
 import uuid
 from typing import (
@@ -12,9 +13,7 @@
     Awaitable,
     Callable,
     Coroutine,
-    Protocol,
     TypeVar,
-    runtime_checkable,
 )
 
 import anyio
@@ -88,12 +87,6 @@
     operation: Operation
 
 
-@runtime_checkable
-class _Closable(Protocol):
-    async def close(self) -> None:
-        """Close all connections."""
-
-
 def value_of(result: Result[T]) -> T:
     """Return the value, or end the command with a message and an exit code."""
     match result:
@@ -142,16 +135,16 @@
         **arguments: Any,
     ) -> None:
         settings = load_platform_settings(settings_path)
-        platform = open_platform(settings, f"endivegw-operator-{operator}")
+        platform = open_platform(
+            settings, f"endivegw-operator-{operator}", time.time, random.Random()
+        )
         operation = Operation(
             operation_id or uuid.uuid4().hex, operator, time.time(), dry_run, timeout_s
         )
         try:
             await command(OperatorContext(platform, operation), **arguments)
         finally:
-            for service in (platform.table, platform.vms):
-                if isinstance(service, _Closable):
-                    await service.close()
+            await platform.close()
 
     functools.update_wrapper(run, command)
     options = (
--- /dev/null
+++ b/src/endivegw/composition/platform.py
@@ -0,0 +1,71 @@
+"""Open the platform's services that the settings name."""
+
+from __future__ import annotations
+
+import random
+from typing import Awaitable, Callable
+
+from attrs import frozen
+
+from endivegw.daemons.vm_listings import ObservedVmList
+from endivegw.platform import ObjectStorePort, TablePort, WeightStorePort
+from endivegw.platform.dynamo_table import DynamoTable
+from endivegw.platform.guarded import GuardedObjects, GuardedTable
+from endivegw.platform.http_vm_list import HttpVmList
+from endivegw.platform.s3_objects import S3Objects
+from endivegw.platform.signing import Credentials
+from endivegw.platform.weight_store import HttpWeightStore
+from endivegw.settings import PlatformSettings
+
+__all__ = ["Platform", "open_platform"]
+
+
+@frozen
+class Platform:
+    """Hold the platform's services that a daemon uses."""
+
+    table: TablePort
+    objects: ObjectStorePort
+    vms: ObservedVmList
+    weights: WeightStorePort
+    closers: tuple[Callable[[], Awaitable[None]], ...] = ()
+
+    async def close(self) -> None:
+        """Close the connections to all services."""
+        for close in self.closers:
+            await close()
+
+
+def open_platform(
+    settings: PlatformSettings,
+    client_name: str,
+    clock: Callable[[], float],
+    rng: random.Random,
+) -> Platform:
+    """Return the adapters, each behind its guard.
+
+    :param client_name: shown to the services with each call.
+    """
+    credentials = _credentials(settings)
+    table = DynamoTable(
+        settings.table_url, credentials=credentials, client_name=client_name
+    )
+    objects = S3Objects(
+        settings.object_store_url, credentials=credentials, client_name=client_name
+    )
+    vms = HttpVmList(settings.vm_list_url, client_name=client_name)
+    weights = HttpWeightStore(settings.weight_store_url, client_name=client_name)
+    return Platform(
+        table=GuardedTable(table, daemons=settings.fleet_daemons, random_source=rng),
+        objects=GuardedObjects(objects, random_source=rng),
+        vms=ObservedVmList(vms, clock),
+        weights=weights,
+        closers=(table.close, objects.close, vms.close, weights.close),
+    )
+
+
+def _credentials(settings: PlatformSettings) -> Credentials | None:
+    if settings.secret_key_file is None:
+        return None
+    secret = settings.secret_key_file.read_text(encoding="utf-8").strip()
+    return Credentials(settings.access_key_id, secret)
--- /dev/null
+++ b/src/endivegw/composition/process.py
@@ -0,0 +1,167 @@
+"""What every daemon has: identity, clock, configuration, peers, metrics."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+from typing import Callable
+
+from attrs import frozen
+
+from endivegw.composition.platform import Platform, open_platform
+from endivegw.configuration.agent import ConfigurationAgent
+from endivegw.daemons.headers import ProcessIdentity, header_writer
+from endivegw.daemons.peer_book import PeerBook
+from endivegw.daemons.vm_listings import others_by_zone
+from endivegw.peers import (
+    PeerSecurity,
+    PlainPeers,
+    RouterClient,
+    SidecarClient,
+    keyed_peers,
+    tls_peers,
+)
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.platform import ListedVm
+from endivegw.settings import (
+    LogSettings,
+    PeerSettings,
+    PlatformSettings,
+    ProcessSettings,
+)
+from endivegw.telemetry import EventLog, Metrics, NoMetrics, statsd_metrics
+from endivegw.types import InstanceId
+
+__all__ = ["Process", "metrics_of", "open_process", "peer_security"]
+
+
+@frozen
+class Process:
+    """Hold what the parts of one daemon share.
+
+    :param header: returns the header of each message that this process sends.
+    :param on_header: takes the header of each message that it receives.
+    """
+
+    identity: ProcessIdentity
+    platform: Platform
+    security: PeerSecurity
+    configuration: ConfigurationAgent
+    book: PeerBook
+    header: Callable[[], pb.Header]
+    on_header: Callable[[pb.Header], None]
+    connect_router: Callable[[str, int], RouterClient]
+    connect_sidecar: Callable[[str, int], SidecarClient]
+    clock: Callable[[], float]
+    rng: random.Random
+    log: EventLog
+
+
+def open_process(
+    role: str,
+    process: ProcessSettings,
+    peers: PeerSettings,
+    platform_settings: PlatformSettings,
+    log: Callable[[InstanceId], EventLog],
+    *,
+    reports: bool,
+) -> Process:
+    """Wire what every daemon has.
+
+    :param reports: whether it writes down which revisions it and its peers have.
+    """
+    clock = _steady_unix_clock()
+    rng = random.Random()
+    identity = ProcessIdentity(
+        _new_instance_id(process),
+        process.vm,
+        role,
+        process.availability_zone,
+        peers.listen,
+    )
+    name = identity.instance_id
+    platform = open_platform(platform_settings, name, clock, rng)
+    security = peer_security(peers)
+
+    def connect_router(host: str, port: int) -> RouterClient:
+        return RouterClient(host, port, security, sender=name)
+
+    def connect_sidecar(host: str, port: int) -> SidecarClient:
+        return SidecarClient(host, port, security, sender=name)
+
+    # The book calls peers with this process's header, which carries the revision
+    # of the configuration, which in turn is fetched through the book.
+    book = PeerBook(connect_router, connect_sidecar, lambda: header(), clock)
+    process_log = log(name)
+    configuration = ConfigurationAgent(
+        daemon=process.vm,
+        own_zone=process.availability_zone,
+        table=platform.table,
+        objects=platform.objects,
+        peers=book,
+        random_source=rng,
+        daemons=platform_settings.fleet_daemons,
+        reports=reports,
+        log=process_log,
+    )
+    header = header_writer(identity, configuration)
+
+    def on_header(received: pb.Header) -> None:
+        sender = book.heard(received)
+        configuration.heard_peer(
+            sender.instance_id,
+            sender.availability_zone,
+            sender.config_revision,
+            name=sender.vm,
+        )
+
+    def on_reading(vms: tuple[ListedVm, ...], now_s: float) -> None:
+        configuration.view.fleet_known(others_by_zone(vms, process.vm))
+
+    platform.vms.on_reading(on_reading)
+    return Process(
+        identity=identity,
+        platform=platform,
+        security=security,
+        configuration=configuration,
+        book=book,
+        header=header,
+        on_header=on_header,
+        connect_router=connect_router,
+        connect_sidecar=connect_sidecar,
+        clock=clock,
+        rng=rng,
+        log=process_log,
+    )
+
+
+def peer_security(settings: PeerSettings) -> PeerSecurity:
+    """Return how calls between processes are authenticated."""
+    if settings.tls_ca and settings.tls_certificate and settings.tls_key:
+        return tls_peers(settings.tls_ca, settings.tls_certificate, settings.tls_key)
+    if settings.shared_key_file:
+        return keyed_peers(settings.shared_key_file)
+    return PlainPeers()
+
+
+def metrics_of(logs: LogSettings, prefix: str) -> Metrics:
+    """Return the metrics client that the settings name, or none."""
+    if logs.statsd is None:
+        return NoMetrics()
+    return statsd_metrics(logs.statsd.ip, logs.statsd.port, prefix)
+
+
+def _steady_unix_clock() -> Callable[[], float]:
+    """Return a clock near Unix time that never goes back.
+
+    The system's own clock may be set back while the process runs; a deadline
+    or a lease measured on it would then last too long.
+    """
+    offset_s = time.time() - time.monotonic()
+    return lambda: offset_s + time.monotonic()
+
+
+def _new_instance_id(process: ProcessSettings) -> InstanceId:
+    """Return a name for this start of this process, never used again."""
+    return InstanceId(f"{process.vm}-{uuid.uuid4().hex[:12]}")
--- /dev/null
+++ b/src/endivegw/composition/router.py
@@ -0,0 +1,136 @@
+"""Wire a router."""
+
+from __future__ import annotations
+
+from endivegw.budgets import BudgetKeeper
+from endivegw.budgets.recovery import Recovery
+from endivegw.composition.process import Process, metrics_of, open_process
+from endivegw.daemons.claim_client import ClaimClient
+from endivegw.daemons.peer_book import ROUTER_ROLE
+from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.recovery_watch import RecoveryWatch
+from endivegw.daemons.request_runner import RunnerParts
+from endivegw.daemons.router import Router, RouterParts
+from endivegw.daemons.router_watch import RouterWatch
+from endivegw.daemons.seal_calls import SealCalls
+from endivegw.daemons.slot_map_reader import SlotMapReader
+from endivegw.daemons.target_watch import TargetWatch
+from endivegw.daemons.token_transfers import TokenTransfers
+from endivegw.decisions import Dispatcher, Policy
+from endivegw.peers import SidecarClient
+from endivegw.settings import RouterSettings
+from endivegw.telemetry import EventLog
+
+__all__ = ["build_router"]
+
+
+def build_router(settings: RouterSettings) -> Router:
+    """Wire a router."""
+    process = open_process(
+        ROUTER_ROLE,
+        settings.process,
+        settings.peers,
+        settings.platform,
+        lambda name: EventLog("router", instance=name),
+        reports=True,
+    )
+    dispatcher = Dispatcher(Policy(), settings.process.availability_zone, process.rng)
+    queue = PlacementQueue(dispatcher, process.clock)
+    keeper = BudgetKeeper(
+        process.identity.instance_id,
+        process.platform.table,
+        process.clock,
+        process.rng,
+        TokenTransfers(process.book, process.header),
+        process.log,
+    )
+    watch = _target_watch(settings, process, queue)
+    slots = SlotMapReader(process.platform.table, process.clock)
+    runner = RunnerParts(
+        keeper=keeper,
+        queue=queue,
+        sidecars=watch,
+        claims=ClaimClient(
+            slots, process.connect_sidecar, process.header, process.on_header
+        ),
+        header=process.header,
+        on_header=process.on_header,
+        clock=process.clock,
+        rng=process.rng,
+        log=process.log,
+        metrics=metrics_of(settings.logs, "endivegw.router"),
+    )
+    parts = RouterParts(
+        settings=settings,
+        instance_id=process.identity.instance_id,
+        configuration=process.configuration,
+        keeper=keeper,
+        queue=queue,
+        watch=watch,
+        routers=_router_watch(settings, process),
+        recovery=_recovery_watch(settings, process),
+        slots=slots,
+        runner=runner,
+        book=process.book,
+        header=process.header,
+        on_header=process.on_header,
+        security=process.security,
+        clock=process.clock,
+        log=process.log,
+    )
+    return Router(parts)
+
+
+def _target_watch(
+    settings: RouterSettings, process: Process, queue: PlacementQueue
+) -> TargetWatch:
+    def connect(address: str) -> SidecarClient:
+        return process.connect_sidecar(address, settings.peers.sidecar_port)
+
+    return TargetWatch(
+        process.platform.vms,
+        connect,
+        process.header,
+        process.on_header,
+        queue,
+        process.clock,
+        process.log,
+        process.rng,
+    )
+
+
+def _router_watch(settings: RouterSettings, process: Process) -> RouterWatch:
+    return RouterWatch(
+        settings.process.vm,
+        settings.process.availability_zone,
+        process.platform.vms,
+        process.connect_router,
+        settings.peers.router_port,
+        process.header,
+        process.on_header,
+        process.rng,
+    )
+
+
+def _recovery_watch(settings: RouterSettings, process: Process) -> RecoveryWatch:
+    seals = SealCalls(
+        process.platform.vms,
+        process.connect_sidecar,
+        settings.peers.sidecar_port,
+        process.header,
+        process.clock,
+    )
+    return RecoveryWatch(
+        settings.process.vm,
+        process.identity.instance_id,
+        process.platform.table,
+        process.platform.vms,
+        Recovery(process.platform.table, seals, process.clock, process.log),
+        seals,
+        process.connect_router,
+        settings.peers.router_port,
+        process.header,
+        process.clock,
+        process.rng,
+        process.log,
+    )
--- /dev/null
+++ b/src/endivegw/composition/sidecar.py
@@ -0,0 +1,139 @@
+"""Wire a sidecar."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from endivegw.budgets.gate import GrantGate
+from endivegw.composition.process import Process, metrics_of, open_process
+from endivegw.configuration import TargetKind
+from endivegw.daemons.claim_desk import DeskSettings, SlotDesk
+from endivegw.daemons.peer_book import TARGET_ROLE
+from endivegw.daemons.sidecar import Sidecar
+from endivegw.daemons.sidecar_configuration import SidecarConfiguration
+from endivegw.daemons.sidecar_jobs import EngineTarget, ServiceTarget, Target
+from endivegw.daemons.sidecar_ports import SidecarSettings as SidecarOptions
+from endivegw.daemons.sidecar_process import SidecarProcess, SidecarProcessParts
+from endivegw.requests.starts import StartRegistry
+from endivegw.settings import SidecarSettings, TargetSettings
+from endivegw.targets.http_service import HttpService
+from endivegw.targets.openai_engine import OpenAiEngine
+from endivegw.targets.order_keeper import KeeperPolicy, OrderKeeper
+from endivegw.telemetry import EventLog
+
+__all__ = ["build_sidecar"]
+
+Adapter = OpenAiEngine | HttpService
+
+
+def build_sidecar(settings: SidecarSettings) -> SidecarProcess:
+    """Wire a sidecar."""
+    process = open_process(
+        TARGET_ROLE,
+        settings.process,
+        settings.peers,
+        settings.platform,
+        lambda name: EventLog("sidecar", instance=name),
+        reports=False,
+    )
+    instance_id = process.identity.instance_id
+    adapter = _open_adapter(settings.target)
+    grants = GrantGate(
+        instance_id,
+        settings.target.target,
+        process.platform.table,
+        process.clock,
+        process.rng,
+        process.log,
+    )
+    desk = _slot_desk(settings, process)
+    options = _options(settings, process)
+    sidecar = Sidecar(
+        _target_of(adapter),
+        grants.ledger,
+        StartRegistry(instance_id, options.starts, process.clock()),
+        SidecarConfiguration(process.configuration, process.on_header),
+        process.clock,
+        process.log,
+        metrics_of(settings.logs, "endivegw.sidecar"),
+        options,
+        claims=desk,
+        holders=grants,
+    )
+    parts = SidecarProcessParts(
+        settings=settings,
+        instance_id=instance_id,
+        configuration=process.configuration,
+        sidecar=sidecar,
+        grants=grants,
+        desk=desk,
+        target=adapter,
+        security=process.security,
+        orders=_open_orders(settings, process, adapter),
+        book=process.book,
+        log=process.log,
+    )
+    return SidecarProcess(parts)
+
+
+def _options(settings: SidecarSettings, process: Process) -> SidecarOptions:
+    return SidecarOptions(
+        target=settings.target.target,
+        instance_id=process.identity.instance_id,
+        availability_zone=settings.process.availability_zone,
+        vm=settings.process.vm,
+        address=str(settings.peers.listen),
+        serves=settings.target.serves,
+        slots=settings.target.max_running,
+        drain_bound_s=settings.process.drain_bound_s,
+    )
+
+
+def _slot_desk(settings: SidecarSettings, process: Process) -> SlotDesk:
+    desk = DeskSettings(
+        vm=settings.process.vm,
+        target=settings.target.target,
+        instance_id=process.identity.instance_id,
+        address=str(settings.peers.listen),
+    )
+    platform = process.platform
+    return SlotDesk(
+        desk, platform.table, platform.vms, process.clock, time.time, process.log
+    )
+
+
+def _open_adapter(settings: TargetSettings) -> Adapter:
+    match settings.kind:
+        case TargetKind.ENGINE:
+            return OpenAiEngine(settings.url)
+        case TargetKind.SERVICE:
+            return HttpService(settings.url)
+
+
+def _target_of(adapter: Adapter) -> Target:
+    match adapter:
+        case OpenAiEngine():
+            return EngineTarget(adapter)
+        case HttpService():
+            return ServiceTarget(adapter)
+
+
+def _open_orders(
+    settings: SidecarSettings, process: Process, adapter: Adapter
+) -> OrderKeeper | None:
+    """Return what carries out orders; None for a plain service, which has none."""
+    if not isinstance(adapter, OpenAiEngine):
+        return None
+    return OrderKeeper(
+        settings.target.target,
+        process.identity.instance_id,
+        adapter,
+        process.platform.table,
+        process.platform.weights,
+        process.log,
+        checks_fence=settings.target.checks_fence,
+        policy=KeeperPolicy(table_timeout_s=settings.platform.timeout_s),
+        clock=time.monotonic,
+        rng=random.Random(),
+    )
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -9,13 +9,19 @@
 from attrs import frozen
 
 from endivegw.budgets import BudgetKeeper
-from endivegw.daemons.held_configuration import HeldConfiguration
+from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.http_front import HttpFront
+from endivegw.daemons.peer_book import PeerBook
 from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.recovery_watch import RecoveryWatch
 from endivegw.daemons.request_runner import RequestRunner, RunnerParts
+from endivegw.daemons.router_service import RouterService
+from endivegw.daemons.router_watch import RouterWatch
 from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.http_server import ServedAddress, serve_asgi
+from endivegw.peers import PeerSecurity, serve_peers
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.settings import RouterSettings
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import daemons as events
@@ -41,12 +47,18 @@
 
     settings: RouterSettings
     instance_id: InstanceId
-    configuration: HeldConfiguration
+    configuration: ConfigurationAgent
     keeper: BudgetKeeper
     queue: PlacementQueue
     watch: TargetWatch
+    routers: RouterWatch
+    recovery: RecoveryWatch
     slots: SlotMapReader
     runner: RunnerParts
+    book: PeerBook
+    header: Callable[[], pb.Header]
+    on_header: Callable[[pb.Header], None]
+    security: PeerSecurity
     clock: Callable[[], float]
     log: EventLog
 
@@ -80,11 +92,21 @@
         parts = self._parts
         async with anyio.create_task_group() as tasks:
             self._front = self._build_front(tasks)
-            tasks.start_soon(parts.configuration.run)
-            tasks.start_soon(parts.watch.run)
-            tasks.start_soon(parts.slots.run)
-            tasks.start_soon(parts.queue.run)
-            tasks.start_soon(parts.keeper.run)
+            for run in (
+                parts.configuration.run,
+                parts.watch.run,
+                parts.routers.run,
+                parts.recovery.run,
+                parts.slots.run,
+                parts.queue.run,
+                parts.keeper.run,
+            ):
+                tasks.start_soon(run)
+            peers = parts.settings.peers.listen
+            service = self._build_service()
+            await tasks.start(
+                serve_peers, (service,), peers.ip, peers.port, parts.security
+            )
             listen = parts.settings.listen
             address = await tasks.start(serve_asgi, self._front, listen.ip, listen.port)
             parts.log.emit(
@@ -95,6 +117,7 @@
             )
             task_status.started(address)
             await self._stopped.wait()
+            parts.book.close()
             tasks.cancel_scope.cancel()
 
     async def drain(self) -> None:
@@ -126,6 +149,17 @@
         )
         self._stopped.set()
 
+    def _build_service(self) -> RouterService:
+        parts = self._parts
+        return RouterService(
+            parts.keeper,
+            parts.configuration,
+            parts.header,
+            parts.on_header,
+            lambda: self._draining,
+            parts.clock,
+        )
+
     def _build_front(self, background: TaskGroup) -> HttpFront:
         parts = self._parts
         return HttpFront(
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -7,6 +7,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.sidecar_body import BodyChannel
 from endivegw.daemons.sidecar_frames import (
     answer_gone_frame,
@@ -233,7 +234,7 @@
         """Hand out the configuration to a process that has an older one."""
         request = await stream.recv_message()
         revision = ConfigRevision(request.header.config_revision)
-        self._configuration.heard(revision)
+        self._configuration.heard_header(request.header)
         snapshot = self._configuration.newer_than(revision)
         await stream.send_message(
             pb.ConfigReply(header=self._header(), snapshot=snapshot)
@@ -322,6 +323,9 @@
             instance_id=self._settings.instance_id,
             availability_zone=self._settings.availability_zone,
             config_revision=self._configuration.revision,
+            vm=self._settings.vm,
+            role=TARGET_ROLE,
+            address=self._settings.address,
         )
 
     def _log_refusal(self, start: pb.ExecuteStart, refused: Refused) -> None:
--- a/src/endivegw/daemons/sidecar_gate.py
+++ b/src/endivegw/daemons/sidecar_gate.py
@@ -52,7 +52,7 @@
         version = header.protocol_version
         if not OLDEST_PROTOCOL_VERSION <= version <= PROTOCOL_VERSION:
             return Refused(Reason.BAD_REQUEST, f"messages of version {version}")
-        self.configuration.heard(ConfigRevision(header.config_revision))
+        self.configuration.heard_header(header)
         newest = max(self._newest_revision, self.configuration.revision)
         newest = max(newest, ConfigRevision(header.config_revision))
         self._newest_revision = newest
--- a/src/endivegw/daemons/sidecar_ports.py
+++ b/src/endivegw/daemons/sidecar_ports.py
@@ -40,8 +40,8 @@
     def revision(self) -> ConfigRevision:
         """Return the revision that is held whole; 0 for none."""
 
-    def heard(self, revision: ConfigRevision) -> None:
-        """Learn that a revision exists, to be fetched where it is newer."""
+    def heard_header(self, header: pb.Header) -> None:
+        """Learn who sent a message, and which revision to fetch if newer."""
 
     def newer_than(self, revision: ConfigRevision) -> bytes:
         """Return the encoded snapshot where it is newer, else b""."""
@@ -98,6 +98,8 @@
 class SidecarSettings:
     """Hold the settings of one sidecar.
 
+    :param vm: the platform's id of this machine.
+    :param address: where this sidecar takes its peers' calls, as ``host:port``.
     :param serves: names of the plain services behind it; engines tell their
         models themselves.
     :param slots: calls that a plain service takes at once.
@@ -117,6 +119,8 @@
     target: TargetName
     instance_id: InstanceId
     availability_zone: AvailabilityZone
+    vm: str = ""
+    address: str = ""
     serves: tuple[str, ...] = ()
     slots: int = 64
     answer_bytes: int = 2 * 2**20
--- a/src/endivegw/daemons/sidecar_process.py
+++ b/src/endivegw/daemons/sidecar_process.py
@@ -10,8 +10,9 @@
 
 from endivegw.budgets.gate import GrantGate
 from endivegw.configuration import Snapshot
+from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.claim_desk import SlotDesk
-from endivegw.daemons.held_configuration import HeldConfiguration
+from endivegw.daemons.peer_book import PeerBook
 from endivegw.daemons.sidecar import Sidecar
 from endivegw.peers import PeerSecurity
 from endivegw.settings import SidecarSettings
@@ -46,13 +47,14 @@
 
     settings: SidecarSettings
     instance_id: InstanceId
-    configuration: HeldConfiguration
+    configuration: ConfigurationAgent
     sidecar: Sidecar
     grants: GrantGate
     desk: SlotDesk
     target: _Closable
     security: PeerSecurity
     orders: OrderKeeper | None
+    book: PeerBook
     log: EventLog
 
 
@@ -92,6 +94,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+                parts.book.close()
                 await parts.target.aclose()
 
     async def _keep_grants(self) -> None:
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -6,6 +6,7 @@
 from typing import Callable, Iterable
 
 from endivegw.daemons.attempt_stream import SidecarLink
+from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.sidecar_heartbeats import SidecarHeartbeats
 from endivegw.decisions import LoadFigures, TargetView
@@ -26,10 +27,7 @@
 from endivegw.telemetry import EventLog
 from endivegw.types import AvailabilityZone, InstanceId, TargetName
 
-__all__ = ["TARGET_ROLE", "ChooseTargets", "TargetWatch", "all_targets"]
-
-#: What the platform's list calls a machine with a target and its sidecar.
-TARGET_ROLE = "target"
+__all__ = ["ChooseTargets", "TargetWatch", "all_targets"]
 
 #: Long enough for three heartbeats of a target that is slow to start.
 _SETTLE_BOUND_S = 5.0
--- /dev/null
+++ b/src/endivegw/daemons/token_transfers.py
@@ -0,0 +1,57 @@
+"""Ask other routers for tokens, over the calls between processes."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+from endivegw.budgets import TransferAsk, TransferOffer
+from endivegw.daemons.peer_book import PeerBook
+from endivegw.exceptions import PeerError
+from endivegw.peers import NotDelivered
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.types import GrantId, InstanceId, TransferId
+
+__all__ = ["TokenTransfers"]
+
+#: Routers exchange heartbeats every few seconds; one that missed three is not
+#: worth the wait of a request that is short of tokens.
+_HEARD_WITHIN_S = 16.0
+
+
+class TokenTransfers:
+    """Implement the port through which the keeper borrows."""
+
+    def __init__(self, book: PeerBook, header: Callable[[], pb.Header]) -> None:
+        self._book = book
+        self._header = header
+
+    def peers(self) -> tuple[InstanceId, ...]:
+        """Return the routers that were heard lately."""
+        return self._book.routers(_HEARD_WITHIN_S)
+
+    async def ask(
+        self, peer: InstanceId, ask: TransferAsk, *, timeout_s: float
+    ) -> Result[TransferOffer]:
+        """Send an ask; unknown where no answer came, to be repeated as it is."""
+        client = self._book.router(peer)
+        if client is None:
+            return Refused(Reason.UNREACHABLE, f"router {peer} is not known")
+        request = pb.TransferRequest(
+            header=self._header(),
+            transfer_id=ask.transfer_id,
+            client_account=ask.budget.client_account,
+            budget=ask.budget.budget,
+            wanted_tokens=ask.wanted_tokens,
+        )
+        try:
+            reply = await client.transfer(request, timeout_s)
+        except NotDelivered as error:
+            return Refused(Reason.UNREACHABLE, error.message)
+        except PeerError as error:
+            return Unknown(Reason.ANSWER_LOST, error.message)
+        return Done(
+            TransferOffer(
+                TransferId(reply.transfer_id), GrantId(reply.grant_id), reply.tokens
+            )
+        )
--- a/src/endivegw/peers/__init__.py
+++ b/src/endivegw/peers/__init__.py
@@ -3,6 +3,7 @@
 from endivegw.peers.client import SidecarClient
 from endivegw.peers.errors import Broken, NotDelivered
 from endivegw.peers.limits import BODY_CHUNK_BYTES, MAX_MESSAGE_BYTES
+from endivegw.peers.router_client import RouterClient
 from endivegw.peers.security import (
     KeyedPeers,
     PeerSecurity,
@@ -22,6 +23,7 @@
     "NotDelivered",
     "PeerSecurity",
     "PlainPeers",
+    "RouterClient",
     "SidecarClient",
     "TlsPeers",
     "keyed_peers",
--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -5,30 +5,21 @@
 import asyncio
 from typing import Any, AsyncGenerator, AsyncIterator
 
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-
-from endivegw.exceptions import PeerError
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarStub
-from endivegw.peers.errors import Broken, NotDelivered
+from endivegw.peers.call import (
+    DEFAULT_CONNECT_TIMEOUT_S,
+    LOST,
+    call_once,
+    cancelling,
+    connect,
+    forget_cancellation,
+    lost_error,
+)
 from endivegw.peers.limits import BODY_CHUNK_BYTES
 from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
 
-__all__ = ["DEFAULT_CONNECT_TIMEOUT_S", "SidecarClient"]
-
-#: How long a connection may take to be made. Two regions are some 100 ms apart;
-#: a second covers one lost packet and leaves time to place the request elsewhere.
-DEFAULT_CONNECT_TIMEOUT_S = 1.0
-
-_LOST = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    OSError,
-    TimeoutError,
-    asyncio.TimeoutError,
-)
+__all__ = ["SidecarClient"]
 
 
 class SidecarClient:
@@ -68,10 +59,10 @@
         :raises Broken: where it may have.
         """
         written = False
-        cancelling = _cancelling()
+        before = cancelling()
         try:
             async with self._stub.Execute.open() as stream:
-                await self._connect(stream)
+                await connect(stream, self._connect_timeout_s)
                 written = True
                 message = pb.ExecuteMessage(start=start)
                 await stream.send_message(message, end=body is None)
@@ -83,9 +74,9 @@
                         yield frame
                 finally:
                     await _stop(sender)
-        except _LOST as error:
-            _forget_cancellation(cancelling)
-            raise _lost(written, error) from error
+        except LOST as error:
+            forget_cancellation(before)
+            raise lost_error(written, error) from error
 
     async def cancel(self, request: pb.CancelRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.CancelReply`."""
@@ -108,58 +99,7 @@
         return await self._call(self._stub.Configuration, request, timeout_s)
 
     async def _call(self, method: Any, request: Any, timeout_s: float) -> Any:
-        written = False
-        cancelling = _cancelling()
-        try:
-            async with method.open(timeout=timeout_s) as stream:
-                await self._connect(stream)
-                written = True
-                await stream.send_message(request, end=True)
-                reply = await stream.recv_message()
-        except _LOST as error:
-            _forget_cancellation(cancelling)
-            raise _lost(written, error) from error
-        if reply is None:
-            raise Broken("the call ended without a reply")
-        return reply
-
-    async def _connect(self, stream: Any) -> None:
-        await asyncio.wait_for(stream.send_request(), self._connect_timeout_s)
-
-
-def _lost(written: bool, error: BaseException) -> PeerError:
-    if written and not _unauthenticated(error):
-        return Broken(_describe(error))
-    return NotDelivered(_describe(error))
-
-
-def _cancelling() -> int:
-    task = asyncio.current_task()
-    return task.cancelling() if task else 0
-
-
-def _forget_cancellation(before: int) -> None:
-    """Take back the cancellation by which the library woke this task.
-
-    Where a connection breaks, grpclib cancels the tasks that wait on it and
-    turns the cancellation into an error, but leaves it counted. The next scope
-    of the task that times out would then let a cancellation escape, which ends
-    a caller's request without an answer.
-
-    :param before: how many were counted when the call began.
-    """
-    task = asyncio.current_task()
-    if task is not None and task.cancelling() > before:
-        task.uncancel()
-
-
-def _unauthenticated(error: BaseException) -> bool:
-    # Said before any handler runs, so that the call had no effect.
-    return isinstance(error, GRPCError) and error.status is Status.UNAUTHENTICATED
-
-
-def _describe(error: BaseException) -> str:
-    return str(error) or type(error).__name__
+        return await call_once(method, request, timeout_s, self._connect_timeout_s)
 
 
 async def _send_body(stream: Any, body: AsyncIterator[bytes] | None) -> None:
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -38,6 +38,9 @@
 DEFAULT_PLATFORM_TIMEOUT_S = 2.0
 DEFAULT_MAX_RUNNING = 64
 
+#: Today's fleets: a few entry VMs and two dozen targets.
+DEFAULT_FLEET_DAEMONS = 30
+
 _LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -141,6 +144,9 @@
         timeout_s=reader.number(
             "platform", "timeout_s", DEFAULT_PLATFORM_TIMEOUT_S, least=0.05, most=60.0
         ),
+        fleet_daemons=reader.whole(
+            "platform", "fleet_daemons", DEFAULT_FLEET_DAEMONS, least=1
+        ),
     )
 
 
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -57,7 +57,10 @@
 
 @frozen
 class PlatformSettings:
-    """Name the platform's services."""
+    """Name the platform's services.
+
+    :param fleet_daemons: about how many daemons share the services' rates.
+    """
 
     table_url: str
     object_store_url: str
@@ -66,6 +69,7 @@
     access_key_id: str
     secret_key_file: pathlib.Path | None
     timeout_s: float
+    fleet_daemons: int = 30
 
 
 @frozen
--- a/src/endivegw/telemetry/catalogue/router.py
+++ b/src/endivegw/telemetry/catalogue/router.py
@@ -3,6 +3,7 @@
 from endivegw.telemetry.event import Event, Level
 
 __all__ = [
+    "ROUTER_RECOVERED",
     "ATTEMPT_RESOLVED",
     "REQUEST_ENDED",
     "REQUEST_PLACED",
@@ -45,3 +46,10 @@
     "It became known what an attempt consumed whose end had not been heard.",
     ("attempt_id", "target", "how", "total_tokens"),
 )
+ROUTER_RECOVERED = Event(
+    1007,
+    "router-recovered",
+    Level.WARNING,
+    "A router ended without settling; its grants were sealed and collected.",
+    ("recovered_instance", "done", "grants_left"),
+)
--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -120,7 +120,7 @@
     def __init__(self, revision=1):
         self.revision = revision
 
-    def heard(self, revision):
+    def heard_header(self, header):
         pass
 
     def newer_than(self, revision):
