--- a/src/endivegw/budgets/gate.py
+++ b/src/endivegw/budgets/gate.py
@@ -17,6 +17,7 @@
 from endivegw.budgets.checkpoint import checkpoint_transaction, ledger_row_key
 from endivegw.budgets.ledger import GrantLedger
 from endivegw.budgets.rows import HolderId, HolderRow, holder_of, holder_row_key
+from endivegw.exceptions import InvariantError
 from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused
 from endivegw.telemetry import EventLog
@@ -64,6 +65,7 @@
         self._checkpoint_s = checkpoint_s
         self._version = 0
         self._ended = False
+        self._closing = False
         self._asking: dict[HolderId, anyio.Event] = {}
         self._lock = anyio.Lock()
 
@@ -85,12 +87,12 @@
         :returns: None where it may start; refused with ``GRANT_SEALED``, or with
             ``NOT_READY`` where the table cannot be asked about the holder.
         """
-        if self._version == 0 or self._ended:
+        if self._version == 0 or self._closing:
             return Refused(Reason.NOT_READY, "this sidecar is not registered")
         if not self.ledger.knows_holder(grant_id):
             await self._ask(holder_of(grant_id))
-        if self._ended:
-            return Refused(Reason.NOT_READY, "this sidecar is taken for gone")
+        if self._ended or self._closing:
+            return Refused(Reason.NOT_READY, "this sidecar has ended")
         return self.ledger.admit(
             grant_id, budget, attempt_id, reservation_tokens, now_s
         )
@@ -109,7 +111,15 @@
                 holders_at_s = self._clock() + HOLDERS_S
 
     async def close(self) -> None:
-        """Write the final use at a planned stop; tries until it is written."""
+        """Write the final use at a planned stop; tries until it is written.
+
+        Call it once no attempt runs any more; none is admitted from here on.
+
+        :raises InvariantError: while attempts run, whose use is not final.
+        """
+        self._closing = True
+        if self.ledger.running:
+            raise InvariantError(f"{self.ledger.running} attempts are running")
         while not self._ended and not await self._write(ended=True):
             await anyio.sleep(_RETRY_S)
         self._ended = True
--- a/src/endivegw/budgets/ledger.py
+++ b/src/endivegw/budgets/ledger.py
@@ -249,6 +249,11 @@
     def __len__(self) -> int:
         return len(self._grants)
 
+    @property
+    def running(self) -> int:
+        """Return how many attempts run."""
+        return len(self._attempts)
+
     def _use(self, grant_id: GrantId, grant: _Grant) -> GrantUse:
         return GrantUse(
             grant_id, grant.budget, grant.consumed_tokens, self._running_tokens(grant)
--- /dev/null
+++ b/tests/test_budgets_machine.py
@@ -0,0 +1,458 @@
+"""Randomised runs: whatever fails together, no budget is overspent."""
+
+import asyncio
+import os
+import random
+import unittest
+
+import anyio
+from benchmarks.budget_fleet import Fleet, Work
+from hypothesis import HealthCheck, seed, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from endivegw.budgets import read_budgets, top_up
+from endivegw.budgets.reconcile import read_bill, reconcile
+from endivegw.budgets.rows import GRANT_PARTITION, check_budget
+from endivegw.results import Done, Reason, Refused
+from endivegw.types import BudgetKey, ClientAccountName, Outcome
+from endivegw_standins.faulty_table import TableFaults
+from endivegw_standins.virtual_time import VirtualLoop
+
+BUDGETS = (
+    BudgetKey(ClientAccountName("lobby"), "main"),
+    BudgetKey(ClientAccountName("ramp"), "small"),
+)
+FIRST_TOKENS = {BUDGETS[0]: 30_000, BUDGETS[1]: 2_000}
+
+ROUTERS = st.integers(0, 2)
+SIDECARS = st.integers(0, 2)
+
+#: How many examples and steps one run takes; the soak asks for more.
+EXAMPLES = int(os.environ.get("ENDIVEGW_SOAK_EXAMPLES", "25"))
+STEPS = int(os.environ.get("ENDIVEGW_SOAK_STEPS", "25"))
+SEED = int(os.environ.get("ENDIVEGW_SOAK_SEED", "20"))
+
+
+class BudgetMachine(RuleBasedStateMachine):
+    """Drive a fleet in virtual time and hold it against the engines' count."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = VirtualLoop()
+        self.errors = []
+        self.loop.set_exception_handler(lambda _, context: self.errors.append(context))
+        self.wanted_topups = dict.fromkeys(BUDGETS, 0)
+        self.sent = 0
+        self.outcomes = {}
+        self.lost_sidecars = False
+
+    @initialize(number=st.integers(0, 2**32), transfers=st.booleans())
+    def start(self, number, transfers):
+        """Begin with three routers, three sidecars and topped-up budgets."""
+        self.commands = asyncio.Queue()
+        self.main = self.loop.create_task(self._main(number, transfers))
+        self._do(self._top_up_first)
+
+    async def _main(self, number, transfers):
+        async with anyio.create_task_group() as tasks:
+            self.fleet = Fleet(
+                tasks,
+                random.Random(number),
+                routers=3,
+                sidecars=3,
+                transfers=transfers,
+                engine_tokens_per_s=100.0,
+            )
+            while True:
+                command, done = await self.commands.get()
+                if command is None:
+                    break
+                try:
+                    done.set_result(await command())
+                except Exception as error:
+                    done.set_exception(error)
+            tasks.cancel_scope.cancel()
+
+    def _do(self, command):
+        done = self.loop.create_future()
+        self.commands.put_nowait((command, done))
+        waiting = asyncio.wait({done, self.main}, return_when=asyncio.FIRST_COMPLETED)
+        self.loop.run_until_complete(waiting)
+        if not done.done():
+            self.main.result()
+        result = done.result()
+        self._check()
+        return result
+
+    async def _top_up_first(self):
+        for budget, tokens in FIRST_TOKENS.items():
+            await self._top_up(budget, "first", tokens)
+        await anyio.sleep(1)
+
+    async def _top_up(self, budget, operation, tokens):
+        table = self.fleet.view(self.fleet.operator_faults)
+        result = await top_up(
+            table, budget, operation, tokens, timeout_s=1, now_s=self.fleet.clock()
+        )
+        return result
+
+    def _check(self):
+        """Compare consumption and rows with what was prepaid, at each step."""
+        self.assert_no_errors()
+        for budget in BUDGETS:
+            page = self.fleet.table.page("budget", str(budget), None, 1)
+            if not page.rows:
+                continue
+            fields = page.rows[0].fields
+            topped_up = fields["topped_up"]
+            parts = fields["available"] + fields["granted"] + fields["settled"]
+            assert parts == topped_up, fields
+            assert min(fields["available"], fields["granted"]) >= 0, fields
+            consumed = self.fleet.consumed_tokens.get(budget, 0)
+            assert consumed <= topped_up, f"{budget}: {consumed} of {topped_up}"
+
+    def assert_no_errors(self):
+        """Fail where a task of the fleet ended with an error."""
+        assert not self.errors, self.errors
+
+    def _router(self, index):
+        live = self.fleet.live_routers()
+        return live[index % len(live)]
+
+    def _sidecar(self, index):
+        live = [one for one in self.fleet.all_sidecars if one.alive]
+        return live[index % len(live)]
+
+    @rule(
+        router=ROUTERS,
+        budget=st.sampled_from(BUDGETS),
+        count=st.integers(1, 12),
+        tokens=st.integers(50, 400),
+        loose=st.integers(0, 300),
+        wait_s=st.sampled_from([0.05, 1.0, 8.0]),
+    )
+    def send(self, router, budget, count, tokens, loose, wait_s):
+        """Send a burst of requests through one router."""
+
+        async def command():
+            target = self._router(router)
+            for _ in range(count):
+                self.sent += 1
+                work = Work(f"k{self.sent}", budget, tokens + loose, 20, tokens - 20)
+                self.fleet.tasks.start_soon(self._one, target, work)
+            await anyio.sleep(wait_s)
+
+        self._do(command)
+
+    async def _one(self, router, work):
+        self.outcomes[work.key] = await router.handle(work)
+
+    @rule(duration_s=st.sampled_from([0.5, 5.0, 40.0, 300.0]))
+    def let_time_pass(self, duration_s):
+        """Let what runs go on."""
+
+        async def command():
+            await anyio.sleep(duration_s)
+
+        self._do(command)
+
+    @rule(
+        router=ROUTERS,
+        kind=st.sampled_from(["away", "lose_answer", "late", "double", "heal"]),
+    )
+    def table_fault(self, router, kind):
+        """Break or mend the way from one router to the table."""
+
+        async def command():
+            _set_fault(self._router(router).faults, kind)
+
+        self._do(command)
+
+    @rule(
+        sidecar=SIDECARS,
+        kind=st.sampled_from(["away", "lose_answer", "late", "double", "heal"]),
+    )
+    def sidecar_table_fault(self, sidecar, kind):
+        """Break or mend the way from one sidecar to the table."""
+
+        async def command():
+            _set_fault(self._sidecar(sidecar).faults, kind)
+
+        self._do(command)
+
+    @rule(away=st.booleans(), duration_s=st.sampled_from([1.0, 60.0, 600.0]))
+    def whole_table_outage(self, away, duration_s):
+        """Take the table away from all, or give it back."""
+
+        async def command():
+            for one in self.fleet.live_routers() + self.fleet.all_sidecars:
+                one.faults.away = away
+            await anyio.sleep(duration_s)
+
+        self._do(command)
+
+    @rule(kind=st.sampled_from(["away", "lose_answer", "late", "double", "heal"]))
+    def operator_fault(self, kind):
+        """Break or mend the operator's and the recovery's way to the table."""
+
+        async def command():
+            _set_fault(self.fleet.operator_faults, kind)
+
+        self._do(command)
+
+    @rule(
+        budget=st.sampled_from(BUDGETS),
+        operation=st.integers(0, 3),
+        times=st.integers(1, 3),
+    )
+    def racing_top_ups(self, budget, operation, times):
+        """Let operators race with the same command."""
+
+        async def command():
+            async with anyio.create_task_group() as tasks:
+                for _ in range(times):
+                    name = f"op{operation}"
+                    tasks.start_soon(self._top_up, budget, name, 500)
+
+        self._do(command)
+
+    @rule(router=ROUTERS, sidecar=SIDECARS)
+    def cut_link(self, router, sidecar):
+        """Cut or mend the way from a router to a sidecar."""
+
+        async def command():
+            cut_from = self._router(router).cut_from
+            cut_from.symmetric_difference_update({self._sidecar(sidecar).target})
+
+        self._do(command)
+
+    @rule(one=ROUTERS, other=ROUTERS)
+    def cut_peers(self, one, other):
+        """Cut or mend the way between two routers."""
+
+        async def command():
+            pair = {self._router(one).instance_id, self._router(other).instance_id}
+            self.fleet.partitions.symmetric_difference_update({frozenset(pair)})
+
+        self._do(command)
+
+    @rule(router=ROUTERS, lose=st.booleans(), double=st.booleans())
+    def peer_faults(self, router, lose, double):
+        """Lose or double what a router asks of its peers."""
+
+        async def command():
+            link = self._router(router).peers
+            if link is not None:
+                link.lose = 0.4 if lose else 0.0
+                link.double = 0.4 if double else 0.0
+
+        self._do(command)
+
+    @rule(sidecar=SIDECARS)
+    def cut_seals(self, sidecar):
+        """Cut or mend the way from recovery to a sidecar."""
+
+        async def command():
+            target = self._sidecar(sidecar).target
+            self.fleet.unsealable.symmetric_difference_update({target})
+
+        self._do(command)
+
+    @rule(router=ROUTERS, recover=st.booleans())
+    def kill_router(self, router, recover):
+        """Kill a router and start another, with or without a recovery at once."""
+
+        async def command():
+            victim = self._router(router)
+            self.fleet.kill(victim)
+            self.fleet.add_router()
+            if recover:
+                await self.fleet.recover(victim.instance_id, within_s=20)
+
+        self._do(command)
+
+    @rule(router=ROUTERS, racers=st.integers(1, 2))
+    def pause_beyond_the_lease(self, router, racers):
+        """Pause a router, recover it as dead by one or two others, wake it up."""
+
+        async def command():
+            paused = self._router(router)
+            paused.pause()
+            async with anyio.create_task_group() as tasks:
+                for _ in range(racers):
+                    tasks.start_soon(self._recover, paused.instance_id)
+            paused.resume()
+
+        self._do(command)
+
+    async def _recover(self, instance_id):
+        await self.fleet.recover(instance_id, within_s=30)
+
+    @rule(sidecar=SIDECARS, planned=st.booleans(), known=st.booleans())
+    def restart_sidecar(self, sidecar, planned, known):
+        """Restart a sidecar, as planned or by a crash."""
+
+        async def command():
+            victim = self._sidecar(sidecar)
+            if planned and not victim.running:
+                with anyio.move_on_after(20) as scope:
+                    await victim.gate.close()
+                planned_done = not scope.cancelled_caught and not victim.running
+            else:
+                planned_done = False
+            victim.die()
+            if not planned_done:
+                self.lost_sidecars = True
+            if known or planned_done:
+                victim.gone_at_s = self.fleet.clock()
+            self.fleet.add_sidecar(victim.target)
+
+        self._do(command)
+
+    def teardown(self):
+        """Mend everything, recover the dead, stop the rest: it must add up."""
+        if not hasattr(self, "main"):
+            self.loop.close()
+            return
+        try:
+            if not self.main.done():
+                self._do(self._mend)
+                self._do(self._end)
+                self._do(self._compare)
+        finally:
+            self.main.cancel()
+            asyncio.set_event_loop(None)
+            self.loop.run_until_complete(
+                asyncio.wait({self.main}, return_when=asyncio.ALL_COMPLETED)
+            )
+            self.loop.close()
+
+    async def _mend(self):
+        fleet = self.fleet
+        fleet.unsealable.clear()
+        fleet.partitions.clear()
+        _set_fault(fleet.operator_faults, "heal")
+        for router in fleet.routers:
+            _set_fault(router.faults, "heal")
+            router.cut_from.clear()
+            router.resume()
+        for sidecar in fleet.all_sidecars:
+            _set_fault(sidecar.faults, "heal")
+            if not sidecar.alive and sidecar.gone_at_s is None:
+                sidecar.gone_at_s = fleet.clock()
+        await anyio.sleep(120)
+
+    async def _end(self):
+        fleet = self.fleet
+        for router in fleet.live_routers():
+            with anyio.fail_after(300):
+                await router.keeper.close(fleet.clock())
+        for router in fleet.routers:
+            took_s = await fleet.recover(router.instance_id)
+            assert took_s is not None, f"{router.instance_id} is not recovered"
+
+    async def _compare(self):
+        fleet = self.fleet
+        assert not fleet.table.page(GRANT_PARTITION, "", None, 10).rows
+        result = await read_budgets(fleet.table, BUDGETS, timeout_s=1)
+        for row in result.value:
+            check_budget(row)
+            consumed = fleet.consumed_tokens.get(row.budget, 0)
+            assert row.granted_tokens == 0, row
+            assert row.settled_tokens >= consumed, f"{row} and {consumed} consumed"
+            if not self.lost_sidecars:
+                assert row.settled_tokens == consumed, f"{row}, {consumed} consumed"
+            records = [one async for one in read_bill(fleet.table, row.budget)]
+            found = reconcile(row, records)
+            assert not found.doubled, found.doubled
+            assert found.difference_tokens == 0, found
+        self._compare_lines([one async for one in read_bill(fleet.table)])
+
+    def _compare_lines(self, records):
+        live = {router.instance_id for router in self.fleet.live_routers()}
+        billed = {one.name for one in records if one.kind.value == "request"}
+        assert len(live) == 3
+        for key, outcome in self.outcomes.items():
+            if isinstance(outcome, Refused):
+                assert key not in billed, f"{key} was refused and billed"
+                assert outcome.reason is not Reason.BUDGET_UNKNOWN
+            elif outcome is Outcome.ANSWERED and not self._died_with(key):
+                assert key in billed, f"{key} was answered and not billed"
+
+    def _died_with(self, key):
+        """Return whether a request's line may have died with its router."""
+        return any(not router.alive for router in self.fleet.routers)
+
+
+def _set_fault(faults: TableFaults, kind):
+    faults.away = kind == "away"
+    faults.lose_answer = 0.3 if kind == "lose_answer" else 0.0
+    faults.late = 0.3 if kind == "late" else 0.0
+    faults.double = 0.4 if kind == "double" else 0.0
+
+
+class BudgetMachineTests(unittest.TestCase):
+    def test_no_run_overspends_and_all_add_up(self):
+        """
+        Routers die or stand still, links and the table fail, answers are lost,
+        late or doubled, operators race: in each run the engines never consume
+        more than was prepaid, and in the end rows and bill add up to the token.
+        """
+        run_state_machine_as_test(
+            seed(SEED)(BudgetMachine),
+            settings=settings(
+                max_examples=EXAMPLES,
+                stateful_step_count=STEPS,
+                database=None,
+                deadline=None,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+
+
+class TopUpRaceTests(unittest.TestCase):
+    def test_operators_race_on_a_new_budget(self):
+        """
+        Two operators top a new budget up at the same moment, one of them twice
+        since the first answer was lost. A budget that counted a repetition
+        would hold tokens that nobody paid for.
+        """
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                fleet = Fleet(tasks, random.Random(3), routers=0, sidecars=0)
+                fleet.operator_faults.lose_answer = 0.5
+                fleet.operator_faults.double = 0.3
+                results = []
+
+                async def add(operation):
+                    results.append(
+                        await top_up(
+                            fleet.view(fleet.operator_faults),
+                            BUDGETS[0],
+                            operation,
+                            700,
+                            timeout_s=1,
+                            now_s=fleet.clock(),
+                        )
+                    )
+
+                async with anyio.create_task_group() as operators:
+                    for operation in ("a", "a", "b", "b"):
+                        operators.start_soon(add, operation)
+                await anyio.sleep(60)
+                result = await read_budgets(fleet.table, BUDGETS[:1], timeout_s=1)
+                self.assertEqual(result.value[0].topped_up_tokens, 1400)
+                self.assertIs(all(isinstance(one, Done) for one in results), True)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main, backend_options={"loop_factory": VirtualLoop})
+
+
+if __name__ == "__main__":
+    unittest.main()
