--- /dev/null
+++ b/src/endivegw/decisions/dispatcher.py
@@ -0,0 +1,420 @@
+"""The one object through which a router admits, queues and places work."""
+
+from __future__ import annotations
+
+import random
+from typing import Iterable
+
+from endivegw.decisions import admission, health
+from endivegw.decisions.affinity import PrefixIndex
+from endivegw.decisions.estimates import Estimates
+from endivegw.decisions.fair_queue import FairQueue
+from endivegw.decisions.placement import Choice, Placer
+from endivegw.decisions.policy import Policy
+from endivegw.decisions.pool import Pool, groups
+from endivegw.decisions.shares import Shares
+from endivegw.decisions.target_state import Outstanding, TargetState
+from endivegw.decisions.work import (
+    SERVICE_PREFIX,
+    AttemptEnd,
+    AttemptKind,
+    Expired,
+    LoadFigures,
+    Placement,
+    PlacementFigures,
+    Queued,
+    TargetView,
+    WorkItem,
+)
+from endivegw.results import Reason, Refused
+from endivegw.types import AvailabilityZone, TargetName
+
+__all__ = ["Dispatcher"]
+
+
+class Dispatcher:
+    """Admit, queue, refuse and place the work of one router.
+
+    The caller reports what happens and asks :meth:`poll` after each event what
+    became decided about queued work. Nothing here waits or reads a clock.
+
+    :param availability_zone: where the router runs.
+    :param rng: the only source of chance.
+    """
+
+    def __init__(
+        self, policy: Policy, availability_zone: AvailabilityZone, rng: random.Random
+    ) -> None:
+        self._policy = policy
+        self._zone = availability_zone
+        self._targets: dict[TargetName, TargetState] = {}
+        self._pools: dict[str, Pool] = {}
+        #: Where each request's running attempt is.
+        self._placed: dict[str, TargetState] = {}
+        #: Work given up between two polls.
+        self._groups: dict[str, int] = {}
+        self._given_up: list[Expired] = []
+        self._next_sweep_s = 0.0
+        self._estimates = Estimates(policy)
+        self._prefixes = PrefixIndex(
+            policy.prefix_entries, policy.prefix_ttl_s, policy.block_tokens
+        )
+        self._placer = Placer(
+            policy,
+            availability_zone,
+            rng,
+            self._estimates,
+            self._prefixes,
+            self._targets,
+        )
+
+    # What membership and targets say.
+
+    def set_targets(self, views: Iterable[TargetView], now_s: float) -> None:
+        """Take over what membership says now.
+
+        Draining targets get no new work from this call on. Work that is queued
+        is bound to no target, so it moves to the others by itself.
+        """
+        known = dict(self._targets)
+        self._targets.clear()
+        members: dict[str, list[TargetState]] = {model: [] for model in self._pools}
+        for view in views:
+            state = known.get(view.target)
+            if state is None or state.view.instance_id != view.instance_id:
+                if state is not None:
+                    self._prefixes.forget(view.target)
+                state = TargetState(view, now_s, max(1, view.slots))
+            state.view = view
+            self._targets[view.target] = state
+            if view.draining:
+                continue
+            for model in view.models:
+                members.setdefault(model, []).append(state)
+        for model, states in members.items():
+            self._pool(model).set_members(states, self._zone)
+        self._regroup()
+
+    def report(self, target: TargetName, figures: LoadFigures, now_s: float) -> None:
+        """Take in a lagged load report of a target."""
+        state = self._targets.get(target)
+        if state is None:
+            return
+        believed = state.report(figures, now_s, self._policy.frozen_reports)
+        if not believed:
+            state.others = max(
+                (self._pools[model].mean_others for model in state.view.models),
+                default=0.0,
+            )
+        else:
+            self._judge_report(state, figures)
+        self._prefixes.events(
+            target,
+            figures.sequence,
+            figures.cache_changes,
+            now_s - figures.age_s,
+            now_s,
+        )
+        self._offer(state)
+
+    # Work.
+
+    def submit(self, item: WorkItem, now_s: float) -> Placement | Queued | Refused:
+        """Decide on new work: place it, queue it or refuse it.
+
+        :returns: :class:`Refused` with ``DEADLINE``, ``NO_TARGET`` or
+            ``OVERLOADED``; its ``retry_after_s`` is None where the same request
+            would be refused again.
+        """
+        pool = self._pools.get(item.model)
+        if pool is None or not pool.members:
+            return Refused(Reason.NO_TARGET, f"no target serves {item.model}", 1.0)
+        if item.deadline_s <= now_s:
+            return Refused(Reason.DEADLINE, "the deadline has passed")
+        self._sweep(now_s)
+        head = pool.queue.head()
+        # New work must not overtake queued work of its own or a higher
+        # priority: in a long overload the queue would starve.
+        if head is None or head.item.priority > item.priority:
+            choice = self._placer.choose(pool, item, now_s)
+            if choice is not None:
+                return self._admit(pool, item, choice, now_s)
+        return self._enqueue(pool, item, now_s)
+
+    def poll(self, now_s: float) -> list[Placement | Expired]:
+        """Return what became decided about queued work."""
+        self._sweep(now_s)
+        decided: list[Placement | Expired] = list(self._given_up)
+        self._given_up.clear()
+        waiting = [pool for pool in self._pools.values() if len(pool.queue)]
+        for pool in waiting:
+            self._give_up(pool, now_s, decided)
+        self._serve(waiting, now_s, decided)
+        return decided
+
+    def next_poll_s(self, now_s: float) -> float | None:
+        """Return when :meth:`poll` must be called at the latest."""
+        if self._given_up:
+            return now_s
+        latest_s: float | None = None
+        for pool in self._pools.values():
+            expiry_s = pool.queue.next_expiry_s()
+            if expiry_s is None:
+                continue
+            due_s = min(expiry_s, now_s + self._policy.recheck_s)
+            latest_s = due_s if latest_s is None else min(latest_s, due_s)
+        return latest_s
+
+    def started(self, request_id: str, now_s: float) -> None:
+        """Note that the target took the work."""
+
+    def first_token(self, request_id: str, now_s: float) -> None:
+        """Note that the answer has begun."""
+        state = self._placed.get(request_id)
+        attempt = state.read(request_id) if state is not None else None
+        if state is None or attempt is None:
+            return
+        attempt.first_s = now_s
+        taken_s = now_s - attempt.placed_s
+        # Times of a sick or overfull target would teach wrong speeds.
+        if state.weight >= 0.5 and attempt.load <= 1.0:
+            model = attempt.item.model
+            self._estimates.learn_first(model, attempt.uncached_tokens, taken_s)
+
+    def ended(
+        self, request_id: str, target: TargetName, result: AttemptEnd, now_s: float
+    ) -> None:
+        """Note that an attempt ended; its slot is free."""
+        state = self._placed.pop(request_id, None)
+        if state is None:
+            return
+        attempt = state.end(request_id, now_s)
+        if attempt is None:
+            return
+        pool = self._pools[attempt.item.model]
+        pool.queue.shares.running -= 1
+        health.judge_end(state, result.kind)
+        if result.kind is AttemptKind.FAILED:
+            # Judged at once: at this target's pace the next sweep is hundreds
+            # of failed attempts away.
+            self._next_sweep_s = now_s
+        if result.kind is AttemptKind.OK:
+            self._learn(state, attempt, result, now_s)
+        self._offer(state)
+
+    def cancel(self, request_id: str, now_s: float) -> None:
+        """Drop queued work whose caller went away."""
+        for pool in self._pools.values():
+            entry = pool.queue.find(request_id)
+            if entry is not None:
+                pool.queue.remove(entry)
+
+    # Inside.
+
+    def _judge_report(self, state: TargetState, figures: LoadFigures) -> None:
+        """Compare the target's own speed with its peers' at the same load.
+
+        Answers tell it too, but an answer of a target that became five times
+        slower takes five times as long to tell it.
+        """
+        if figures.running < 2 or figures.tokens_per_s <= 0.0:
+            return
+        for model in state.view.models:
+            pool = self._pools.get(model)
+            if pool is None or model.startswith(SERVICE_PREFIX):
+                continue
+            load = min(1.0, figures.running / state.slots)
+            step_s = figures.running / figures.tokens_per_s
+            ratio = step_s / max(1e-4, self._estimates.speed(model).step.at(load))
+            health.judge_report(state, pool, ratio)
+            return
+
+    def _pool(self, model: str) -> Pool:
+        pool = self._pools.get(model)
+        if pool is None:
+            pool = Pool(model, FairQueue(Shares(), self._policy.share_tolerance_s))
+            self._pools[model] = pool
+        return pool
+
+    def _regroup(self) -> None:
+        """Let models that share targets share their accounts' shares."""
+        views = (state.view for state in self._targets.values())
+        numbers = groups(view.models for view in views)
+        if numbers == self._groups:
+            return
+        self._groups = numbers
+        shares = {number: Shares() for number in numbers.values()}
+        for model, pool in self._pools.items():
+            pool.regroup(shares[numbers[model]] if model in numbers else Shares())
+        for request_id, state in self._placed.items():
+            attempt = state.own.get(request_id)
+            if attempt is not None:
+                self._pools[attempt.item.model].queue.shares.running += 1
+
+    def _offer(self, state: TargetState) -> None:
+        """Show queued work a target that may have room now."""
+        if state.view.draining or state.occupied() >= state.limit(1.0):
+            return
+        for model in state.view.models:
+            pool = self._pools.get(model)
+            if pool is not None and len(pool.queue):
+                pool.room[state.view.target] = state
+
+    def _sweep(self, now_s: float) -> None:
+        if now_s < self._next_sweep_s:
+            return
+        self._next_sweep_s = now_s + self._policy.sweep_s
+        for pool in self._pools.values():
+            health.sweep(pool, self._estimates, self._policy, now_s)
+
+    def _admit(
+        self, pool: Pool, item: WorkItem, choice: Choice, now_s: float
+    ) -> Placement | Refused:
+        """Place work that found a target, unless it cannot end in time there."""
+        if now_s + choice.finish_s * self._policy.idle_margin > item.deadline_s:
+            return admission.too_short(item, choice.finish_s, now_s)
+        return self._place(pool, item, choice, now_s)
+
+    def _enqueue(self, pool: Pool, item: WorkItem, now_s: float) -> Queued | Refused:
+        policy = self._policy
+        held_s = self._estimates.held_s(item, 1.0)
+        most_s = self._estimates.held_s(item, 1.0, policy.queue_deviations)
+        latest_s = item.deadline_s - most_s * policy.queue_margin
+        wait_s = self._wait_s(pool, item, held_s, latest_s)
+        refused = admission.refuse(item, wait_s, most_s, policy, now_s)
+        if refused is not None and not self._make_way(pool, item, held_s, latest_s):
+            return refused
+        if len(pool.queue) >= policy.queue_items:
+            victim = pool.queue.victim(item)
+            if victim is None:
+                return Refused(Reason.OVERLOADED, "the queue is full", wait_s)
+            pool.queue.remove(victim)
+            detail = "gave way to an account below its share"
+            self._given_up.append(Expired(victim.item, detail, wait_s))
+        position = len(pool.queue)
+        pool.queue.push(item, held_s, latest_s)
+        return Queued(wait_s, position)
+
+    def _make_way(
+        self, pool: Pool, item: WorkItem, held_s: float, latest_s: float
+    ) -> bool:
+        """Give up an account's longest queued work for several shorter ones.
+
+        In an overload not all of an account's work can end in time. Dropping
+        the longest piece whenever the next would be late serves the most
+        callers (Moore and Hodgson's rule for the number of late jobs).
+        """
+        most_s = held_s * self._policy.make_way_factor
+        shares = pool.queue.shares
+        found = None
+        for other in self._pools.values():
+            if other.queue.shares is shares:
+                entry = other.queue.longest_before(item, most_s, latest_s)
+                if entry is not None:
+                    found, most_s = (other, entry), entry.held_s
+        if found is None:
+            return False
+        other, entry = found
+        other.queue.remove(entry)
+        wait_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
+        detail = "gave way to several shorter requests of its account"
+        self._given_up.append(Expired(entry.item, detail, wait_s))
+        return True
+
+    def _wait_s(
+        self, pool: Pool, item: WorkItem, held_s: float, latest_s: float
+    ) -> float:
+        """Return how long work would wait.
+
+        While there is a queue, each slot that this router's work holds serves
+        one slot-second of the queue per second. It needs no measured rate,
+        which would lag behind the very changes that matter.
+        """
+        shares = pool.queue.shares
+        return shares.ahead_s(item, held_s, latest_s) / max(1, shares.running)
+
+    def _give_up(
+        self, pool: Pool, now_s: float, decided: list[Placement | Expired]
+    ) -> None:
+        """Answer work that can no longer end in time, now and not later."""
+        while True:
+            entry = pool.queue.expired(now_s)
+            if entry is None:
+                return
+            pool.queue.remove(entry)
+            retry_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
+            detail = "it could no longer end before its deadline"
+            decided.append(Expired(entry.item, detail, retry_s))
+
+    def _serve(
+        self, waiting: list[Pool], now_s: float, decided: list[Placement | Expired]
+    ) -> None:
+        """Place queued work, the first of all models first, while there is room."""
+        heads = [(pool, pool.queue.head()) for pool in waiting]
+        ready = {pool.model: (pool, entry) for pool, entry in heads if entry}
+        while ready:
+            model = min(ready, key=lambda m: ready[m][0].queue.rank(ready[m][1]))
+            pool, entry = ready[model]
+            choice = self._placer.choose(pool, entry.item, now_s)
+            if choice is None:
+                del ready[model]
+                continue
+            pool.queue.take(entry)
+            decided.append(self._place(pool, entry.item, choice, now_s))
+            head = pool.queue.head()
+            if head is None:
+                del ready[model]
+            else:
+                ready[model] = (pool, head)
+
+    def _place(
+        self, pool: Pool, item: WorkItem, choice: Choice, now_s: float
+    ) -> Placement:
+        state = choice.state
+        view = state.view
+        load = state.load()
+        figures = PlacementFigures(
+            load=load,
+            own_outstanding=len(state.own),
+            cached_tokens=choice.cached_tokens,
+            queued_s=now_s - item.arrived_s,
+            finish_s=choice.finish_s,
+            slack_s=item.deadline_s - now_s - choice.finish_s,
+            candidates=choice.candidates,
+        )
+        uncached = item.prompt_tokens - choice.cached_tokens
+        speed = self._estimates.speed(item.model)
+        expected_s = speed.first.at(state.pending_tokens + uncached)
+        attempt = Outstanding(item, now_s, load, uncached, expected_s, choice.finish_s)
+        state.place(item.request_id, attempt)
+        pool.queue.shares.running += 1
+        self._placed[item.request_id] = state
+        if item.prefix_digests:
+            self._prefixes.learn(view.target, item.prefix_digests, now_s)
+        return Placement(
+            item, view.target, view.instance_id, view.address, choice.why, figures
+        )
+
+    def _learn(
+        self, state: TargetState, attempt: Outstanding, end: AttemptEnd, now_s: float
+    ) -> None:
+        item = attempt.item
+        held_s = now_s - attempt.placed_s
+        speed = self._estimates.speed(item.model)
+        well = state.weight >= 0.5
+        if item.model.startswith(SERVICE_PREFIX):
+            health.judge_speed(state, held_s / max(1e-3, speed.held_s.mean))
+            if well:
+                self._estimates.learn_end(item, held_s, end.output_tokens)
+            return
+        if well:
+            self._estimates.learn_end(item, held_s, end.output_tokens)
+        if attempt.first_s is None or end.output_tokens < 8:
+            return
+        step_s = (now_s - attempt.first_s) / (end.output_tokens - 1)
+        load = min(1.0, 0.5 * (attempt.load + state.load()) + 1.0 / state.slots)
+        expected_s = speed.step.at(load)
+        if expected_s > 0.0:
+            health.judge_speed(state, step_s / expected_s)
+        if well:
+            self._estimates.learn_step(item.model, load, step_s)
