--- a/src/endivegw/composition.py
+++ b/src/endivegw/composition.py
@@ -9,27 +9,39 @@
 
 from attrs import frozen
 
-from endivegw.budgets import BudgetKeeper, GrantLedger
+from endivegw.budgets import BudgetKeeper
+from endivegw.budgets.gate import GrantGate
 from endivegw.configuration import TargetKind
-from endivegw.daemons.attempt_runner import AttemptRunner
+from endivegw.daemons.claim_client import ClaimClient
+from endivegw.daemons.claim_desk import DeskSettings, SlotDesk
 from endivegw.daemons.held_configuration import HeldConfiguration
 from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.request_runner import RunnerParts
 from endivegw.daemons.router import Router, RouterParts
 from endivegw.daemons.sidecar import Sidecar
 from endivegw.daemons.sidecar_jobs import EngineTarget, ServiceTarget, Target
 from endivegw.daemons.sidecar_ports import SidecarSettings as SidecarOptions
 from endivegw.daemons.sidecar_process import SidecarProcess, SidecarProcessParts
+from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.decisions import Dispatcher, Policy
-from endivegw.peers import SidecarClient
+from endivegw.peers import (
+    PeerSecurity,
+    PlainPeers,
+    SidecarClient,
+    keyed_peers,
+    tls_peers,
+)
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import TablePort, VmListPort
+from endivegw.platform import TablePort, VmListPort, WeightStorePort
 from endivegw.platform.dynamo_table import DynamoTable
 from endivegw.platform.http_vm_list import HttpVmList
 from endivegw.platform.signing import Credentials
+from endivegw.platform.weight_store import HttpWeightStore
 from endivegw.requests.starts import StartRegistry
 from endivegw.settings import (
     LogSettings,
+    PeerSettings,
     PlatformSettings,
     ProcessSettings,
     RouterSettings,
@@ -38,6 +50,7 @@
 )
 from endivegw.targets.http_service import HttpService
 from endivegw.targets.openai_engine import OpenAiEngine
+from endivegw.targets.order_keeper import KeeperPolicy, OrderKeeper
 from endivegw.telemetry import EventLog, Metrics, NoMetrics, statsd_metrics
 from endivegw.types import ConfigRevision, InstanceId
 
@@ -59,6 +72,7 @@
 
     table: TablePort
     vms: VmListPort
+    weights: WeightStorePort
 
 
 def open_platform(settings: PlatformSettings, client_name: str) -> Platform:
@@ -72,6 +86,7 @@
             settings.table_url, credentials=credentials, client_name=client_name
         ),
         vms=HttpVmList(settings.vm_list_url, client_name=client_name),
+        weights=HttpWeightStore(settings.weight_store_url, client_name=client_name),
     )
 
 
@@ -92,20 +107,42 @@
     def on_header(received: pb.Header) -> None:
         configuration.heard(ConfigRevision(received.config_revision))
 
+    security = peer_security(settings.peers)
+
+    def connect_to(address: str, port: int) -> SidecarClient:
+        return SidecarClient(address, port, security, sender=instance_id)
+
     def connect(address: str) -> SidecarClient:
-        return SidecarClient(address, settings.peers.sidecar_port)
+        return connect_to(address, settings.peers.sidecar_port)
 
+    keeper = BudgetKeeper(instance_id, platform.table, clock, rng, None, log)
+    watch = TargetWatch(
+        platform.vms, connect, header, on_header, queue, clock, log, rng
+    )
+    slots = SlotMapReader(platform.table, clock)
+    runner = RunnerParts(
+        keeper=keeper,
+        queue=queue,
+        sidecars=watch,
+        claims=ClaimClient(slots, connect_to, header, on_header),
+        header=header,
+        on_header=on_header,
+        clock=clock,
+        rng=rng,
+        log=log,
+        metrics=metrics_of(settings.logs, "endivegw.router"),
+    )
     parts = RouterParts(
         settings=settings,
         instance_id=instance_id,
         configuration=configuration,
-        keeper=BudgetKeeper(instance_id, platform.table, clock, rng, None, log),
+        keeper=keeper,
         queue=queue,
-        watch=TargetWatch(platform.vms, connect, header, on_header, queue, clock),
-        attempts=AttemptRunner(header, on_header, clock),
+        watch=watch,
+        slots=slots,
+        runner=runner,
         clock=clock,
         log=log,
-        metrics=metrics_of(settings.logs, "endivegw.router"),
     )
     return Router(parts)
 
@@ -128,19 +165,86 @@
         drain_bound_s=settings.process.drain_bound_s,
     )
     adapter = open_adapter(settings.target)
+    rng = random.Random()
+    grants = GrantGate(
+        instance_id, settings.target.target, platform.table, clock, rng, log
+    )
+    desk = SlotDesk(
+        desk_settings(settings, instance_id),
+        platform.table,
+        platform.vms,
+        clock,
+        time.time,
+        log,
+    )
     sidecar = Sidecar(
         target_of(adapter),
-        GrantLedger(),
+        grants.ledger,
         StartRegistry(instance_id, options.starts, clock()),
         configuration,
         clock,
         log,
         metrics_of(settings.logs, "endivegw.sidecar"),
         options,
+        claims=desk,
+        holders=grants,
     )
-    return SidecarProcess(
-        SidecarProcessParts(settings, instance_id, configuration, sidecar, adapter, log)
+    parts = SidecarProcessParts(
+        settings=settings,
+        instance_id=instance_id,
+        configuration=configuration,
+        sidecar=sidecar,
+        grants=grants,
+        desk=desk,
+        target=adapter,
+        security=peer_security(settings.peers),
+        orders=open_orders(settings, instance_id, adapter, platform, log),
+        log=log,
     )
+    return SidecarProcess(parts)
+
+
+def desk_settings(settings: SidecarSettings, instance_id: InstanceId) -> DeskSettings:
+    """Return how the sidecar owns key slots."""
+    return DeskSettings(
+        vm=settings.process.vm,
+        target=settings.target.target,
+        instance_id=instance_id,
+        address=str(settings.peers.listen),
+    )
+
+
+def open_orders(
+    settings: SidecarSettings,
+    instance_id: InstanceId,
+    adapter: OpenAiEngine | HttpService,
+    platform: Platform,
+    log: EventLog,
+) -> OrderKeeper | None:
+    """Return what carries out orders; None for a plain service, which has none."""
+    if not isinstance(adapter, OpenAiEngine):
+        return None
+    return OrderKeeper(
+        settings.target.target,
+        instance_id,
+        adapter,
+        platform.table,
+        platform.weights,
+        log,
+        checks_fence=settings.target.checks_fence,
+        policy=KeeperPolicy(table_timeout_s=settings.platform.timeout_s),
+        clock=time.monotonic,
+        rng=random.Random(),
+    )
+
+
+def peer_security(settings: PeerSettings) -> PeerSecurity:
+    """Return how calls between processes are authenticated."""
+    if settings.tls_ca and settings.tls_certificate and settings.tls_key:
+        return tls_peers(settings.tls_ca, settings.tls_certificate, settings.tls_key)
+    if settings.shared_key_file:
+        return keyed_peers(settings.shared_key_file)
+    return PlainPeers()
 
 
 def open_adapter(settings: TargetSettings) -> OpenAiEngine | HttpService:
--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 from typing import Any, AsyncGenerator, AsyncIterator
 
-from grpclib.client import Channel
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from endivegw.exceptions import PeerError
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarStub
 from endivegw.peers.errors import Broken, NotDelivered
-from endivegw.peers.limits import BODY_CHUNK_BYTES, BoundedCodec, peer_configuration
+from endivegw.peers.limits import BODY_CHUNK_BYTES
+from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
 
-__all__ = ["DEFAULT_CONNECT_TIMEOUT_S", "SidecarClient", "open_channel"]
+__all__ = ["DEFAULT_CONNECT_TIMEOUT_S", "SidecarClient"]
 
 #: How long a connection may take to be made. Two regions are some 100 ms apart;
 #: a second covers one lost packet and leaves time to place the request elsewhere.
@@ -31,19 +31,11 @@
 )
 
 
-def open_channel(host: str, port: int, tls: ssl.SSLContext | None = None) -> Channel:
-    """Return a channel that connects at its first call.
-
-    :param tls: None for plain TCP.
-    """
-    return Channel(
-        host, port, codec=BoundedCodec(), ssl=tls, config=peer_configuration()
-    )
-
-
 class SidecarClient:
     """Call one sidecar over one connection, which is made anew when it breaks.
 
+    :param security: how calls prove that they come from the fleet.
+    :param sender: the instance id of this process.
     :param connect_timeout_s: how long making the connection may take.
     """
 
@@ -51,11 +43,12 @@
         self,
         host: str,
         port: int,
-        tls: ssl.SSLContext | None = None,
+        security: PeerSecurity = PlainPeers(),
         *,
+        sender: str = "",
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
     ) -> None:
-        self._channel = open_channel(host, port, tls)
+        self._channel = open_channel(host, port, security, sender=sender)
         self._stub = SidecarStub(self._channel)
         self._connect_timeout_s = connect_timeout_s
 
@@ -75,6 +68,7 @@
         :raises Broken: where it may have.
         """
         written = False
+        cancelling = _cancelling()
         try:
             async with self._stub.Execute.open() as stream:
                 await self._connect(stream)
@@ -90,6 +84,7 @@
                 finally:
                     await _stop(sender)
         except _LOST as error:
+            _forget_cancellation(cancelling)
             raise _lost(written, error) from error
 
     async def cancel(self, request: pb.CancelRequest, timeout_s: float) -> Any:
@@ -114,6 +109,7 @@
 
     async def _call(self, method: Any, request: Any, timeout_s: float) -> Any:
         written = False
+        cancelling = _cancelling()
         try:
             async with method.open(timeout=timeout_s) as stream:
                 await self._connect(stream)
@@ -121,6 +117,7 @@
                 await stream.send_message(request, end=True)
                 reply = await stream.recv_message()
         except _LOST as error:
+            _forget_cancellation(cancelling)
             raise _lost(written, error) from error
         if reply is None:
             raise Broken("the call ended without a reply")
@@ -131,11 +128,36 @@
 
 
 def _lost(written: bool, error: BaseException) -> PeerError:
-    if written:
+    if written and not _unauthenticated(error):
         return Broken(_describe(error))
     return NotDelivered(_describe(error))
 
 
+def _cancelling() -> int:
+    task = asyncio.current_task()
+    return task.cancelling() if task else 0
+
+
+def _forget_cancellation(before: int) -> None:
+    """Take back the cancellation by which the library woke this task.
+
+    Where a connection breaks, grpclib cancels the tasks that wait on it and
+    turns the cancellation into an error, but leaves it counted. The next scope
+    of the task that times out would then let a cancellation escape, which ends
+    a caller's request without an answer.
+
+    :param before: how many were counted when the call began.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling() > before:
+        task.uncancel()
+
+
+def _unauthenticated(error: BaseException) -> bool:
+    # Said before any handler runs, so that the call had no effect.
+    return isinstance(error, GRPCError) and error.status is Status.UNAUTHENTICATED
+
+
 def _describe(error: BaseException) -> str:
     return str(error) or type(error).__name__
 
