Spread loads at a restart of all; survive malformed rows and answers

Small fleets start as fast as before.

A read in several calls now ends within its time, floats in a shown template keep all digits, and a row or answer that cannot be parsed is refused instead of ending the process.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -240,6 +240,7 @@
         if not stored:
             world.stored = None
         begin_s = world.now_s
+        world.whole_loads = 0
         for process in world.processes:
             world.restart(process)
         seconds = Spreading()
@@ -252,7 +253,9 @@
         name = "with" if stored else "without"
         print(
             f"restart of all {name} the object store's copy: all serve after "
-            f"{max(seconds.seconds):.2f} s, peak {peak} reads/s"
+            f"{max(seconds.seconds):.2f} s, median "
+            f"{statistics.median(seconds.seconds):.2f} s, peak {peak} reads/s, "
+            f"{world.whole_loads} load all from the table"
         )
 
 
@@ -434,7 +437,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--changes", type=int, default=3)
+    parser.add_argument("--restart-only", action="store_true")
     options = parser.parse_args()
+    if options.restart_only:
+        print_restart(options.seed)
+        return
     print_calls()
     print_sizes()
     print_restart(options.seed)
--- a/src/endivegw/configuration/codec.py
+++ b/src/endivegw/configuration/codec.py
@@ -23,7 +23,7 @@
     TemplateDocument,
 )
 from endivegw.configuration.model import TargetKind, TargetParameters
-from endivegw.configuration.parameters import Parameters
+from endivegw.configuration.parameters import PARAMETER_NAMES, Parameters
 from endivegw.results import Done, Reason, Refused
 from endivegw.types import (
     AvailabilityZone,
@@ -279,9 +279,13 @@
 
 
 def _parse_parameters(value: Mapping[str, Any]) -> Parameters:
+    # While a fleet moves to a newer version of the product, its operators may
+    # set a parameter that older daemons do not know. Refusing the document
+    # would keep these daemons from every later change; so they leave it out.
     values: Json = {
         name: tuple(item) if isinstance(item, list) else item
         for name, item in value.items()
+        if name in PARAMETER_NAMES
     }
     if "priority" in values:
         values["priority"] = Priority[values["priority"].upper()]
--- a/src/endivegw/configuration/ini.py
+++ b/src/endivegw/configuration/ini.py
@@ -68,6 +68,9 @@
     if unexpected:
         line = _line_of(text, f"[{unexpected[0]}]")
         return (IniMistake(line, "", f"unknown section [{unexpected[0]}]"),)
+    if parser.defaults():
+        line = _line_of(text, f"[{parser.default_section}]")
+        return (IniMistake(line, "", f"unknown section [{parser.default_section}]"),)
     if not parser.has_section(TEMPLATE_SECTION):
         return (IniMistake(0, "", f"no section [{TEMPLATE_SECTION}]"),)
     values = dict(parser[TEMPLATE_SECTION])
@@ -109,7 +112,8 @@
         case tuple():
             return ", ".join(str(item) for item in value)
         case float():
-            return f"{value:g}"
+            # All digits: a file that is shown and taken back changes nothing.
+            return repr(value).removesuffix(".0")
     return str(value)
 
 
--- a/src/endivegw/configuration/spread.py
+++ b/src/endivegw/configuration/spread.py
@@ -46,6 +46,9 @@
         table bears. A process that no peer reaches waits 3.75 s at most; the
         rest of the 7 s is for a slow answer, or for the way over peers where
         one router alone reaches the table.
+    :param load_reads: calls of the table that load all documents.
+    :param load_reads_hz: such calls a second when the whole fleet starts; the
+        other half of what the table bears is for budgets.
     :param pull_jitter_s: a process that hears a higher revision waits up to
         this, so that the 30 receivers of one heartbeat round do not all ask
         its sender in the same millisecond.
@@ -66,6 +69,8 @@
     """
 
     poll_s: float = 3.0
+    load_reads: int = 5
+    load_reads_hz: float = 1000.0
     pull_jitter_s: float = 0.2
     pull_retry_s: float = 1.0
     object_read_s: float = 15.0
@@ -149,10 +154,13 @@
 
         The object comes first, because 270 restarts a day, and all 1,020
         processes after a power cut, must not read a megabyte each from the
-        table; the table then gives the changes since.
+        table; the table then gives the changes since. Where there is no
+        object, the loads are spread over five seconds at that size, in which
+        most processes get the whole from a peer that was earlier.
         """
         self._object_read_at_s = now_s
-        self._poll_at_s = now_s + self._random.uniform(0.0, self.settings.poll_s / 4)
+        spread_s = self.daemons * self.settings.load_reads / self.settings.load_reads_hz
+        self._poll_at_s = now_s + self._random.uniform(0.0, spread_s)
         if self.reports:
             self._report_at_s = now_s + self._draw_report_s()
 
@@ -269,7 +277,12 @@
     ) -> Adopted | None:
         """Take in the object store's copy. It never makes a process ready."""
         self._object_busy = False
-        return self._adopt(message, now_s) if message else None
+        if message is None:
+            return None
+        if not self.view.ready:
+            soon_s = self._random.uniform(0.0, self.settings.poll_s / 4)
+            self._poll_at_s = min(self._poll_at_s, now_s + soon_s)
+        return self._adopt(message, now_s)
 
     def object_ended(self) -> None:
         """Note that a look or a write ended without a copy."""
--- a/src/endivegw/configuration/store.py
+++ b/src/endivegw/configuration/store.py
@@ -72,6 +72,11 @@
 #: How often the outcome of a write is asked for after its answer was lost.
 MAX_RESOLVES = 5
 
+#: What parsing raises on a row that somebody wrote by hand, or that a newer
+#: version wrote. A daemon must not end over it, which would end the answers in
+#: progress too; it keeps the revision that it has, and operators see it lag.
+_MALFORMED = (KeyError, TypeError, ValueError)
+
 #: Marks an operation id whose write was given up before it took effect.
 _ABANDONED = -1
 
@@ -154,7 +159,10 @@
     rows = await _scan(table, _CHANGES, f"{after:012d}", timeout_s)
     if not isinstance(rows, Done):
         return rows
-    changes = tuple(_parse_change_row(row) for row in rows.value)
+    try:
+        changes = tuple(_parse_change_row(row) for row in rows.value)
+    except _MALFORMED as error:
+        return _malformed(error)
     for number, change in enumerate(changes, start=after + 1):
         if change.revision != number:
             return Refused(Reason.NOT_FOUND, f"change {number} is missing")
@@ -177,9 +185,12 @@
         rows = await _scan(table, f"config-{kind.value}", None, timeout_s)
         if not isinstance(rows, Done):
             return rows
-        for row in rows.value:
-            document = _parse_document_row(row)
-            by_name[document.name] = document
+        try:
+            for row in rows.value:
+                document = _parse_document_row(row)
+                by_name[document.name] = document
+        except _MALFORMED as error:
+            return _malformed(error)
     changes = await load_changes(table, revision.value, timeout_s=timeout_s)
     if not isinstance(changes, Done):
         return changes
@@ -219,7 +230,10 @@
         case Done((None,)):
             return Done(VersionedDocument(0, None))
         case Done((Row() as row,)):
-            return Done(VersionedDocument(row.version, _parse_document_row(row)))
+            try:
+                return Done(VersionedDocument(row.version, _parse_document_row(row)))
+            except _MALFORMED as error:
+                return _malformed(error)
         case Refused() | Unknown() as failure:
             return failure
     raise PlatformError("the table answered a read of one row with another number")
@@ -289,6 +303,10 @@
     return Refused(failure.reason, failure.detail)
 
 
+def _malformed(error: Exception) -> Refused:
+    return Refused(Reason.BAD_REQUEST, f"malformed row of configuration: {error!r}")
+
+
 def _revision_of(row: Row | None) -> ConfigRevision:
     return ConfigRevision(int(row.fields["revision"]) if row else 0)
 
@@ -381,7 +399,10 @@
     read = await table.read((_change_key(revision),), timeout_s=timeout_s)
     match read:
         case Done((Row() as row,)):
-            return Done(_parse_change_row(row))
+            try:
+                return Done(_parse_change_row(row))
+            except _MALFORMED as error:
+                return _malformed(error)
         case Done():
             return Refused(Reason.NOT_FOUND, f"change {revision} is missing")
         case failure:
--- a/src/endivegw/platform/dynamo_table.py
+++ b/src/endivegw/platform/dynamo_table.py
@@ -6,6 +6,8 @@
 from datetime import datetime, timezone
 from typing import Any, Mapping
 
+import anyio
+
 from endivegw.platform.dynamo_items import (
     encode_key,
     encode_write,
@@ -39,6 +41,10 @@
 #: Answers to a transaction that say for certain that nothing was written.
 _THROTTLED = ("ProvisionedThroughputExceeded", "Throttling", "RequestLimitExceeded")
 _CONFLICTS = ("TransactionCanceledException", "TransactionConflictException")
+#: What parsing raises on an answer that is not the table's, such as the page
+#: of a proxy in between.
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+
 _CONDITION_FAILED = "ConditionalCheckFailed"
 
 
@@ -87,11 +93,15 @@
         """Return the rows in the order of the keys."""
         unique = tuple(dict.fromkeys(keys))
         found: dict[RowKey, Row] = {}
-        for start in range(0, len(unique), MAX_TRANSACTION_ITEMS):
-            chunk = unique[start : start + MAX_TRANSACTION_ITEMS]
-            refused = await self._read_chunk(chunk, found, timeout_s)
-            if refused is not None:
-                return refused
+        end_s = anyio.current_time() + timeout_s
+        try:
+            for start in range(0, len(unique), MAX_TRANSACTION_ITEMS):
+                chunk = unique[start : start + MAX_TRANSACTION_ITEMS]
+                refused = await self._read_chunk(chunk, found, end_s)
+                if refused is not None:
+                    return refused
+        except _MALFORMED as error:
+            return _malformed(error)
         return Done(tuple(found.get(key) for key in keys))
 
     async def scan(
@@ -132,7 +142,7 @@
         await self._caller.close()
 
     async def _read_chunk(
-        self, keys: tuple[RowKey, ...], found: dict[RowKey, Row], timeout_s: float
+        self, keys: tuple[RowKey, ...], found: dict[RowKey, Row], end_s: float
     ) -> Refused | None:
         wanted = [encode_key(key) for key in keys]
         # The service may leave some keys for a further call when it is busy.
@@ -141,7 +151,8 @@
             request = {
                 "RequestItems": {self._table: {"Keys": wanted, "ConsistentRead": True}}
             }
-            answer = await self._call("BatchGetItem", request, timeout_s)
+            left_s = max(0.0, end_s - anyio.current_time())
+            answer = await self._call("BatchGetItem", request, left_s)
             if not isinstance(answer, Answer):
                 return failed_read(answer)
             if answer.status != 200:
@@ -179,11 +190,18 @@
         )
 
 
-def _parse_page(body: bytes) -> Done[Page]:
-    reply = json.loads(body)
-    rows = tuple(parse_row(item) for item in reply.get("Items", ()))
-    last = reply.get("LastEvaluatedKey")
-    return Done(Page(rows, parse_key(last).sort if last else None))
+def _parse_page(body: bytes) -> Done[Page] | Refused:
+    try:
+        reply = json.loads(body)
+        rows = tuple(parse_row(item) for item in reply.get("Items", ()))
+        last = reply.get("LastEvaluatedKey")
+        return Done(Page(rows, parse_key(last).sort if last else None))
+    except _MALFORMED as error:
+        return _malformed(error)
+
+
+def _malformed(error: Exception) -> Refused:
+    return Refused(Reason.UNREACHABLE, f"the table's answer is malformed: {error!r}")
 
 
 def _error(answer: Answer) -> tuple[str, str, tuple[str, ...]]:
--- a/src/endivegw_standins/spread_world.py
+++ b/src/endivegw_standins/spread_world.py
@@ -97,6 +97,7 @@
     :ivar table_up: whether the table answers anyone.
     :ivar objects_up: whether the object store answers anyone.
     :ivar reads_by_second: reads of the table in each second.
+    :ivar whole_loads: how often all documents were read from the table.
     :ivar cut: whether a message of one process does not reach another; the
         table and the object store count as process -1.
     """
@@ -115,6 +116,7 @@
     stored: Documents | None = None
     processes: list[Process] = field(factory=list)
     reads_by_second: Counter[int] = field(factory=Counter)
+    whole_loads: int = 0
     _events: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
     _count: int = 0
 
@@ -263,6 +265,7 @@
         reads = 1 if after is not None else READS_OF_ALL
         process.table_reads += reads
         self.reads_by_second[int(self.now_s)] += reads
+        self.whole_loads += after is None
         delay_s = self.settings.table_delay_s
         away = not self.table_up or self._cut_from_stores(process)
         if away or delay_s > _TIMEOUT_S:
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -21,6 +21,7 @@
 from endivegw.configuration import TargetKind, TargetParameters
 from endivegw.configuration.parameters import Parameters
 from endivegw.configuration.store import load_changes, load_documents, load_snapshot
+from endivegw.platform import Put, RowKey, Transaction
 from endivegw.results import Done, Reason, Refused, Unknown
 from endivegw.types import Priority
 from endivegw_standins.memory_table import MemoryTable
@@ -297,6 +298,32 @@
         names = [str(name) for name in documents.by_name]
         self.assertEqual(names, ["account lobby"])
 
+    def test_malformed_row_is_refused_and_unknown_parameter_left_out(self):
+        """
+        Somebody writes a row by hand, or a newer version writes a parameter
+        that this one does not know. Neither may end a daemon.
+        """
+
+        async def run():
+            await create_template(
+                self.table, self.operation(), "kiosk", Parameters(weight=2.0)
+            )
+            key = RowKey("config-template", "kiosk")
+            row = self.table.get(key)
+            newer = row.fields["document"].replace("{", '{"x":1,', 1)
+            newer = newer.replace('"parameters":{', '"parameters":{"colour":"red",')
+            put = Put(key, {"document": newer}, None)
+            self.table.transact_now(Transaction((put,)))
+            first = await load_documents(self.table, timeout_s=1)
+            put = Put(key, {"document": "{}"}, None)
+            self.table.transact_now(Transaction((put,)))
+            return first, await load_documents(self.table, timeout_s=1)
+
+        newer, broken = anyio.run(run)
+        template = newer.value.template("kiosk")
+        self.assertEqual(template.parameters, Parameters(weight=2.0))
+        self.assertEqual(broken.reason, Reason.BAD_REQUEST)
+
     def test_missing_change_is_noticed(self):
         """
         Somebody removed a row of the history by hand. A process must not skip
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -21,6 +21,7 @@
 from endivegw.platform.signing import Credentials
 from endivegw.platform.weight_store import HttpWeightStore
 from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw_standins.http_exchange import Reply, send_reply
 from endivegw_standins.platform_app import StandinPlatform
 from endivegw_standins.serving import served
 
@@ -175,6 +176,44 @@
 
         anyio.run(run)
 
+    def test_answer_that_is_not_the_tables_is_refused(self):
+        """
+        A proxy in between answers 200 with a page of its own. A daemon that
+        fell over it would end the answers in progress.
+        """
+
+        async def page(scope, receive, send):
+            await send_reply(send, Reply(200, b"<html>maintenance</html>"))
+
+        async def run():
+            async with served(page, lifespan=False) as url:
+                table = DynamoTable(url)
+                read = await table.read((KEY,), timeout_s=1)
+                scan = await table.scan("p", timeout_s=1)
+                await table.close()
+                return read, scan
+
+        for result in anyio.run(run):
+            self.assertEqual(result.reason, Reason.UNREACHABLE)
+
+    def test_read_of_many_rows_ends_within_its_time(self):
+        """
+        A read of 250 rows takes three calls of a slow table. The caller's
+        time is for all of them together.
+        """
+
+        async def run():
+            async with table_service() as (platform, table):
+                platform.faults.table.latency_s = 0.2
+                keys = tuple(RowKey("p", f"{number}") for number in range(250))
+                with anyio.fail_after(1.0):
+                    result = await table.read(keys, timeout_s=0.5)
+                self.assertEqual(result.reason, Reason.TIMEOUT)
+                result = await table.read(keys, timeout_s=2.0)
+                self.assertEqual(result, Done((None,) * 250))
+
+        anyio.run(run)
+
 
 class OtherServicesTests(unittest.TestCase):
     def test_objects_are_written_under_their_tag(self):
