Let operators give and list orders, and set the weight store's share

endivegw order give writes an order behind the others of its target; repeated under one operation id it is written once. A run over sockets takes an order from the table through a sidecar into an engine.

--- a/src/endivegw/cli/main.py
+++ b/src/endivegw/cli/main.py
@@ -11,6 +11,7 @@
     config,
     daemons,
     dev,
+    order,
     status,
     target,
     template,
@@ -30,6 +31,7 @@
 main.add_command(account.account)
 main.add_command(budget.budget)
 main.add_command(target.target)
+main.add_command(order.order)
 main.add_command(config.config)
 main.add_command(status.status)
 main.add_command(completion.completion)
--- a/src/endivegw/composition.py
+++ b/src/endivegw/composition.py
@@ -51,6 +51,7 @@
 from endivegw.targets.http_service import HttpService
 from endivegw.targets.openai_engine import OpenAiEngine
 from endivegw.targets.order_keeper import KeeperPolicy, OrderKeeper
+from endivegw.targets.weight_slots import WeightShare
 from endivegw.telemetry import EventLog, Metrics, NoMetrics, statsd_metrics
 from endivegw.types import ConfigRevision, InstanceId
 
@@ -232,7 +233,13 @@
         platform.weights,
         log,
         checks_fence=settings.target.checks_fence,
-        policy=KeeperPolicy(table_timeout_s=settings.platform.timeout_s),
+        policy=KeeperPolicy(
+            table_timeout_s=settings.platform.timeout_s,
+            share=WeightShare(
+                settings.platform.weight_bytes_per_s,
+                settings.platform.weight_loads_at_once,
+            ),
+        ),
         clock=time.monotonic,
         rng=random.Random(),
     )
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -7,6 +7,8 @@
 from endivegw.configuration import TargetKind
 from endivegw.exceptions import SettingsError
 from endivegw.settings.model import (
+    DEFAULT_WEIGHT_BYTES_PER_S,
+    DEFAULT_WEIGHT_LOADS_AT_ONCE,
     HttpLimits,
     LogSettings,
     PeerSettings,
@@ -141,6 +143,12 @@
         timeout_s=reader.number(
             "platform", "timeout_s", DEFAULT_PLATFORM_TIMEOUT_S, least=0.05, most=60.0
         ),
+        weight_bytes_per_s=reader.number(
+            "platform", "weight_bytes_per_s", DEFAULT_WEIGHT_BYTES_PER_S, least=1.0
+        ),
+        weight_loads_at_once=reader.whole(
+            "platform", "weight_loads_at_once", DEFAULT_WEIGHT_LOADS_AT_ONCE, least=1
+        ),
     )
 
 
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -22,6 +22,11 @@
 ]
 
 
+#: 10 GB a second, which loads a model of 100 GB in 80 s where 8 load at once.
+DEFAULT_WEIGHT_BYTES_PER_S = 10e9
+DEFAULT_WEIGHT_LOADS_AT_ONCE = 8
+
+
 @frozen
 class ProcessSettings:
     """Say where a process runs; it learns this from nowhere else.
@@ -57,7 +62,11 @@
 
 @frozen
 class PlatformSettings:
-    """Name the platform's services."""
+    """Name the platform's services.
+
+    :param weight_bytes_per_s: what the weight store gives to the whole fleet.
+    :param weight_loads_at_once: how many engines load at the same time.
+    """
 
     table_url: str
     object_store_url: str
@@ -66,6 +75,8 @@
     access_key_id: str
     secret_key_file: pathlib.Path | None
     timeout_s: float
+    weight_bytes_per_s: float = DEFAULT_WEIGHT_BYTES_PER_S
+    weight_loads_at_once: int = DEFAULT_WEIGHT_LOADS_AT_ONCE
 
 
 @frozen
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -212,3 +212,17 @@
         self.run_command("account", "create", "extra")
         self.run_command("config", "import", file, "--prune")
         self.assertEqual(self.json("account", "list"), before)
+
+    def test_order_is_given_once_and_listed(self):
+        """An order that is given again under its id stands in the list once."""
+        give = ("order", "give", "engine-1", "load-model", "badge-2")
+        version = ("--model-version", "7", "--operation-id", "op-1")
+        self.run_command(*give, "--dry-run")
+        self.assertEqual(self.json("order", "list", "engine-1"), [])
+        self.run_command(*give, *version)
+        self.run_command(*give, *version)
+        (listed,) = self.json("order", "list", "engine-1")
+        self.assertEqual(
+            (listed["order"], listed["name"], listed["version"], listed["state"]),
+            (1, "badge-2", "7", "pending"),
+        )
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -11,6 +11,9 @@
 from endivegw.dev.fleet import DevFleet
 from endivegw.dev.layout import MODEL, SERVICE
 from endivegw.results import Done
+from endivegw.targets import OrderKind
+from endivegw.targets.order_desk import issue_order, list_orders
+from endivegw.targets.orders import OrderState
 
 
 @asynccontextmanager
@@ -120,3 +123,31 @@
                 self.assertEqual(service.calls_by_key["notice-1"], 1)
 
         anyio.run(scenario)
+
+    def test_order_reaches_the_engine_through_table_and_sidecar(self):
+        """An operator orders a model onto an engine. The sidecar finds it in the
+        table, the engine loads it, and the order is written down as done."""
+
+        async def scenario():
+            async with running_fleet() as fleet:
+                target = next(iter(fleet.engines))
+                result = await issue_order(
+                    fleet.platform.table,
+                    target,
+                    kind=OrderKind.LOAD_MODEL,
+                    name="badge-2",
+                    version="7",
+                    operation="order-1",
+                    timeout_s=1.0,
+                )
+                self.assertIsInstance(result, Done)
+                with anyio.fail_after(20):
+                    while not await self.all_done(fleet, target):
+                        await anyio.sleep(0.1)
+                self.assertIn("badge-2@7", fleet.engines[target].models)
+
+        anyio.run(scenario)
+
+    async def all_done(self, fleet, target):
+        listed = await list_orders(fleet.platform.table, target, timeout_s=1.0)
+        return all(order.state is OrderState.DONE for order in listed.value)
