--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -100,14 +100,11 @@
         state = self._targets.get(target)
         if state is None:
             return
-        believed = state.report(figures, now_s, self._policy.frozen_reports)
-        if not believed:
-            state.others = max(
-                (self._pools[model].mean_others for model in state.view.models),
-                default=0.0,
-            )
-        else:
+        if state.report(figures, now_s, self._policy.frozen_reports):
             self._judge_report(state, figures)
+            pools = (self._pools[model] for model in state.view.models)
+            mean = max((pool.mean_others for pool in pools), default=0.0)
+            state.age(mean, self._estimates.held_s_of_all.mean, now_s)
         self._prefixes.events(
             target,
             figures.sequence,
--- a/src/endivegw/decisions/estimates.py
+++ b/src/endivegw/decisions/estimates.py
@@ -120,6 +120,7 @@
     """Learn speeds per model and output lengths per client account."""
 
     policy: Policy
+    held_s_of_all: Average = field(factory=lambda: Average(1.0, step=0.01))
     _models: dict[str, ModelSpeed] = field(factory=dict)
     _shares: OrderedDict[tuple[ClientAccountName, str], Average] = field(
         factory=OrderedDict
@@ -175,6 +176,8 @@
         """Learn from a whole answer."""
         speed = self.speed(item.model)
         speed.held_s.add(held_s)
+        if not item.model.startswith(SERVICE_PREFIX):
+            self.held_s_of_all.add(held_s)
         if item.output_tokens <= 0:
             return
         share = output_tokens / item.output_tokens
--- a/src/endivegw/decisions/health.py
+++ b/src/endivegw/decisions/health.py
@@ -118,14 +118,11 @@
     members = pool.members
     if not members:
         return
+    reported = [state.reported_others for state in members]
+    pool.mean_others = sum(reported) / len(members)
     for state in members:
         _overdue(state, now_s)
-        silent = state.reported_s is None or (
-            state.reported_s < now_s - policy.stale_report_s
-        )
-        if silent:
-            state.others = pool.mean_others
-    pool.mean_others = sum(state.others for state in members) / len(members)
+        state.age(pool.mean_others, estimates.held_s_of_all.mean, now_s)
     wanted = [desired_weight(state, policy) for state in members]
     missing = sum(1.0 - weight for weight in wanted)
     allowed = policy.max_shed_share * len(members)
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from attrs import define, field
@@ -40,7 +41,8 @@
     a router does not see the others. Both together is the last known work of
     the others plus the present own work.
 
-    :param others: work of other routers in the last report.
+    :param others: work of other routers believed to be there now.
+    :param reported_others: the same in the last report.
     :param weight: share of its slots that health leaves to this target.
     :param slowness: time it takes as a multiple of its peers' time.
     :param errors: moving share of attempts that failed.
@@ -51,6 +53,7 @@
     joined_s: float
     slots: int
     others: float = 0.0
+    reported_others: float = 0.0
     reported_s: float | None = None
     draining: bool = False
     weight: float = 1.0
@@ -140,5 +143,21 @@
             return False
         self.reported_s = now_s - figures.age_s
         own = self.own_at(self.reported_s)
-        self.others = max(0.0, figures.running + figures.waiting - own)
+        self.reported_others = max(0.0, figures.running + figures.waiting - own)
         return True
+
+    def age(self, mean_others: float, held_s: float, now_s: float) -> None:
+        """Let the report fade into the mean of the peers as it gets old.
+
+        Work that was there in the report has ended and other work has come
+        after about the time that one piece holds a slot. Short work has gone
+        altogether when a report of it arrives: to rely on it would send work
+        to the targets that everybody else filled since then.
+
+        :param mean_others: mean work of other routers per target.
+        :param held_s: how long one piece of work holds a slot.
+        """
+        kept = 0.0
+        if self.reported_s is not None and held_s > 0.0:
+            kept = math.exp(-max(0.0, now_s - self.reported_s) / held_s)
+        self.others = mean_others + (self.reported_others - mean_others) * kept
