--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -132,7 +132,7 @@
         head = pool.queue.head()
         # New work must not overtake queued work of its own or a higher
         # priority: in a long overload the queue would starve.
-        if head is None or head.item.priority > item.priority:
+        if head is None or head.hopeful or head.item.priority > item.priority:
             choice = self._placer.choose(pool, item, now_s)
             if choice is not None:
                 return self._admit(pool, item, choice, now_s)
@@ -289,7 +289,8 @@
             detail = "gave way to an account below its share"
             self._given_up.append(Expired(victim.item, detail, wait_s))
         position = len(pool.queue)
-        pool.queue.push(item, held_s, latest_s)
+        last_s = item.deadline_s - held_s * policy.hope_margin
+        pool.queue.push(item, held_s, latest_s, last_s)
         return Queued(wait_s, position)
 
     def _make_way(
--- a/src/endivegw/decisions/fair_queue.py
+++ b/src/endivegw/decisions/fair_queue.py
@@ -23,22 +23,26 @@
     """Hold one queued piece of work.
 
     :param held_s: how long it is expected to hold a slot.
-    :param latest_s: when it must start to end in time.
+    :param latest_s: when it must start to end in time rather surely.
+    :param last_s: when it must start to have a chance to end in time.
+    :param hopeful: whether the first has passed and the second has not.
     """
 
     item: WorkItem
     held_s: float
     latest_s: float
+    last_s: float
     number: int
     gone: bool = False
+    hopeful: bool = False
 
 
 _Heap = list[tuple[float, int, Entry]]
 
 
 def _prune(heap: _Heap) -> Entry | None:
-    """Return the first entry that is still queued."""
-    while heap and heap[0][2].gone:
+    """Return the first entry that is still queued for its share."""
+    while heap and (heap[0][2].gone or heap[0][2].hopeful):
         heapq.heappop(heap)
     return heap[0][2] if heap else None
 
@@ -69,6 +73,11 @@
     much, or for ten times as long answers, leaves the others their share.
     Within an account the work with the least slack goes first.
 
+    Work whose latest start has passed is served only after all other work,
+    with slots that would else stay free: lengths of answers are only known
+    roughly, and what may still end in time is not refused while nobody else
+    needs the slot.
+
     Shares are kept within a tolerance: of all accounts that are not further
     ahead of their share than that, the work with the least slack goes first.
     In strict turns, short work with little slack is given up before its
@@ -85,6 +94,7 @@
     )
     _entries: dict[str, Entry] = field(factory=dict)
     _expiry: _Heap = field(factory=list)
+    _hopeful: _Heap = field(factory=list)
     _numbers: int = 0
 
     def __len__(self) -> int:
@@ -94,10 +104,12 @@
         """Return all queued work, the oldest first."""
         return list(self._entries.values())
 
-    def push(self, item: WorkItem, held_s: float, latest_s: float) -> Entry:
+    def push(
+        self, item: WorkItem, held_s: float, latest_s: float, last_s: float
+    ) -> Entry:
         """Add work."""
         self._numbers += 1
-        entry = Entry(item, held_s, latest_s, self._numbers)
+        entry = Entry(item, held_s, latest_s, max(latest_s, last_s), self._numbers)
         self._entries[item.request_id] = entry
         self.shares.add(item, held_s, latest_s)
         cls = self._classes[item.priority]
@@ -116,7 +128,9 @@
             entry = self._head(priority, cls)
             if entry is not None:
                 return entry
-        return None
+        while self._hopeful and self._hopeful[0][2].gone:
+            heapq.heappop(self._hopeful)
+        return self._hopeful[0][2] if self._hopeful else None
 
     def _head(self, priority: Priority, cls: _Class) -> Entry | None:
         while cls.ready or cls.parked:
@@ -159,12 +173,15 @@
     def rank(self, entry: Entry) -> tuple[int, bool, float]:
         """Return the order of an entry beside those of other models."""
         item = entry.item
+        if entry.hopeful:
+            return (len(Priority), True, -entry.last_s)
         ahead_s = self.shares.ahead_of_share_s(item.priority, item.client_account)
         return (item.priority, ahead_s > self.tolerance_s, entry.latest_s)
 
     def take(self, entry: Entry) -> None:
         """Remove work that was placed, and charge its account's share."""
-        self.shares.charge(entry.item, entry.held_s)
+        if not entry.hopeful:
+            self.shares.charge(entry.item, entry.held_s)
         self.remove(entry)
 
     def remove(self, entry: Entry) -> None:
@@ -173,21 +190,40 @@
             return
         entry.gone = True
         del self._entries[entry.item.request_id]
-        self.shares.remove(entry.item, entry.held_s, entry.latest_s)
+        if not entry.hopeful:
+            self.shares.remove(entry.item, entry.held_s, entry.latest_s)
 
     def find(self, request_id: str) -> Entry | None:
         """Return queued work by its request."""
         return self._entries.get(request_id)
 
     def next_expiry_s(self) -> float | None:
-        """Return when the next work is to be given up."""
-        entry = _prune(self._expiry)
-        return entry.latest_s if entry is not None else None
+        """Return when the next work changes its standing or is given up."""
+        self._prune_expiry()
+        return self._expiry[0][0] if self._expiry else None
+
+    def _prune_expiry(self) -> None:
+        while self._expiry and self._expiry[0][2].gone:
+            heapq.heappop(self._expiry)
 
     def expired(self, now_s: float) -> Entry | None:
-        """Return work that can no longer end in time, None where there is none."""
-        entry = _prune(self._expiry)
-        return entry if entry is not None and entry.latest_s <= now_s else None
+        """Return work that can no longer end in time, None where there is none.
+
+        Work that may still end in time, but not surely, stays queued behind
+        all other.
+        """
+        while True:
+            self._prune_expiry()
+            if not self._expiry or self._expiry[0][0] > now_s:
+                return None
+            entry = self._expiry[0][2]
+            if entry.last_s <= now_s:
+                return entry
+            heapq.heappop(self._expiry)
+            self.shares.remove(entry.item, entry.held_s, entry.latest_s)
+            entry.hopeful = True
+            heapq.heappush(self._hopeful, (-entry.last_s, entry.number, entry))
+            heapq.heappush(self._expiry, (entry.last_s, entry.number, entry))
 
     def victim(self, item: WorkItem) -> Entry | None:
         """Return work to give up for ``item`` when the queue is full.
@@ -195,6 +231,9 @@
         The lowest priority gives way first, and there the account with the
         longest backlog for its weight; None where that is the new work's own.
         """
+        for _, _, entry in self._hopeful:
+            if not entry.gone:
+                return entry
         for priority in sorted(self._classes, reverse=True):
             if priority < item.priority:
                 return None
@@ -205,8 +244,8 @@
             name = max(queued, key=lambda n: self.shares.backlog_s(priority, n))
             if priority == item.priority and name == item.client_account:
                 return None
-            last = max(e[:2] for e in lines[name] if not e[2].gone)
-            return next(e[2] for e in lines[name] if e[:2] == last)
+            queued_here = [e for e in lines[name] if not e[2].gone and not e[2].hopeful]
+            return max(queued_here, key=lambda e: e[:2])[2]
         return None
 
     def longest_before(
@@ -220,7 +259,12 @@
         line = self._classes[item.priority].lines.get(item.client_account, [])
         found: Entry | None = None
         for _, _, entry in line[:_LOOKED_AT]:
-            if entry.gone or entry.latest_s >= latest_s or entry.held_s <= held_s:
+            if (
+                entry.gone
+                or entry.hopeful
+                or entry.latest_s >= latest_s
+                or entry.held_s <= held_s
+            ):
                 continue
             found = entry
             held_s = entry.held_s
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -25,6 +25,8 @@
         would have been on time.
     :param queue_deviations: the same in standard deviations of the length of
         answers; their lengths differ much, and a mean is exceeded half the time.
+    :param hope_margin: factor on the expected time until which queued work is
+        still served if nobody else needs the slot.
     :param wait_margin: factor on the expected wait, for higher priorities that
         arrive meanwhile.
     :param share_tolerance_s: slot-seconds per weight that a client account may
@@ -86,6 +88,7 @@
     idle_margin: float = 0.7
     queue_margin: float = 1.1
     queue_deviations: float = 0.5
+    hope_margin: float = 0.7
     wait_margin: float = 1.0
     share_tolerance_s: float = 10.0
     make_way_factor: float = 1.3
--- a/src/endivegw/decisions/pool.py
+++ b/src/endivegw/decisions/pool.py
@@ -68,7 +68,7 @@
         """Queue under other shares, after the targets' models changed."""
         queue = FairQueue(shares, self.queue.tolerance_s)
         for entry in self.queue.entries():
-            queue.push(entry.item, entry.held_s, entry.latest_s)
+            queue.push(entry.item, entry.held_s, entry.latest_s, entry.last_s)
         self.queue = queue
 
 
