Drive requests in virtual time with faults at every border

Cause: the state machines must hold together, not only one by one. The world runs the product's driver, gate and claim desk; network, machines and table fail.

--- a/src/endivegw/daemons/claim_slot.py
+++ b/src/endivegw/daemons/claim_slot.py
@@ -34,6 +34,9 @@
 #: How often waiting claims look whether the grace time has passed.
 _LOOK_S = 0.1
 
+#: A clock that rounds must not make the writer spin.
+_LEAST_SLEEP_S = 0.001
+
 #: Rows that one listing of the ring returns.
 _PAGE_ROWS = 1000
 
@@ -207,12 +210,12 @@
 
     async def _wait_for_work(self) -> None:
         now_s = self._clock()
-        due_s = self._beat_due_s
         commit_s = self.owner.commit_due_s(now_s)
         if commit_s is not None:
-            due_s = min(due_s, commit_s)
-            with anyio.move_on_after(max(0.0, due_s - now_s)):
-                await anyio.sleep_forever()
+            # Claims that come meanwhile go into the same row.
+            due_s = min(self._beat_due_s, commit_s)
+            await anyio.sleep(max(_LEAST_SLEEP_S, due_s - now_s))
             return
-        with anyio.move_on_after(max(0.0, due_s - now_s)):
+        wait_s = max(_LEAST_SLEEP_S, self._beat_due_s - now_s)
+        with anyio.move_on_after(wait_s):
             await self._asked.wait()
--- /dev/null
+++ b/src/endivegw/daemons/request_driver.py
@@ -0,0 +1,235 @@
+"""Carry out the steps of one request's state machine over real connections."""
+
+from __future__ import annotations
+
+from contextlib import aclosing
+from typing import Any, AsyncIterator, Callable, Protocol
+
+import anyio
+from attrs import frozen
+
+from endivegw.exceptions import PeerError
+from endivegw.peers import NotDelivered, SidecarClient
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.requests.attempts import RequestMachine
+from endivegw.requests.claims import ClaimAnswer, ClaimAsk
+from endivegw.requests.steps import (
+    AskClaim,
+    CancelAttempt,
+    Ending,
+    Finish,
+    HandOver,
+    Pause,
+    Place,
+    Step,
+)
+from endivegw.results import Reason, Refused
+from endivegw.types import AttemptId, TargetName, Usage
+
+__all__ = ["PlacedTarget", "RequestDriver", "RequestPorts"]
+
+_CANCEL_TIMEOUT_S = 1.0
+
+#: How long the last cancel may take after the deadline, for an honest word.
+_LAST_CANCEL_S = 1.5
+
+
+@frozen
+class PlacedTarget:
+    """Hold where a request goes.
+
+    :param incarnation: of the target's sidecar, from its last heartbeat.
+    """
+
+    target: TargetName
+    incarnation: str
+
+
+class RequestPorts(Protocol):
+    """What the driver needs of the router around it, for one request."""
+
+    async def place(self, avoid: frozenset[TargetName]) -> PlacedTarget | Refused:
+        """Reserve tokens and find a target; waits in the queue where needed."""
+
+    def client(self, target: TargetName) -> SidecarClient | None:
+        """Return the connection to a target's sidecar, None where it is gone."""
+
+    def header(self) -> pb.Header:
+        """Return this process's header."""
+
+    def start(self, step: HandOver) -> pb.ExecuteStart:
+        """Return the message for an order; the driver sets what the step says."""
+
+    def body(self) -> AsyncIterator[bytes] | None:
+        """Return the rest of a body that was not held, None where it was."""
+
+    async def claim(self, ask: ClaimAsk) -> ClaimAnswer | None:
+        """Ask the slot's owner; None where it gave no answer."""
+
+    async def head(self, status: int, fields: tuple[tuple[str, str], ...]) -> None:
+        """Take the head of the answer; may come again after a reset."""
+
+    async def data(self, data: bytes) -> None:
+        """Take the next bytes of the answer."""
+
+    def reset(self) -> None:
+        """Drop the bytes that were held back from the caller."""
+
+
+class RequestDriver:
+    """Run one request from its first step to its ending."""
+
+    def __init__(
+        self, machine: RequestMachine, ports: RequestPorts, clock: Callable[[], float]
+    ) -> None:
+        self._machine = machine
+        self._ports = ports
+        self._clock = clock
+
+    async def run(self) -> Ending:
+        """Return how the request ended.
+
+        A cancelled task is a caller that went away; :meth:`stop` then ends the
+        attempt.
+        """
+        remaining_s = self._machine.facts.deadline_s - self._clock()
+        with anyio.move_on_after(max(0.0, remaining_s)):
+            return await self._steps(self._machine.begin(self._clock()))
+        return await self.stop(Reason.DEADLINE)
+
+    async def stop(self, reason: Reason) -> Ending:
+        """End the request for a passed deadline or a caller that went away."""
+        with anyio.CancelScope(shield=True):
+            with anyio.move_on_after(_LAST_CANCEL_S):
+                return await self._steps(self._machine.stop(reason, self._clock()))
+        step = self._machine.cancel_lost(self._clock())
+        assert isinstance(step, Finish)
+        return step.ending
+
+    async def _steps(self, step: Step) -> Ending:
+        while not isinstance(step, Finish):
+            step = await self._carry_out(step)
+        return step.ending
+
+    async def _carry_out(self, step: Step) -> Step:
+        machine = self._machine
+        match step:
+            case Place(avoid=avoid):
+                placed = await self._ports.place(avoid)
+                if isinstance(placed, Refused):
+                    return machine.not_placed(placed, self._clock())
+                now_s = self._clock()
+                return machine.placed(placed.target, placed.incarnation, now_s)
+            case AskClaim(ask=ask):
+                answer = await self._ports.claim(ask)
+                if answer is None:
+                    return machine.claim_lost(self._clock())
+                return machine.claim_answered(answer, self._clock())
+            case Pause(seconds_s=seconds_s):
+                await anyio.sleep(seconds_s)
+                return machine.paused(self._clock())
+            case HandOver():
+                return await self._hand_over(step)
+            case CancelAttempt():
+                return await self._cancel(step)
+            case Finish():
+                return step
+
+    async def _hand_over(self, step: HandOver) -> Step:
+        client = self._ports.client(step.target)
+        if client is None:
+            return self._machine.lost(delivered=False, now_s=self._clock())
+        if step.resume_offset_bytes == 0:
+            self._ports.reset()
+        start = self._ports.start(step)
+        start.attempt_id = step.attempt_id
+        start.target_instance_id = step.incarnation
+        start.resume_offset = step.resume_offset_bytes
+        start.join_only = step.join_only
+        self._machine.handed_over()
+        try:
+            body = None if step.join_only else self._ports.body()
+            async with aclosing(_frames(client, start, body)) as frames:
+                async for frame in frames:
+                    next_step = await self._take(frame)
+                    if next_step is not None:
+                        return next_step
+        except NotDelivered:
+            return self._machine.lost(delivered=False, now_s=self._clock())
+        except PeerError:
+            pass
+        return self._machine.lost(delivered=True, now_s=self._clock())
+
+    async def _take(self, frame: pb.Frame) -> Step | None:
+        """Take one frame; return the next step where the stream is done with."""
+        machine, now_s = self._machine, self._clock()
+        attempt_id = AttemptId(frame.attempt_id)
+        match frame.WhichOneof("kind"):
+            case "refused":
+                return machine.refused(_refused(frame.refused), now_s)
+            case "head":
+                machine.head(attempt_id, frame.head.joined)
+                fields = tuple((f.name, f.value) for f in frame.head.fields)
+                await self._ports.head(frame.head.status, fields)
+            case "data":
+                pieces = machine.data(attempt_id, frame.offset, frame.data, now_s)
+                if not isinstance(pieces, tuple):
+                    return pieces
+                for piece in pieces:
+                    await self._ports.data(piece.data)
+            case "end":
+                usage = Usage(frame.end.prompt_tokens, frame.end.completion_tokens)
+                return machine.ended(attempt_id, frame.end.length, usage, now_s)
+            case "failed":
+                failed = frame.failed
+                usage = Usage(failed.prompt_tokens, failed.completion_tokens)
+                return machine.failed(
+                    attempt_id,
+                    _reason(failed.reason),
+                    failed.detail,
+                    usage,
+                    failed.usage_final,
+                    now_s,
+                )
+        return None
+
+    async def _cancel(self, step: CancelAttempt) -> Step:
+        client = self._ports.client(step.target)
+        if client is None:
+            return self._machine.cancel_lost(self._clock())
+        request = pb.CancelRequest(
+            header=self._ports.header(),
+            attempt_id=step.attempt_id,
+            target_instance_id=step.incarnation,
+            bar_only=step.bar_only,
+        )
+        try:
+            reply = await client.cancel(request, _CANCEL_TIMEOUT_S)
+        except PeerError:
+            return self._machine.cancel_lost(self._clock())
+        return self._machine.cancelled(
+            never_started=reply.never_started,
+            running=reply.running,
+            ended=reply.ended,
+            usage=Usage(reply.prompt_tokens, reply.completion_tokens),
+            now_s=self._clock(),
+        )
+
+
+def _frames(
+    client: SidecarClient, start: pb.ExecuteStart, body: AsyncIterator[bytes] | None
+) -> Any:
+    return client.execute(start, body)
+
+
+def _refused(refusal: pb.Refusal) -> Refused:
+    retry_after_s = refusal.retry_after_s if refusal.retry_after_s >= 0 else None
+    return Refused(_reason(refusal.reason), refusal.detail, retry_after_s)
+
+
+def _reason(code: str) -> Reason:
+    # A newer sidecar may know reasons that this router does not.
+    try:
+        return Reason(code)
+    except ValueError:
+        return Reason.TARGET_FAILED
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import anyio
-from anyio.abc import TaskStatus
+from anyio.abc import TaskGroup, TaskStatus
 
 from endivegw.daemons.sidecar_body import BodyChannel
 from endivegw.daemons.sidecar_frames import (
@@ -102,12 +102,16 @@
     ) -> None:
         """Serve until cancelled; report the bound port when it listens."""
         async with anyio.create_task_group() as tasks:
-            self._work.attach(tasks)
-            tasks.start_soon(self._load.poll)
-            tasks.start_soon(self._expire)
+            self.start(tasks)
             bound = await tasks.start(serve_peers, (self,), host, port, tls)
             task_status.started(bound)
 
+    def start(self, tasks: TaskGroup) -> None:
+        """Run attempts and look after them in a task group, without a listener."""
+        self._work.attach(tasks)
+        tasks.start_soon(self._load.poll)
+        tasks.start_soon(self._expire)
+
     def leave(self, why: str) -> None:
         """Take no new work from now on, such as when the VM list says so.
 
--- a/src/endivegw/requests/claims.py
+++ b/src/endivegw/requests/claims.py
@@ -217,7 +217,7 @@
 
     def next_commit(self, now_s: float) -> Commit | None:
         """Return what is to be written now, None where nothing is."""
-        if self.lost or now_s - self._last_commit_s < self.limits.spacing_s:
+        if self.lost or now_s < self._last_commit_s + self.limits.spacing_s:
             return None
         if self._in_flight is None:
             self._in_flight = self._batch()
--- a/src/endivegw/requests/slots.py
+++ b/src/endivegw/requests/slots.py
@@ -151,6 +151,7 @@
     # When each beat that is not confirmed yet was first seen, and when the
     # reading before that one began.
     _seen: dict[int, dict[int, float]] = field(factory=dict)
+    _highest: dict[int, int] = field(factory=dict)
     _before_confirmed_s: dict[int, float] = field(factory=dict)
     _ownerless_since_s: dict[int, float] = field(factory=dict)
 
@@ -243,12 +244,13 @@
 
     def _follow(self, number: int, beat: Beat) -> None:
         seen = self._seen.setdefault(number, {})
-        before_s = self.current.read_started_s
-        known = self.current.beats.get(number)
+        # A late write can put an older count in the place of a newer one.
+        highest = self._highest.get(number, beat.count)
+        self._highest[number] = max(highest, beat.count)
         # Every beat since the last reading was written after it began.
-        first = known.count + 1 if known is not None else beat.count + 1
-        for count in range(max(first, beat.count - _FOLLOWED_BEATS), beat.count + 1):
-            seen[count] = before_s
+        first = max(highest + 1, beat.count - _FOLLOWED_BEATS)
+        for count in range(first, beat.count + 1):
+            seen[count] = self.current.read_started_s
         if beat.confirmed in seen:
             self._before_confirmed_s[number] = seen[beat.confirmed]
         for count in [count for count in seen if count < beat.confirmed]:
--- /dev/null
+++ b/src/endivegw_standins/request_net.py
@@ -0,0 +1,189 @@
+"""Sidecars without sockets: their calls, lost, late, doubled and broken.
+
+The sidecar is the product's own. This module stands for the network and for
+the machine that it runs on, so that hours with faults run in virtual time.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any, AsyncIterator
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from endivegw.daemons.claim_desk import SlotDesk
+from endivegw.daemons.sidecar import Sidecar
+from endivegw.peers import Broken, NotDelivered
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+
+__all__ = ["FaultyClient", "Host", "NetFaults"]
+
+_FRAMES_UNDER_WAY = 64
+
+
+@define
+class NetFaults:
+    """Hold what goes wrong between a router and a sidecar; may be changed.
+
+    :ivar lose_order: share of orders whose connection breaks as they are sent.
+    :ivar arrive_late: share of those that still arrive, up to ``late_by_s`` later.
+    :ivar double: share of orders that arrive a second time.
+    :ivar break_stream: share of answers whose stream breaks.
+    :ivar lose_call: share of other calls lost, on the way there or back.
+    """
+
+    lose_order: float = 0.0
+    arrive_late: float = 0.5
+    double: float = 0.0
+    break_stream: float = 0.0
+    lose_call: float = 0.0
+    latency_s: float = 0.001
+    late_by_s: float = 60.0
+
+
+@define(eq=False)
+class Host:
+    """Hold the machine beside a target, and the process that runs on it now."""
+
+    vm: str
+    target: str
+    address: str
+    process: Sidecar | None = None
+    desk: SlotDesk | None = None
+    scope: anyio.CancelScope | None = None
+    tasks: TaskGroup | None = None
+    listed: bool = True
+    instances: int = 0
+
+
+class _Call:
+    """One call's stream inside the process."""
+
+    def __init__(self, message: Any) -> None:
+        self._message = message
+        sender, receiver = anyio.create_memory_object_stream[Any](_FRAMES_UNDER_WAY)
+        self.sender = sender
+        self.receiver = receiver
+
+    async def recv_message(self) -> Any:
+        message, self._message = self._message, None
+        return message
+
+    async def send_message(self, message: Any) -> None:
+        await self.sender.send(message)
+
+
+@define
+class FaultyClient:
+    """Call one host as :class:`endivegw.peers.SidecarClient` does."""
+
+    host: Host
+    faults: NetFaults
+    rng: random.Random
+    background: TaskGroup
+    late_orders: int = field(default=0, init=False)
+
+    async def execute(
+        self, start: pb.ExecuteStart, body: AsyncIterator[bytes] | None = None
+    ) -> AsyncIterator[pb.Frame]:
+        """Hand over an attempt and yield its frames, or fail as a network does."""
+        await self._latency()
+        if self.host.tasks is None:
+            raise NotDelivered("connection refused")
+        message = pb.ExecuteMessage()
+        message.start.CopyFrom(start)
+        if self._happens(self.faults.lose_order):
+            if self._happens(self.faults.arrive_late):
+                self.background.start_soon(self._arrive_late, message)
+            raise Broken("the connection broke")
+        if self._happens(self.faults.double):
+            self.background.start_soon(self._arrive_late, message)
+        breaks_after = self._breaks_after()
+        async for frame in self._answer(message):
+            await self._latency()
+            yield frame
+            breaks_after -= 1
+            if breaks_after == 0:
+                raise Broken("the connection broke")
+            if frame.WhichOneof("kind") in ("end", "failed", "refused"):
+                return
+        raise Broken("the connection broke")
+
+    async def cancel(self, request: Any, timeout_s: float) -> Any:
+        """Call Cancel."""
+        return await self._unary("Cancel", request, timeout_s)
+
+    async def claim(self, request: Any, timeout_s: float) -> Any:
+        """Call Claim."""
+        return await self._unary("Claim", request, timeout_s)
+
+    async def heartbeat(self, request: Any, timeout_s: float) -> Any:
+        """Call Heartbeat."""
+        return await self._unary("Heartbeat", request, timeout_s)
+
+    def close(self) -> None:
+        """Do nothing; there is no connection."""
+
+    async def _answer(self, message: Any) -> AsyncIterator[pb.Frame]:
+        process, tasks = self.host.process, self.host.tasks
+        if process is None or tasks is None:
+            raise Broken("the process ended")
+        call = _Call(message)
+        scope = anyio.CancelScope()
+        tasks.start_soon(_serve, process.Execute, call, scope)
+        try:
+            async with call.receiver:
+                async for frame in call.receiver:
+                    yield frame
+        finally:
+            scope.cancel()
+
+    async def _unary(self, name: str, request: Any, timeout_s: float) -> Any:
+        await self._latency()
+        process, tasks = self.host.process, self.host.tasks
+        if process is None or tasks is None:
+            raise NotDelivered("connection refused")
+        lost = self._happens(self.faults.lose_call)
+        if lost and self._happens(0.5):
+            await anyio.sleep(timeout_s)
+            raise Broken("the call was lost")
+        call = _Call(request)
+        tasks.start_soon(_serve, getattr(process, name), call, anyio.CancelScope())
+        with anyio.move_on_after(timeout_s):
+            async for reply in call.receiver:
+                if not lost:
+                    await self._latency()
+                    return reply
+        raise Broken("the answer was lost")
+
+    async def _arrive_late(self, message: Any) -> None:
+        await anyio.sleep(self.rng.uniform(0.0, self.faults.late_by_s))
+        self.late_orders += 1
+        try:
+            async for _ in self._answer(message):
+                pass
+        except Broken:
+            pass
+
+    def _breaks_after(self) -> int:
+        if not self._happens(self.faults.break_stream):
+            return -1
+        return self.rng.randint(1, 4)
+
+    def _happens(self, share: float) -> bool:
+        return share > 0.0 and self.rng.random() < share
+
+    async def _latency(self) -> None:
+        await anyio.sleep(self.faults.latency_s * (0.5 + self.rng.random()))
+
+
+async def _serve(handler: Any, call: _Call, scope: anyio.CancelScope) -> None:
+    with scope:
+        async with call.sender:
+            try:
+                await handler(call)
+            except anyio.BrokenResourceError:
+                # The reader went away in the middle of the answer.
+                pass
--- /dev/null
+++ b/src/endivegw_standins/request_world.py
@@ -0,0 +1,536 @@
+"""Callers, routers and sidecars with faults, in virtual time, without sockets.
+
+The product's own parts decide: the request's state machine and its driver at
+the routers; the gate, the starts and the desk for key slots at the sidecars.
+This module makes them fail and counts what callers were told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from typing import Any, AsyncIterator, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import define, evolve, field, frozen
+
+from endivegw.daemons.claim_client import ClaimClient
+from endivegw.daemons.claim_desk import DeskSettings, SlotDesk
+from endivegw.daemons.request_driver import PlacedTarget, RequestDriver
+from endivegw.daemons.sidecar import Sidecar
+from endivegw.daemons.sidecar_jobs import ServiceTarget
+from endivegw.daemons.sidecar_ports import SidecarSettings
+from endivegw.daemons.slot_map_reader import SlotMapReader
+from endivegw.decisions.retry import RetryBudget, RetryPolicy
+from endivegw.exceptions import PeerError
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.platform import ListedVm, VmState
+from endivegw.requests.attempts import AttemptLimits, RequestMachine
+from endivegw.requests.claims import ClaimAnswer, ClaimAsk, ClaimLimits
+from endivegw.requests.slots import TakeRule
+from endivegw.requests.starts import StartRegistry
+from endivegw.requests.steps import Ending, HandOver, RequestFacts
+from endivegw.results import Done, Reason, Refused, Result
+from endivegw.targets.ports import ServiceAnswerHead, ServiceRequest
+from endivegw.telemetry import EventLog, NoMetrics
+from endivegw.types import (
+    AttemptId,
+    AvailabilityZone,
+    ClientAccountName,
+    ConfigRevision,
+    InstanceId,
+    Outcome,
+    RequestIdentity,
+    TargetName,
+)
+from endivegw_standins.faulty_table import FaultyTable, TableFaults
+from endivegw_standins.memory_table import MemoryTable
+from endivegw_standins.request_net import FaultyClient, Host, NetFaults
+from endivegw_standins.virtual_time import VirtualLoop
+
+__all__ = ["RequestWorld", "WorldLimits", "WorldReport", "run_world"]
+
+_PIECES = 4
+_BODY_DIGEST = b"digest"
+
+
+@frozen
+class WorldLimits:
+    """Hold the size of a world.
+
+    :param service_s: how long a target works on a request.
+    :param list_lag_s: how late the VM list learns of a machine's end.
+    """
+
+    targets: int = 6
+    routers: int = 3
+    slots: int = 4
+    service_s: float = 0.2
+    deadline_s: float = 10.0
+    tries: int = 4
+    list_lag_s: float = 10.0
+    claims: ClaimLimits = ClaimLimits()
+
+
+@define
+class WorldReport:
+    """Count what came of the requests.
+
+    :ivar doubled: requests that may not be repeated and started twice.
+    :ivar told_not_run_but_ran: callers who were told *not run* wrongly.
+    :ivar wrong_bytes: answers that are not what one attempt made.
+    :ivar lost: requests whose caller was told nothing within all its tries.
+    :ivar first: what callers were told at their first try.
+    :ivar last: what they had in the end, with retries.
+    :ivar reasons: why the last word was not an answer.
+    :ivar retry_s: from a router's death to the whole answer by the retry.
+    :ivar claim_s: how long claims took.
+    """
+
+    requests: int = 0
+    doubled: int = 0
+    told_not_run_but_ran: int = 0
+    wrong_bytes: int = 0
+    lost: int = 0
+    first: Counter[str] = field(factory=Counter)
+    last: Counter[str] = field(factory=Counter)
+    reasons: Counter[str] = field(factory=Counter)
+    retry_s: list[float] = field(factory=list)
+    claim_s: list[float] = field(factory=list)
+
+
+class _Service:
+    """A plain service that notes each call and answers in pieces."""
+
+    def __init__(self, world: RequestWorld) -> None:
+        self._world = world
+
+    async def call(
+        self, request: ServiceRequest, body: AsyncIterator[bytes]
+    ) -> AsyncIterator[ServiceAnswerHead | bytes]:
+        self._world.note_start(request.attempt_id)
+        yield ServiceAnswerHead(200, ())
+        for piece in range(_PIECES):
+            await anyio.sleep(self._world.limits.service_s / _PIECES)
+            yield _piece(request.attempt_id, piece)
+
+
+class _Grants:
+    """Plain services need no grants."""
+
+    def consume(self, attempt_id: AttemptId, tokens: int, now_s: float) -> None:
+        pass
+
+    def admit(self, *order: Any) -> Refused | None:
+        return None
+
+    def end(self, *order: Any) -> None:
+        pass
+
+    def seal(self, *order: Any) -> tuple[()]:
+        return ()
+
+
+class _Configuration:
+    revision = ConfigRevision(1)
+
+    def heard(self, revision: ConfigRevision) -> None:
+        pass
+
+    def newer_than(self, revision: ConfigRevision) -> bytes:
+        return b""
+
+
+@define(eq=False)
+class _Router:
+    """One router process; a paused one stands still at its next call."""
+
+    number: int
+    maps: SlotMapReader
+    claims: ClaimClient
+    retries: RetryBudget
+    scope: anyio.CancelScope = field(factory=anyio.CancelScope)
+    died: anyio.Event = field(factory=anyio.Event)
+    running: anyio.Event = field(factory=anyio.Event)
+
+
+@define
+class _Ports:
+    """What the driver needs of its router, for one request."""
+
+    world: RequestWorld
+    router: _Router
+    facts: RequestFacts
+    received: bytearray = field(factory=bytearray)
+
+    async def place(self, avoid: frozenset[TargetName]) -> PlacedTarget | Refused:
+        await self.router.running.wait()
+        known = self.world.heartbeats
+        usable = sorted(set(known) - avoid) or sorted(known)
+        if not usable:
+            return Refused(Reason.NO_TARGET, "no target is known")
+        target = self.world.rng.choice(usable)
+        return PlacedTarget(target, known[target])
+
+    def client(self, target: TargetName) -> Any:
+        host = self.world.hosts.get(target)
+        return None if host is None else self.world.client(host)
+
+    def header(self) -> pb.Header:
+        return self.world.header()
+
+    def start(self, step: HandOver) -> pb.ExecuteStart:
+        identity = self.facts.identity
+        self.world.identities[step.attempt_id] = identity
+        remaining_s = self.facts.deadline_s - self.world.now_s()
+        start = pb.ExecuteStart(
+            header=self.header(),
+            client_account=identity.client_account,
+            idempotency_key=identity.idempotency_key,
+            body_digest=self.facts.body_digest,
+            repeatable=self.facts.repeatable,
+            remaining_s=max(remaining_s, 0.0),
+        )
+        start.service.service = "s"
+        return start
+
+    def body(self) -> None:
+        return None
+
+    async def claim(self, ask: ClaimAsk) -> ClaimAnswer | None:
+        await self.router.running.wait()
+        began_s = self.world.now_s()
+        answer = await self.router.claims.claim(self.facts.identity, ask)
+        self.world.report.claim_s.append(self.world.now_s() - began_s)
+        # A pause here is the worst one: the claim is held, the order not sent.
+        await self.router.running.wait()
+        return answer
+
+    async def head(self, status: int, fields: tuple[tuple[str, str], ...]) -> None:
+        pass
+
+    async def data(self, data: bytes) -> None:
+        self.received += data
+
+    def reset(self) -> None:
+        self.received.clear()
+
+
+class RequestWorld:
+    """Hold the whole of it; faults are changed while it runs.
+
+    :ivar heartbeats: incarnations as routers know them, a little old.
+    """
+
+    def __init__(self, limits: WorldLimits, seed: int, background: TaskGroup) -> None:
+        self.limits = limits
+        self.rng = random.Random(seed)
+        self.background = background
+        self.table = MemoryTable()
+        self.table_faults = TableFaults()
+        self.net_faults = NetFaults()
+        self.hosts: dict[TargetName, Host] = {}
+        self.heartbeats: dict[TargetName, str] = {}
+        self.routers: list[_Router] = []
+        self.identities: dict[AttemptId, RequestIdentity] = {}
+        self.starts: Counter[RequestIdentity] = Counter()
+        self.started: set[AttemptId] = set()
+        self.report = WorldReport()
+        self._not_run: list[frozenset[AttemptId]] = []
+        self._made: dict[RequestIdentity, set[AttemptId]] = {}
+        self._single: set[RequestIdentity] = set()
+        self._vms = 0
+        self._ids = 0
+
+    def now_s(self) -> float:
+        """Return the virtual time."""
+        return asyncio.get_running_loop().time()
+
+    def header(self) -> pb.Header:
+        """Return what routers put on their messages."""
+        return pb.Header(protocol_version=1, instance_id="r", config_revision=1)
+
+    def client(self, host: Host) -> FaultyClient:
+        """Return a connection to a host."""
+        return FaultyClient(host, self.net_faults, self.rng, self.background)
+
+    def note_start(self, attempt_id: AttemptId) -> None:
+        """Take it that a target began to work."""
+        self.starts[self.identities[attempt_id]] += 1
+        self.started.add(attempt_id)
+
+    async def begin(self) -> None:
+        """Start all processes and wait until the slots have owners."""
+        for number in range(self.limits.targets):
+            self.add_target(f"t{number}")
+        for _ in range(self.limits.routers):
+            self.add_router()
+        self.background.start_soon(self._heartbeat)
+        await anyio.sleep(60.0)
+
+    def add_target(self, target: str) -> None:
+        """Put a new machine beside a target."""
+        self._vms += 1
+        vm = f"vm{self._vms}"
+        host = Host(vm, target, vm)
+        self.hosts[TargetName(target)] = host
+        self.start_process(host)
+
+    def start_process(self, host: Host) -> None:
+        """Start a sidecar on a host; a former one has ended."""
+        host.instances += 1
+        host.scope = anyio.CancelScope()
+        self.background.start_soon(self._run_process, host, host.scope)
+
+    def stop_process(self, host: Host) -> None:
+        """Let a process end without a word."""
+        if host.scope is not None:
+            host.scope.cancel()
+        host.process = host.tasks = host.desk = None
+
+    async def replace_machine(self, host: Host) -> None:
+        """Let a machine end; the list learns of it late, then another comes."""
+        self.stop_process(host)
+        await anyio.sleep(self.limits.list_lag_s)
+        host.listed = False
+        self.add_target(host.target)
+
+    def add_router(self) -> None:
+        """Start a router process."""
+        table = self._table()
+        maps = SlotMapReader(table, self.now_s)
+        claims = ClaimClient(maps, self._connect, self.header, self.limits.slots)
+        router = _Router(len(self.routers), maps, claims, RetryBudget())
+        router.running.set()
+        self.routers.append(router)
+        self.background.start_soon(self._run_router, router)
+
+    async def kill_router(self, router: _Router) -> None:
+        """Let a router end; callers see their connections break."""
+        self.routers.remove(router)
+        router.scope.cancel()
+        router.died.set()
+        self.add_router()
+
+    async def pause_router(self, router: _Router, duration_s: float) -> None:
+        """Let a router stand still and wake up."""
+        router.running = anyio.Event()
+        await anyio.sleep(duration_s)
+        router.running.set()
+
+    async def call(self, number: int, *, repeatable: bool) -> None:
+        """Be one caller: send a request, and again with the same key."""
+        identity = RequestIdentity(ClientAccountName("a"), f"key-{number}")
+        self.report.requests += 1
+        word: Ending | None = None
+        died_s: float | None = None
+        for attempt in range(self.limits.tries):
+            router = self.rng.choice(self.routers)
+            word = await self._try(router, identity, repeatable)
+            told = "router died" if word is None else word.outcome.value
+            if attempt == 0:
+                self.report.first[told] += 1
+            if word is None and died_s is None:
+                died_s = self.now_s()
+            if word is not None and word.outcome is Outcome.ANSWERED:
+                if died_s is not None:
+                    self.report.retry_s.append(self.now_s() - died_s)
+                break
+            await anyio.sleep(self.rng.uniform(0.0, 2.0))
+        self._note_last(word)
+
+    def verify(self) -> WorldReport:
+        """Compare what callers were told with what ran; call at the end."""
+        report = self.report
+        report.doubled = sum(
+            count > 1
+            for identity, count in self.starts.items()
+            if identity in self._single
+        )
+        for attempts in self._not_run:
+            report.told_not_run_but_ran += bool(attempts & self.started)
+        return report
+
+    def _note_last(self, word: Ending | None) -> None:
+        if word is None:
+            self.report.lost += 1
+            return
+        self.report.last[word.outcome.value] += 1
+        if word.reason is not None:
+            self.report.reasons[f"{word.outcome.value}: {word.reason.value}"] += 1
+
+    async def _try(
+        self, router: _Router, identity: RequestIdentity, repeatable: bool
+    ) -> Ending | None:
+        if not repeatable:
+            self._single.add(identity)
+        deadline_s = self.now_s() + self.limits.deadline_s
+        facts = RequestFacts(identity, _BODY_DIGEST, True, repeatable, deadline_s)
+        ports = _Ports(self, router, facts)
+        attempts: set[AttemptId] = set()
+        machine = RequestMachine(
+            facts,
+            AttemptLimits(),
+            RetryPolicy(),
+            router.retries,
+            self.rng,
+            self._new_id(identity, attempts),
+        )
+        driver = RequestDriver(machine, ports, self.now_s)
+        ending = await self._until_death(router, driver)
+        if ending is None:
+            return None
+        if ending.outcome is Outcome.NOT_RUN:
+            # Where a request may be repeated the word is about this try alone;
+            # else it is about every try with the key until now.
+            all_tries = self._made.get(identity, set())
+            spoken_of = attempts if repeatable else all_tries
+            self._not_run.append(frozenset(spoken_of))
+        if ending.outcome is Outcome.ANSWERED:
+            self._check_bytes(bytes(ports.received), identity)
+        return ending
+
+    async def _until_death(
+        self, router: _Router, driver: RequestDriver
+    ) -> Ending | None:
+        endings: list[Ending] = []
+
+        async def drive() -> None:
+            endings.append(await driver.run())
+            await router.running.wait()
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(drive)
+            await router.died.wait()
+            tasks.cancel_scope.cancel()
+            return None
+        return endings[0] if endings else None
+
+    def _check_bytes(self, received: bytes, identity: RequestIdentity) -> None:
+        attempt_id = AttemptId(received.split(b"/")[0].decode())
+        made = b"".join(_piece(attempt_id, piece) for piece in range(_PIECES))
+        mine = self.identities.get(attempt_id) == identity
+        if received != made or not mine or attempt_id not in self.started:
+            self.report.wrong_bytes += 1
+
+    def _new_id(
+        self, identity: RequestIdentity, attempts: set[AttemptId]
+    ) -> Callable[[], AttemptId]:
+        def new_id() -> AttemptId:
+            self._ids += 1
+            attempt_id = AttemptId(f"a{self._ids}")
+            attempts.add(attempt_id)
+            self._made.setdefault(identity, set()).add(attempt_id)
+            return attempt_id
+
+        return new_id
+
+    def _table(self) -> FaultyTable:
+        return FaultyTable(self.table, self.table_faults, self.rng, self.background)
+
+    def _connect(self, address: str) -> Any:
+        for host in self.hosts.values():
+            if host.address == address:
+                return self.client(host)
+        return self.client(Host(address, "", address))
+
+    async def list_vms(self, *, timeout_s: float) -> Result[tuple[ListedVm, ...]]:
+        """Return the VM list, which lags."""
+        zone = AvailabilityZone("z")
+        return Done(
+            tuple(
+                ListedVm(host.vm, host.address, zone, "target", VmState.LIVE)
+                for host in self.hosts.values()
+                if host.listed
+            )
+        )
+
+    async def _run_process(self, host: Host, scope: anyio.CancelScope) -> None:
+        instance = InstanceId(f"{host.vm}-{host.instances}")
+        settings = SidecarSettings(
+            TargetName(host.target), instance, AvailabilityZone("z")
+        )
+        desk = SlotDesk(
+            DeskSettings(
+                host.vm,
+                settings.target,
+                instance,
+                host.address,
+                rule=TakeRule(self.limits.slots),
+                limits=self.limits.claims,
+            ),
+            self._table(),
+            self,
+            self.now_s,
+            lambda: self.now_s() + 1e9,
+            EventLog("sidecar"),
+        )
+        registry = StartRegistry(instance, settings.starts, self.now_s())
+        sidecar = Sidecar(
+            ServiceTarget(_Service(self)),
+            _Grants(),
+            registry,
+            _Configuration(),
+            self.now_s,
+            EventLog("sidecar"),
+            NoMetrics(),
+            settings,
+            claims=desk,
+        )
+        with scope:
+            async with anyio.create_task_group() as tasks:
+                sidecar.start(tasks)
+                tasks.start_soon(desk.run)
+                host.process, host.tasks, host.desk = sidecar, tasks, desk
+                await anyio.sleep_forever()
+
+    async def _run_router(self, router: _Router) -> None:
+        with router.scope:
+            await router.maps.run()
+
+    async def _heartbeat(self) -> None:
+        while True:
+            for target, host in tuple(self.hosts.items()):
+                if host.process is None:
+                    self.heartbeats.pop(target, None)
+                    continue
+                request = pb.HeartbeatRequest(header=self.header())
+                client = evolve(self.client(host), faults=NetFaults())
+                try:
+                    reply = await client.heartbeat(request, 1.0)
+                except PeerError:
+                    continue
+                self.heartbeats[target] = reply.start_incarnation
+            await anyio.sleep(0.5)
+
+
+def run_world(
+    limits: WorldLimits,
+    seed: int,
+    play: Callable[[RequestWorld], Any],
+) -> WorldReport:
+    """Run a world in virtual time.
+
+    :param play: a coroutine function that sends requests and makes faults.
+    """
+
+    async def main() -> WorldReport:
+        async with anyio.create_task_group() as tasks:
+            world = RequestWorld(limits, seed, tasks)
+            await world.begin()
+            await play(world)
+            # Late orders may still arrive.
+            await anyio.sleep(world.net_faults.late_by_s + 1.0)
+            report = world.verify()
+            tasks.cancel_scope.cancel()
+        return report
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main())
+
+
+def _piece(attempt_id: AttemptId, piece: int) -> bytes:
+    return f"{attempt_id}/{piece};".encode()
