--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -50,9 +50,7 @@
         keeper=keeper,
         queue=queue,
         sidecars=watch,
-        claims=ClaimClient(
-            slots, process.connect_sidecar, process.header, process.on_header
-        ),
+        claims=ClaimClient(slots, process.connect_owner, process.header),
         header=process.header,
         on_header=process.on_header,
         clock=process.clock,
--- a/src/endivegw/daemons/request_run.py
+++ b/src/endivegw/daemons/request_run.py
@@ -115,7 +115,7 @@
 
     async def _ask_claim(self, step: AskClaim) -> Step:
         identity = self._plan.facts.identity
-        answer = await self._parts.claims.ask(identity, step.ask)
+        answer = await self._parts.claims.claim(identity, step.ask)
         now_s = self._parts.clock()
         if answer is None:
             return self._machine.claim_lost(now_s)
