--- a/src/endivegw/daemons/held_attempts.py
+++ b/src/endivegw/daemons/held_attempts.py
@@ -14,12 +14,12 @@
 from attrs import evolve, frozen
 
 from endivegw.budgets import BudgetKeeper, Reservation
-from endivegw.daemons.attempt_stream import (
+from endivegw.daemons.request_plan import RequestPlan
+from endivegw.daemons.sidecar_links import (
     CancelWord,
     SidecarDirectory,
     cancel_attempt,
 )
-from endivegw.daemons.request_plan import RequestPlan
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.requests.steps import CancelAttempt, HandOver
 from endivegw.telemetry import EventLog
--- a/src/endivegw/daemons/request_driver.py
+++ b/src/endivegw/daemons/request_driver.py
@@ -75,6 +75,12 @@
     def reset(self) -> None:
         """Drop the bytes that were held back from the caller."""
 
+    def heard(self, header: pb.Header) -> None:
+        """Take in the header of a sidecar's frame."""
+
+    def refused(self, step: HandOver, refused: Refused) -> None:
+        """Take in why an order started nothing, before the machine does."""
+
 
 class RequestDriver:
     """Run one request from its first step to its ending."""
@@ -151,7 +157,9 @@
             body = None if step.join_only else self._ports.body()
             async with aclosing(_frames(client, start, body)) as frames:
                 async for frame in frames:
-                    next_step = await self._take(frame)
+                    if frame.HasField("header"):
+                        self._ports.heard(frame.header)
+                    next_step = await self._take(step, frame)
                     if next_step is not None:
                         return next_step
         except NotDelivered:
@@ -160,13 +168,15 @@
             pass
         return self._machine.lost(delivered=True, now_s=self._clock())
 
-    async def _take(self, frame: pb.Frame) -> Step | None:
+    async def _take(self, order: HandOver, frame: pb.Frame) -> Step | None:
         """Take one frame; return the next step where the stream is done with."""
         machine, now_s = self._machine, self._clock()
         attempt_id = AttemptId(frame.attempt_id)
         match frame.WhichOneof("kind"):
             case "refused":
-                return machine.refused(_refused(frame.refused), now_s)
+                refused = _refused(frame.refused)
+                self._ports.refused(order, refused)
+                return machine.refused(refused, now_s)
             case "head":
                 machine.head(attempt_id, frame.head.joined)
                 fields = tuple((f.name, f.value) for f in frame.head.fields)
--- a/src/endivegw/daemons/request_run.py
+++ b/src/endivegw/daemons/request_run.py
@@ -2,31 +2,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, AsyncIterator
 
-import anyio
-
-from endivegw.budgets import BillLine, Reservation
-from endivegw.daemons.attempt_stream import AttemptStream, cancel_attempt
+from endivegw.budgets import BillLine
 from endivegw.daemons.held_attempts import HeldAttempt, HeldAttempts
+from endivegw.daemons.request_driver import PlacedTarget, RequestDriver
+from endivegw.daemons.request_messages import start_message
 from endivegw.daemons.request_money import RequestMoney
 from endivegw.daemons.request_plan import RequestPlan, work_item
-from endivegw.daemons.routed import Answered, AnswerSink, RequestEnd
+from endivegw.daemons.routed import Answered, AnswerSink, RequestEnd, ServiceCall
 from endivegw.decisions import AttemptEnd, AttemptKind, Placement
+from endivegw.peers import SidecarClient
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.requests.attempts import RequestMachine
-from endivegw.requests.steps import (
-    AskClaim,
-    CancelAttempt,
-    Ending,
-    Finish,
-    HandOver,
-    Pause,
-    Place,
-    Step,
-)
+from endivegw.requests.claims import ClaimAnswer, ClaimAsk
+from endivegw.requests.steps import Ending, HandOver
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.telemetry.catalogue import router as events
-from endivegw.types import Outcome, RequestIdentity, Usage
+from endivegw.types import Outcome, RequestIdentity, TargetName, Usage
 
 if TYPE_CHECKING:
     from endivegw.daemons.request_runner import RunnerParts
@@ -35,7 +28,7 @@
 
 
 class RequestRun:
-    """Drive one request's machine until it says how the request ended."""
+    """Be the router around one request's driver, and settle when it has ended."""
 
     def __init__(
         self,
@@ -47,63 +40,101 @@
     ) -> None:
         self._plan = plan
         self._machine = machine
+        self._sink = sink
         self._parts = parts
         self._held = held
         self._money = RequestMoney(plan, parts.keeper, parts.clock)
-        self._stream = AttemptStream(
-            plan, machine, sink, parts.clock, parts.on_header, self._first_data
-        )
+        self._driver = RequestDriver(machine, self, parts.clock)
         self._placed: Placement | None = None
         self._retry_after_s: float | None = None
+        self._headed = False
+        self._begun = False
         #: Whether the request was settled, billed and logged.
         self.ended = False
 
     async def to_end(self) -> RequestEnd:
         """Carry out step after step and return how the request ended."""
-        return await self._carry_out(self._machine.begin(self._parts.clock()))
-
-    async def stop(self, reason: Reason) -> RequestEnd:
-        """End the request now: its deadline passed or its caller went away."""
-        return await self._carry_out(self._machine.stop(reason, self._parts.clock()))
-
-    async def _carry_out(self, step: Step) -> RequestEnd:
-        while not isinstance(step, Finish):
-            step = await self._do(step)
-        return self._finish(step.ending)
-
-    async def _do(self, step: Step) -> Step:
-        match step:
-            case Place():
-                return await self._place(step)
-            case AskClaim():
-                return await self._ask_claim(step)
-            case HandOver():
-                return await self._hand_over(step)
-            case CancelAttempt():
-                return await self._cancel(step)
-            case Pause():
-                await anyio.sleep(step.seconds_s)
-                return self._machine.paused(self._parts.clock())
-        raise AssertionError(f"unknown step {step!r}")
-
-    async def _place(self, step: Place) -> Step:
+        return self._finish(await self._driver.run())
+
+    async def abandon(self) -> None:
+        """End the request for a caller that went away."""
+        self._finish(await self._driver.stop(Reason.CANCELLED))
+
+    # What the driver asks of the router.
+
+    async def place(self, avoid: frozenset[TargetName]) -> PlacedTarget | Refused:
+        """Reserve tokens and find a target; waits in the queue where needed."""
         self._leave_target()
         self._money.settle(self._machine.charges)
         refused = await self._money.reserve()
         if refused is None:
-            found = await self._parts.queue.place(work_item(self._plan, step.avoid))
+            found = await self._parts.queue.place(work_item(self._plan, avoid))
             if isinstance(found, Placement):
                 return self._take_place(found)
             refused = found
         self._retry_after_s = refused.retry_after_s
-        return self._machine.not_placed(refused, self._parts.clock())
+        return refused
+
+    def client(self, target: TargetName) -> SidecarClient | None:
+        """Return the connection to a target's sidecar, None where it is gone."""
+        link = self._parts.sidecars.find(target)
+        return None if link is None else link.client
+
+    def header(self) -> pb.Header:
+        """Return this process's header."""
+        return self._parts.header()
+
+    def start(self, step: HandOver) -> pb.ExecuteStart:
+        """Return the message for an order, with the tokens that it may consume."""
+        reservation = None if step.join_only else self._money.bind(step)
+        now_s = self._parts.clock()
+        return start_message(self._plan, self._parts.header(), reservation, now_s)
+
+    def body(self) -> AsyncIterator[bytes] | None:
+        """Return the rest of a body that was not held, None where it was."""
+        call = self._plan.request.call
+        return call.rest if isinstance(call, ServiceCall) else None
 
-    def _take_place(self, placed: Placement) -> Step:
+    async def claim(self, ask: ClaimAsk) -> ClaimAnswer | None:
+        """Ask the slot's owner; None where it gave no answer."""
+        return await self._parts.claims.claim(self._plan.facts.identity, ask)
+
+    async def head(self, status: int, fields: tuple[tuple[str, str], ...]) -> None:
+        """Take the head of the answer; a rejoined answer brings it again."""
+        if not self._headed:
+            self._headed = True
+            await self._sink.head(status, fields)
+
+    async def data(self, data: bytes) -> None:
+        """Take the next bytes of the answer."""
+        if not self._begun:
+            self._begun = True
+            self._first_data()
+        await self._sink.data(data)
+
+    def reset(self) -> None:
+        """Drop the bytes that were held back from the caller."""
+        self._sink.reset()
+
+    def heard(self, header: pb.Header) -> None:
+        """Take in the header of a sidecar's frame."""
+        self._parts.on_header(header)
+
+    def refused(self, step: HandOver, refused: Refused) -> None:
+        """Take in why an order started nothing, before the machine does."""
+        self._retry_after_s = refused.retry_after_s
+        self._money.refused(step.attempt_id, refused)
+        self._parts.log.emit(
+            events.REQUEST_RETRIED,
+            request_id=self._plan.request.request_id,
+            attempt_id=step.attempt_id,
+            target=step.target,
+            reason=refused.reason.value,
+        )
+
+    def _take_place(self, placed: Placement) -> PlacedTarget:
         self._placed = placed
         link = self._parts.sidecars.find(placed.target)
-        incarnation = link.start_incarnation if link is not None else ""
-        now_s = self._parts.clock()
-        step = self._machine.placed(placed.target, incarnation, now_s)
         self._parts.log.emit(
             events.REQUEST_PLACED,
             request_id=self._plan.request.request_id,
@@ -111,48 +142,8 @@
             why=placed.why,
             figures=str(placed.figures),
         )
-        return step
-
-    async def _ask_claim(self, step: AskClaim) -> Step:
-        identity = self._plan.facts.identity
-        answer = await self._parts.claims.claim(identity, step.ask)
-        now_s = self._parts.clock()
-        if answer is None:
-            return self._machine.claim_lost(now_s)
-        return self._machine.claim_answered(answer, now_s)
-
-    async def _hand_over(self, step: HandOver) -> Step:
-        link = self._parts.sidecars.find(step.target)
-        if link is None:
-            return self._machine.lost(delivered=False, now_s=self._parts.clock())
-        reservation: Reservation | None = None
-        if not step.join_only:
-            reservation = self._money.bind(step)
-        header = self._parts.header()
-        next_step = await self._stream.hand_over(step, link.client, header, reservation)
-        refused = self._stream.take_refusal()
-        if refused is not None:
-            self._retry_after_s = refused.retry_after_s
-            self._money.refused(step.attempt_id, refused)
-        if not isinstance(next_step, Finish):
-            self._log_retried(step, refused)
-        return next_step
-
-    async def _cancel(self, step: CancelAttempt) -> Step:
-        link = self._parts.sidecars.find(step.target)
-        word = None
-        if link is not None:
-            word = await cancel_attempt(link.client, self._parts.header(), step)
-        now_s = self._parts.clock()
-        if word is None:
-            return self._machine.cancel_lost(now_s)
-        return self._machine.cancelled(
-            never_started=word.never_started,
-            running=word.running,
-            ended=word.ended,
-            usage=word.usage,
-            now_s=now_s,
-        )
+        incarnation = link.start_incarnation if link is not None else ""
+        return PlacedTarget(placed.target, incarnation)
 
     def _finish(self, ending: Ending) -> RequestEnd:
         """Settle, bill and log; nothing here waits, so nothing is cut short."""
@@ -244,16 +235,6 @@
         elapsed_ms = (now_s - request.arrived_s) * 1000.0
         self._parts.metrics.timing("request.first_data", elapsed_ms)
 
-    def _log_retried(self, step: HandOver, refused: Refused | None) -> None:
-        reason = refused.reason if refused is not None else Reason.ANSWER_LOST
-        self._parts.log.emit(
-            events.REQUEST_RETRIED,
-            request_id=self._plan.request.request_id,
-            attempt_id=step.attempt_id,
-            target=step.target,
-            reason=reason.value,
-        )
-
     def _log_end(self, ending: Ending) -> None:
         request = self._plan.request
         elapsed_s = self._parts.clock() - request.arrived_s
--- a/src/endivegw/daemons/request_runner.py
+++ b/src/endivegw/daemons/request_runner.py
@@ -6,22 +6,20 @@
 import uuid
 from typing import Callable
 
-import anyio
 from anyio.abc import TaskGroup
 from attrs import frozen
 
 from endivegw.budgets import BudgetKeeper
-from endivegw.daemons.attempt_stream import SidecarDirectory
 from endivegw.daemons.claim_client import ClaimClient
 from endivegw.daemons.held_attempts import HeldAttempts
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.request_plan import plan_request
 from endivegw.daemons.request_run import RequestRun
 from endivegw.daemons.routed import AnswerSink, RequestEnd, RoutedRequest
+from endivegw.daemons.sidecar_links import SidecarDirectory
 from endivegw.decisions import RetryBudget, RetryPolicy
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.requests.attempts import AttemptLimits, RequestMachine
-from endivegw.results import Reason
 from endivegw.telemetry import EventLog, Metrics
 from endivegw.types import AttemptId
 
@@ -73,17 +71,14 @@
     async def run(self, request: RoutedRequest, sink: AnswerSink) -> RequestEnd:
         """Send the answer into the sink and return how the request ended."""
         run = self._new_run(request, sink)
-        remaining_s = request.deadline_s - self._parts.clock()
         try:
-            with anyio.move_on_after(max(0.0, remaining_s)):
-                return await run.to_end()
-            return await run.stop(Reason.DEADLINE)
+            return await run.to_end()
         finally:
             if not run.ended:
                 # The caller went away, and this task is being cancelled with
                 # it: the engine, the queue place and the tokens are freed, and
                 # the bill is written, by a task that lives on.
-                self._background.start_soon(run.stop, Reason.CANCELLED)
+                self._background.start_soon(run.abandon)
 
     def _new_run(self, request: RoutedRequest, sink: AnswerSink) -> RequestRun:
         parts = self._parts
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -5,10 +5,10 @@
 import random
 from typing import Callable, Iterable
 
-from endivegw.daemons.attempt_stream import SidecarLink
 from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.sidecar_heartbeats import SidecarHeartbeats
+from endivegw.daemons.sidecar_links import SidecarLink
 from endivegw.decisions import LoadFigures, TargetView
 from endivegw.membership import (
     Change,
--- a/src/endivegw/telemetry/catalogue/router.py
+++ b/src/endivegw/telemetry/catalogue/router.py
@@ -16,7 +16,7 @@
     "request-placed",
     Level.INFO,
     "A request was placed on a target, with the figures it was decided on.",
-    ("request_id", "attempt_id", "target", "why", "figures"),
+    ("request_id", "target", "why", "figures"),
 )
 REQUEST_REFUSED = Event(
     1002,
@@ -36,7 +36,7 @@
     1004,
     "request-retried",
     Level.INFO,
-    "An attempt did not start or failed, and the request is tried elsewhere.",
+    "A sidecar refused an attempt, which did not run; the request goes on.",
     ("request_id", "attempt_id", "target", "reason"),
 )
 ATTEMPT_RESOLVED = Event(
--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -217,6 +217,12 @@
     def reset(self) -> None:
         self.received.clear()
 
+    def heard(self, header: pb.Header) -> None:
+        pass
+
+    def refused(self, step: HandOver, refused: Refused) -> None:
+        pass
+
 
 class RequestWorld:
     """Hold the whole of it; faults are changed while it runs.
