--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -80,6 +80,11 @@
             return False
         return parts.watch.settled and parts.slots.settled(parts.clock())
 
+    @property
+    def instance_id(self) -> InstanceId:
+        """Return the name of this start of this process."""
+        return self._parts.instance_id
+
     @property
     def in_progress(self) -> int:
         """Return how many requests have not ended."""
@@ -149,6 +154,12 @@
         )
         self._stopped.set()
 
+    async def _serve_front(
+        self, ip: str, port: int, *, task_status: TaskStatus[ServedAddress]
+    ) -> None:
+        # A planned stop has waited for the answers in progress already.
+        await serve_asgi(self._front, ip, port, graceful_s=0, task_status=task_status)
+
     def _build_service(self) -> RouterService:
         parts = self._parts
         return RouterService(
--- /dev/null
+++ b/src/endivegw/dev/exercise.py
@@ -0,0 +1,90 @@
+"""Run the development fleet under a bounded load with faults, and judge it."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+
+from endivegw.budgets.rows import HOLDER_PARTITION, HolderRow
+from endivegw.dev.calls import Caller, new_call
+from endivegw.dev.faults import FaultRunner
+from endivegw.dev.figures import ExerciseFigures
+from endivegw.dev.fleet import DevFleet
+from endivegw.dev.layout import free_port
+from endivegw.dev.oracle import Oracle
+
+__all__ = ["run_exercise"]
+
+#: Requests a second; about a fifth of what the three fake engines carry, so that
+#: each refusal is one that capacity did not call for.
+_RATE_PER_S = 30.0
+
+#: Small enough for the second account to run out before it is topped up.
+_BUDGET_TOKENS = (400_000, 12_000)
+
+#: After the load: callers' last retries, then the dead router's recovery.
+_LOAD_END_S = 25.0
+_RECOVERY_END_S = 90.0
+
+
+async def run_exercise(exercise_s: float, seed: int) -> ExerciseFigures:
+    """Run the load and the faults for a bounded time and return the figures."""
+    figures = ExerciseFigures(seed)
+    ports = (free_port(), free_port())
+    fleet = DevFleet(http_ports=ports, budget_tokens=_BUDGET_TOKENS)
+    async with anyio.create_task_group() as tasks:
+        await fleet.start(tasks)
+        budgets = {
+            account.client_account: tokens
+            for account, tokens in zip(fleet.accounts, _BUDGET_TOKENS)
+        }
+        oracle = Oracle(fleet, budgets)
+        faults = FaultRunner(fleet, oracle, tasks, exercise_s)
+        caller = Caller(
+            lambda: [router.url for router in fleet.routers],
+            time.monotonic,
+            random.Random(seed),
+        )
+        async with anyio.create_task_group() as work:
+            work.start_soon(faults.run)
+            work.start_soon(_load, caller, oracle, exercise_s, seed)
+        await caller.close()
+        await _wait_for_recovery(fleet)
+        with anyio.move_on_after(30):
+            await fleet.drain()
+        figures.faults = faults.log
+        await oracle.judge(figures)
+        tasks.cancel_scope.cancel()
+    return figures
+
+
+async def _load(caller: Caller, oracle: Oracle, exercise_s: float, seed: int) -> None:
+    """Send calls at random moments; return when all have ended."""
+    rng = random.Random(seed)
+    ends_s = time.monotonic() + exercise_s
+    number = 0
+    with anyio.move_on_after(exercise_s + _LOAD_END_S):
+        async with anyio.create_task_group() as calls:
+            while time.monotonic() < ends_s:
+                number += 1
+                account = rng.choices(oracle.fleet.accounts, (3, 2))[0]
+                call = new_call(number, account, rng)
+                oracle.calls.append(call)
+                calls.start_soon(caller.send, call)
+                await anyio.sleep(rng.expovariate(_RATE_PER_S))
+
+
+async def _wait_for_recovery(fleet: DevFleet) -> None:
+    """Wait until no dead router holds tokens any more, or for a bounded time."""
+    live = {router.router.instance_id for router in fleet.routers}
+    with anyio.move_on_after(_RECOVERY_END_S):
+        while _unrecovered(fleet) - live:
+            await anyio.sleep(0.5)
+
+
+def _unrecovered(fleet: DevFleet) -> set[str]:
+    page = fleet.platform.table.page(HOLDER_PARTITION, "", None, 1000)
+    holders = [HolderRow.of(row) for row in page.rows]
+    return {holder.instance_id for holder in holders if not holder.recovered}
--- a/src/endivegw/dev/fleet.py
+++ b/src/endivegw/dev/fleet.py
@@ -71,7 +71,7 @@
 
     http_ports: tuple[int, ...] = (0, 0)
     log_level: str = "info"
-    budget_tokens: int = SAMPLE_BUDGET_TOKENS
+    budget_tokens: tuple[int, int] = (SAMPLE_BUDGET_TOKENS, SAMPLE_BUDGET_TOKENS)
     platform: StandinPlatform = field(factory=StandinPlatform)
     engines: dict[str, FakeEngine] = field(factory=dict)
     services: dict[str, ServiceApp] = field(factory=dict)
--- /dev/null
+++ b/src/endivegw/dev/oracle.py
@@ -0,0 +1,184 @@
+"""Count what happened at engines and callers, apart from the code under test."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Iterable
+
+from attrs import define, field
+
+from endivegw.budgets.bills import BillRecord
+from endivegw.budgets.reconcile import read_bill, reconcile
+from endivegw.budgets.rows import BudgetRow
+from endivegw.dev.calls import RUN_ONCE, Call
+from endivegw.dev.figures import ExerciseFigures, percentile
+from endivegw.dev.fleet import DevFleet
+from endivegw.dev.sample import SampleAccount
+from endivegw.exceptions import PlatformError
+from endivegw.queries.budgets import list_budgets
+from endivegw.results import Done, Reason
+from endivegw.types import BudgetKey, ClientAccountName, Outcome
+from endivegw_standins.engine_text import answer_text
+
+__all__ = ["Oracle"]
+
+_TIMEOUT_S = 5.0
+
+
+@define
+class _Runs:
+    """Hold what engines did for one call.
+
+    :ivar texts: what attempts that ended whole produced.
+    """
+
+    starts: int = 0
+    tokens: int = 0
+
+
+@define
+class Oracle:
+    """Compare what callers were told with what engines did."""
+
+    fleet: DevFleet
+    topped_up_tokens: dict[ClientAccountName, int]
+    calls: list[Call] = field(factory=list)
+
+    async def judge(self, figures: ExerciseFigures) -> None:
+        """Fill in the figures, and list the promises that were broken."""
+        runs = self._runs()
+        figures.requests = len(self.calls)
+        for call in self.calls:
+            self._judge_call(call, runs.get(call.name, _Runs()), figures)
+        self._judge_budgets(runs, figures)
+        await self._judge_bill(figures)
+        answered = [c.end for c in self.calls if c.end and _was_answered(c)]
+        elapsed = [end.elapsed_s for end in answered]
+        first = [e.first_data_s for e in answered if e.first_data_s is not None]
+        figures.p50_s = round(percentile(elapsed, 0.5), 4)
+        figures.p95_s = round(percentile(elapsed, 0.95), 4)
+        figures.first_token_p95_s = round(percentile(first, 0.95), 4)
+        figures.caller_retries = sum(c.tries - 1 for c in self.calls)
+        figures.violations += _broken_promises(figures)
+
+    def consumed_tokens(self, account: SampleAccount) -> int:
+        """Return what engines consumed for an account so far."""
+        total = 0
+        for engine in self.fleet.engines.values():
+            for attempt_id, count in engine.consumed.items():
+                name = engine.generations[attempt_id].prompt.text.split()[0]
+                if name.endswith(f"-{account.client_account}"):
+                    total += count.prompt_tokens + count.completion_tokens
+        return total
+
+    def _runs(self) -> dict[str, _Runs]:
+        runs: dict[str, _Runs] = {}
+        for engine in self.fleet.engines.values():
+            for attempt_id, count in engine.consumed.items():
+                name = engine.generations[attempt_id].prompt.text.split()[0]
+                run = runs.setdefault(name, _Runs())
+                run.starts += count.starts
+                run.tokens += count.prompt_tokens + count.completion_tokens
+        for service in self.fleet.services.values():
+            for name, count_of_bodies in Counter(service.bodies).items():
+                runs.setdefault(name.decode(), _Runs()).starts += count_of_bodies
+        return runs
+
+    def _judge_call(self, call: Call, run: _Runs, figures: ExerciseFigures) -> None:
+        if call.kind in RUN_ONCE and run.starts > 1:
+            figures.doubled += 1
+            figures.violations.append(f"{call.name} ran {run.starts} times")
+        end = call.end
+        if end is None or end.outcome is None:
+            figures.lost += 1
+            return
+        match end.outcome:
+            case Outcome.ANSWERED:
+                figures.answered += 1
+                if end.text != _expected_text(call):
+                    figures.cut_answers_that_looked_whole += 1
+                    figures.violations.append(f"{call.name} got another answer")
+            case Outcome.UNKNOWN:
+                figures.unknown_outcomes += 1
+            case Outcome.NOT_RUN:
+                self._judge_refusal(call, run, figures)
+
+    def _judge_refusal(self, call: Call, run: _Runs, figures: ExerciseFigures) -> None:
+        assert call.end is not None
+        figures.refused += 1
+        codes = figures.refusals_by_code
+        codes[call.end.code] = codes.get(call.end.code, 0) + 1
+        # Without a key each try is a request of its own; only one try's word
+        # can be held against it.
+        if run.starts and (call.is_keyed or call.tries == 1):
+            figures.wrong_not_run += 1
+            figures.violations.append(f"{call.name} ran and was told not run")
+        if call.end.code != Reason.BUDGET_EXHAUSTED.value:
+            # The engines have room for several times this load.
+            figures.false_refusals += 1
+            return
+        account = call.account.client_account
+        left_tokens = self.topped_up_tokens[account]
+        left_tokens -= self.consumed_tokens(call.account)
+        if left_tokens > call.bound_tokens:
+            # Judged by what was left at the very end, which is less than what
+            # was left when the call was refused.
+            figures.false_refusals += 1
+
+    def _judge_budgets(self, runs: dict[str, _Runs], figures: ExerciseFigures) -> None:
+        figures.consumed_tokens = sum(run.tokens for run in runs.values())
+        for account in self.fleet.accounts:
+            topped_up_tokens = self.topped_up_tokens[account.client_account]
+            over_tokens = self.consumed_tokens(account) - topped_up_tokens
+            figures.overspend_tokens += max(0, over_tokens)
+
+    async def _judge_bill(self, figures: ExerciseFigures) -> None:
+        for row in await self._rows():
+            records = await self._records(row.budget)
+            found = reconcile(row, records)
+            figures.settled_tokens += row.settled_tokens
+            figures.unsettled_tokens += row.granted_tokens
+            figures.unreconciled_tokens += abs(found.difference_tokens)
+            if found.doubled:
+                figures.violations.append(f"billed twice: {found.doubled}")
+        beyond = figures.settled_tokens - figures.consumed_tokens
+        figures.charged_beyond_tokens = max(0, beyond)
+
+    async def _records(self, budget: BudgetKey) -> list[BillRecord]:
+        records: list[BillRecord] = []
+        async for record in read_bill(self.fleet.platform.table, budget):
+            if not isinstance(record, BillRecord):
+                raise PlatformError(f"the stand-in table gave no bill: {record}")
+            records.append(record)
+        return records
+
+    async def _rows(self) -> Iterable[BudgetRow]:
+        result = await list_budgets(self.fleet.platform.table, timeout_s=_TIMEOUT_S)
+        if isinstance(result, Done):
+            return result.value
+        raise PlatformError(f"the stand-in table gave no rows: {result}")
+
+
+def _was_answered(call: Call) -> bool:
+    return call.end is not None and call.end.outcome is Outcome.ANSWERED
+
+
+def _expected_text(call: Call) -> str:
+    if call.is_service:
+        return call.name
+    prompt = f"{call.name} len={call.max_tokens}"
+    return answer_text(prompt, call.max_tokens)
+
+
+def _broken_promises(figures: ExerciseFigures) -> list[str]:
+    broken = []
+    if figures.overspend_tokens:
+        broken.append(f"overspend of {figures.overspend_tokens} tokens")
+    if figures.lost:
+        broken.append(f"{figures.lost} requests lost")
+    if figures.unreconciled_tokens:
+        broken.append(f"{figures.unreconciled_tokens} tokens not billed as settled")
+    short = figures.consumed_tokens - figures.settled_tokens - figures.unsettled_tokens
+    if short > 0:
+        broken.append(f"{short} consumed tokens neither settled nor escrowed")
+    return broken
--- a/src/endivegw/dev/sample.py
+++ b/src/endivegw/dev/sample.py
@@ -40,7 +40,7 @@
 
 
 async def load_sample(
-    table: TablePort, budget_tokens: int = SAMPLE_BUDGET_TOKENS
+    table: TablePort, budget_tokens: tuple[int, int]
 ) -> tuple[SampleAccount, ...]:
     """Write the sample configuration and return its accounts."""
     shared = Parameters(
@@ -59,8 +59,8 @@
         )
         _done(await set_target(table, _operation(), parameters))
     return (
-        await _account(table, "kiosks", Priority.URGENT, budget_tokens),
-        await _account(table, "planning", Priority.NORMAL, budget_tokens),
+        await _account(table, "kiosks", Priority.URGENT, budget_tokens[0]),
+        await _account(table, "planning", Priority.NORMAL, budget_tokens[1]),
     )
 
 
