--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -94,6 +94,13 @@
         self, *, task_status: TaskStatus[ServedAddress] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until :meth:`drain` has ended or the task is cancelled."""
+        try:
+            await self._run(task_status)
+        finally:
+            self._parts.book.close()
+            self._parts.runner.claims.close()
+
+    async def _run(self, task_status: TaskStatus[ServedAddress]) -> None:
         parts = self._parts
         async with anyio.create_task_group() as tasks:
             self._front = self._build_front(tasks)
@@ -122,7 +129,6 @@
             )
             task_status.started(address)
             await self._stopped.wait()
-            parts.book.close()
             tasks.cancel_scope.cancel()
 
     async def drain(self) -> None:
--- a/src/endivegw/dev/oracle.py
+++ b/src/endivegw/dev/oracle.py
@@ -27,10 +27,7 @@
 
 @define
 class _Runs:
-    """Hold what engines did for one call.
-
-    :ivar texts: what attempts that ended whole produced.
-    """
+    """Hold what engines and services did for one call."""
 
     starts: int = 0
     tokens: int = 0
@@ -80,8 +77,8 @@
                 run.starts += count.starts
                 run.tokens += count.prompt_tokens + count.completion_tokens
         for service in self.fleet.services.values():
-            for name, count_of_bodies in Counter(service.bodies).items():
-                runs.setdefault(name.decode(), _Runs()).starts += count_of_bodies
+            for body, calls in Counter(service.bodies).items():
+                runs.setdefault(body.decode(), _Runs()).starts += calls
         return runs
 
     def _judge_call(self, call: Call, run: _Runs, figures: ExerciseFigures) -> None:
