--- a/benchmarks/budget_fleet.py
+++ b/benchmarks/budget_fleet.py
@@ -449,10 +449,11 @@
         transfers: bool = True,
         checkpoint_s: float = 30.0,
         engine_tokens_per_s: float = 60.0,
+        table: MemoryTable | None = None,
     ) -> None:
         self.tasks = tasks
         self.rng = rng
-        self.table = MemoryTable()
+        self.table = table or MemoryTable()
         self.options = options or KeeperOptions()
         self.transfers = transfers
         self.checkpoint_s = checkpoint_s
--- a/src/endivegw/budgets/demand.py
+++ b/src/endivegw/budgets/demand.py
@@ -8,18 +8,23 @@
 
 __all__ = ["DemandEstimate"]
 
-#: Time constant of the average. Shorter follows bursts and draws more often,
-#: longer strands more after a burst has passed.
-_TIME_CONSTANT_S = 60.0
+#: Time constant of the average. A small account sends one request in half a
+#: minute through one router; a shorter average reads each as a burst and each
+#: pause as the end, and draws and returns in turns. A longer one strands more
+#: after a burst has passed.
+_TIME_CONSTANT_S = 240.0
+
+#: How long a large reservation is remembered, once or twice.
+_BOUND_MEMORY_S = 120.0
 
 #: A budget seen for less than this is taken to have been seen for this long, so
 #: that one first request does not read as a stream of them.
-_LEAST_SEEN_S = 20.0
+_LEAST_SEEN_S = 60.0
 
 
 @define
 class DemandEstimate:
-    """Average consumption over about a minute, and recall large reservations.
+    """Average consumption over some minutes, and recall large reservations.
 
     :ivar largest_bound_tokens: largest reservation of the recent past.
     """
@@ -42,7 +47,7 @@
         self.largest_bound_tokens = max(self.largest_bound_tokens, bound_tokens)
 
     def bound_tokens(self, now_s: float) -> int:
-        """Return the largest reservation of the last one to two minutes."""
+        """Return the largest reservation of the last two to four minutes."""
         self._advance(now_s)
         return max(self.largest_bound_tokens, self._earlier_bound_tokens)
 
@@ -66,11 +71,11 @@
         if self.decayed_tokens < 1.0:
             self.decayed_tokens = 0.0
         self.updated_at_s = max(now_s, self.updated_at_s)
-        if now_s - self._bound_since_s > 2 * _TIME_CONSTANT_S:
+        if now_s - self._bound_since_s > 2 * _BOUND_MEMORY_S:
             self._earlier_bound_tokens = 0
             self.largest_bound_tokens = 0
             self._bound_since_s = now_s
-        elif now_s - self._bound_since_s > _TIME_CONSTANT_S:
+        elif now_s - self._bound_since_s > _BOUND_MEMORY_S:
             self._earlier_bound_tokens = self.largest_bound_tokens
             self.largest_bound_tokens = 0
             self._bound_since_s = now_s
--- a/src/endivegw/budgets/options.py
+++ b/src/endivegw/budgets/options.py
@@ -30,6 +30,6 @@
     write_gap_s: float = 0.25
     table_timeout_s: float = 1.0
     retry_gap_s: float = 0.5
-    wait_s: float = 2.0
+    wait_s: float = 4.0
     bill_flush_s: float = 5.0
     peer_timeout_s: float = 0.25
--- a/src/endivegw/budgets/planning.py
+++ b/src/endivegw/budgets/planning.py
@@ -5,7 +5,12 @@
 from attrs import define, field, frozen
 
 from endivegw.budgets.rows import BudgetRow, grant_id_of
-from endivegw.budgets.sizing import SizePolicy, draw_tokens, idle_tokens
+from endivegw.budgets.sizing import (
+    Remainder,
+    SizePolicy,
+    draw_tokens,
+    idle_tokens,
+)
 from endivegw.budgets.wallet import BudgetWallet, GrantChange, HeldGrant
 from endivegw.exceptions import InvariantError
 from endivegw.types import BudgetKey, GrantId
@@ -15,6 +20,7 @@
     "Plan",
     "is_closable",
     "is_forgettable",
+    "is_idle",
     "items_of",
     "next_look_s",
     "plan_wallet",
@@ -26,9 +32,14 @@
 #: good leaves in doubt only the grants that it may have seen, and those end.
 ROTATE_S = 600.0
 
-#: A budget without a request for this long gives all its free tokens back.
+#: A budget without a request for this long, or for the account's reserve where
+#: that is longer, gives all its free tokens back.
 IDLE_S = 120.0
 
+#: How often a budget's row is read where this router holds so much of what is
+#: left that others may be short of it.
+SCARCE_READ_S = 10.0
+
 #: How often a budget with tokens in hand is looked at for a demand that fell.
 _DECAY_LOOK_S = 15.0
 
@@ -80,11 +91,24 @@
     """Return whether the budget's row is worth reading for a draw."""
     if wallet.wanted_tokens:
         return True
-    if now_s - wallet.used_at_s > IDLE_S:
+    if is_idle(wallet, now_s):
         return False
+    if _is_scarce(wallet):
+        return now_s - wallet.read_at_s >= SCARCE_READ_S
     # What is left does not matter here; ask with more than anyone wants.
-    plenty_tokens = 1 << 60
-    return draw_tokens(policy, wallet.state(now_s), plenty_tokens, 1).tokens > 0
+    plenty = Remainder(1 << 60, 0, 1)
+    return draw_tokens(policy, wallet.state(now_s), plenty).tokens > 0
+
+
+def is_idle(wallet: BudgetWallet, now_s: float) -> bool:
+    """Return whether no request came for as long as tokens are kept for one."""
+    return now_s - wallet.used_at_s > max(IDLE_S, wallet.reserve_s)
+
+
+def _is_scarce(wallet: BudgetWallet) -> bool:
+    """Return whether the table has less left than this router holds."""
+    known_tokens = wallet.known_available_tokens
+    return known_tokens is not None and known_tokens < wallet.free_tokens
 
 
 def wants_write(
@@ -95,7 +119,7 @@
         return True
     if any(_can_close(grant) for grant in wallet.grants.values()):
         return True
-    return _give_back_tokens(policy, wallet, now_s, closing) > 0
+    return _give_back_tokens(policy, wallet, None, now_s, closing) > 0
 
 
 def items_of(wallet: BudgetWallet) -> int:
@@ -107,14 +131,14 @@
     """Return when a budget that nothing happens to needs to be looked at."""
     times_s = [now_s + IDLE_S]
     if wallet.free_tokens:
-        times_s.append(now_s + _DECAY_LOOK_S)
+        times_s.append(now_s + (SCARCE_READ_S if _is_scarce(wallet) else _DECAY_LOOK_S))
     return max(min(times_s), now_s + _LEAST_LOOK_S)
 
 
 def is_forgettable(wallet: BudgetWallet, now_s: float) -> bool:
     """Return whether nothing of a budget is in hand and none will be wanted."""
     empty = not wallet.grants and not wallet.reservations
-    return empty and now_s - wallet.used_at_s > IDLE_S
+    return empty and is_idle(wallet, now_s)
 
 
 def is_closable(wallet: BudgetWallet) -> bool:
@@ -131,11 +155,15 @@
 
 
 def _give_back_tokens(
-    policy: SizePolicy, wallet: BudgetWallet, now_s: float, closing: bool
+    policy: SizePolicy,
+    wallet: BudgetWallet,
+    left: Remainder | None,
+    now_s: float,
+    closing: bool,
 ) -> int:
-    if closing or now_s - wallet.used_at_s > IDLE_S:
+    if closing or is_idle(wallet, now_s):
         return 0 if wallet.wanted_tokens else wallet.free_tokens
-    return idle_tokens(policy, wallet.state(now_s))
+    return idle_tokens(policy, wallet.state(now_s), left)
 
 
 def plan_wallet(
@@ -152,10 +180,11 @@
     :param row: as read just now, None where no draw is wanted.
     :param settle_tokens: what the bill records of the same write charge.
     """
-    drew = _plan_draw(plan, policy, wallet, row, now_s)
+    left = _remainder(wallet, row)
+    drew = _plan_draw(plan, policy, wallet, left, now_s)
     give_back_tokens = 0
     if not drew:
-        give_back_tokens = _give_back_tokens(policy, wallet, now_s, closing)
+        give_back_tokens = _give_back_tokens(policy, wallet, left, now_s, closing)
     draws = {change.grant_id: change for change in plan.changes if change.draw_tokens}
     for grant in list(wallet.grants.values()):
         if grant.sealed:
@@ -188,18 +217,24 @@
     _count_drawers(plan, wallet)
 
 
+def _remainder(wallet: BudgetWallet, row: BudgetRow | None) -> Remainder | None:
+    if row is None:
+        return None
+    drawers = row.drawers + (0 if wallet.counted else 1)
+    return Remainder(row.available_tokens, row.granted_tokens, drawers)
+
+
 def _plan_draw(
     plan: Plan,
     policy: SizePolicy,
     wallet: BudgetWallet,
-    row: BudgetRow | None,
+    left: Remainder | None,
     now_s: float,
 ) -> bool:
-    if row is None:
+    if left is None:
         return False
     state = wallet.state(now_s)
-    drawers = row.drawers + (0 if wallet.counted else 1)
-    draw = draw_tokens(policy, state, row.available_tokens, drawers)
+    draw = draw_tokens(policy, state, left)
     if draw.tokens <= 0:
         return False
     active = wallet.active_grant(now_s, ROTATE_S)
@@ -219,8 +254,8 @@
             grant_id,
             draw.tokens,
             draw.needed_tokens,
-            row.available_tokens,
-            drawers,
+            left.available_tokens,
+            left.drawers,
             state.rate_tokens_per_s,
         )
     )
--- a/src/endivegw/budgets/sizing.py
+++ b/src/endivegw/budgets/sizing.py
@@ -16,6 +16,7 @@
     "FixedSize",
     "GrantState",
     "ProportionalSize",
+    "Remainder",
     "SizePolicy",
     "draw_tokens",
     "hand_target_tokens",
@@ -27,13 +28,17 @@
 #: the last tokens are spread over those who ask.
 _SHARE_DIVISOR = 2
 
-#: Free tokens below this part of what should be in hand cause a draw. Higher
-#: draws more often, lower rides out a shorter time without the table.
-_LOW_WATER = 0.5
+#: Free tokens below this part of what should be in hand cause a draw, since an
+#: outage may begin just before it. Higher draws more often.
+_LOW_WATER = 0.9
 
 #: Free tokens above this multiple of what should be in hand go back; the gap to
 #: the low water keeps a steady demand from drawing and returning in turns.
-_HIGH_WATER = 2.0
+_HIGH_WATER = 1.3
+
+#: A draw that no request waits for brings at least this part of what should be
+#: in hand; near the end of a budget each second would bring a few tokens else.
+_LEAST_PART = 0.05
 
 
 @frozen
@@ -100,16 +105,30 @@
     return demand_tokens + state.largest_bound_tokens
 
 
-def draw_tokens(
-    policy: SizePolicy, state: GrantState, available_tokens: int, drawers: int
-) -> Draw:
-    """Return how many tokens to draw of what the table has left.
+@frozen
+class Remainder:
+    """Hold what is left of a budget, as the table says.
 
     :param available_tokens: what no grant holds.
+    :param granted_tokens: what all routers hold.
     :param drawers: how many routers draw on the budget, this one included.
     """
+
+    available_tokens: int
+    granted_tokens: int
+    drawers: int
+
+    def even_share_tokens(self) -> int:
+        """Return what each drawing router would have if all was shared evenly."""
+        unspent_tokens = self.available_tokens + self.granted_tokens
+        return unspent_tokens // max(self.drawers, 1)
+
+
+def draw_tokens(policy: SizePolicy, state: GrantState, left: Remainder) -> Draw:
+    """Return how many tokens to draw of what the table has left."""
+    available_tokens = left.available_tokens
     needed_tokens = min(state.wanted_tokens, available_tokens)
-    share_tokens = available_tokens // (_SHARE_DIVISOR * max(drawers, 1))
+    share_tokens = available_tokens // (_SHARE_DIVISOR * max(left.drawers, 1))
     match policy:
         case FixedSize(tokens):
             low = state.free_tokens < state.largest_bound_tokens
@@ -120,19 +139,26 @@
             wish_tokens = int(available_tokens * part)
             size_tokens = wish_tokens if low or needed_tokens else 0
         case DemandSize():
-            target_tokens = hand_target_tokens(state)
+            # No more than an even share, however large the account's reserve
+            # is: the first to draw would leave nothing for the others.
+            target_tokens = min(hand_target_tokens(state), left.even_share_tokens())
             low = state.free_tokens < target_tokens * _LOW_WATER
             missing_tokens = max(target_tokens - state.free_tokens, 0)
-            wish_tokens = missing_tokens if low or needed_tokens else 0
-            size_tokens = min(wish_tokens, share_tokens)
+            size_tokens = min(missing_tokens, share_tokens)
+            if not low or size_tokens < target_tokens * _LEAST_PART:
+                size_tokens = 0
+            if needed_tokens:
+                size_tokens = min(missing_tokens, share_tokens)
     return Draw(needed_tokens, max(size_tokens, needed_tokens))
 
 
-def idle_tokens(policy: SizePolicy, state: GrantState) -> int:
+def idle_tokens(policy: SizePolicy, state: GrantState, left: Remainder | None) -> int:
     """Return how many free tokens to give back to the budget.
 
     Only the demand-driven size knows what idle means; the others give back all
     of a budget without demand.
+
+    :param left: None where the table was not read just now.
     """
     if state.wanted_tokens:
         return 0
@@ -141,6 +167,10 @@
         return state.free_tokens
     match policy:
         case DemandSize():
+            if left is not None:
+                least_tokens = state.largest_bound_tokens
+                share_tokens = max(left.even_share_tokens(), least_tokens)
+                target_tokens = min(target_tokens, share_tokens)
             if state.free_tokens > target_tokens * _HIGH_WATER:
                 return state.free_tokens - target_tokens
     return 0
--- a/src/endivegw/budgets/wallet.py
+++ b/src/endivegw/budgets/wallet.py
@@ -83,6 +83,7 @@
 
     :ivar known_available_tokens: what the table had left when it was last
         read, None before.
+    :ivar read_at_s: when that was.
     :ivar counted: whether the budget's row counts this router as drawing.
     :ivar unbilled_tokens: finished, and on no request's line yet.
     """
@@ -94,6 +95,7 @@
     demand: DemandEstimate = field(factory=DemandEstimate)
     wanted_tokens: int = 0
     known_available_tokens: int | None = None
+    read_at_s: float = 0.0
     counted: bool = False
     unbilled_tokens: int = 0
     used_at_s: float = 0.0
--- a/src/endivegw/budgets/writer.py
+++ b/src/endivegw/budgets/writer.py
@@ -229,6 +229,7 @@
         """Note whether what is left can serve who waits."""
         wallet = account.wallet
         wallet.known_available_tokens = row.available_tokens
+        wallet.read_at_s = self._clock()
         in_hand_tokens = wallet.free_tokens + row.available_tokens
         account.exhausted = any(
             waiter.bound_tokens > in_hand_tokens for waiter in account.waiters
