--- a/src/endivegw/budgets/accounts.py
+++ b/src/endivegw/budgets/accounts.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from endivegw.budgets.bills import LineQueue
-from endivegw.budgets.rows import grant_number_of
+from endivegw.budgets.rows import HolderId, grant_id_of, grant_number_of
 from endivegw.budgets.wallet import BudgetWallet, GrantChange, Reservation
 from endivegw.results import Refused
 from endivegw.types import AttemptId, BudgetKey, GrantId
@@ -143,6 +143,32 @@
         """Take in that an own grant's row is gone."""
         self._open_numbers.discard(grant_number_of(grant_id))
 
+    def stuck(self, holder: HolderId, before_s: float) -> tuple[GrantId, ...]:
+        """Return own grants of which only what was lent, or sealed, is open.
+
+        :param before_s: those opened after this are left alone.
+        """
+        held = {
+            grant.grant_id: grant
+            for account in self._accounts.values()
+            for grant in account.wallet.grants.values()
+        }
+        found: list[GrantId] = []
+        for number in sorted(self._open_numbers):
+            grant_id = grant_id_of(holder, number)
+            grant = held.get(grant_id)
+            if grant is None:
+                found.append(grant_id)
+            elif grant.lent_tokens and grant.is_empty and grant.opened_at_s < before_s:
+                found.append(grant_id)
+        return tuple(found)
+
+    def recovered(self, grant_id: GrantId) -> None:
+        """Take in that nothing of an own grant is open in the table any more."""
+        for account in self._accounts.values():
+            account.wallet.grants.pop(grant_id, None)
+        self.closed(grant_id)
+
     def forget_grants(self) -> None:
         """Begin anew under another holder's name."""
         self._open_numbers.clear()
--- a/src/endivegw/budgets/gate.py
+++ b/src/endivegw/budgets/gate.py
@@ -17,7 +17,6 @@
 from endivegw.budgets.checkpoint import checkpoint_transaction, ledger_row_key
 from endivegw.budgets.ledger import GrantLedger
 from endivegw.budgets.rows import HolderId, HolderRow, holder_of, holder_row_key
-from endivegw.exceptions import InvariantError
 from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused
 from endivegw.telemetry import EventLog
@@ -87,12 +86,9 @@
         :returns: None where it may start; refused with ``GRANT_SEALED``, or with
             ``NOT_READY`` where the table cannot be asked about the holder.
         """
-        if self._version == 0 or self._closing:
-            return Refused(Reason.NOT_READY, "this sidecar is not registered")
-        if not self.ledger.knows_holder(grant_id):
-            await self._ask(holder_of(grant_id))
-        if self._ended or self._closing:
-            return Refused(Reason.NOT_READY, "this sidecar has ended")
+        refused = await self.ready_for(grant_id)
+        if refused is not None:
+            return refused
         return self.ledger.admit(
             grant_id, budget, attempt_id, reservation_tokens, now_s
         )
@@ -102,12 +98,12 @@
 
         :returns: why nothing can be admitted now, None where the ledger decides.
         """
-        if self._version == 0 or self._ended:
+        if self._version == 0:
             return Refused(Reason.NOT_READY, "this sidecar is not registered")
         if not self.ledger.knows_holder(grant_id):
             await self._ask(holder_of(grant_id))
-        if self._ended:
-            return Refused(Reason.NOT_READY, "this sidecar is taken for gone")
+        if self._ended or self._closing:
+            return Refused(Reason.NOT_READY, "this sidecar has ended")
         return None
 
     async def run(self) -> None:
@@ -123,19 +119,21 @@
                 await self._look_after_holders()
                 holders_at_s = self._clock() + HOLDERS_S
 
-    async def close(self) -> None:
+    async def close(self) -> bool:
         """Write the final use at a planned stop; tries until it is written.
 
         Call it once no attempt runs any more; none is admitted from here on.
 
-        :raises InvariantError: while attempts run, whose use is not final.
+        :returns: False where attempts run, whose use is not final; recovery then
+            treats this sidecar as one that was lost.
         """
         self._closing = True
         if self.ledger.running:
-            raise InvariantError(f"{self.ledger.running} attempts are running")
+            return False
         while not self._ended and not await self._write(ended=True):
             await anyio.sleep(_RETRY_S)
         self._ended = True
+        return True
 
     async def _ask(self, holder: HolderId) -> None:
         """Ask the table about a holder, once for all who need it."""
--- a/src/endivegw/budgets/keeper.py
+++ b/src/endivegw/budgets/keeper.py
@@ -39,6 +39,10 @@
 #: What a donor keeps for its own next moments, in seconds of its demand.
 _LEND_KEEP_S = 5.0
 
+#: A grant that only borrowers use is recovered when it is this old. Borrowed
+#: tokens are spent within minutes; what is left by then is stranded.
+_LENT_S = 1800.0
+
 #: While requests wait the loop looks again this often: tokens that other
 #: routers give back show only in the table.
 _WAITING_TICK_S = 0.4
@@ -199,6 +203,20 @@
         self._offers.keep(offer, now_s)
         return offer
 
+    def stuck_grants(self, now_s: float) -> tuple[GrantId, ...]:
+        """Return own grants to be recovered although this router lives.
+
+        Of these only what peers borrowed is open. A peer that died, or an offer
+        whose answer was lost, would strand the tokens for good.
+        """
+        if self._writer.has_unwritten:
+            return ()
+        return self._book.stuck(self._writer.holder, now_s - _LENT_S)
+
+    def grant_recovered(self, grant_id: GrantId) -> None:
+        """Take in that recovery has closed a stuck grant."""
+        self._book.recovered(grant_id)
+
     def tokens_in_hand(self, budget: BudgetKey) -> int:
         """Return the free tokens of a budget, for metrics and tests."""
         account = self._book.find(budget)
--- a/src/endivegw/cli/budget.py
+++ b/src/endivegw/cli/budget.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from datetime import datetime, timezone
+
 import click
 
 from endivegw.budgets import read_budgets
+from endivegw.budgets.bills import BillRecord
 from endivegw.budgets.rows import BudgetRow
 from endivegw.cli.operating import (
     OperatorContext,
@@ -15,12 +18,24 @@
 )
 from endivegw.cli.output import output_option, print_table
 from endivegw.commands.budget import top_up_budget
+from endivegw.queries.bills import bill_of
 from endivegw.queries.budgets import list_budgets
 from endivegw.results import Unknown
 from endivegw.types import BudgetKey, ClientAccountName
 
 __all__ = ["budget"]
 
+_BILL_COLUMNS = (
+    "at",
+    "kind",
+    "name",
+    "charged",
+    "prompt",
+    "completion",
+    "lost",
+    "outcome",
+)
+
 _COLUMNS = ("account", "budget", "topped_up", "available", "granted", "settled")
 
 
@@ -61,10 +76,18 @@
 @budget.command()
 @click.argument("account")
 @click.argument("name")
+@click.option(
+    "--reconcile/--no-reconcile",
+    default=True,
+    help="Whether to read the whole bill and compare it.",
+    show_default=True,
+)
 @output_option
 @with_platform
-async def show(context: OperatorContext, account: str, name: str, output: str) -> None:
-    """Show one budget.
+async def show(
+    context: OperatorContext, account: str, name: str, reconcile: bool, output: str
+) -> None:
+    """Show one budget, and whether what was settled and billed agree.
 
     "granted" is in the hands of routers, "settled" is spent and billed.
     """
@@ -77,6 +100,47 @@
     if row is None:
         raise click.UsageError(f"budget {key} was never topped up")
     print_table(_COLUMNS, [_cells(row)], output)
+    if not reconcile:
+        return
+    found = value_of(
+        await bill_of(
+            context.platform.table, key, timeout_s=context.operation.timeout_s
+        )
+    )
+    click.echo(found.sums.sentence(), err=output == "json")
+
+
+@budget.command()
+@click.argument("account")
+@click.argument("name")
+@click.option("--since", type=click.DateTime(), help="First moment, in UTC.")
+@click.option("--until", type=click.DateTime(), help="Moment behind the last, in UTC.")
+@output_option
+@with_platform
+async def bill(
+    context: OperatorContext,
+    account: str,
+    name: str,
+    since: datetime | None,
+    until: datetime | None,
+    output: str,
+) -> None:
+    """List what was charged to one budget, one line for each request.
+
+    The last line says whether the whole bill and what was settled agree.
+    """
+    key = BudgetKey(ClientAccountName(account), name)
+    found = value_of(
+        await bill_of(
+            context.platform.table,
+            key,
+            from_s=_unix_time(since),
+            until_s=_unix_time(until),
+            timeout_s=context.operation.timeout_s,
+        )
+    )
+    print_table(_BILL_COLUMNS, [_bill_cells(one) for one in found.records], output)
+    click.echo(found.sums.sentence(), err=output == "json")
 
 
 @budget.command(name="list")
@@ -95,6 +159,24 @@
     print_table(_COLUMNS, [_cells(row) for row in rows], output)
 
 
+def _unix_time(moment: datetime | None) -> float | None:
+    return moment.replace(tzinfo=timezone.utc).timestamp() if moment else None
+
+
+def _bill_cells(record: BillRecord) -> tuple[object, ...]:
+    at = datetime.fromtimestamp(record.at_s, timezone.utc)
+    return (
+        at.isoformat(timespec="seconds"),
+        record.kind.value,
+        record.name,
+        record.charged_tokens,
+        record.prompt_tokens,
+        record.completion_tokens,
+        record.lost_tokens,
+        record.outcome,
+    )
+
+
 def _cells(row: BudgetRow) -> tuple[object, ...]:
     return (
         row.budget.client_account,
--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -6,6 +6,7 @@
 from endivegw.budgets.recovery import Recovery
 from endivegw.composition.process import Process, metrics_of, open_process
 from endivegw.daemons.claim_client import ClaimClient
+from endivegw.daemons.lent_grants import LentGrants
 from endivegw.daemons.peer_book import ROUTER_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.recovery_watch import RecoveryWatch
@@ -60,6 +61,14 @@
         log=process.log,
         metrics=metrics_of(settings.logs, "endivegw.router"),
     )
+    seals = SealCalls(
+        process.platform.vms,
+        process.connect_sidecar,
+        settings.peers.sidecar_port,
+        process.header,
+        process.clock,
+    )
+    recovery = Recovery(process.platform.table, seals, process.clock, process.log)
     parts = RouterParts(
         settings=settings,
         instance_id=process.identity.instance_id,
@@ -68,7 +77,8 @@
         queue=queue,
         watch=watch,
         routers=_router_watch(settings, process),
-        recovery=_recovery_watch(settings, process),
+        recovery=_recovery_watch(settings, process, recovery, seals),
+        lent=LentGrants(keeper, recovery, seals, process.clock),
         slots=slots,
         runner=runner,
         book=process.book,
@@ -112,20 +122,15 @@
     )
 
 
-def _recovery_watch(settings: RouterSettings, process: Process) -> RecoveryWatch:
-    seals = SealCalls(
-        process.platform.vms,
-        process.connect_sidecar,
-        settings.peers.sidecar_port,
-        process.header,
-        process.clock,
-    )
+def _recovery_watch(
+    settings: RouterSettings, process: Process, recovery: Recovery, seals: SealCalls
+) -> RecoveryWatch:
     return RecoveryWatch(
         settings.process.vm,
         process.identity.instance_id,
         process.platform.table,
         process.platform.vms,
-        Recovery(process.platform.table, seals, process.clock, process.log),
+        recovery,
         seals,
         process.connect_router,
         settings.peers.router_port,
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -11,6 +11,7 @@
 from endivegw.budgets import BudgetKeeper
 from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.http_front import HttpFront
+from endivegw.daemons.lent_grants import LentGrants
 from endivegw.daemons.peer_book import PeerBook
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.recovery_watch import RecoveryWatch
@@ -53,6 +54,7 @@
     watch: TargetWatch
     routers: RouterWatch
     recovery: RecoveryWatch
+    lent: LentGrants
     slots: SlotMapReader
     runner: RunnerParts
     book: PeerBook
@@ -97,6 +99,7 @@
                 parts.watch.run,
                 parts.routers.run,
                 parts.recovery.run,
+                parts.lent.run,
                 parts.slots.run,
                 parts.queue.run,
                 parts.keeper.run,
