--- a/src/endivegw/budgets/accounts.py
+++ b/src/endivegw/budgets/accounts.py
@@ -35,6 +35,7 @@
 
     :ivar exhausted: whether the table had less left than the first waiter
         needs when it was last read.
+    :ivar borrow_after_s: peers are not asked again before.
     :ivar next_look_s: when to look at it without being told to.
     """
 
@@ -42,6 +43,7 @@
     waiters: list[Waiter] = field(factory=list)
     exhausted: bool = False
     borrowing: bool = False
+    borrow_after_s: float = 0.0
     next_look_s: float | None = None
 
     def join(self, waiter: Waiter) -> None:
--- a/src/endivegw/budgets/borrower.py
+++ b/src/endivegw/budgets/borrower.py
@@ -24,6 +24,10 @@
 #: that the tokens, if there were any, lie with the donor's grant until recovery.
 _ASK_TRIES = 3
 
+#: Pause after peers had too little. A budget that is used up by all would cost
+#: each of its requests some asks else.
+_FRUITLESS_WAIT_S = 1.0
+
 #: Borrow for this many seconds of demand at once, so that a long outage does
 #: not turn each request into an ask.
 _BORROW_AHEAD_S = 10.0
@@ -55,6 +59,8 @@
             await self._ask_in_turn(account)
         finally:
             account.borrowing = False
+            if account.waiters:
+                account.borrow_after_s = self._clock() + _FRUITLESS_WAIT_S
 
     async def _ask_in_turn(self, account: Account) -> None:
         names = list(self._peers.peers())
--- a/src/endivegw/budgets/keeper.py
+++ b/src/endivegw/budgets/keeper.py
@@ -17,6 +17,7 @@
 from endivegw.budgets.bills import BillKind, BillLine, BillRecord
 from endivegw.budgets.borrower import Borrower
 from endivegw.budgets.options import KeeperOptions
+from endivegw.budgets.pace import WritePace
 from endivegw.budgets.planning import is_closable, wants_draw
 from endivegw.budgets.rows import HolderId
 from endivegw.budgets.transfer import (
@@ -74,6 +75,7 @@
         self._options = options or KeeperOptions()
         self._book = AccountBook()
         self._offers = OfferMemory()
+        self._pace = WritePace(self._options.writes_per_s, self._options.write_burst)
         self._wake = anyio.Event()
         self._closing = False
         self._tasks: TaskGroup | None = None
@@ -237,7 +239,8 @@
                     with anyio.move_on_after(self._tick_s()):
                         await self._wake.wait()
                     self._wake = anyio.Event()
-                    await self._writer.write_once(self._closing)
+                    if await self._writer.write_once(self._closing):
+                        self._pace.take(self._clock())
                     await anyio.sleep(self._gap_s())
             finally:
                 self._tasks = None
@@ -252,7 +255,9 @@
         self._closing = True
         while not self._is_closed():
             await self._writer.write_once(True)
-            await anyio.sleep(self._options.write_gap_s)
+            away = self._writer.away_since_s is not None
+            gap_s = self._options.retry_gap_s if away else self._options.write_gap_s
+            await anyio.sleep(gap_s)
 
     def _is_closed(self) -> bool:
         if self._writer.has_unwritten or len(self._book.lines):
@@ -266,7 +271,8 @@
     def _gap_s(self) -> float:
         if self._writer.away_since_s is not None:
             return self._options.retry_gap_s
-        return self._options.write_gap_s
+        wait_s = self._pace.wait_s(self._clock())
+        return max(wait_s, self._options.write_gap_s)
 
     # Helpers.
 
@@ -350,5 +356,6 @@
     def _borrow(self, account: Account) -> None:
         if self._borrower is None or self._tasks is None:
             return
-        if account.waiters and not account.borrowing:
+        asked_lately = self._clock() < account.borrow_after_s
+        if account.waiters and not account.borrowing and not asked_lately:
             self._tasks.start_soon(self._borrower.borrow, account)
--- a/src/endivegw/budgets/options.py
+++ b/src/endivegw/budgets/options.py
@@ -14,9 +14,12 @@
     """Hold what the keeper's pace is set by.
 
     :param tick_s: how often the loop looks for work without being woken.
-    :param write_gap_s: least time between two writes of this router. 370
-        routers with one write a second stay inside the several hundred writes
-        that the table carries; a request of a cold budget waits up to this long.
+    :param writes_per_s: sustained writes of this router. 370 routers at this
+        rate stay inside the several hundred writes that the table carries.
+    :param write_burst: writes that may come at once after a quiet time, so that
+        the first request of a cold budget does not wait for its draw.
+    :param write_gap_s: least time between two writes. What is asked for
+        meanwhile goes into one.
     :param table_timeout_s: how long one call of the table may take.
     :param retry_gap_s: pause before a write without an answer is tried again.
     :param wait_s: how long a request waits at most: near the end of a budget
@@ -27,7 +30,9 @@
 
     policy: SizePolicy = field(factory=DemandSize)
     tick_s: float = 1.0
-    write_gap_s: float = 0.25
+    writes_per_s: float = 1.0
+    write_burst: int = 10
+    write_gap_s: float = 0.02
     table_timeout_s: float = 1.0
     retry_gap_s: float = 0.5
     wait_s: float = 4.0
--- a/src/endivegw/budgets/writer.py
+++ b/src/endivegw/budgets/writer.py
@@ -98,13 +98,18 @@
         """Return whether a batch is on its way to the table."""
         return self._unwritten is not None
 
-    async def write_once(self, closing: bool) -> None:
-        """Write what is due, or try again what was not answered."""
+    async def write_once(self, closing: bool) -> bool:
+        """Write what is due, or try again what was not answered.
+
+        :returns: whether the table was asked to write.
+        """
         async with self._lock:
             if self._unwritten is None:
                 self._unwritten = await self._compose(self._clock(), closing)
-            if self._unwritten is not None:
-                await self._commit(*self._unwritten)
+            if self._unwritten is None:
+                return False
+            await self._commit(*self._unwritten)
+            return True
 
     async def _compose(self, now_s: float, closing: bool) -> tuple[Batch, Plan] | None:
         """Choose what the next write carries; None where there is nothing."""
--- a/tests/test_budgets_parts.py
+++ b/tests/test_budgets_parts.py
@@ -236,6 +236,8 @@
         async def scenario(fleet):
             router = fleet.routers[0]
             await self.send(fleet, [router], 400, gap_s=9.0)
+            # Of these nothing is settled yet.
+            await self.send(fleet, [router], 10, gap_s=0.01)
             fleet.kill(router)
             self.assertIsNotNone(await fleet.recover(router.instance_id))
             counted = [len(one.gate.ledger) for one in fleet.all_sidecars]
