Merge the fragments of a budget's end and leave them in the table

A reservation cannot be split over two grants.

A draw now moves the free tokens of all own grants into the drawn one, nothing is drawn that serves nobody, and hands that are too small for a request go back.

--- a/src/endivegw/budgets/accounts.py
+++ b/src/endivegw/budgets/accounts.py
@@ -49,12 +49,17 @@
     def join(self, waiter: Waiter) -> None:
         """Queue a waiter behind the others."""
         self.waiters.append(waiter)
-        self.wallet.wanted_tokens += waiter.bound_tokens
+        self._count_wanted()
 
     def leave(self, waiter: Waiter) -> None:
         """Take a waiter out of the queue."""
         self.waiters.remove(waiter)
-        self.wallet.wanted_tokens -= waiter.bound_tokens
+        self._count_wanted()
+
+    def _count_wanted(self) -> None:
+        bounds = [waiter.bound_tokens for waiter in self.waiters]
+        self.wallet.wanted_tokens = sum(bounds)
+        self.wallet.smallest_wanted_tokens = min(bounds, default=0)
 
     def serve(self, now_s: float) -> None:
         """Hand free tokens to who waits, in order; small ones may pass large.
--- a/src/endivegw/budgets/planning.py
+++ b/src/endivegw/budgets/planning.py
@@ -6,6 +6,7 @@
 
 from endivegw.budgets.rows import BudgetRow, grant_id_of
 from endivegw.budgets.sizing import (
+    Draw,
     Remainder,
     SizePolicy,
     draw_tokens,
@@ -181,10 +182,12 @@
     :param settle_tokens: what the bill records of the same write charge.
     """
     left = _remainder(wallet, row)
-    drew = _plan_draw(plan, policy, wallet, left, now_s)
+    draw = _plan_draw(plan, policy, wallet, left, now_s)
     give_back_tokens = 0
-    if not drew:
+    if draw is None:
         give_back_tokens = _give_back_tokens(policy, wallet, left, now_s, closing)
+    elif draw.merges:
+        give_back_tokens = wallet.free_tokens
     draws = {change.grant_id: change for change in plan.changes if change.draw_tokens}
     for grant in list(wallet.grants.values()):
         if grant.sealed:
@@ -230,13 +233,13 @@
     wallet: BudgetWallet,
     left: Remainder | None,
     now_s: float,
-) -> bool:
+) -> Draw | None:
     if left is None:
-        return False
+        return None
     state = wallet.state(now_s)
     draw = draw_tokens(policy, state, left)
     if draw.tokens <= 0:
-        return False
+        return None
     active = wallet.active_grant(now_s, ROTATE_S)
     if active is not None:
         grant_id = active.grant_id
@@ -259,7 +262,7 @@
             state.rate_tokens_per_s,
         )
     )
-    return True
+    return draw
 
 
 def _is_leftover(wallet: BudgetWallet, grant: HeldGrant, now_s: float) -> bool:
--- a/src/endivegw/budgets/sizing.py
+++ b/src/endivegw/budgets/sizing.py
@@ -69,7 +69,8 @@
 
     :param free_tokens: in hand and not reserved.
     :param reserved_tokens: in reservations of attempts in flight.
-    :param wanted_tokens: what requests that wait are short of.
+    :param wanted_tokens: bounds of all requests that wait.
+    :param smallest_wanted_tokens: the smallest of them, 0 where none waits.
     :param rate_tokens_per_s: recent consumption.
     :param largest_bound_tokens: the largest recent reservation.
     :param reserve_s: the account's parameter.
@@ -78,6 +79,7 @@
     free_tokens: int
     reserved_tokens: int
     wanted_tokens: int
+    smallest_wanted_tokens: int
     rate_tokens_per_s: float
     largest_bound_tokens: int
     reserve_s: float
@@ -87,12 +89,15 @@
 class Draw:
     """Hold the decision on one draw with its figures.
 
-    :param needed_tokens: without these a waiting request cannot run.
+    :param needed_tokens: without these no waiting request can run.
     :param tokens: what to draw.
+    :param merges: whether the free tokens of all grants in hand move into the
+        drawn one; a reservation cannot be split over two grants.
     """
 
     needed_tokens: int
     tokens: int
+    merges: bool
 
 
 def hand_target_tokens(state: GrantState) -> int:
@@ -127,7 +132,9 @@
 def draw_tokens(policy: SizePolicy, state: GrantState, left: Remainder) -> Draw:
     """Return how many tokens to draw of what the table has left."""
     available_tokens = left.available_tokens
-    needed_tokens = min(state.wanted_tokens, available_tokens)
+    needed_tokens = _needed_tokens(state, available_tokens)
+    if needed_tokens > available_tokens:
+        return Draw(needed_tokens, needed_tokens, merges=True)
     share_tokens = available_tokens // (_SHARE_DIVISOR * max(left.drawers, 1))
     match policy:
         case FixedSize(tokens):
@@ -142,6 +149,8 @@
             # No more than an even share, however large the account's reserve
             # is: the first to draw would leave nothing for the others.
             target_tokens = min(hand_target_tokens(state), left.even_share_tokens())
+            if target_tokens < state.largest_bound_tokens:
+                target_tokens = 0
             low = state.free_tokens < target_tokens * _LOW_WATER
             missing_tokens = max(target_tokens - state.free_tokens, 0)
             size_tokens = min(missing_tokens, share_tokens)
@@ -149,7 +158,20 @@
                 size_tokens = 0
             if needed_tokens:
                 size_tokens = min(missing_tokens, share_tokens)
-    return Draw(needed_tokens, max(size_tokens, needed_tokens))
+    return Draw(needed_tokens, max(size_tokens, needed_tokens), merges=False)
+
+
+def _needed_tokens(state: GrantState, available_tokens: int) -> int:
+    """Return what serves all who wait, else one of them, else nothing.
+
+    Tokens drawn for a request that they do not suffice for would be missing
+    where they suffice.
+    """
+    affordable_tokens = available_tokens + state.free_tokens
+    for tokens in (state.wanted_tokens, state.smallest_wanted_tokens):
+        if tokens <= affordable_tokens:
+            return tokens
+    return 0
 
 
 def idle_tokens(policy: SizePolicy, state: GrantState, left: Remainder | None) -> int:
@@ -160,6 +182,12 @@
 
     :param left: None where the table was not read just now.
     """
+    if left is not None and isinstance(policy, DemandSize):
+        bound_tokens = max(state.largest_bound_tokens, state.smallest_wanted_tokens)
+        if left.even_share_tokens() < bound_tokens:
+            # The end of the budget: spread over the routers it would serve no
+            # request, and in the table it serves the next ones anywhere.
+            return state.free_tokens
     if state.wanted_tokens:
         return 0
     target_tokens = hand_target_tokens(state)
@@ -168,9 +196,7 @@
     match policy:
         case DemandSize():
             if left is not None:
-                least_tokens = state.largest_bound_tokens
-                share_tokens = max(left.even_share_tokens(), least_tokens)
-                target_tokens = min(target_tokens, share_tokens)
+                target_tokens = min(target_tokens, left.even_share_tokens())
             if state.free_tokens > target_tokens * _HIGH_WATER:
                 return state.free_tokens - target_tokens
     return 0
--- a/src/endivegw/budgets/wallet.py
+++ b/src/endivegw/budgets/wallet.py
@@ -94,6 +94,7 @@
     reservations: dict[AttemptId, Reservation] = field(factory=dict)
     demand: DemandEstimate = field(factory=DemandEstimate)
     wanted_tokens: int = 0
+    smallest_wanted_tokens: int = 0
     known_available_tokens: int | None = None
     read_at_s: float = 0.0
     counted: bool = False
@@ -121,6 +122,7 @@
             free_tokens=self.free_tokens,
             reserved_tokens=self.reserved_tokens,
             wanted_tokens=self.wanted_tokens,
+            smallest_wanted_tokens=self.smallest_wanted_tokens,
             rate_tokens_per_s=self.demand.rate_tokens_per_s(now_s),
             largest_bound_tokens=self.demand.bound_tokens(now_s),
             reserve_s=self.reserve_s,
--- a/tests/test_budgets_parts.py
+++ b/tests/test_budgets_parts.py
@@ -26,7 +26,7 @@
 
 def state(free=0, wanted=0, rate=10.0, bound=100, reserve_s=60.0):
     """Return what a router knows of a budget."""
-    return GrantState(free, 0, wanted, rate, bound, reserve_s)
+    return GrantState(free, 0, wanted, wanted, rate, bound, reserve_s)
 
 
 class SizingTests(unittest.TestCase):
@@ -35,6 +35,16 @@
         draw = draw_tokens(DemandSize(), state(wanted=90), Remainder(100, 900, 50))
         self.assertEqual((draw.needed_tokens, draw.tokens), (90, 90))
 
+    def test_tokens_that_serve_nobody_are_not_drawn(self):
+        """Two routers that each took half of a request's bound serve none."""
+        waiting = state(free=30, wanted=100, bound=100)
+        self.assertEqual(
+            draw_tokens(DemandSize(), waiting, Remainder(60, 30, 2)).tokens, 0
+        )
+        self.assertEqual(idle_tokens(DemandSize(), waiting, Remainder(60, 30, 2)), 30)
+        merged = draw_tokens(DemandSize(), waiting, Remainder(70, 30, 2))
+        self.assertEqual((merged.tokens, merged.merges), (100, True))
+
     def test_draws_shrink_with_what_is_left_and_with_routers(self):
         """No draw takes more than half an even share of what is left."""
         small = draw_tokens(DemandSize(), state(), Remainder(1000, 0, 5)).tokens
@@ -50,8 +60,8 @@
     def test_a_hand_beyond_an_even_share_goes_back(self):
         """The first router to draw gives back what the others are short of."""
         left = Remainder(0, 300, 3)
-        kept = 300 - idle_tokens(DemandSize(), state(free=300, bound=20), left)
-        self.assertEqual(kept, 100)
+        back_tokens = idle_tokens(DemandSize(), state(free=300, bound=20), left)
+        self.assertEqual(back_tokens, 200)
         self.assertEqual(idle_tokens(FixedSize(), state(free=300), left), 0)
 
 
