--- a/src/endivegw/budgets/accounts.py
+++ b/src/endivegw/budgets/accounts.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from endivegw.budgets.bills import LineQueue
-from endivegw.budgets.rows import grant_number_of
+from endivegw.budgets.rows import HolderId, grant_id_of, grant_number_of
 from endivegw.budgets.wallet import BudgetWallet, GrantChange, Reservation
 from endivegw.results import Refused
 from endivegw.types import AttemptId, BudgetKey, GrantId
@@ -35,6 +35,7 @@
 
     :ivar exhausted: whether the table had less left than the first waiter
         needs when it was last read.
+    :ivar borrow_after_s: peers are not asked again before.
     :ivar next_look_s: when to look at it without being told to.
     """
 
@@ -42,17 +43,23 @@
     waiters: list[Waiter] = field(factory=list)
     exhausted: bool = False
     borrowing: bool = False
+    borrow_after_s: float = 0.0
     next_look_s: float | None = None
 
     def join(self, waiter: Waiter) -> None:
         """Queue a waiter behind the others."""
         self.waiters.append(waiter)
-        self.wallet.wanted_tokens += waiter.bound_tokens
+        self._count_wanted()
 
     def leave(self, waiter: Waiter) -> None:
         """Take a waiter out of the queue."""
         self.waiters.remove(waiter)
-        self.wallet.wanted_tokens -= waiter.bound_tokens
+        self._count_wanted()
+
+    def _count_wanted(self) -> None:
+        bounds = [waiter.bound_tokens for waiter in self.waiters]
+        self.wallet.wanted_tokens = sum(bounds)
+        self.wallet.smallest_wanted_tokens = min(bounds, default=0)
 
     def serve(self, now_s: float) -> None:
         """Hand free tokens to who waits, in order; small ones may pass large.
@@ -143,6 +150,32 @@
         """Take in that an own grant's row is gone."""
         self._open_numbers.discard(grant_number_of(grant_id))
 
+    def stuck(self, holder: HolderId, before_s: float) -> tuple[GrantId, ...]:
+        """Return own grants of which only what was lent, or sealed, is open.
+
+        :param before_s: those opened after this are left alone.
+        """
+        held = {
+            grant.grant_id: grant
+            for account in self._accounts.values()
+            for grant in account.wallet.grants.values()
+        }
+        found: list[GrantId] = []
+        for number in sorted(self._open_numbers):
+            grant_id = grant_id_of(holder, number)
+            grant = held.get(grant_id)
+            if grant is None:
+                found.append(grant_id)
+            elif grant.lent_tokens and grant.is_empty and grant.opened_at_s < before_s:
+                found.append(grant_id)
+        return tuple(found)
+
+    def recovered(self, grant_id: GrantId) -> None:
+        """Take in that nothing of an own grant is open in the table any more."""
+        for account in self._accounts.values():
+            account.wallet.grants.pop(grant_id, None)
+        self.closed(grant_id)
+
     def forget_grants(self) -> None:
         """Begin anew under another holder's name."""
         self._open_numbers.clear()
--- a/src/endivegw/budgets/sizing.py
+++ b/src/endivegw/budgets/sizing.py
@@ -16,6 +16,7 @@
     "FixedSize",
     "GrantState",
     "ProportionalSize",
+    "Remainder",
     "SizePolicy",
     "draw_tokens",
     "hand_target_tokens",
@@ -27,13 +28,17 @@
 #: the last tokens are spread over those who ask.
 _SHARE_DIVISOR = 2
 
-#: Free tokens below this part of what should be in hand cause a draw. Higher
-#: draws more often, lower rides out a shorter time without the table.
-_LOW_WATER = 0.5
+#: Free tokens below this part of what should be in hand cause a draw, since an
+#: outage may begin just before it. Higher draws more often.
+_LOW_WATER = 0.9
 
 #: Free tokens above this multiple of what should be in hand go back; the gap to
 #: the low water keeps a steady demand from drawing and returning in turns.
-_HIGH_WATER = 2.0
+_HIGH_WATER = 1.3
+
+#: A draw that no request waits for brings at least this part of what should be
+#: in hand; near the end of a budget each second would bring a few tokens else.
+_LEAST_PART = 0.05
 
 
 @frozen
@@ -64,7 +69,8 @@
 
     :param free_tokens: in hand and not reserved.
     :param reserved_tokens: in reservations of attempts in flight.
-    :param wanted_tokens: what requests that wait are short of.
+    :param wanted_tokens: bounds of all requests that wait.
+    :param smallest_wanted_tokens: the smallest of them, 0 where none waits.
     :param rate_tokens_per_s: recent consumption.
     :param largest_bound_tokens: the largest recent reservation.
     :param reserve_s: the account's parameter.
@@ -73,6 +79,7 @@
     free_tokens: int
     reserved_tokens: int
     wanted_tokens: int
+    smallest_wanted_tokens: int
     rate_tokens_per_s: float
     largest_bound_tokens: int
     reserve_s: float
@@ -82,12 +89,15 @@
 class Draw:
     """Hold the decision on one draw with its figures.
 
-    :param needed_tokens: without these a waiting request cannot run.
+    :param needed_tokens: without these no waiting request can run.
     :param tokens: what to draw.
+    :param merges: whether the free tokens of all grants in hand move into the
+        drawn one; a reservation cannot be split over two grants.
     """
 
     needed_tokens: int
     tokens: int
+    merges: bool
 
 
 def hand_target_tokens(state: GrantState) -> int:
@@ -100,16 +110,32 @@
     return demand_tokens + state.largest_bound_tokens
 
 
-def draw_tokens(
-    policy: SizePolicy, state: GrantState, available_tokens: int, drawers: int
-) -> Draw:
-    """Return how many tokens to draw of what the table has left.
+@frozen
+class Remainder:
+    """Hold what is left of a budget, as the table says.
 
     :param available_tokens: what no grant holds.
+    :param granted_tokens: what all routers hold.
     :param drawers: how many routers draw on the budget, this one included.
     """
-    needed_tokens = min(state.wanted_tokens, available_tokens)
-    share_tokens = available_tokens // (_SHARE_DIVISOR * max(drawers, 1))
+
+    available_tokens: int
+    granted_tokens: int
+    drawers: int
+
+    def even_share_tokens(self) -> int:
+        """Return what each drawing router would have if all was shared evenly."""
+        unspent_tokens = self.available_tokens + self.granted_tokens
+        return unspent_tokens // max(self.drawers, 1)
+
+
+def draw_tokens(policy: SizePolicy, state: GrantState, left: Remainder) -> Draw:
+    """Return how many tokens to draw of what the table has left."""
+    available_tokens = left.available_tokens
+    needed_tokens = _needed_tokens(state, available_tokens)
+    if needed_tokens > available_tokens:
+        return Draw(needed_tokens, needed_tokens, merges=True)
+    share_tokens = available_tokens // (_SHARE_DIVISOR * max(left.drawers, 1))
     match policy:
         case FixedSize(tokens):
             low = state.free_tokens < state.largest_bound_tokens
@@ -120,20 +146,48 @@
             wish_tokens = int(available_tokens * part)
             size_tokens = wish_tokens if low or needed_tokens else 0
         case DemandSize():
-            target_tokens = hand_target_tokens(state)
+            # No more than an even share, however large the account's reserve
+            # is: the first to draw would leave nothing for the others.
+            target_tokens = min(hand_target_tokens(state), left.even_share_tokens())
+            if target_tokens < state.largest_bound_tokens:
+                target_tokens = 0
             low = state.free_tokens < target_tokens * _LOW_WATER
             missing_tokens = max(target_tokens - state.free_tokens, 0)
-            wish_tokens = missing_tokens if low or needed_tokens else 0
-            size_tokens = min(wish_tokens, share_tokens)
-    return Draw(needed_tokens, max(size_tokens, needed_tokens))
+            size_tokens = min(missing_tokens, share_tokens)
+            if not low or size_tokens < target_tokens * _LEAST_PART:
+                size_tokens = 0
+            if needed_tokens:
+                size_tokens = min(missing_tokens, share_tokens)
+    return Draw(needed_tokens, max(size_tokens, needed_tokens), merges=False)
 
 
-def idle_tokens(policy: SizePolicy, state: GrantState) -> int:
+def _needed_tokens(state: GrantState, available_tokens: int) -> int:
+    """Return what serves all who wait, else one of them, else nothing.
+
+    Tokens drawn for a request that they do not suffice for would be missing
+    where they suffice.
+    """
+    affordable_tokens = available_tokens + state.free_tokens
+    for tokens in (state.wanted_tokens, state.smallest_wanted_tokens):
+        if tokens <= affordable_tokens:
+            return tokens
+    return 0
+
+
+def idle_tokens(policy: SizePolicy, state: GrantState, left: Remainder | None) -> int:
     """Return how many free tokens to give back to the budget.
 
     Only the demand-driven size knows what idle means; the others give back all
     of a budget without demand.
+
+    :param left: None where the table was not read just now.
     """
+    if left is not None and isinstance(policy, DemandSize):
+        bound_tokens = max(state.largest_bound_tokens, state.smallest_wanted_tokens)
+        if left.even_share_tokens() < bound_tokens:
+            # The end of the budget: spread over the routers it would serve no
+            # request, and in the table it serves the next ones anywhere.
+            return state.free_tokens
     if state.wanted_tokens:
         return 0
     target_tokens = hand_target_tokens(state)
@@ -141,6 +195,8 @@
         return state.free_tokens
     match policy:
         case DemandSize():
+            if left is not None:
+                target_tokens = min(target_tokens, left.even_share_tokens())
             if state.free_tokens > target_tokens * _HIGH_WATER:
                 return state.free_tokens - target_tokens
     return 0
