--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -181,10 +181,13 @@
                 served.update(_models(peer))
         views: list[TargetView] = []
         for peer in heard:
-            use = uses[peer.address]
-            alone = use is Use.LAST_RESORT and not served.issuperset(_models(peer))
-            offered = use is Use.PREFERRED or alone
-            views.append(_view(peer, draining=not offered))
+            match uses[peer.address]:
+                case Use.PREFERRED:
+                    views.append(_view(peer, _models(peer), draining=False))
+                case Use.LAST_RESORT if alone := _models(peer) - served:
+                    views.append(_view(peer, alone, draining=False))
+                case _:
+                    views.append(_view(peer, _models(peer), draining=True))
         return views
 
 
@@ -197,7 +200,7 @@
     return frozenset(load.models) if load else frozenset()
 
 
-def _view(peer: Peer, *, draining: bool) -> TargetView:
+def _view(peer: Peer, models: frozenset[str], *, draining: bool) -> TargetView:
     assert peer.heartbeat is not None
     load = peer.heartbeat.load
     return TargetView(
@@ -205,7 +208,7 @@
         instance_id=InstanceId(peer.heartbeat.instance_id),
         address=peer.address.address,
         availability_zone=AvailabilityZone(peer.availability_zone),
-        models=_models(peer),
+        models=models,
         slots=load.slots if load else 0,
         draining=draining,
     )
