Exchange heartbeats over one call that stays open

A reply that came after its timeout would be taken for the next one's, so the call is given up after any ending but a reply; without that the new test fails.

--- a/benchmarks/capacity/heartbeat_cost.py
+++ b/benchmarks/capacity/heartbeat_cost.py
@@ -71,9 +71,9 @@
     """Answer heartbeats with a report of the usual size."""
 
     async def Heartbeat(self, stream: Any) -> None:
-        await stream.recv_message()
-        reply = pb.HeartbeatReply(header=_header("sidecar"), load=_load())
-        await stream.send_message(reply)
+        async for _ in stream:
+            reply = pb.HeartbeatReply(header=_header("sidecar"), load=_load())
+            await stream.send_message(reply)
 
     async def Execute(self, stream: Any) -> None:
         raise NotImplementedError
--- a/src/endivegw/daemons/router_service.py
+++ b/src/endivegw/daemons/router_service.py
@@ -41,10 +41,10 @@
 
     async def Heartbeat(self, stream: Any) -> None:
         """Tell that this router lives, and which configuration it has."""
-        request = await stream.recv_message()
-        self._on_header(request.header)
-        reply = pb.HeartbeatReply(header=self._header(), leaving=self._leaving())
-        await stream.send_message(reply)
+        async for request in stream:
+            self._on_header(request.header)
+            reply = pb.HeartbeatReply(header=self._header(), leaving=self._leaving())
+            await stream.send_message(reply)
 
     async def Transfer(self, stream: Any) -> None:
         """Lend tokens; they are debited here before the answer leaves."""
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -204,9 +204,12 @@
         await stream.send_message(reply)
 
     async def Heartbeat(self, stream: Any) -> None:
-        """Tell the target's load and whether it takes new work."""
-        request = await stream.recv_message()
-        self._gate.check_sender(request.header)
+        """Tell the target's load and whether it takes new work, at each ask."""
+        async for request in stream:
+            self._gate.check_sender(request.header)
+            await stream.send_message(self._heartbeat())
+
+    def _heartbeat(self) -> pb.HeartbeatReply:
         self._refresh_leaving()
         leaving = bool(self._gate.leaving)
         reply = pb.HeartbeatReply(
@@ -217,7 +220,7 @@
         )
         if self._claims is not None:
             reply.owned_slots.extend(self._claims.owned_slots())
-        await stream.send_message(reply)
+        return reply
 
     async def Claim(self, stream: Any) -> None:
         """Answer for the key slots that this process owns."""
--- a/src/endivegw/peers/_generated/endivegw_peers_grpc.py
+++ b/src/endivegw/peers/_generated/endivegw_peers_grpc.py
@@ -60,7 +60,7 @@
             ),
             '/endivegw.peers.v1.Sidecar/Heartbeat': grpclib.const.Handler(
                 self.Heartbeat,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 endivegw_peers_pb2.HeartbeatRequest,
                 endivegw_peers_pb2.HeartbeatReply,
             ),
@@ -100,7 +100,7 @@
             endivegw_peers_pb2.SealRequest,
             endivegw_peers_pb2.SealReply,
         )
-        self.Heartbeat = grpclib.client.UnaryUnaryMethod(
+        self.Heartbeat = grpclib.client.StreamStreamMethod(
             channel,
             '/endivegw.peers.v1.Sidecar/Heartbeat',
             endivegw_peers_pb2.HeartbeatRequest,
@@ -138,7 +138,7 @@
         return {
             '/endivegw.peers.v1.Router/Heartbeat': grpclib.const.Handler(
                 self.Heartbeat,
-                grpclib.const.Cardinality.UNARY_UNARY,
+                grpclib.const.Cardinality.STREAM_STREAM,
                 endivegw_peers_pb2.HeartbeatRequest,
                 endivegw_peers_pb2.HeartbeatReply,
             ),
@@ -160,7 +160,7 @@
 class RouterStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Heartbeat = grpclib.client.UnaryUnaryMethod(
+        self.Heartbeat = grpclib.client.StreamStreamMethod(
             channel,
             '/endivegw.peers.v1.Router/Heartbeat',
             endivegw_peers_pb2.HeartbeatRequest,
--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -16,6 +16,7 @@
     forget_cancellation,
     lost_error,
 )
+from endivegw.peers.heartbeat_stream import HeartbeatStream
 from endivegw.peers.limits import BODY_CHUNK_BYTES
 from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
 
@@ -42,6 +43,7 @@
         self._channel = open_channel(host, port, security, sender=sender)
         self._stub = SidecarStub(self._channel)
         self._connect_timeout_s = connect_timeout_s
+        self._heartbeats = HeartbeatStream(self._stub.Heartbeat, connect_timeout_s)
 
     def close(self) -> None:
         """Close the connection; running calls end as :exc:`Broken`."""
@@ -88,7 +90,7 @@
 
     async def heartbeat(self, request: pb.HeartbeatRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.HeartbeatReply`."""
-        return await self._call(self._stub.Heartbeat, request, timeout_s)
+        return await self._heartbeats.exchange(request, timeout_s)
 
     async def claim(self, request: pb.ClaimRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.ClaimReply`."""
--- a/src/endivegw/peers/router_client.py
+++ b/src/endivegw/peers/router_client.py
@@ -7,6 +7,7 @@
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import RouterStub
 from endivegw.peers.call import DEFAULT_CONNECT_TIMEOUT_S, call_once
+from endivegw.peers.heartbeat_stream import HeartbeatStream
 from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
 
 __all__ = ["RouterClient"]
@@ -31,6 +32,7 @@
         self._channel = open_channel(host, port, security, sender=sender)
         self._stub = RouterStub(self._channel)
         self._connect_timeout_s = connect_timeout_s
+        self._heartbeats = HeartbeatStream(self._stub.Heartbeat, connect_timeout_s)
 
     def close(self) -> None:
         """Close the connection."""
@@ -38,7 +40,7 @@
 
     async def heartbeat(self, request: pb.HeartbeatRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.HeartbeatReply`."""
-        return await self._call(self._stub.Heartbeat, request, timeout_s)
+        return await self._heartbeats.exchange(request, timeout_s)
 
     async def transfer(self, request: pb.TransferRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.TransferReply`."""
--- a/tests/test_configuration_agent.py
+++ b/tests/test_configuration_agent.py
@@ -118,9 +118,7 @@
                     await router.wait_ready()
                 await world.change("kiosk")
                 await until(lambda: router.revision == 1)
-                await until(
-                    lambda: "config/revision" in world.platform.objects.objects
-                )
+                await until(lambda: "config/revision" in world.platform.objects.objects)
                 router.heard_peer("s1", "a", 1, name="sidecar-1")
                 table = DynamoTable(f"{world.url}/table")
                 found = ()
--- a/tests/test_peer_security.py
+++ b/tests/test_peer_security.py
@@ -46,6 +46,7 @@
     def __init__(self):
         self.calls = []
         self.hang = False
+        self.delays_s = []
 
     async def Execute(self, stream):
         async for message in stream:
@@ -70,7 +71,10 @@
     async def Heartbeat(self, stream):
         if self.hang:
             await anyio.sleep_forever()
-        await self._unary(stream, messages.HeartbeatReply(leaving=True))
+        async for request in stream:
+            self.calls.append("heartbeat")
+            await anyio.sleep(self.delays_s.pop(0) if self.delays_s else 0)
+            await stream.send_message(messages.HeartbeatReply(header=request.header))
 
     async def Claim(self, stream):
         await self._unary(stream, messages.ClaimReply())
@@ -240,6 +244,34 @@
         anyio.run(main)
         self.assertEqual(outcome, [Broken, "went on"])
 
+    def test_late_heartbeat_is_not_taken_for_the_next_one(self):
+        """A sidecar is paused and answers a heartbeat after its timeout. Taken
+        for the answer to the next one, every view of it would be one too old,
+        and a drain be seen a whole interval late.
+        """
+        sidecar = RecordingSidecar()
+        sidecar.delays_s = [0.2, 0.2]
+
+        async def beat(client, revision, timeout_s):
+            header = messages.Header(config_revision=revision)
+            request = messages.HeartbeatRequest(header=header)
+            reply = await client.heartbeat(request, timeout_s)
+            return reply.header.config_revision
+
+        async def main():
+            async with serving(sidecar, KEY) as port:
+                client = SidecarClient("127.0.0.1", port, KEY)
+                with self.assertRaises(Broken):
+                    await beat(client, 1, 0.1)
+                with anyio.move_on_after(0.1):
+                    await beat(client, 2, 5)
+                await anyio.sleep(0.3)
+                answers = [await beat(client, number, 1) for number in (3, 4, 5)]
+                client.close()
+                return answers
+
+        self.assertEqual(anyio.run(main), [3, 4, 5])
+
     def test_many_messages_in_one_call_keep_their_order(self):
         """Tags are numbered, and long streams in both directions pass."""
         sidecar = RecordingSidecar()
