--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -86,19 +86,19 @@
 
     queue_items: int = 512
     idle_margin: float = 0.7
-    queue_margin: float = 1.1
-    queue_deviations: float = 0.5
+    queue_margin: float = 1.0
+    queue_deviations: float = 0.25
     hope_margin: float = 0.7
     wait_margin: float = 1.0
     share_tolerance_s: float = 10.0
-    make_way_factor: float = 1.3
+    make_way_factor: float = 1.1
     batch_slots_share: float = 0.9
     urgent_overfill: float = 0.15
     overfill: float = 0.0
 
     choices: int = 2
     affinity_choices: int = 2
-    probes: int = 8
+    probes: int = 16
     zone_penalty_s: float = 0.02
     block_tokens: int = 256
     prefix_entries: int = 20_000
