--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -60,11 +60,13 @@
     router: str
     seed: int
     policy: Policy
+    report_with_answers: bool = False
 
 
 def run_one(run: Run) -> Summary:
     """Run one load with one kind of router."""
     load = all_loads(run.seed)[run.load]
+    load = attrs.evolve(load, report_with_answers=run.report_with_answers)
     make = makers(run.policy, load.routers)[run.router]
     world = World(load, make, run.seed, oracle=run.router == "oracle")
     world.run()
@@ -106,6 +108,11 @@
     parser.add_argument("--loads", default="", help="names, comma separated")
     parser.add_argument("--routers", default="", help="names, comma separated")
     parser.add_argument("--set", action="append", default=[], help="policy field=value")
+    parser.add_argument(
+        "--report-with-answers",
+        action="store_true",
+        help="let each answer's end carry the target's present load",
+    )
     parser.add_argument("--json", default="", help="write the figures to this file")
     options = parser.parse_args()
     policy = Policy()
@@ -116,7 +123,12 @@
         )
     loads = [n for n in options.loads.split(",") if n] or list(all_loads(options.seed))
     routers = [n for n in options.routers.split(",") if n] or list(makers(policy, 1))
-    runs = [Run(ld, rt, options.seed, policy) for ld in loads for rt in routers]
+    fresh = options.report_with_answers
+    runs = [
+        Run(load, router, options.seed, policy, fresh)
+        for load in loads
+        for router in routers
+    ]
     began_s = time.perf_counter()
     with multiprocessing.get_context("spawn").Pool(PROCESSES) as pool:
         summaries = pool.map(run_one, runs, chunksize=1)
--- a/benchmarks/decisions_loads.py
+++ b/benchmarks/decisions_loads.py
@@ -103,6 +103,8 @@
     :param offered: offered work as a share of capacity, for the reader.
     :param caller_retries: how often a caller comes back after a refusal or a
         timeout.
+    :param report_with_answers: whether each answer's end carries the target's
+        present load to the router that it goes to.
     :param measured_from_s: when the figures begin, after the caches are warm.
     """
 
@@ -118,6 +120,7 @@
     report_interval_s: float = 1.0
     report_lag_s: float = 0.5
     event_loss: float = 0.1
+    report_with_answers: bool = False
 
 
 def engines(count: int, models: frozenset[str]) -> tuple[TargetSpec, ...]:
--- a/benchmarks/decisions_world.py
+++ b/benchmarks/decisions_world.py
@@ -183,25 +183,7 @@
         if engine.frozen and name in self._stuck:
             figures = self._stuck[name]
         else:
-            engine.advance(self.now_s)
-            since = self._sent.get((number, name), 0)
-            lost = self.load.event_loss
-            changes: tuple[CacheChange, ...] = tuple(
-                change
-                for change in engine.changes[since:]
-                if self._rng.random() >= lost
-            )
-            self._sent[(number, name)] = len(engine.changes)
-            figures = LoadFigures(
-                engine.running,
-                engine.waiting,
-                engine.spec.slots,
-                self._rate(number, engine),
-                self.load.report_lag_s,
-                tuple(sorted(engine.models)),
-                engine.sequence,
-                changes,
-            )
+            figures = self._figures(number, engine, self.load.report_lag_s)
             self._stuck[name] = figures
         lag_s = self.load.report_lag_s
         self.at(self.now_s + lag_s, lambda: self._report(number, name, figures))
@@ -209,6 +191,27 @@
             wait_s = self.load.report_interval_s * self._rng.uniform(0.9, 1.1)
             self.at(self.now_s + wait_s, lambda: self._read(number, name))
 
+    def _figures(self, number: int, engine: Engine, age_s: float) -> LoadFigures:
+        """Return what a target says of itself now."""
+        engine.advance(self.now_s)
+        since = self._sent.get((number, engine.name), 0)
+        self._sent[(number, engine.name)] = len(engine.changes)
+        changes: tuple[CacheChange, ...] = tuple(
+            change
+            for change in engine.changes[since:]
+            if self._rng.random() >= self.load.event_loss
+        )
+        return LoadFigures(
+            engine.running,
+            engine.waiting,
+            engine.spec.slots,
+            self._rate(number, engine),
+            age_s,
+            tuple(sorted(engine.models)),
+            engine.sequence,
+            changes,
+        )
+
     def _rate(self, number: int, engine: Engine) -> float:
         """Return the tokens per second since this router's last reading."""
         read_s, tokens = self._made.get((number, engine.name), (0.0, 0.0))
@@ -363,9 +366,17 @@
             case _:
                 assert record.target is not None
                 end = AttemptEnd(AttemptKind.OK, job.prompt_tokens, job.output_tokens)
-                router.ended(job.request_id, record.target, end, now_s)
+                target = record.target
+                router.ended(job.request_id, target, end, now_s)
                 self._finish(record, Outcome.GOOD)
-                self.at(now_s, lambda: self._poll(number))
+                self.at(now_s, lambda: self._answered(number, target))
+
+    def _answered(self, number: int, target: TargetName) -> None:
+        engine = self.engines[target]
+        if self.load.report_with_answers and not engine.frozen:
+            figures = self._figures(number, engine, 0.0)
+            self.routers[number].report(target, figures, self.now_s)
+        self._poll(number)
 
     def _finish(self, record: Record, outcome: str) -> None:
         record.outcome = outcome
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -84,12 +84,12 @@
             if state is None or state.view.instance_id != view.instance_id:
                 if state is not None:
                     self._prefixes.forget(view.target)
-                state = TargetState(view, now_s, max(1, view.slots))
-            state.view = view
+                state = TargetState(view, max(1, view.slots))
+            state.set_view(view)
             self._targets[view.target] = state
             if view.draining:
                 continue
-            for model in view.models:
+            for model in state.models():
                 members.setdefault(model, []).append(state)
         for model, states in members.items():
             self._pool(model).set_members(states, self._zone)
@@ -102,7 +102,7 @@
             return
         if state.report(figures, now_s, self._policy.frozen_reports):
             self._judge_report(state, figures)
-            pools = (self._pools[model] for model in state.view.models)
+            pools = (self._pools[model] for model in state.models())
             mean = max((pool.mean_others for pool in pools), default=0.0)
             state.age(mean, self._estimates.held_s_of_all.mean, now_s)
         self._prefixes.events(
@@ -216,7 +216,7 @@
         """
         if figures.running < 2 or figures.tokens_per_s <= 0.0:
             return
-        for model in state.view.models:
+        for model in state.models():
             pool = self._pools.get(model)
             if pool is None or model.startswith(SERVICE_PREFIX):
                 continue
@@ -252,7 +252,7 @@
         """Show queued work a target that may have room now."""
         if state.view.draining or state.occupied() >= state.limit(1.0):
             return
-        for model in state.view.models:
+        for model in state.models():
             pool = self._pools.get(model)
             if pool is not None and len(pool.queue):
                 pool.room[state.view.target] = state
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -50,7 +50,6 @@
     """
 
     view: TargetView
-    joined_s: float
     slots: int
     others: float = 0.0
     reported_others: float = 0.0
@@ -65,9 +64,19 @@
     moved: bool = False
     own: dict[str, Outstanding] = field(factory=dict)
     unread: dict[str, Outstanding] = field(factory=dict)
+    _models: tuple[str, ...] = ()
     _last: tuple[int, int, float, int] | None = None
     _history: deque[tuple[float, int]] = field(factory=deque)
 
+    def models(self) -> tuple[str, ...]:
+        """Return what it serves, in an order that is the same in every run."""
+        return self._models
+
+    def set_view(self, view: TargetView) -> None:
+        """Take over what membership says now."""
+        self.view = view
+        self._models = tuple(sorted(view.models))
+
     def occupied(self) -> float:
         """Return the work believed to be there, running or waiting."""
         return self.others + len(self.own)
