--- a/src/endivegw/decisions/affinity.py
+++ b/src/endivegw/decisions/affinity.py
@@ -15,6 +15,10 @@
 #: Targets remembered per prefix; more would only be compared for nothing.
 _HOLDERS = 8
 
+#: An entry younger than this is not renewed: blocks that all prompts share
+#: would be renewed with each placement.
+_FRESH_S = 5.0
+
 #: What a prefix learnt before lost cache events is still worth.
 _DOUBT = 0.5
 
@@ -40,8 +44,11 @@
 
     def learn(self, target: TargetName, digests: Iterable[bytes], now_s: float) -> None:
         """Note that a target has read, or is about to read, these prefixes."""
+        fresh_s = now_s - _FRESH_S
         for digest in digests:
-            self._add(digest, target, now_s)
+            holders = self._holders.get(digest)
+            if holders is None or holders.get(target, 0.0) <= fresh_s:
+                self._add(digest, target, now_s)
 
     def _add(self, digest: bytes, target: TargetName, now_s: float) -> None:
         holders = self._holders.get(digest)
@@ -94,37 +101,28 @@
         for holders in self._holders.values():
             holders.pop(target, None)
 
-    def holders(
-        self, digests: tuple[bytes, ...], limit: int
-    ) -> list[tuple[TargetName, int]]:
-        """Return targets that hold the longest prefixes, most recent first.
+    def lookup(
+        self, digests: tuple[bytes, ...], limit: int, now_s: float
+    ) -> dict[TargetName, int]:
+        """Return the targets that should have most of a prompt cached.
 
-        :returns: pairs of a target and the blocks that it holds.
+        :param limit: how many targets are looked for.
+        :returns: expected cached prompt tokens by target, the most first and
+            there the most recent.
         """
         found: dict[TargetName, int] = {}
+        eldest_s = now_s - self.ttl_s
+        doubts = self._doubt_before_s
         for blocks in range(len(digests), 0, -1):
             holders = self._holders.get(digests[blocks - 1])
-            if not holders:
+            if holders is None:
                 continue
+            tokens = blocks * self.block_tokens
             for target in reversed(holders):
-                found.setdefault(target, blocks)
+                if target in found or holders[target] < eldest_s:
+                    continue
+                doubtful = holders[target] < doubts.get(target, 0.0)
+                found[target] = int(tokens * _DOUBT) if doubtful else tokens
                 if len(found) >= limit:
-                    return list(found.items())
-        return list(found.items())
-
-    def cached_tokens(
-        self, target: TargetName, digests: tuple[bytes, ...], now_s: float
-    ) -> float:
-        """Return how many prompt tokens a target is expected to have cached."""
-        for blocks in range(len(digests), 0, -1):
-            holders = self._holders.get(digests[blocks - 1])
-            if holders is None:
-                continue
-            learnt_s = holders.get(target)
-            if learnt_s is None or learnt_s < now_s - self.ttl_s:
-                continue
-            tokens = float(blocks * self.block_tokens)
-            if learnt_s < self._doubt_before_s.get(target, 0.0):
-                return tokens * _DOUBT
-            return tokens
-        return 0.0
+                    return found
+        return found
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from itertools import islice
 
 from attrs import define
 
@@ -16,6 +17,9 @@
 
 __all__ = ["Choice", "Placer"]
 
+#: Holders of a prefix that are looked up; only the first few are compared.
+_HOLDERS = 4
+
 #: Work that is given to a probe must have this much more time than it needs,
 #: so that a target that is still sick makes no caller late.
 _PROBE_SLACK = 4.0
@@ -37,6 +41,23 @@
     candidates: int = 1
 
 
+@define
+class _Need:
+    """Hold what all candidates for one piece of work are compared by.
+
+    :param share: the share of a target's slots that its priority may fill.
+    :param cached: expected cached prompt tokens by target, the most first.
+    :param plain: whether it is for a plain service.
+    """
+
+    item: WorkItem
+    speed: ModelSpeed
+    share: float
+    output_tokens: float
+    cached: dict[TargetName, int]
+    plain: bool
+
+
 @define
 class Placer:
     """Compare a few targets for one piece of work.
@@ -57,69 +78,89 @@
 
     def choose(self, pool: Pool, item: WorkItem, now_s: float) -> Choice | None:
         """Return the best target with room, None where none was found."""
-        probe = self._probe(pool, item, now_s)
-        if probe is not None:
-            return probe
-        speed = self.estimates.speed(item.model)
-        share = self.policy.slots_share(item.priority)
+        need = self._need(item, now_s)
+        if pool.probe_due:
+            probe = self._probe(pool, need, now_s)
+            if probe is not None:
+                return probe
         best: Choice | None = None
         compared = 0
-        for state in self._candidates(pool, item):
-            if not self._has_room(state, item, share):
+        for state in self._candidates(pool, need):
+            if not self._has_room(state, need):
                 continue
             compared += 1
-            choice = self._weigh(state, item, speed, now_s)
+            choice = self._weigh(state, need)
             if best is None or choice.cost_s < best.cost_s:
                 best = choice
         if best is None:
-            best = self._search(pool, item, speed, share, now_s)
+            best = self._search(pool, need)
         if best is not None:
             best.candidates = max(1, compared)
         return best
 
-    def _candidates(self, pool: Pool, item: WorkItem) -> list[TargetState]:
+    def _need(self, item: WorkItem, now_s: float) -> _Need:
+        cached: dict[TargetName, int] = {}
+        if item.prefix_digests:
+            cached = self.prefixes.lookup(item.prefix_digests, _HOLDERS, now_s)
+        plain = item.model.startswith(SERVICE_PREFIX)
+        return _Need(
+            item,
+            self.estimates.speed(item.model),
+            self.policy.slots_share(item.priority),
+            0.0 if plain else self.estimates.output_tokens(item),
+            cached,
+            plain,
+        )
+
+    def _candidates(self, pool: Pool, need: _Need) -> list[TargetState]:
         policy = self.policy
         found: list[TargetState] = []
-        if item.prefix_digests:
-            held = self.prefixes.holders(item.prefix_digests, policy.affinity_choices)
-            for target, _ in held:
-                state = self.targets.get(target)
-                if state is not None and item.model in state.view.models:
-                    found.append(state)
-        for target in list(pool.room)[: policy.choices] if pool.room else ():
-            state = pool.room[target]
-            if state.occupied() < state.limit(1.0):
+        for target in islice(need.cached, policy.affinity_choices):
+            state = self.targets.get(target)
+            if state is not None and need.item.model in state.view.models:
                 found.append(state)
-            else:
-                del pool.room[target]
+        if pool.room:
+            for target in list(islice(pool.room, policy.choices)):
+                state = pool.room[target]
+                if state.occupied() < state.limit(1.0):
+                    found.append(state)
+                else:
+                    del pool.room[target]
         for state in pool.draw(policy.choices, self.rng):
             if state not in found:
                 found.append(state)
         return found
 
-    def _search(
-        self, pool: Pool, item: WorkItem, speed: ModelSpeed, share: float, now_s: float
-    ) -> Choice | None:
+    def _search(self, pool: Pool, need: _Need) -> Choice | None:
         """Draw on until a target has room, a bounded number of times."""
         for state in pool.draw(self.policy.probes, self.rng):
-            if self._has_room(state, item, share):
-                return self._weigh(state, item, speed, now_s)
+            if self._has_room(state, need):
+                return self._weigh(state, need)
         return None
 
-    def _has_room(self, state: TargetState, item: WorkItem, share: float) -> bool:
-        if state.draining or state.view.draining:
-            return False
-        if item.excluded and state.view.target in item.excluded:
+    def _has_room(self, state: TargetState, need: _Need) -> bool:
+        if not self._serves(state, need):
             return False
         if state.weight < 1.0 and self.rng.random() > state.weight:
             # A limit on slots alone would not hold work back from a target
             # that fails within milliseconds: its slots are always free.
             return False
-        return state.occupied() < state.limit(share)
+        return state.occupied() < state.limit(need.share)
+
+    def _serves(self, state: TargetState, need: _Need) -> bool:
+        """Return whether a target may be given this work at all.
 
-    def _weigh(
-        self, state: TargetState, item: WorkItem, speed: ModelSpeed, now_s: float
-    ) -> Choice:
+        Membership says what a target is meant to serve, its own report what is
+        loaded by now. Work sent before the load would wait for it.
+        """
+        if state.draining or state.view.draining:
+            return False
+        item = need.item
+        if item.excluded and state.view.target in item.excluded:
+            return False
+        return need.plain or not state.loaded or item.model in state.loaded
+
+    def _weigh(self, state: TargetState, need: _Need) -> Choice:
         """Return what the work costs on a target.
 
         The cost is the work's own time plus the time that it takes from the
@@ -127,56 +168,49 @@
         stream's next token later. Own time alone would fill the emptiest
         target of a fast kind until it is as slow as the rest.
         """
-        policy = self.policy
+        view = state.view
+        speed = need.speed
+        slots = state.slots
         occupied = state.occupied()
-        far_s = (
-            0.0 if state.view.availability_zone == self.zone else policy.zone_penalty_s
-        )
-        if item.model.startswith(SERVICE_PREFIX):
+        far_s = 0.0
+        if view.availability_zone != self.zone:
+            far_s = self.policy.zone_penalty_s
+        if need.plain:
             held_s = speed.held_s.mean * state.slowness
-            cost_s = held_s * (1.0 + occupied / state.slots) + far_s
+            cost_s = held_s * (1.0 + occupied / slots) + far_s
             return Choice(state, cost_s, held_s, 0, "least-loaded")
-        cached = 0
-        if item.prefix_digests:
-            cached = int(
-                self.prefixes.cached_tokens(
-                    state.view.target, item.prefix_digests, now_s
-                )
-            )
-            cached = min(cached, item.prompt_tokens)
-        reading = state.pending_tokens + item.prompt_tokens - cached
-        output = self.estimates.output_tokens(item)
-        load = min(1.0, (occupied + 1.0) / state.slots)
-        first_s = speed.first.at(reading)
-        finish_s = first_s + output * speed.step.at(load)
-        if occupied >= state.slots:
-            over = occupied + 1.0 - state.slots
-            finish_s += over * speed.held_s.mean / state.slots
-        finish_s *= state.slowness
-        others_s = output * speed.step.slope / state.slots * occupied
-        others_s += speed.first.slope * (item.prompt_tokens - cached)
-        cost_s = finish_s + others_s * state.slowness + far_s
+        cached = need.cached.get(view.target, 0)
+        uncached = need.item.prompt_tokens - cached
+        step = speed.step
+        load = (occupied + 1.0) / slots
+        if load > 1.0:
+            load = 1.0
+        finish_s = speed.first.at(state.pending_tokens + uncached)
+        finish_s += need.output_tokens * (step.base + step.slope * load)
+        if occupied >= slots:
+            finish_s += (occupied + 1.0 - slots) * speed.held_s.mean / slots
+        others_s = need.output_tokens * step.slope / slots * occupied
+        others_s += speed.first.slope * uncached
+        cost_s = (finish_s + others_s) * state.slowness + far_s
         why = "prefix-cache" if cached else "least-loaded"
-        return Choice(state, cost_s, finish_s, cached, why)
+        return Choice(state, cost_s, finish_s * state.slowness, cached, why)
 
-    def _probe(self, pool: Pool, item: WorkItem, now_s: float) -> Choice | None:
+    def _probe(self, pool: Pool, need: _Need, now_s: float) -> Choice | None:
         """Return a shed target whose turn it is to show whether it is well.
 
         Urgent work is not used for it, nor work without time to spare.
         """
-        if not pool.probe_due or item.priority is Priority.URGENT:
+        item = need.item
+        if item.priority is Priority.URGENT:
             return None
-        speed = self.estimates.speed(item.model)
-        share = self.policy.slots_share(item.priority)
         for state in pool.probe_due:
-            if state.draining or state.view.target in item.excluded:
+            if not self._serves(state, need):
                 continue
-            if state.occupied() >= state.limit(share):
+            if state.occupied() >= state.limit(need.share):
                 continue
-            choice = self._weigh(state, item, speed, now_s)
-            needed_s = max(
-                choice.finish_s, choice.finish_s / state.slowness * _PROBE_SLACK
-            )
+            choice = self._weigh(state, need)
+            usual_s = choice.finish_s / state.slowness
+            needed_s = max(choice.finish_s, usual_s * _PROBE_SLACK)
             if now_s + needed_s > item.deadline_s:
                 continue
             pool.probe_due.remove(state)
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -43,6 +43,7 @@
 
     :param others: work of other routers believed to be there now.
     :param reported_others: the same in the last report.
+    :param loaded: models that its last report named; empty where it named none.
     :param weight: share of its slots that health leaves to this target.
     :param slowness: time it takes as a multiple of its peers' time.
     :param errors: moving share of attempts that failed.
@@ -55,6 +56,7 @@
     reported_others: float = 0.0
     reported_s: float | None = None
     draining: bool = False
+    loaded: frozenset[str] = frozenset()
     weight: float = 1.0
     slowness: float = 1.0
     errors: float = 0.0
@@ -134,6 +136,7 @@
         are not believed.
         """
         self.draining = figures.draining
+        self.loaded = frozenset(figures.models)
         if figures.slots > 0:
             self.slots = figures.slots
         seen = (
