--- a/Makefile
+++ b/Makefile
@@ -39,3 +39,6 @@
 
 clean:
 	rm -rf .mypy_cache .hypothesis results build dist
+
+bench-requests: $(STAMP)
+	$(BIN)/python -m benchmarks.requests
