--- a/src/endivegw/dev/calls.py
+++ b/src/endivegw/dev/calls.py
@@ -86,7 +86,8 @@
     max_tokens: int
     end: CallEnd | None = None
     tries: int = 0
-    refused_at_s: float = 0.0
+    began_at_s: float = 0.0
+    ended_at_s: float = 0.0
 
     @property
     def is_service(self) -> bool:
@@ -147,6 +148,7 @@
     async def send(self, call: Call) -> None:
         """Send a call, again where it may be, and remember how it ended."""
         began_s = self._clock()
+        call.began_at_s = began_s
         reply = _Reply()
         told_unknown = False
         while call.tries < _TRIES:
@@ -164,7 +166,7 @@
             # An earlier try may have run: the last word is about the last try.
             outcome = Outcome.UNKNOWN
         elapsed_s = self._clock() - began_s
-        call.refused_at_s = self._clock()
+        call.ended_at_s = self._clock()
         call.end = CallEnd(
             outcome, reply.code, reply.text, elapsed_s, reply.first_data_s
         )
--- a/src/endivegw/dev/exercise.py
+++ b/src/endivegw/dev/exercise.py
@@ -13,7 +13,7 @@
 from endivegw.dev.figures import ExerciseFigures
 from endivegw.dev.fleet import DevFleet
 from endivegw.dev.layout import free_port
-from endivegw.dev.oracle import Oracle
+from endivegw.dev.oracle import Oracle, SeenTopUp
 
 __all__ = ["run_exercise"]
 
@@ -22,7 +22,7 @@
 _RATE_PER_S = 30.0
 
 #: Small enough for the second account to run out before it is topped up.
-_BUDGET_TOKENS = (400_000, 12_000)
+_BUDGET_TOKENS = (400_000, 2_500)
 
 #: After the load: callers' last retries, then the dead router's recovery.
 _LOAD_END_S = 25.0
@@ -36,10 +36,10 @@
     fleet = DevFleet(http_ports=ports, budget_tokens=_BUDGET_TOKENS)
     async with anyio.create_task_group() as tasks:
         await fleet.start(tasks)
-        budgets = {
-            account.client_account: tokens
+        budgets = [
+            SeenTopUp(account.client_account, tokens, 0.0)
             for account, tokens in zip(fleet.accounts, _BUDGET_TOKENS)
-        }
+        ]
         oracle = Oracle(fleet, budgets)
         faults = FaultRunner(fleet, oracle, tasks, exercise_s)
         caller = Caller(
--- a/src/endivegw/dev/faults.py
+++ b/src/endivegw/dev/faults.py
@@ -14,13 +14,16 @@
 from endivegw.commands.changes import Operation
 from endivegw.commands.target import drain_target, resume_target
 from endivegw.dev.fleet import DevFleet
-from endivegw.dev.oracle import Oracle
+from endivegw.dev.oracle import Oracle, SeenTopUp
 from endivegw.exceptions import PlatformError
 from endivegw.results import Done
 
 __all__ = ["FaultPlan", "FaultRunner"]
 
 _DRAINED_TARGET = "engine-2"
+_SLOW_TARGET = "engine-1"
+_SLOW_FACTOR = 8.0
+_KILLED = "engine-3"
 _LOST_ANSWER_SHARE = 0.3
 _TOP_UP_TOKENS = 20_000
 _TIMEOUT_S = 5.0
@@ -32,7 +35,8 @@
 
     The router is killed while streams are open and is back later; the table is
     away while a killed router's callers are still retrying; the cut router's
-    account is topped up meanwhile.
+    account is topped up meanwhile. A slow target, and a sidecar that is killed
+    with work running, fall into the other faults' time.
     """
 
     router_killed: tuple[float, float] = (0.12, 0.25)
@@ -41,6 +45,8 @@
     top_up_at: float = 0.58
     target_drained: tuple[float, float] = (0.70, 0.80)
     answers_lost: tuple[float, float] = (0.78, 0.95)
+    target_slow: tuple[float, float] = (0.36, 0.62)
+    sidecar_killed: tuple[float, float] = (0.84, 0.90)
 
 
 @define
@@ -68,6 +74,8 @@
             faults.start_soon(self._top_up)
             faults.start_soon(self._between, plan.target_drained, self._drain)
             faults.start_soon(self._between, plan.answers_lost, self._lose_answers)
+            faults.start_soon(self._between, plan.target_slow, self._slow_target)
+            faults.start_soon(self._between, plan.sidecar_killed, self._kill_sidecar)
 
     async def _between(
         self,
@@ -125,7 +133,8 @@
         )
         if not isinstance(result, Done):
             raise PlatformError(f"the top-up failed: {result}")
-        self.oracle.topped_up_tokens[account.client_account] += _TOP_UP_TOKENS
+        seen = SeenTopUp(account.client_account, _TOP_UP_TOKENS, time.monotonic())
+        self.oracle.top_ups.append(seen)
         self._note(f"{account.client_account} topped up by {_TOP_UP_TOKENS}")
 
     async def _drain(self, begins: bool) -> None:
@@ -138,6 +147,23 @@
             raise PlatformError(f"the target was not changed: {result}")
         self._note(f"{_DRAINED_TARGET} {'drained' if begins else 'resumed'}")
 
+    async def _slow_target(self, begins: bool) -> None:
+        factor = _SLOW_FACTOR if begins else 1.0
+        self.fleet.engines[_SLOW_TARGET].knobs.slow_factor = factor
+        self._note(f"{_SLOW_TARGET} {factor:g} times as slow")
+
+    async def _kill_sidecar(self, begins: bool) -> None:
+        sidecar = next(s for s in self.fleet.sidecars if s.target.name == _KILLED)
+        if begins:
+            sidecar.kill()
+            self._note(f"the sidecar of {_KILLED} killed")
+            return
+        self.fleet.sidecars.remove(sidecar)
+        await self.fleet.start_sidecar(
+            self.tasks, sidecar.number, sidecar.target, sidecar.url
+        )
+        self._note(f"the sidecar of {_KILLED} started anew")
+
     async def _lose_answers(self, begins: bool) -> None:
         share = _LOST_ANSWER_SHARE if begins else 0.0
         self.fleet.platform.faults.table.lost_answer_share = share
