--- a/src/endivegw/budgets/planning.py
+++ b/src/endivegw/budgets/planning.py
@@ -37,9 +37,10 @@
 #: that is longer, gives all its free tokens back.
 IDLE_S = 120.0
 
-#: How often a budget's row is read where this router holds so much of what is
-#: left that others may be short of it.
-SCARCE_READ_S = 10.0
+#: Least time between two looks at a budget's row while no request waits for
+#: it. Each request lowers a hand a little, and a router with thousands of cold
+#: budgets would draw on each of them with each request.
+REFILL_GAP_S = 10.0
 
 #: How often a budget with tokens in hand is looked at for a demand that fell.
 _DECAY_LOOK_S = 15.0
@@ -94,8 +95,11 @@
         return True
     if is_idle(wallet, now_s):
         return False
+    # Also bounds how often a budget that others may be short of is looked at.
+    if now_s - wallet.read_at_s < REFILL_GAP_S:
+        return False
     if _is_scarce(wallet):
-        return now_s - wallet.read_at_s >= SCARCE_READ_S
+        return True
     # What is left does not matter here; ask with more than anyone wants.
     plenty = Remainder(1 << 60, 0, 1)
     return draw_tokens(policy, wallet.state(now_s), plenty).tokens > 0
@@ -132,7 +136,9 @@
     """Return when a budget that nothing happens to needs to be looked at."""
     times_s = [now_s + IDLE_S]
     if wallet.free_tokens:
-        times_s.append(now_s + (SCARCE_READ_S if _is_scarce(wallet) else _DECAY_LOOK_S))
+        times_s.append(now_s + _DECAY_LOOK_S)
+        if wallet.read_at_s + REFILL_GAP_S > now_s or _is_scarce(wallet):
+            times_s.append(max(wallet.read_at_s, now_s) + REFILL_GAP_S)
     return max(min(times_s), now_s + _LEAST_LOOK_S)
 
 
