--- a/src/endivegw/budgets/checkpoint.py
+++ b/src/endivegw/budgets/checkpoint.py
@@ -76,15 +76,18 @@
     sidecar: InstanceId,
     target: TargetName,
     version: int,
+    uses_version: int,
     uses: tuple[GrantUse, ...],
     ended_at_s: int,
 ) -> Transaction:
     """Return the write of a checkpoint.
 
     It fails once recovery has taken the sidecar for gone, which tells a sidecar
-    that is not gone to admit nothing further.
+    that is not gone to admit nothing further. A copy that comes late fails as
+    well: it would put lower ceilings back than the sidecar uses.
 
     :param version: of the sidecar's row as last written by it, 0 before.
+    :param uses_version: the same for the row of its uses.
     :param ended_at_s: 0, or when the sidecar stopped as planned.
     """
     key = ledger_row_key(sidecar)
@@ -93,15 +96,21 @@
         fields = ended_fields(target, ended_at_s, exact=ended_at_s > 0)
         first = Put(key, fields, version)
     return Transaction(
-        (first, Put(uses_row_key(sidecar), {"uses": _encode(uses)}, None))
+        (first, Put(uses_row_key(sidecar), {"uses": _encode(uses)}, uses_version))
     )
 
 
 def _encode(uses: tuple[GrantUse, ...]) -> str:
-    # About 50 bytes a grant: 8,000 grants fit the 400 KB that the common table
+    # About 60 bytes a grant: 6,000 grants fit the 400 KB that the common table
     # services allow for a row, and a sidecar meets a few hundred between closings.
     values = [
-        [use.grant_id, str(use.budget), use.consumed_tokens, use.reserved_tokens]
+        [
+            use.grant_id,
+            str(use.budget),
+            use.consumed_tokens,
+            use.reserved_tokens,
+            use.ceiling_tokens,
+        ]
         for use in uses
     ]
     return json.dumps(values, separators=(",", ":"))
@@ -112,6 +121,8 @@
     if row is None:
         return ()
     return tuple(
-        GrantUse(GrantId(name), budget_key_of(budget), consumed, reserved)
-        for name, budget, consumed, reserved in json.loads(str(row.fields["uses"]))
+        GrantUse(GrantId(name), budget_key_of(budget), consumed, reserved, ceiling)
+        for name, budget, consumed, reserved, ceiling in json.loads(
+            str(row.fields["uses"])
+        )
     )
--- a/src/endivegw/budgets/collecting.py
+++ b/src/endivegw/budgets/collecting.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Iterable
+from typing import Iterable, Mapping
 
 from attrs import define, field, frozen
 
 from endivegw.budgets.checkpoint import LedgerRow
-from endivegw.budgets.ledger import GrantUse, SealedGrant
+from endivegw.budgets.ledger import (
+    DEFAULT_CEILING_TOKENS,
+    GrantUse,
+    SealedGrant,
+)
 from endivegw.budgets.rows import GrantRow
 from endivegw.exceptions import InvariantError
 from endivegw.types import GrantId
@@ -19,30 +23,51 @@
 MAX_CLOCK_DIFFERENCE_S = 30
 
 
+@frozen
+class LostLedger:
+    """Hold what a lost sidecar may have consumed beyond its last checkpoint.
+
+    :param more_tokens: by grant, up to the ceiling that the checkpoint sets;
+        a grant that is not in it was used up to the default ceiling at most.
+    """
+
+    ended_at_s: int
+    more_tokens: Mapping[GrantId, int]
+
+    def may_have_used_tokens(self, grant: GrantRow) -> int:
+        """Return the most that nobody can tell of a grant's use."""
+        if grant.opened_at_s > self.ended_at_s + MAX_CLOCK_DIFFERENCE_S:
+            return 0
+        return self.more_tokens.get(grant.grant_id, DEFAULT_CEILING_TOKENS)
+
+
 @define
 class Collected:
     """Add up what the sidecars said of the sealed grants.
 
     :ivar unreachable: sidecars that may have run work and do not answer.
-    :ivar lost_at_s: when the last sidecar was lost whose use is not known.
+    :ivar lost: sidecars that ended without a final checkpoint.
     """
 
     consumed_tokens: dict[GrantId, int] = field(factory=dict)
     running_tokens: dict[GrantId, int] = field(factory=dict)
     unreachable: int = 0
-    lost_at_s: int | None = None
+    lost: list[LostLedger] = field(factory=list)
 
     def add_answer(self, grants: Iterable[SealedGrant]) -> None:
         """Take in a sidecar's answer."""
         for grant in grants:
             self._add(grant.grant_id, grant.consumed_tokens, grant.running_tokens)
 
-    def add_ended(self, ledger: LedgerRow, uses: Iterable[GrantUse]) -> None:
+    def add_ended(self, ledger: LedgerRow, uses: tuple[GrantUse, ...]) -> None:
         """Take in the last checkpoint of a sidecar that has ended."""
         for use in uses:
             self._add(use.grant_id, use.consumed_tokens, 0)
         if not ledger.exact and ledger.ended_at_s is not None:
-            self.lost_at_s = max(self.lost_at_s or 0, ledger.ended_at_s)
+            more = {
+                use.grant_id: use.ceiling_tokens - use.consumed_tokens for use in uses
+            }
+            self.lost.append(LostLedger(ledger.ended_at_s, more))
 
     def add_unreachable(self) -> None:
         """Take in that a sidecar does not answer."""
@@ -94,12 +119,16 @@
             f"grant {grant.grant_id}: {settle_tokens} tokens to settle and "
             f"{running_tokens} running, and only {grant.tokens} escrowed"
         )
-    is_doubtful = _may_have_lost_use(grant, collected)
+    lost_tokens = sum(one.may_have_used_tokens(grant) for one in collected.lost)
+    settled_tokens = grant.settled_tokens + settle_tokens
+    # What the holder settled beyond what is counted was used at lost sidecars.
+    most_tokens = consumed_tokens + running_tokens + lost_tokens
+    open_tokens = min(max(most_tokens - settled_tokens, running_tokens), rest_tokens)
     write_off_tokens = return_tokens = 0
-    if collected.unreachable == 0 and not is_doubtful:
-        return_tokens = rest_tokens - running_tokens
-    elif collected.unreachable == 0 and running_tokens == 0:
-        write_off_tokens = rest_tokens
+    if collected.unreachable == 0:
+        return_tokens = rest_tokens - open_tokens
+        if running_tokens == 0:
+            write_off_tokens = open_tokens
     held_tokens = rest_tokens - return_tokens - write_off_tokens
     return GrantDecision(
         settle_tokens=settle_tokens,
@@ -109,10 +138,3 @@
         closes=held_tokens == 0,
         was_open=grant.open,
     )
-
-
-def _may_have_lost_use(grant: GrantRow, collected: Collected) -> bool:
-    """Return whether a lost sidecar may have consumed under the grant."""
-    if collected.lost_at_s is None:
-        return False
-    return grant.opened_at_s <= collected.lost_at_s + MAX_CLOCK_DIFFERENCE_S
--- a/src/endivegw/budgets/gate.py
+++ b/src/endivegw/budgets/gate.py
@@ -14,7 +14,11 @@
 
 import anyio
 
-from endivegw.budgets.checkpoint import checkpoint_transaction, ledger_row_key
+from endivegw.budgets.checkpoint import (
+    checkpoint_transaction,
+    ledger_row_key,
+    uses_row_key,
+)
 from endivegw.budgets.ledger import GrantLedger
 from endivegw.budgets.rows import HolderId, HolderRow, holder_of, holder_row_key
 from endivegw.platform import TablePort
@@ -34,6 +38,9 @@
 #: table 108 reads a second.
 HOLDERS_S = 300.0
 
+#: Least time between two checkpoints of one sidecar that nothing waits for.
+_LEAST_GAP_S = 5.0
+
 _RETRY_S = 0.5
 _TIMEOUT_S = 1.0
 
@@ -54,7 +61,7 @@
         log: EventLog | None = None,
         checkpoint_s: float = CHECKPOINT_S,
     ) -> None:
-        self.ledger = GrantLedger(checks_holders=True)
+        self.ledger = GrantLedger(checks_holders=True, has_ceilings=True)
         self._instance_id = instance_id
         self._target = target
         self._table = table
@@ -63,6 +70,10 @@
         self._log = log or EventLog("budgets")
         self._checkpoint_s = checkpoint_s
         self._version = 0
+        self._uses_version = 0
+        self._wanted: dict[GrantId, int] = {}
+        self._raising = anyio.Lock()
+        self._wake = anyio.Event()
         self._ended = False
         self._closing = False
         self._asking: dict[HolderId, anyio.Event] = {}
@@ -86,16 +97,24 @@
         :returns: None where it may start; refused with ``GRANT_SEALED``, or with
             ``NOT_READY`` where the table cannot be asked about the holder.
         """
-        refused = await self.ready_for(grant_id)
+        refused = await self.ready_for(grant_id, budget, reservation_tokens)
         if refused is not None:
             return refused
         return self.ledger.admit(
             grant_id, budget, attempt_id, reservation_tokens, now_s
         )
 
-    async def ready_for(self, grant_id: GrantId) -> Refused | None:
+    async def ready_for(
+        self,
+        grant_id: GrantId,
+        budget: BudgetKey | None = None,
+        reservation_tokens: int = 0,
+    ) -> Refused | None:
         """Ask the table about a grant's holder where it was not asked yet.
 
+        Raises the grant's ceiling as well where the reservation does not fit
+        below it.
+
         :returns: why nothing can be admitted now, None where the ledger decides.
         """
         if self._version == 0:
@@ -104,6 +123,14 @@
             await self._ask(holder_of(grant_id))
         if self._ended or self._closing:
             return Refused(Reason.NOT_READY, "this sidecar has ended")
+        if self.ledger.is_sealed(grant_id):
+            return None
+        if budget is not None and self.ledger.room_tokens(grant_id) < (
+            reservation_tokens
+        ):
+            await self._raise_ceiling(grant_id, budget, reservation_tokens)
+        elif self.ledger.is_near_ceiling(grant_id):
+            self._wake.set()
         return None
 
     async def run(self) -> None:
@@ -112,9 +139,12 @@
         while True:
             # Spread over the interval, so that sidecars started together do not
             # write together.
-            await anyio.sleep(self._checkpoint_s * (0.5 + self._rng.random()))
-            if self.ledger.uses_due():
+            with anyio.move_on_after(self._checkpoint_s * (0.5 + self._rng.random())):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            if self.ledger.is_dirty:
                 await self._write(ended=False)
+            await anyio.sleep(_LEAST_GAP_S)
             if self._clock() >= holders_at_s:
                 await self._look_after_holders()
                 holders_at_s = self._clock() + HOLDERS_S
@@ -135,6 +165,16 @@
         self._ended = True
         return True
 
+    async def _raise_ceiling(
+        self, grant_id: GrantId, budget: BudgetKey, tokens: int
+    ) -> None:
+        """Write a checkpoint at once, once for all who wait for a ceiling."""
+        self.ledger.meet(grant_id, budget, self._clock())
+        self._wanted[grant_id] = self._wanted.get(grant_id, 0) + tokens
+        async with self._raising:
+            if grant_id in self._wanted:
+                await self._write(ended=False)
+
     async def _ask(self, holder: HolderId) -> None:
         """Ask the table about a holder, once for all who need it."""
         asked = self._asking.get(holder)
@@ -171,15 +211,23 @@
     async def _write(self, ended: bool) -> bool:
         """Write the row; return whether it is known to be written."""
         async with self._lock:
-            uses = self.ledger.all_uses()
+            wanted = self._wanted
+            self._wanted = {}
+            uses = self.ledger.uses(self._clock(), wanted)
             ended_at_s = max(int(self._clock()), 1) if ended else 0
             transaction = checkpoint_transaction(
-                self._instance_id, self._target, self._version, uses, ended_at_s
+                self._instance_id,
+                self._target,
+                self._version,
+                self._uses_version,
+                uses,
+                ended_at_s,
             )
             result = await self._table.transact(transaction, timeout_s=_TIMEOUT_S)
             match result:
                 case Done():
                     self._version = max(self._version, 1)
+                    self._uses_version += 1
                 case Refused(reason=Reason.CONFLICT):
                     await self._read_back()
                     return False
@@ -191,14 +239,15 @@
 
     async def _read_back(self) -> None:
         """Find out why a write conflicted: an earlier one, or taken for gone."""
-        key = ledger_row_key(self._instance_id)
-        result = await self._table.read((key,), timeout_s=_TIMEOUT_S)
+        keys = (ledger_row_key(self._instance_id), uses_row_key(self._instance_id))
+        result = await self._table.read(keys, timeout_s=_TIMEOUT_S)
         if not isinstance(result, Done):
             return
-        row = result.value[0]
+        row, uses = result.value
         if row is None or int(row.fields.get("ended_at_s", 0)):
             # Recovery took this sidecar for gone. What it runs under is not
             # watched any more, so it admits nothing further.
             self._ended = True
             return
         self._version = row.version
+        self._uses_version = uses.version if uses is not None else 0
--- a/src/endivegw/budgets/ledger.py
+++ b/src/endivegw/budgets/ledger.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from typing import Mapping
+
 from attrs import define, field, frozen
 
 from endivegw.budgets.rows import HolderId, grant_number_of, holder_named, holder_of
@@ -15,7 +17,23 @@
 from endivegw.results import Reason, Refused
 from endivegw.types import AttemptId, BudgetKey, GrantId, Usage
 
-__all__ = ["GrantLedger", "GrantUse", "SealedGrant"]
+__all__ = ["DEFAULT_CEILING_TOKENS", "GrantLedger", "GrantUse", "SealedGrant"]
+
+#: What a sidecar may consume of a grant before the table knows that it has met
+#: it. It must cover some requests, so that the first of a grant does not wait
+#: for a write; all of it is charged where the sidecar is lost before.
+DEFAULT_CEILING_TOKENS = 8_000
+
+#: A ceiling leaves room for this much of the grant's demand here, since it
+#: cannot be raised while the table is away. Longer charges more where a sidecar
+#: is lost; shorter refuses work in an outage that routers have tokens for.
+_HORIZON_S = 700.0
+
+#: In an outage other sidecars may fail, and their work comes here.
+_MARGIN = 1.5
+
+#: A grant seen for less than this is taken to have been seen for this long.
+_LEAST_SEEN_S = 60.0
 
 
 @frozen
@@ -37,12 +55,15 @@
     """Hold a grant's use for the checkpoint: cumulative, never falling.
 
     :param reserved_tokens: the most that attempts still running may consume.
+    :param ceiling_tokens: the most that will be consumed before the table holds
+        a higher ceiling; it only rises.
     """
 
     grant_id: GrantId
     budget: BudgetKey
     consumed_tokens: int
     reserved_tokens: int
+    ceiling_tokens: int = 0
 
 
 @define
@@ -55,9 +76,11 @@
 @define
 class _Grant:
     budget: BudgetKey
+    ceiling_tokens: int
+    first_at_s: float
     consumed_tokens: int = 0
     running: set[AttemptId] = field(factory=set)
-    touched_at_s: float = 0.0
+    reserved_tokens: int = 0
     dirty: bool = False
 
 
@@ -71,10 +94,16 @@
         :meth:`learn_holder` was not told about is refused. A sidecar that was
         just started has forgotten every seal, so it must ask the table about
         each holder before it runs that holder's work.
+    :param has_ceilings: whether use stops at a ceiling until
+        :meth:`checkpointed` raises it. What a lost sidecar may have consumed is
+        bounded by that, and by nothing else.
     """
 
-    def __init__(self, checks_holders: bool = False) -> None:
+    def __init__(
+        self, checks_holders: bool = False, has_ceilings: bool = False
+    ) -> None:
         self._checks_holders = checks_holders
+        self._has_ceilings = has_ceilings
         self._grants: dict[GrantId, _Grant] = {}
         self._attempts: dict[AttemptId, _Attempt] = {}
         self._sealed: set[GrantId] = set()
@@ -114,13 +143,18 @@
             return Refused(Reason.NOT_READY, f"holder {holder} is not known yet")
         if attempt_id in self._attempts:
             raise InvariantError(f"attempt {attempt_id} was admitted already")
-        grant = self._grants.setdefault(grant_id, _Grant(budget))
+        grant = self._grants.get(grant_id)
+        if grant is None:
+            grant = _Grant(budget, DEFAULT_CEILING_TOKENS, now_s)
         if grant.budget != budget:
             return Refused(
                 Reason.BAD_REQUEST, f"grant {grant_id} is not one of budget {budget}"
             )
+        if self._has_ceilings and self.room_tokens(grant_id) < reservation_tokens:
+            return Refused(Reason.NOT_READY, f"grant {grant_id} is at its ceiling")
+        self._grants[grant_id] = grant
         grant.running.add(attempt_id)
-        grant.touched_at_s = now_s
+        grant.reserved_tokens += reservation_tokens
         grant.dirty = True
         self._attempts[attempt_id] = _Attempt(grant_id, reservation_tokens)
         return None
@@ -140,9 +174,22 @@
             )
         attempt.consumed_tokens += tokens
         grant = self._grants[attempt.grant_id]
-        grant.touched_at_s = now_s
         grant.dirty = True
 
+    def room_tokens(self, grant_id: GrantId) -> int:
+        """Return how much more of a grant may be reserved below its ceiling."""
+        grant = self._grants.get(grant_id)
+        if grant is None:
+            return DEFAULT_CEILING_TOKENS
+        return grant.ceiling_tokens - grant.consumed_tokens - grant.reserved_tokens
+
+    def is_near_ceiling(self, grant_id: GrantId) -> bool:
+        """Return whether half of a grant's last allowance is used up."""
+        grant = self._grants.get(grant_id)
+        if grant is None:
+            return False
+        return self.room_tokens(grant_id) * 2 < grant.ceiling_tokens
+
     def remaining_tokens(self, attempt_id: AttemptId) -> int:
         """Return how many tokens a running attempt may still consume."""
         attempt = self._attempts[attempt_id]
@@ -161,7 +208,7 @@
         used_tokens = max(usage.total_tokens, attempt.consumed_tokens)
         grant.consumed_tokens += used_tokens
         grant.running.discard(attempt_id)
-        grant.touched_at_s = now_s
+        grant.reserved_tokens -= attempt.reservation_tokens
         grant.dirty = True
         if used_tokens > attempt.reservation_tokens:
             raise InvariantError(
@@ -195,25 +242,39 @@
         """Return whether work under the grant would be refused as sealed."""
         return grant_id in self._sealed or holder_of(grant_id) in self._sealed_holders
 
-    def uses_due(self) -> tuple[GrantUse, ...]:
-        """Return the grants whose use changed since the last checkpoint."""
+    @property
+    def is_dirty(self) -> bool:
+        """Return whether any use changed since the last checkpoint."""
+        return any(grant.dirty for grant in self._grants.values())
+
+    def uses(
+        self, now_s: float, wanted: Mapping[GrantId, int] | None = None
+    ) -> tuple[GrantUse, ...]:
+        """Return every grant that is counted here, with the ceilings to write.
+
+        :param wanted: reservations that wait for a higher ceiling.
+        """
+        wanted = wanted or {}
         return tuple(
-            self._use(grant_id, grant)
+            self._use(grant_id, grant, now_s, wanted.get(grant_id, 0))
             for grant_id, grant in self._grants.items()
-            if grant.dirty
         )
 
-    def all_uses(self) -> tuple[GrantUse, ...]:
-        """Return every grant that is still counted here."""
-        return tuple(
-            self._use(grant_id, grant) for grant_id, grant in self._grants.items()
-        )
+    def meet(self, grant_id: GrantId, budget: BudgetKey, now_s: float) -> None:
+        """Count a grant from now on, so that its ceiling can be raised."""
+        if grant_id not in self._grants:
+            grant = _Grant(budget, DEFAULT_CEILING_TOKENS, now_s)
+            self._grants[grant_id] = grant
 
     def checkpointed(self, uses: tuple[GrantUse, ...]) -> None:
-        """Take in that these figures are in the table."""
+        """Take in that these figures are in the table, and raise the ceilings."""
         for use in uses:
             grant = self._grants.get(use.grant_id)
-            if grant and self._use(use.grant_id, grant) == use:
+            if grant is None:
+                continue
+            grant.ceiling_tokens = max(grant.ceiling_tokens, use.ceiling_tokens)
+            same = grant.consumed_tokens == use.consumed_tokens
+            if same and grant.reserved_tokens == use.reserved_tokens:
                 grant.dirty = False
 
     def forget_closed(self, holder: HolderId, closed_below: int) -> int:
@@ -254,14 +315,22 @@
         """Return how many attempts run."""
         return len(self._attempts)
 
-    def _use(self, grant_id: GrantId, grant: _Grant) -> GrantUse:
+    def _use(
+        self, grant_id: GrantId, grant: _Grant, now_s: float, wanted_tokens: int
+    ) -> GrantUse:
+        committed_tokens = grant.consumed_tokens + grant.reserved_tokens
+        seen_s = max(now_s - grant.first_at_s, _LEAST_SEEN_S)
+        ahead_tokens = int(committed_tokens / seen_s * _HORIZON_S * _MARGIN)
+        allowance_tokens = max(ahead_tokens, DEFAULT_CEILING_TOKENS) + wanted_tokens
+        ceiling_tokens = max(grant.ceiling_tokens, committed_tokens + allowance_tokens)
         return GrantUse(
-            grant_id, grant.budget, grant.consumed_tokens, self._running_tokens(grant)
+            grant_id,
+            grant.budget,
+            grant.consumed_tokens,
+            grant.reserved_tokens,
+            ceiling_tokens,
         )
 
-    def _running_tokens(self, grant: _Grant) -> int:
-        return sum(self._attempts[name].reservation_tokens for name in grant.running)
-
     def _sealed_grant(self, grant_id: GrantId) -> SealedGrant:
         grant = self._grants.get(grant_id)
         if grant is None:
@@ -269,6 +338,6 @@
         return SealedGrant(
             grant_id,
             grant.consumed_tokens,
-            self._running_tokens(grant),
+            grant.reserved_tokens,
             len(grant.running),
         )
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -49,7 +49,13 @@
     DRAIN_STARTED,
     GRANTS_SEALED,
 )
-from endivegw.types import AttemptId, ConfigRevision, GrantId
+from endivegw.types import (
+    AttemptId,
+    BudgetKey,
+    ClientAccountName,
+    ConfigRevision,
+    GrantId,
+)
 
 __all__ = ["Sidecar"]
 
@@ -244,7 +250,11 @@
         self, start: pb.ExecuteStart
     ) -> MayStart | Follow | AnswerGone | Refused:
         if self._holders is not None and start.grant_id:
-            refused = await self._holders.ready_for(GrantId(start.grant_id))
+            refused = await self._holders.ready_for(
+                GrantId(start.grant_id),
+                BudgetKey(ClientAccountName(start.client_account), start.budget),
+                start.reservation_tokens,
+            )
             if refused is not None:
                 return self._decide_without_start(start, refused)
         return self._gate.check(start)
--- a/src/endivegw/daemons/sidecar_ports.py
+++ b/src/endivegw/daemons/sidecar_ports.py
@@ -73,7 +73,9 @@
 class HolderDirectory(Protocol):
     """What knows the routers whose grants come in."""
 
-    async def ready_for(self, grant_id: GrantId) -> Refused | None:
+    async def ready_for(
+        self, grant_id: GrantId, budget: BudgetKey, reservation_tokens: int
+    ) -> Refused | None:
         """Ask the table about the grant's holder where it was not asked yet.
 
         A sidecar that was just started has forgotten every seal. It asks before
