--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,5 @@
 
 capacity: $(STAMP)
 	$(BIN)/python -m benchmarks.capacity
+bench-requests: $(STAMP)
+	$(BIN)/python -m benchmarks.requests
--- a/src/endivegw/daemons/claim_client.py
+++ b/src/endivegw/daemons/claim_client.py
@@ -1,4 +1,4 @@
-"""Ask the owner of a request's key slot, found by the slot map."""
+"""A router's calls to the owners of key slots."""
 
 from __future__ import annotations
 
@@ -16,57 +16,68 @@
 
 __all__ = ["ClaimClient"]
 
-#: A claim waits for its row, which the owner writes a few times a second.
+#: Longer than an owner lets a claim wait for its row, so that a slow table ends
+#: in the owner's word and not in a broken call.
 _TIMEOUT_S = 3.0
 
+#: The same for a repeatable request, which does not need the owner's word: a
+#: slow owner must not make the answer late.
+_HINT_TIMEOUT_S = 0.1
+
 
 class ClaimClient:
-    """Send claims; the connections to owners are kept.
+    """Ask the owner of a request's slot, wherever it is.
 
-    :param connect: opens the connection to a sidecar at an address.
+    :param connect: opens a connection to the sidecar at ``host:port``.
     """
 
     def __init__(
         self,
-        slots: SlotMapReader,
-        connect: Callable[[str, int], SidecarClient],
+        maps: SlotMapReader,
+        connect: Callable[[str], SidecarClient],
         header: Callable[[], pb.Header],
-        on_header: Callable[[pb.Header], None],
+        slots: int = DEFAULT_SLOTS,
     ) -> None:
-        self._slots = slots
+        self._maps = maps
         self._connect = connect
         self._header = header
-        self._on_header = on_header
+        self._slots = slots
         self._clients: dict[str, SidecarClient] = {}
 
-    async def ask(self, identity: RequestIdentity, ask: ClaimAsk) -> ClaimAnswer | None:
-        """Return the owner's word, None where none was heard."""
-        owner = self._slots.current.owner(slot_of(identity, DEFAULT_SLOTS))
+    async def claim(
+        self, identity: RequestIdentity, ask: ClaimAsk
+    ) -> ClaimAnswer | None:
+        """Return the owner's word, None where there is none for now."""
+        owner = self._maps.current.owner(slot_of(identity, self._slots))
         if owner is None:
-            self._slots.want()
+            self._maps.want()
             return None
-        request = request_of(identity, ask, self._header())
+        client = self._client(owner)
+        timeout_s = _HINT_TIMEOUT_S if ask.repeatable else _TIMEOUT_S
         try:
-            reply = await self._client(owner).claim(request, _TIMEOUT_S)
+            request = request_of(identity, ask, self._header())
+            reply = await client.claim(request, timeout_s)
         except PeerError:
-            # The map may name an owner that is gone.
-            self._slots.want()
+            self._maps.want()
             return None
-        self._on_header(reply.header)
         answer = answer_of(ask, reply)
         if isinstance(answer, Refused) and answer.reason is Reason.CLAIM_UNAVAILABLE:
-            self._slots.want()
+            # Another owner, or one that cannot write for now.
+            self._maps.want()
         return answer
 
     def close(self) -> None:
-        """Close the connections."""
+        """Close the connections to owners."""
         for client in self._clients.values():
             client.close()
+        self._clients.clear()
 
     def _client(self, owner: Slot) -> SidecarClient:
+        owners = {slot.address for slot in self._maps.current.slots.values()}
+        for address in self._clients.keys() - owners:
+            self._clients.pop(address).close()
         client = self._clients.get(owner.address)
         if client is None:
-            host, _, port = owner.address.rpartition(":")
-            client = self._connect(host, int(port))
+            client = self._connect(owner.address)
             self._clients[owner.address] = client
         return client
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -82,6 +82,11 @@
             return False
         return parts.watch.settled and parts.slots.settled(parts.clock())
 
+    @property
+    def instance_id(self) -> InstanceId:
+        """Return the name of this start of this process."""
+        return self._parts.instance_id
+
     @property
     def in_progress(self) -> int:
         """Return how many requests have not ended."""
@@ -91,6 +96,13 @@
         self, *, task_status: TaskStatus[ServedAddress] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until :meth:`drain` has ended or the task is cancelled."""
+        try:
+            await self._run(task_status)
+        finally:
+            self._parts.book.close()
+            self._parts.runner.claims.close()
+
+    async def _run(self, task_status: TaskStatus[ServedAddress]) -> None:
         parts = self._parts
         async with anyio.create_task_group() as tasks:
             self._front = self._build_front(tasks)
@@ -120,7 +132,6 @@
             )
             task_status.started(address)
             await self._stopped.wait()
-            parts.book.close()
             tasks.cancel_scope.cancel()
 
     async def drain(self) -> None:
@@ -152,6 +163,12 @@
         )
         self._stopped.set()
 
+    async def _serve_front(
+        self, ip: str, port: int, *, task_status: TaskStatus[ServedAddress]
+    ) -> None:
+        # A planned stop has waited for the answers in progress already.
+        await serve_asgi(self._front, ip, port, graceful_s=0, task_status=task_status)
+
     def _build_service(self) -> RouterService:
         parts = self._parts
         return RouterService(
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import anyio
-from anyio.abc import TaskStatus
+from anyio.abc import TaskGroup, TaskStatus
 
 from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.sidecar_body import BodyChannel
@@ -108,12 +108,16 @@
     ) -> None:
         """Serve until cancelled; report the bound port when it listens."""
         async with anyio.create_task_group() as tasks:
-            self._work.attach(tasks)
-            tasks.start_soon(self._load.poll)
-            tasks.start_soon(self._expire)
+            self.start(tasks)
             bound = await tasks.start(serve_peers, (self,), host, port, security)
             task_status.started(bound)
 
+    def start(self, tasks: TaskGroup) -> None:
+        """Run attempts and look after them in a task group, without a listener."""
+        self._work.attach(tasks)
+        tasks.start_soon(self._load.poll)
+        tasks.start_soon(self._expire)
+
     def leave(self, why: str) -> None:
         """Take no new work from now on, such as when the VM list says so.
 
@@ -206,9 +210,12 @@
         await stream.send_message(reply)
 
     async def Heartbeat(self, stream: Any) -> None:
-        """Tell the target's load and whether it takes new work."""
-        request = await stream.recv_message()
-        self._gate.check_sender(request.header)
+        """Tell the target's load and whether it takes new work, at each ask."""
+        async for request in stream:
+            self._gate.check_sender(request.header)
+            await stream.send_message(self._heartbeat())
+
+    def _heartbeat(self) -> pb.HeartbeatReply:
         self._refresh_leaving()
         leaving = bool(self._gate.leaving)
         reply = pb.HeartbeatReply(
@@ -219,7 +226,7 @@
         )
         if self._claims is not None:
             reply.owned_slots.extend(self._claims.owned_slots())
-        await stream.send_message(reply)
+        return reply
 
     async def Claim(self, stream: Any) -> None:
         """Answer for the key slots that this process owns."""
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -43,6 +43,7 @@
 
     :param others: work of other routers believed to be there now.
     :param reported_others: the same in the last report.
+    :param loaded: models that its last report named; empty where it named none.
     :param weight: share of its slots that health leaves to this target.
     :param slowness: time it takes as a multiple of its peers' time.
     :param errors: moving share of attempts that failed.
@@ -50,12 +51,12 @@
     """
 
     view: TargetView
-    joined_s: float
     slots: int
     others: float = 0.0
     reported_others: float = 0.0
     reported_s: float | None = None
     draining: bool = False
+    loaded: frozenset[str] = frozenset()
     weight: float = 1.0
     slowness: float = 1.0
     errors: float = 0.0
@@ -65,9 +66,19 @@
     moved: bool = False
     own: dict[str, Outstanding] = field(factory=dict)
     unread: dict[str, Outstanding] = field(factory=dict)
+    _models: tuple[str, ...] = ()
     _last: tuple[int, int, float, int] | None = None
     _history: deque[tuple[float, int]] = field(factory=deque)
 
+    def models(self) -> tuple[str, ...]:
+        """Return what it serves, in an order that is the same in every run."""
+        return self._models
+
+    def set_view(self, view: TargetView) -> None:
+        """Take over what membership says now."""
+        self.view = view
+        self._models = tuple(sorted(view.models))
+
     def occupied(self) -> float:
         """Return the work believed to be there, running or waiting."""
         return self.others + len(self.own)
@@ -125,6 +136,7 @@
         are not believed.
         """
         self.draining = figures.draining
+        self.loaded = frozenset(figures.models)
         if figures.slots > 0:
             self.slots = figures.slots
         seen = (
