--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,14 @@
 	$(BIN)/python -m benchmarks.capacity
 bench-requests: $(STAMP)
 	$(BIN)/python -m benchmarks.requests
+
+bench-budgets: $(STAMP)
+	$(BIN)/python -m benchmarks.budgets
+	$(BIN)/python -m benchmarks.budgets --sweep
+
+SOAK_EXAMPLES ?= 2000
+SOAK_SEED ?= 1
+
+soak: $(STAMP)
+	ENDIVEGW_SOAK_EXAMPLES=$(SOAK_EXAMPLES) ENDIVEGW_SOAK_STEPS=50 \
+	ENDIVEGW_SOAK_SEED=$(SOAK_SEED) $(BIN)/python -m tests tests.test_budgets_machine
