--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -5,6 +5,8 @@
 import random
 from typing import Callable, Iterable
 
+from attrs import frozen
+
 from endivegw.daemons.attempt_stream import SidecarLink
 from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
@@ -39,6 +41,18 @@
 ChooseTargets = Callable[[tuple[Peer, ...]], Iterable[PeerAddress]]
 
 
+@frozen
+class _Offer:
+    """Hold that part of a heartbeat which the dispatcher's view is made of."""
+
+    target: TargetName
+    instance_id: InstanceId
+    models: tuple[str, ...]
+    slots: int
+    draining: bool
+    leaving: bool
+
+
 def all_targets(peers: tuple[Peer, ...]) -> Iterable[PeerAddress]:
     """Watch every target, as small fleets do."""
     return (peer.address for peer in peers)
@@ -83,6 +97,7 @@
             clock,
         )
         self._published: list[TargetView] = []
+        self._offers: dict[PeerAddress, _Offer] = {}
         self._listed_at_s: float | None = None
         self._settled = False
 
@@ -145,7 +160,11 @@
     def _take_heartbeat(
         self, peer: PeerAddress, heartbeat: Heartbeat, now_s: float
     ) -> None:
-        self._publish(now_s)
+        # What a sidecar offers changes rarely, while going through all targets
+        # costs about as much as the heartbeat itself.
+        if self._offers.get(peer) != (offer := _offer(heartbeat)):
+            self._offers[peer] = offer
+            self._publish(now_s)
         if heartbeat.load is not None:
             figures = _figures(heartbeat)
             self._queue.dispatcher.report(heartbeat.target, figures, now_s)
@@ -154,6 +173,7 @@
     def _take_change(self, change: Change) -> None:
         if change.after is PeerState.GONE:
             self._heartbeats.forget(change.peer)
+            self._offers.pop(change.peer, None)
         self._publish(self._clock())
 
     def _publish(self, now_s: float) -> None:
@@ -191,6 +211,18 @@
         return views
 
 
+def _offer(heartbeat: Heartbeat) -> _Offer:
+    load = heartbeat.load
+    return _Offer(
+        heartbeat.target,
+        heartbeat.instance_id,
+        load.models if load else (),
+        load.slots if load else 0,
+        heartbeat.draining,
+        heartbeat.leaving,
+    )
+
+
 def _is_heard(peer: Peer) -> bool:
     return bool(_models(peer)) or peer.failures >= _SETTLE_FAILURES
 
--- a/src/endivegw/membership/policy.py
+++ b/src/endivegw/membership/policy.py
@@ -50,7 +50,7 @@
     heartbeat_interval_s: float = _positive(2.5)
     heartbeat_timeout_s: float = _positive(0.4)
     least_interval_s: float = _positive(0.5)
-    heartbeats_per_s: float = _positive(3.2)
+    heartbeats_per_s: float = _positive(4.0)
     routers_per_router: int = 4
     router_interval_s: float = _positive(5.0)
     silence_s: float = _positive(6.0)
