Watch a subset of targets in large fleets, and cover each model

Ranked by a hash of both names, half from the own zone; the choice grows by unknown targets until each model that callers may ask for has three.

--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -5,7 +5,9 @@
 from endivegw.budgets import BudgetKeeper
 from endivegw.budgets.recovery import Recovery
 from endivegw.composition.process import Process, metrics_of, open_process
+from endivegw.configuration import Snapshot
 from endivegw.daemons.claim_client import ClaimClient
+from endivegw.daemons.lent_grants import LentGrants
 from endivegw.daemons.peer_book import ROUTER_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.recovery_watch import RecoveryWatch
@@ -16,7 +18,8 @@
 from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.daemons.token_transfers import TokenTransfers
-from endivegw.decisions import Dispatcher, Policy
+from endivegw.decisions import SERVICE_PREFIX, Dispatcher, Policy
+from endivegw.membership import MembershipPolicy, Peer, PeerAddress, TargetSubset
 from endivegw.peers import SidecarClient
 from endivegw.settings import RouterSettings
 from endivegw.telemetry import EventLog
@@ -58,6 +61,14 @@
         log=process.log,
         metrics=metrics_of(settings.logs, "endivegw.router"),
     )
+    seals = SealCalls(
+        process.platform.vms,
+        process.connect_sidecar,
+        settings.peers.sidecar_port,
+        process.header,
+        process.clock,
+    )
+    recovery = Recovery(process.platform.table, seals, process.clock, process.log)
     parts = RouterParts(
         settings=settings,
         instance_id=process.identity.instance_id,
@@ -66,7 +77,8 @@
         queue=queue,
         watch=watch,
         routers=_router_watch(settings, process),
-        recovery=_recovery_watch(settings, process),
+        recovery=_recovery_watch(settings, process, recovery, seals),
+        lent=LentGrants(keeper, recovery, seals, process.clock),
         slots=slots,
         runner=runner,
         book=process.book,
@@ -85,6 +97,17 @@
     def connect(address: str) -> SidecarClient:
         return process.connect_sidecar(address, settings.peers.sidecar_port)
 
+    policy = MembershipPolicy()
+    subset = TargetSubset(
+        settings.process.vm,
+        settings.process.availability_zone,
+        policy.targets_per_router,
+        policy.watch_all,
+    )
+
+    def choose(peers: tuple[Peer, ...]) -> tuple[PeerAddress, ...]:
+        return subset.choose(peers, wanted_models(process.configuration.snapshot))
+
     return TargetWatch(
         process.platform.vms,
         connect,
@@ -94,9 +117,20 @@
         process.clock,
         process.log,
         process.rng,
+        policy=policy,
+        choose=choose,
     )
 
 
+def wanted_models(snapshot: Snapshot) -> set[str]:
+    """Return what callers may ask for, in the form that targets tell it."""
+    wanted: set[str] = set()
+    for account in snapshot.accounts.values():
+        wanted.update(account.models)
+        wanted.update(SERVICE_PREFIX + name for name in account.services)
+    return wanted
+
+
 def _router_watch(settings: RouterSettings, process: Process) -> RouterWatch:
     return RouterWatch(
         settings.process.vm,
@@ -110,20 +144,15 @@
     )
 
 
-def _recovery_watch(settings: RouterSettings, process: Process) -> RecoveryWatch:
-    seals = SealCalls(
-        process.platform.vms,
-        process.connect_sidecar,
-        settings.peers.sidecar_port,
-        process.header,
-        process.clock,
-    )
+def _recovery_watch(
+    settings: RouterSettings, process: Process, recovery: Recovery, seals: SealCalls
+) -> RecoveryWatch:
     return RecoveryWatch(
         settings.process.vm,
         process.identity.instance_id,
         process.platform.table,
         process.platform.vms,
-        Recovery(process.platform.table, seals, process.clock, process.log),
+        recovery,
         seals,
         process.connect_router,
         settings.peers.router_port,
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -11,6 +11,7 @@
 from endivegw.budgets import BudgetKeeper
 from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.http_front import HttpFront
+from endivegw.daemons.lent_grants import LentGrants
 from endivegw.daemons.peer_book import PeerBook
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.recovery_watch import RecoveryWatch
@@ -53,6 +54,7 @@
     watch: TargetWatch
     routers: RouterWatch
     recovery: RecoveryWatch
+    lent: LentGrants
     slots: SlotMapReader
     runner: RunnerParts
     book: PeerBook
@@ -80,6 +82,11 @@
             return False
         return parts.watch.settled and parts.slots.settled(parts.clock())
 
+    @property
+    def instance_id(self) -> InstanceId:
+        """Return the name of this start of this process."""
+        return self._parts.instance_id
+
     @property
     def in_progress(self) -> int:
         """Return how many requests have not ended."""
@@ -89,6 +96,13 @@
         self, *, task_status: TaskStatus[ServedAddress] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until :meth:`drain` has ended or the task is cancelled."""
+        try:
+            await self._run(task_status)
+        finally:
+            self._parts.book.close()
+            self._parts.runner.claims.close()
+
+    async def _run(self, task_status: TaskStatus[ServedAddress]) -> None:
         parts = self._parts
         async with anyio.create_task_group() as tasks:
             self._front = self._build_front(tasks)
@@ -97,6 +111,7 @@
                 parts.watch.run,
                 parts.routers.run,
                 parts.recovery.run,
+                parts.lent.run,
                 parts.slots.run,
                 parts.queue.run,
                 parts.keeper.run,
@@ -117,7 +132,6 @@
             )
             task_status.started(address)
             await self._stopped.wait()
-            parts.book.close()
             tasks.cancel_scope.cancel()
 
     async def drain(self) -> None:
@@ -149,6 +163,12 @@
         )
         self._stopped.set()
 
+    async def _serve_front(
+        self, ip: str, port: int, *, task_status: TaskStatus[ServedAddress]
+    ) -> None:
+        # A planned stop has waited for the answers in progress already.
+        await serve_asgi(self._front, ip, port, graceful_s=0, task_status=task_status)
+
     def _build_service(self) -> RouterService:
         parts = self._parts
         return RouterService(
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -7,10 +7,10 @@
 
 from attrs import frozen
 
-from endivegw.daemons.attempt_stream import SidecarLink
 from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.sidecar_heartbeats import SidecarHeartbeats
+from endivegw.daemons.sidecar_links import SidecarLink
 from endivegw.decisions import LoadFigures, TargetView
 from endivegw.membership import (
     Change,
