--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -5,6 +5,7 @@
 from endivegw.budgets import BudgetKeeper
 from endivegw.budgets.recovery import Recovery
 from endivegw.composition.process import Process, metrics_of, open_process
+from endivegw.configuration import Snapshot
 from endivegw.daemons.claim_client import ClaimClient
 from endivegw.daemons.lent_grants import LentGrants
 from endivegw.daemons.peer_book import ROUTER_ROLE
@@ -17,7 +18,8 @@
 from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.daemons.token_transfers import TokenTransfers
-from endivegw.decisions import Dispatcher, Policy
+from endivegw.decisions import SERVICE_PREFIX, Dispatcher, Policy
+from endivegw.membership import MembershipPolicy, Peer, PeerAddress, TargetSubset
 from endivegw.peers import SidecarClient
 from endivegw.settings import RouterSettings
 from endivegw.telemetry import EventLog
@@ -95,6 +97,17 @@
     def connect(address: str) -> SidecarClient:
         return process.connect_sidecar(address, settings.peers.sidecar_port)
 
+    policy = MembershipPolicy()
+    subset = TargetSubset(
+        settings.process.vm,
+        settings.process.availability_zone,
+        policy.targets_per_router,
+        policy.watch_all,
+    )
+
+    def choose(peers: tuple[Peer, ...]) -> tuple[PeerAddress, ...]:
+        return subset.choose(peers, wanted_models(process.configuration.snapshot))
+
     return TargetWatch(
         process.platform.vms,
         connect,
@@ -104,9 +117,20 @@
         process.clock,
         process.log,
         process.rng,
+        policy=policy,
+        choose=choose,
     )
 
 
+def wanted_models(snapshot: Snapshot) -> set[str]:
+    """Return what callers may ask for, in the form that targets tell it."""
+    wanted: set[str] = set()
+    for account in snapshot.accounts.values():
+        wanted.update(account.models)
+        wanted.update(SERVICE_PREFIX + name for name in account.services)
+    return wanted
+
+
 def _router_watch(settings: RouterSettings, process: Process) -> RouterWatch:
     return RouterWatch(
         settings.process.vm,
