--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,7 @@
 
 clean:
 	rm -rf .mypy_cache .hypothesis results build dist
+
+bench-decisions: $(STAMP)
+	$(BIN)/python -m benchmarks.decisions --json results/decisions.json
+	$(BIN)/python -m benchmarks.decisions_cost
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -21,7 +21,7 @@
     RandomChoice,
     RoundRobin,
 )
-from benchmarks.decisions_loads import all_loads
+from benchmarks.decisions_loads import LOADS, make_load
 from benchmarks.decisions_outcomes import Summary, summarise
 from benchmarks.decisions_world import MakeRouter, World
 
@@ -45,6 +45,7 @@
     return {
         "endivegw": dispatcher,
         "oracle": lambda zone, rng: Oracle(rng),
+        "oracle-blind": lambda zone, rng: Oracle(rng, blind=True),
         "round-robin": lambda zone, rng: RoundRobin(rng),
         "random": lambda zone, rng: RandomChoice(rng),
         "least-outstanding": lambda zone, rng: LeastOutstanding(rng),
@@ -61,14 +62,24 @@
     seed: int
     policy: Policy
     report_with_answers: bool = False
+    import_tokens_per_s: float = 0.0
 
 
 def run_one(run: Run) -> Summary:
     """Run one load with one kind of router."""
-    load = all_loads(run.seed)[run.load]
-    load = attrs.evolve(load, report_with_answers=run.report_with_answers)
+    load = make_load(run.load, run.seed)
+    targets = tuple(
+        attrs.evolve(
+            target,
+            spec=attrs.evolve(target.spec, import_tokens_per_s=run.import_tokens_per_s),
+        )
+        for target in load.targets
+    )
+    load = attrs.evolve(
+        load, targets=targets, report_with_answers=run.report_with_answers
+    )
     make = makers(run.policy, load.routers)[run.router]
-    world = World(load, make, run.seed, oracle=run.router == "oracle")
+    world = World(load, make, run.seed, oracle=run.router.startswith("oracle"))
     world.run()
     return summarise(world)
 
@@ -113,6 +124,12 @@
         action="store_true",
         help="let each answer's end carry the target's present load",
     )
+    parser.add_argument(
+        "--import-tokens-per-s",
+        type=float,
+        default=0.0,
+        help="let engines import cached blocks from each other at this speed",
+    )
     parser.add_argument("--json", default="", help="write the figures to this file")
     options = parser.parse_args()
     policy = Policy()
@@ -121,11 +138,11 @@
         policy = attrs.evolve(
             policy, **{name: type(getattr(policy, name))(float(value))}
         )
-    loads = [n for n in options.loads.split(",") if n] or list(all_loads(options.seed))
+    loads = [n for n in options.loads.split(",") if n] or list(LOADS)
     routers = [n for n in options.routers.split(",") if n] or list(makers(policy, 1))
     fresh = options.report_with_answers
     runs = [
-        Run(load, router, options.seed, policy, fresh)
+        Run(load, router, options.seed, policy, fresh, options.import_tokens_per_s)
         for load in loads
         for router in routers
     ]
--- a/benchmarks/decisions_baselines.py
+++ b/benchmarks/decisions_baselines.py
@@ -198,8 +198,11 @@
     It knows each engine's state, each request's true output and every fault.
     It serves by priority, then earliest latest start, on the target where the
     work ends first, and gives up what cannot end in time any more.
+
+    :param blind: whether it knows only the mean output of a request's kind.
     """
 
+    blind: bool = False
     engines: dict[TargetName, Engine] = field(factory=dict)
     outputs: dict[str, int] = field(factory=dict)
     taken: dict[TargetName, int] = field(factory=dict)
--- a/benchmarks/decisions_cost.py
+++ b/benchmarks/decisions_cost.py
@@ -117,9 +117,8 @@
     points = []
     for targets, accounts in ((12, 10), (24, 280), (100, 280), (325, 280), (650, 280)):
         placing, whole = measure(targets, accounts, min(400, 8 * targets))
-        print(
-            f"{targets:7} {accounts:8} {placing:12.1f} {whole:10.1f} {1e6 / whole:16.0f}"
-        )
+        line = f"{targets:7} {accounts:8} {placing:12.1f} {whole:10.1f}"
+        print(f"{line} {1e6 / whole:16.0f}")
         if accounts == 280:
             points.append((targets, placing))
     print(f"slope {slope(points) * 100:.2f} microseconds per 100 targets")
--- a/benchmarks/decisions_engine.py
+++ b/benchmarks/decisions_engine.py
@@ -32,6 +32,8 @@
     :param overhead_s: fixed time before the first token.
     :param prefill_slowdown: factor on the step while a prompt is read.
     :param cache_blocks: prompt blocks that the cache holds.
+    :param import_tokens_per_s: speed of importing cached blocks from a peer; 0
+        for engines that do not.
     """
 
     slots: int = 16
@@ -41,6 +43,7 @@
     overhead_s: float = 0.015
     prefill_slowdown: float = 1.15
     cache_blocks: int = 60
+    import_tokens_per_s: float = 0.0
 
     def step_s(self, streams: int) -> float:
         """Return the time between two tokens of a batch of ``streams``."""
@@ -79,6 +82,7 @@
     speed: float = 1.0
     failing: bool = False
     frozen: bool = False
+    peers: tuple[Engine, ...] = ()
     version: int = 0
     tokens: float = 0.0
     hit_tokens: int = 0
@@ -228,8 +232,19 @@
         job.cached_tokens = self.cached_tokens(job.digests)
         uncached = job.prompt_tokens - job.cached_tokens
         read_s = uncached / self.spec.prefill_tokens_per_s
+        read_s = min(read_s, self._import_s(job))
         self._prefill_left = self.spec.overhead_s + read_s
 
+    def _import_s(self, job: Job) -> float:
+        """Return the time to import what the best peer has and read the rest."""
+        rate = self.spec.import_tokens_per_s
+        if rate <= 0.0:
+            return float("inf")
+        held = max(peer.cached_tokens(job.digests) for peer in self.peers)
+        moved = max(0, held - job.cached_tokens)
+        rest = job.prompt_tokens - job.cached_tokens - moved
+        return moved / rate + rest / self.spec.prefill_tokens_per_s
+
     def _end_prefill(self, now_s: float) -> None:
         job = self._prefill.popleft()
         job.first_token = True
--- a/benchmarks/decisions_loads.py
+++ b/benchmarks/decisions_loads.py
@@ -5,6 +5,7 @@
 import hashlib
 import math
 import random
+from functools import partial
 from typing import Callable
 
 from attrs import evolve, frozen
@@ -13,7 +14,7 @@
 from endivegw.decisions import WorkItem
 from endivegw.types import AvailabilityZone, ClientAccountName, Priority
 
-__all__ = ["Arrival", "Fault", "Load", "TargetSpec", "all_loads"]
+__all__ = ["Arrival", "Fault", "Load", "LOADS", "TargetSpec", "make_load"]
 
 ZONES = tuple(AvailabilityZone(name) for name in ("a", "b", "c"))
 
@@ -87,13 +88,18 @@
 
 @frozen
 class Arrival:
-    """Hold one request as the world knows it, with its true output."""
+    """Hold one request as the world knows it.
+
+    :param output_tokens: its true output.
+    :param mean_output: the mean of its kind.
+    """
 
     at_s: float
     router: int
     kind: str
     item: WorkItem
     output_tokens: int
+    mean_output: int
 
 
 @frozen
@@ -209,7 +215,9 @@
             )
             output = _output(kind, rng)
             router = rng.randrange(routers)
-            found.append(Arrival(now_s, router, kind.name, item, output))
+            found.append(
+                Arrival(now_s, router, kind.name, item, output, kind.mean_output)
+            )
     return tuple(sorted(found, key=lambda arrival: arrival.at_s))
 
 
@@ -320,44 +328,84 @@
 _LONG_SHORT = ((KIOSK, 0.85), (BATCH, 0.15))
 
 
-def all_loads(seed: int) -> dict[str, Load]:
-    """Return every load by name.
+_SLOW = Fault("engine-3", 15.0, 30.0, speed=0.2)
+_FAILS = Fault("engine-3", 15.0, 30.0, failing=True)
+_STUCK = Fault("engine-3", 15.0, 30.0, speed=0.2, frozen=True)
+_DRAINS = Fault("engine-3", 15.0, 45.0, draining=True)
+
+_LOADS: dict[str, Callable[..., Load]] = {
+    "steady-0.6": partial(
+        _load, "steady-0.6", offered=constant(0.6), peak=0.6, extra=_polls
+    ),
+    "steady-0.85": partial(
+        _load, "steady-0.85", offered=constant(0.85), peak=0.85, extra=_polls
+    ),
+    "bursts": partial(_load, "bursts", offered=_burst, peak=3.0, extra=_polls),
+    "skewed-accounts": partial(
+        _load,
+        "skewed-accounts",
+        offered=constant(0.5),
+        peak=0.5,
+        skew=0.0,
+        extra=_one_large,
+    ),
+    "slow-target": partial(
+        _load, "slow-target", offered=constant(0.75), peak=0.75, faults=(_SLOW,)
+    ),
+    "fail-fast-target": partial(
+        _load, "fail-fast-target", offered=constant(0.75), peak=0.75, faults=(_FAILS,)
+    ),
+    "frozen-reports": partial(
+        _load, "frozen-reports", offered=constant(0.75), peak=0.75, faults=(_STUCK,)
+    ),
+    "drain": partial(
+        _load, "drain", offered=constant(0.75), peak=0.75, faults=(_DRAINS,)
+    ),
+    "long-and-short": partial(
+        _load, "long-and-short", offered=constant(1.1), peak=1.1, kinds=_LONG_SHORT
+    ),
+    "saturation-1x": partial(
+        _load, "saturation-1x", offered=constant(1.0), peak=1.0, kinds=_URGENT_MIX
+    ),
+    "saturation-2x": partial(
+        _load, "saturation-2x", offered=constant(2.0), peak=2.0, kinds=_URGENT_MIX
+    ),
+    "saturation-5x": partial(
+        _load, "saturation-5x", offered=constant(5.0), peak=5.0, kinds=_URGENT_MIX
+    ),
+    "retry-storm": partial(
+        _load,
+        "retry-storm",
+        offered=_storm,
+        peak=5.0,
+        caller_retries=2,
+        kinds=_URGENT_MIX,
+    ),
+    "morning-bank": partial(
+        _load,
+        "morning-bank",
+        offered=_morning,
+        peak=1.0,
+        duration_s=90.0,
+        kinds=((PLAN, 0.5), (EXPLAIN, 0.5)),
+        extra=_polls,
+    ),
+    "lobby-opening": partial(
+        _load,
+        "lobby-opening",
+        offered=_lobby,
+        peak=1.5,
+        kinds=((KIOSK, 0.9), (URGENT_KIOSK, 0.1)),
+    ),
+}
+
+#: Names of all loads.
+LOADS = tuple(_LOADS)
+
+
+def make_load(name: str, seed: int) -> Load:
+    """Return one load.
 
     :param seed: decides all that is drawn.
     """
-    slow = Fault("engine-3", 15.0, 30.0, speed=0.2)
-    fails = Fault("engine-3", 15.0, 30.0, failing=True)
-    stuck = Fault("engine-3", 15.0, 30.0, speed=0.2, frozen=True)
-    drains = Fault("engine-3", 15.0, 45.0, draining=True)
-    loads = [
-        _load("steady-0.6", seed, constant(0.6), 0.6, extra=_polls),
-        _load("steady-0.85", seed, constant(0.85), 0.85, extra=_polls),
-        _load("bursts", seed, _burst, 3.0, extra=_polls),
-        _load("skewed-accounts", seed, constant(0.5), 0.5, skew=0.0, extra=_one_large),
-        _load("slow-target", seed, constant(0.75), 0.75, faults=(slow,)),
-        _load("fail-fast-target", seed, constant(0.75), 0.75, faults=(fails,)),
-        _load("frozen-reports", seed, constant(0.75), 0.75, faults=(stuck,)),
-        _load("drain", seed, constant(0.75), 0.75, faults=(drains,)),
-        _load("long-and-short", seed, constant(1.1), 1.1, kinds=_LONG_SHORT),
-        _load("saturation-1x", seed, constant(1.0), 1.0, kinds=_URGENT_MIX),
-        _load("saturation-2x", seed, constant(2.0), 2.0, kinds=_URGENT_MIX),
-        _load("saturation-5x", seed, constant(5.0), 5.0, kinds=_URGENT_MIX),
-        _load("retry-storm", seed, _storm, 5.0, caller_retries=2, kinds=_URGENT_MIX),
-        _load(
-            "morning-bank",
-            seed,
-            _morning,
-            1.0,
-            90.0,
-            kinds=((PLAN, 0.5), (EXPLAIN, 0.5)),
-            extra=_polls,
-        ),
-        _load(
-            "lobby-opening",
-            seed,
-            _lobby,
-            1.5,
-            kinds=((KIOSK, 0.9), (URGENT_KIOSK, 0.1)),
-        ),
-    ]
-    return {load.name: load for load in loads}
+    return _LOADS[name](seed=seed)
--- a/benchmarks/decisions_world.py
+++ b/benchmarks/decisions_world.py
@@ -105,6 +105,10 @@
             )
             for spec in load.targets
         }
+        for engine in self.engines.values():
+            engine.peers = tuple(
+                peer for peer in self.engines.values() if peer.models == engine.models
+            )
         zones = sorted({spec.availability_zone for spec in load.targets})
         self.routers: list[Router] = []
         for number in range(1 if oracle else load.routers):
@@ -249,7 +253,8 @@
         self._retries[number].first_attempt(self.now_s)
         router = self.routers[number]
         if isinstance(router, Oracle):
-            router.outputs[arrival.item.request_id] = arrival.output_tokens
+            known = arrival.mean_output if router.blind else arrival.output_tokens
+            router.outputs[arrival.item.request_id] = known
         request_id = arrival.item.request_id
         self.at(arrival.item.deadline_s, lambda: self._time_out(request_id))
         self._submit(record)
--- a/src/endivegw/decisions/__init__.py
+++ b/src/endivegw/decisions/__init__.py
@@ -7,6 +7,14 @@
 from endivegw.decisions.dispatcher import Dispatcher
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.retry import RetryBudget, RetryPolicy, backoff_s
+from endivegw.decisions.scaling import (
+    DemandMeter,
+    LoadedTarget,
+    PlannedOrder,
+    ScalingPolicy,
+    plan_orders,
+)
+from endivegw.decisions.subset import SubsetPolicy, choose_subset, subset_size
 from endivegw.decisions.work import (
     SERVICE_PREFIX,
     AttemptEnd,
@@ -23,17 +31,25 @@
 __all__ = [
     "AttemptEnd",
     "AttemptKind",
+    "DemandMeter",
     "Dispatcher",
     "Expired",
     "LoadFigures",
+    "LoadedTarget",
     "Placement",
     "PlacementFigures",
+    "PlannedOrder",
     "Policy",
     "Queued",
     "RetryBudget",
     "RetryPolicy",
     "SERVICE_PREFIX",
+    "ScalingPolicy",
+    "SubsetPolicy",
     "TargetView",
     "WorkItem",
     "backoff_s",
+    "choose_subset",
+    "plan_orders",
+    "subset_size",
 ]
--- a/src/endivegw/decisions/admission.py
+++ b/src/endivegw/decisions/admission.py
@@ -12,7 +12,7 @@
 from endivegw.decisions.work import WorkItem
 from endivegw.results import Reason, Refused
 
-__all__ = ["refuse", "too_short"]
+__all__ = ["excess_s", "overloaded", "too_short"]
 
 
 def too_short(item: WorkItem, finish_s: float, now_s: float) -> Refused:
@@ -22,20 +22,26 @@
     return Refused(Reason.DEADLINE, detail)
 
 
-def refuse(
+def overloaded(wait_s: float, held_s: float, retry_s: float) -> Refused:
+    """Refuse work that would end after its deadline for the wait before it.
+
+    :param retry_s: when the caller should come back.
+    """
+    detail = f"would wait {wait_s:.1f} s and take {held_s:.1f} s"
+    return Refused(Reason.OVERLOADED, detail, retry_s)
+
+
+def excess_s(
     item: WorkItem, wait_s: float, held_s: float, policy: Policy, now_s: float
-) -> Refused | None:
-    """Return a refusal where queued work would end after its deadline.
+) -> float | None:
+    """Return by how much queued work would miss its deadline, 0 where it won't.
 
     :param wait_s: how long it would wait for a slot.
     :param held_s: how long it would then take.
+    :returns: None where it would miss it without any wait.
     """
     left_s = item.deadline_s - now_s
     needed_s = held_s * policy.queue_margin
     if needed_s > left_s:
-        return too_short(item, held_s, now_s)
-    excess_s = wait_s * policy.wait_margin + needed_s - left_s
-    if excess_s <= 0.0:
         return None
-    detail = f"would wait {wait_s:.1f} s and take {held_s:.1f} s"
-    return Refused(Reason.OVERLOADED, detail, excess_s)
+    return max(0.0, wait_s * policy.wait_margin + needed_s - left_s)
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -12,6 +12,7 @@
 from endivegw.decisions.placement import Choice, Placer
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.pool import Pool, groups
+from endivegw.decisions.scaling import DemandMeter
 from endivegw.decisions.shares import Shares
 from endivegw.decisions.target_state import Outstanding, TargetState
 from endivegw.decisions.work import (
@@ -55,6 +56,7 @@
         self._groups: dict[str, int] = {}
         self._given_up: list[Expired] = []
         self._next_sweep_s = 0.0
+        self._demand = DemandMeter(policy.demand_window_s)
         self._estimates = Estimates(policy)
         self._prefixes = PrefixIndex(
             policy.prefix_entries, policy.prefix_ttl_s, policy.block_tokens
@@ -129,6 +131,7 @@
         if item.deadline_s <= now_s:
             return Refused(Reason.DEADLINE, "the deadline has passed")
         self._sweep(now_s)
+        self._demand.add(item.model, self._estimates.held_s(item, 1.0), now_s)
         head = pool.queue.head()
         # New work must not overtake queued work of its own or a higher
         # priority: in a long overload the queue would starve.
@@ -162,6 +165,11 @@
             latest_s = due_s if latest_s is None else min(latest_s, due_s)
         return latest_s
 
+    def demand(self, now_s: float) -> dict[str, float]:
+        """Return the slots that callers of this router ask for, by model."""
+        meter = self._demand
+        return {model: meter.slots(model, now_s) for model in meter.models()}
+
     def started(self, request_id: str, now_s: float) -> None:
         """Note that the target took the work."""
 
@@ -278,23 +286,36 @@
         most_s = self._estimates.held_s(item, 1.0, policy.queue_deviations)
         latest_s = item.deadline_s - most_s * policy.queue_margin
         wait_s = self._wait_s(pool, item, held_s, latest_s)
-        refused = admission.refuse(item, wait_s, most_s, policy, now_s)
-        if refused is not None and not self._make_way(pool, item, held_s, latest_s):
-            return refused
+        excess_s = admission.excess_s(item, wait_s, most_s, policy, now_s)
+        if excess_s is None:
+            return admission.too_short(item, most_s, now_s)
+        if excess_s > 0.0 and not self._make_way(pool, item, held_s, latest_s, now_s):
+            retry_s = self._retry_s(pool, held_s, excess_s, now_s)
+            return admission.overloaded(wait_s, held_s, retry_s)
         if len(pool.queue) >= policy.queue_items:
             victim = pool.queue.victim(item)
+            retry_s = self._retry_s(pool, held_s, wait_s, now_s)
             if victim is None:
-                return Refused(Reason.OVERLOADED, "the queue is full", wait_s)
+                return Refused(Reason.OVERLOADED, "the queue is full", retry_s)
             pool.queue.remove(victim)
             detail = "gave way to an account below its share"
-            self._given_up.append(Expired(victim.item, detail, wait_s))
+            self._given_up.append(Expired(victim.item, detail, retry_s))
         position = len(pool.queue)
         last_s = item.deadline_s - held_s * policy.hope_margin
         pool.queue.push(item, held_s, latest_s, last_s)
         return Queued(wait_s, position)
 
+    def _retry_s(self, pool: Pool, held_s: float, wait_s: float, now_s: float) -> float:
+        """Return after how long a refused caller should come back."""
+        return pool.queue.shares.appoint(held_s, wait_s, self._policy, now_s)
+
     def _make_way(
-        self, pool: Pool, item: WorkItem, held_s: float, latest_s: float
+        self,
+        pool: Pool,
+        item: WorkItem,
+        held_s: float,
+        latest_s: float,
+        now_s: float,
     ) -> bool:
         """Give up an account's longest queued work for several shorter ones.
 
@@ -316,7 +337,8 @@
         other.queue.remove(entry)
         wait_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
         detail = "gave way to several shorter requests of its account"
-        self._given_up.append(Expired(entry.item, detail, wait_s))
+        retry_s = self._retry_s(pool, entry.held_s, wait_s, now_s)
+        self._given_up.append(Expired(entry.item, detail, retry_s))
         return True
 
     def _wait_s(
@@ -340,7 +362,8 @@
             if entry is None:
                 return
             pool.queue.remove(entry)
-            retry_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
+            wait_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
+            retry_s = self._retry_s(pool, entry.held_s, wait_s, now_s)
             detail = "it could no longer end before its deadline"
             decided.append(Expired(entry.item, detail, retry_s))
 
--- a/src/endivegw/decisions/health.py
+++ b/src/endivegw/decisions/health.py
@@ -118,8 +118,15 @@
     members = pool.members
     if not members:
         return
-    reported = [state.reported_others for state in members]
-    pool.mean_others = sum(reported) / len(members)
+    eldest_s = now_s - policy.stale_report_s
+    reported = [
+        state.reported_others
+        for state in members
+        if state.believed and state.reported_s is not None
+        if state.reported_s >= eldest_s
+    ]
+    if reported:
+        pool.mean_others = sum(reported) / len(reported)
     for state in members:
         _overdue(state, now_s)
         state.age(pool.mean_others, estimates.held_s_of_all.mean, now_s)
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -33,6 +33,9 @@
         be ahead of its share while its work has the least slack.
     :param make_way_factor: queued work this many times as long as new work of
         the same account is given up for it, where not both can end in time.
+    :param comeback_share: share of the served work that may be work of refused
+        callers who come back; the rest is for new callers.
+    :param longest_retry_s: no caller is told a longer time.
     :param batch_slots_share: share of a target's slots open to batch work. In
         a saturation by long work the rest stays free for callers who wait at a
         door, who would else wait until a long piece ends.
@@ -66,6 +69,11 @@
     :param prior_service_s: time of one call of a plain service.
     :param prior_output_share: generated tokens as a share of the bound.
 
+    Scaling:
+
+    :param demand_window_s: how far back demand for a model is measured; with
+        shorter windows models would be loaded and unloaded with every burst.
+
     Health:
 
     :param sweep_s: how often health is judged.
@@ -92,6 +100,8 @@
     wait_margin: float = 1.0
     share_tolerance_s: float = 10.0
     make_way_factor: float = 1.1
+    comeback_share: float = 0.3
+    longest_retry_s: float = 60.0
     batch_slots_share: float = 0.9
     urgent_overfill: float = 0.15
     overfill: float = 0.0
@@ -111,6 +121,8 @@
     prior_service_s: float = 0.05
     prior_output_share: float = 0.5
 
+    demand_window_s: float = 120.0
+
     sweep_s: float = 0.5
     slow_factor: float = 1.5
     max_shed_share: float = 0.3
--- a/src/endivegw/decisions/shares.py
+++ b/src/endivegw/decisions/shares.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from endivegw.decisions.policy import Policy
 from endivegw.decisions.work import WorkItem
 from endivegw.types import ClientAccountName, Priority
 
@@ -26,9 +27,9 @@
     by_latest: dict[int, float] = field(factory=dict)
 
     def before_s(self, latest_s: float) -> float:
-        """Return the slot-seconds queued with less slack."""
+        """Return the slot-seconds queued with less slack, or the same."""
         second = int(latest_s)
-        return sum(held_s for key, held_s in self.by_latest.items() if key < second)
+        return sum(held_s for key, held_s in self.by_latest.items() if key <= second)
 
 
 @define(eq=False)
@@ -53,9 +54,11 @@
     looked at first would take all slots.
 
     :param running: this router's work on the targets of these models.
+    :param appointed_s: until when callers were told to come back.
     """
 
     running: int = 0
+    appointed_s: float = 0.0
     _classes: dict[Priority, _Class] = field(
         factory=lambda: {priority: _Class() for priority in Priority}
     )
@@ -150,3 +153,19 @@
             own_s += account.before_s(latest_s)
         shared_s = own_s * active / item.weight - held_s
         return before_s + min(cls.backlog_s, shared_s)
+
+    def appoint(
+        self, held_s: float, wait_s: float, policy: Policy, now_s: float
+    ) -> float:
+        """Return after how long a refused caller should come back.
+
+        The wait alone would send all callers who are refused within a second
+        back within one second, to be refused again: an overload that lasts as
+        long as its callers have patience. So each is told a time behind those
+        told before, at the rate at which returning work can be served.
+
+        :param wait_s: when its work would fit, if nobody else came back.
+        """
+        rate = max(1, self.running) * policy.comeback_share
+        self.appointed_s = max(self.appointed_s, now_s + wait_s) + held_s / rate
+        return min(policy.longest_retry_s, self.appointed_s - now_s)
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -64,6 +64,7 @@
     next_probe_s: float = 0.0
     same_reports: int = 0
     moved: bool = False
+    believed: bool = True
     own: dict[str, Outstanding] = field(factory=dict)
     unread: dict[str, Outstanding] = field(factory=dict)
     _models: tuple[str, ...] = ()
@@ -151,7 +152,8 @@
             self.same_reports += 1
         self._last = seen
         self.moved = False
-        if self.same_reports >= frozen_after:
+        self.believed = self.same_reports < frozen_after
+        if not self.believed:
             return False
         self.reported_s = now_s - figures.age_s
         own = self.own_at(self.reported_s)
