--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 export PYTHONPATH := src
 SOURCES := src tests benchmarks tools
 
-.PHONY: dev test check format bench bench-decisions bench-budgets bench-requests \
-	capacity soak protos clean
+.PHONY: docs dev test check format bench bench-decisions bench-budgets bench-requests \
+	bench-configuration capacity soak protos clean
 
 $(STAMP): requirements/dev.txt requirements/run.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -34,9 +34,19 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.path
 
+docs: $(STAMP)
+	$(BIN)/python -m tools.event_catalogue
+
+bench-configuration: $(STAMP)
+	$(BIN)/python -m benchmarks.configuration --seed 1
+
 clean:
 	rm -rf .mypy_cache .hypothesis results build dist
 
 bench-decisions: $(STAMP)
 	$(BIN)/python -m benchmarks.decisions --json results/decisions.json
 	$(BIN)/python -m benchmarks.decisions_cost
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
+bench-requests: $(STAMP)
+	$(BIN)/python -m benchmarks.requests
--- /dev/null
+++ b/src/endivegw/daemons/request_runner.py
@@ -0,0 +1,94 @@
+"""Carry requests of callers to their ends; the decisions are the machine's."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from typing import Callable
+
+from anyio.abc import TaskGroup
+from attrs import frozen
+
+from endivegw.budgets import BudgetKeeper
+from endivegw.daemons.claim_client import ClaimClient
+from endivegw.daemons.held_attempts import HeldAttempts
+from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.request_plan import plan_request
+from endivegw.daemons.request_run import RequestRun
+from endivegw.daemons.routed import AnswerSink, RequestEnd, RoutedRequest
+from endivegw.daemons.sidecar_links import SidecarDirectory
+from endivegw.decisions import RetryBudget, RetryPolicy
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.requests.attempts import AttemptLimits, RequestMachine
+from endivegw.telemetry import EventLog, Metrics
+from endivegw.types import AttemptId
+
+__all__ = ["RequestRunner", "RunnerParts"]
+
+
+@frozen
+class RunnerParts:
+    """Hold what the runs of all requests of a router share.
+
+    :param header: returns the header of this process for each message.
+    :param on_header: takes the headers of answers, for the configuration.
+    """
+
+    keeper: BudgetKeeper
+    queue: PlacementQueue
+    sidecars: SidecarDirectory
+    claims: ClaimClient
+    header: Callable[[], pb.Header]
+    on_header: Callable[[pb.Header], None]
+    clock: Callable[[], float]
+    rng: random.Random
+    log: EventLog
+    metrics: Metrics
+    limits: AttemptLimits = AttemptLimits()
+    retry_policy: RetryPolicy = RetryPolicy()
+
+
+class RequestRunner:
+    """Carry out the requests of one router.
+
+    :param background: outlives each request; what must be settled after its
+        caller went away is settled there.
+    """
+
+    def __init__(self, parts: RunnerParts, background: TaskGroup) -> None:
+        self._parts = parts
+        self._background = background
+        self._retries = RetryBudget(parts.retry_policy)
+        self.held = HeldAttempts(
+            parts.keeper,
+            parts.sidecars,
+            parts.header,
+            background,
+            parts.clock,
+            parts.log,
+        )
+
+    async def run(self, request: RoutedRequest, sink: AnswerSink) -> RequestEnd:
+        """Send the answer into the sink and return how the request ended."""
+        run = self._new_run(request, sink)
+        try:
+            return await run.to_end()
+        finally:
+            if not run.ended:
+                # The caller went away, and this task is being cancelled with
+                # it: the engine, the queue place and the tokens are freed, and
+                # the bill is written, by a task that lives on.
+                self._background.start_soon(run.abandon)
+
+    def _new_run(self, request: RoutedRequest, sink: AnswerSink) -> RequestRun:
+        parts = self._parts
+        plan = plan_request(request)
+        machine = RequestMachine(
+            plan.facts,
+            parts.limits,
+            parts.retry_policy,
+            self._retries,
+            parts.rng,
+            lambda: AttemptId(uuid.uuid4().hex),
+        )
+        return RequestRun(plan, machine, sink, parts, self.held)
--- /dev/null
+++ b/src/endivegw/peers/client.py
@@ -0,0 +1,123 @@
+"""Calls from one process of the fleet to a sidecar."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, AsyncGenerator, AsyncIterator
+
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.peers._generated.endivegw_peers_grpc import SidecarStub
+from endivegw.peers.call import (
+    DEFAULT_CONNECT_TIMEOUT_S,
+    LOST,
+    call_once,
+    cancelling,
+    connect,
+    forget_cancellation,
+    lost_error,
+)
+from endivegw.peers.heartbeat_stream import HeartbeatStream
+from endivegw.peers.limits import BODY_CHUNK_BYTES
+from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
+
+__all__ = ["SidecarClient"]
+
+
+class SidecarClient:
+    """Call one sidecar over one connection, which is made anew when it breaks.
+
+    :param security: how calls prove that they come from the fleet.
+    :param sender: the instance id of this process.
+    :param connect_timeout_s: how long making the connection may take.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        security: PeerSecurity = PlainPeers(),
+        *,
+        sender: str = "",
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+    ) -> None:
+        self._channel = open_channel(host, port, security, sender=sender)
+        self._stub = SidecarStub(self._channel)
+        self._connect_timeout_s = connect_timeout_s
+        self._heartbeats = HeartbeatStream(self._stub.Heartbeat, connect_timeout_s)
+
+    def close(self) -> None:
+        """Close the connection; running calls end as :exc:`Broken`."""
+        self._channel.close()
+
+    async def execute(
+        self, start: pb.ExecuteStart, body: AsyncIterator[bytes] | None = None
+    ) -> AsyncGenerator[pb.Frame, None]:
+        """Hand over an attempt and yield the frames of its answer.
+
+        Closing the iterator leaves the attempt running; :meth:`cancel` ends it.
+
+        :param body: chunks of a plain service's request body.
+        :raises NotDelivered: where the sidecar cannot have seen the start.
+        :raises Broken: where it may have.
+        """
+        written = False
+        before = cancelling()
+        try:
+            async with self._stub.Execute.open() as stream:
+                await connect(stream, self._connect_timeout_s)
+                written = True
+                message = pb.ExecuteMessage(start=start)
+                await stream.send_message(message, end=body is None)
+                # The body goes out beside the answer: a service may answer,
+                # or the sidecar refuse, before it has read the whole body.
+                sender = asyncio.ensure_future(_send_body(stream, body))
+                try:
+                    async for frame in stream:
+                        yield frame
+                finally:
+                    await _stop(sender)
+        except LOST as error:
+            forget_cancellation(before)
+            raise lost_error(written, error) from error
+
+    async def cancel(self, request: pb.CancelRequest, timeout_s: float) -> Any:
+        """Return the :class:`pb.CancelReply`."""
+        return await self._call(self._stub.Cancel, request, timeout_s)
+
+    async def seal(self, request: pb.SealRequest, timeout_s: float) -> Any:
+        """Return the :class:`pb.SealReply`."""
+        return await self._call(self._stub.Seal, request, timeout_s)
+
+    async def heartbeat(self, request: pb.HeartbeatRequest, timeout_s: float) -> Any:
+        """Return the :class:`pb.HeartbeatReply`."""
+        return await self._heartbeats.exchange(request, timeout_s)
+
+    async def claim(self, request: pb.ClaimRequest, timeout_s: float) -> Any:
+        """Return the :class:`pb.ClaimReply`."""
+        return await self._call(self._stub.Claim, request, timeout_s)
+
+    async def configuration(self, request: pb.ConfigRequest, timeout_s: float) -> Any:
+        """Return the :class:`pb.ConfigReply`."""
+        return await self._call(self._stub.Configuration, request, timeout_s)
+
+    async def _call(self, method: Any, request: Any, timeout_s: float) -> Any:
+        return await call_once(method, request, timeout_s, self._connect_timeout_s)
+
+
+async def _send_body(stream: Any, body: AsyncIterator[bytes] | None) -> None:
+    if body is None:
+        return
+    async for data in body:
+        for start in range(0, len(data), BODY_CHUNK_BYTES):
+            piece = data[start : start + BODY_CHUNK_BYTES]
+            chunk = pb.BodyChunk(data=piece)
+            await stream.send_message(pb.ExecuteMessage(chunk=chunk))
+    last = pb.ExecuteMessage(chunk=pb.BodyChunk(last=True))
+    await stream.send_message(last, end=True)
+
+
+async def _stop(sender: asyncio.Future[None]) -> None:
+    sender.cancel()
+    # What went wrong with the body shows on the answer's side: the sidecar sees
+    # the body end without its last chunk and fails the attempt.
+    await asyncio.gather(sender, return_exceptions=True)
--- a/src/endivegw/telemetry/catalogue/router.py
+++ b/src/endivegw/telemetry/catalogue/router.py
@@ -2,14 +2,21 @@
 
 from endivegw.telemetry.event import Event, Level
 
-__all__ = ["REQUEST_ENDED", "REQUEST_PLACED", "REQUEST_REFUSED", "REQUEST_RETRIED"]
+__all__ = [
+    "ROUTER_RECOVERED",
+    "ATTEMPT_RESOLVED",
+    "REQUEST_ENDED",
+    "REQUEST_PLACED",
+    "REQUEST_REFUSED",
+    "REQUEST_RETRIED",
+]
 
 REQUEST_PLACED = Event(
     1001,
     "request-placed",
     Level.INFO,
     "A request was placed on a target, with the figures it was decided on.",
-    ("request_id", "attempt_id", "target", "why", "figures"),
+    ("request_id", "target", "why", "figures"),
 )
 REQUEST_REFUSED = Event(
     1002,
@@ -29,6 +36,20 @@
     1004,
     "request-retried",
     Level.INFO,
-    "An attempt did not start or failed, and the request is tried elsewhere.",
+    "A sidecar refused an attempt, which did not run; the request goes on.",
     ("request_id", "attempt_id", "target", "reason"),
 )
+ATTEMPT_RESOLVED = Event(
+    1005,
+    "attempt-resolved",
+    Level.INFO,
+    "It became known what an attempt consumed whose end had not been heard.",
+    ("attempt_id", "target", "how", "total_tokens"),
+)
+ROUTER_RECOVERED = Event(
+    1007,
+    "router-recovered",
+    Level.WARNING,
+    "A router ended without settling; its grants were sealed and collected.",
+    ("recovered_instance", "done", "grants_left"),
+)
