--- a/src/endivegw/budgets/wallet.py
+++ b/src/endivegw/budgets/wallet.py
@@ -83,6 +83,7 @@
 
     :ivar known_available_tokens: what the table had left when it was last
         read, None before.
+    :ivar read_at_s: when that was.
     :ivar counted: whether the budget's row counts this router as drawing.
     :ivar unbilled_tokens: finished, and on no request's line yet.
     """
@@ -93,7 +94,9 @@
     reservations: dict[AttemptId, Reservation] = field(factory=dict)
     demand: DemandEstimate = field(factory=DemandEstimate)
     wanted_tokens: int = 0
+    smallest_wanted_tokens: int = 0
     known_available_tokens: int | None = None
+    read_at_s: float = 0.0
     counted: bool = False
     unbilled_tokens: int = 0
     used_at_s: float = 0.0
@@ -119,6 +122,7 @@
             free_tokens=self.free_tokens,
             reserved_tokens=self.reserved_tokens,
             wanted_tokens=self.wanted_tokens,
+            smallest_wanted_tokens=self.smallest_wanted_tokens,
             rate_tokens_per_s=self.demand.rate_tokens_per_s(now_s),
             largest_bound_tokens=self.demand.bound_tokens(now_s),
             reserve_s=self.reserve_s,
--- a/src/endivegw/configuration/agent.py
+++ b/src/endivegw/configuration/agent.py
@@ -10,7 +10,13 @@
 import anyio.to_thread
 from attrs import define
 
-from endivegw.configuration.codec import ConfigMessage, encode_message, parse_message
+from endivegw.configuration.codec import (
+    ChangesMessage,
+    ConfigMessage,
+    DocumentsMessage,
+    encode_message,
+    parse_message,
+)
 from endivegw.configuration.model import Snapshot
 from endivegw.configuration.objects import read_newer_object, write_object
 from endivegw.configuration.reports import AdoptionReport, write_report
@@ -39,7 +45,7 @@
 
 __all__ = ["ConfigurationAgent", "PeerConfigPort"]
 
-#: For one call of the table or a peer: what is left of 7 s after a wait of 5 s.
+#: For one call of the table or a peer: longer, and 7 s could not be kept.
 CALL_TIMEOUT_S = 2.0
 
 #: For a whole load: a megabyte in pages.
@@ -72,8 +78,6 @@
 
     :param daemon: the name under which operators know this process.
     :param reports: whether this process writes reports; routers do.
-    :param on_adopted: called with each new snapshot, before any message
-        carries its revision.
     """
 
     def __init__(
@@ -87,7 +91,6 @@
         random_source: random.Random,
         daemons: int = 30,
         reports: bool = False,
-        on_adopted: Callable[[Snapshot], None] | None = None,
         settings: SpreadSettings = SpreadSettings(),
         log: EventLog | None = None,
     ) -> None:
@@ -99,9 +102,14 @@
         self._table = table
         self._objects = objects
         self._peers = peers
-        self._on_adopted = on_adopted
         self._log = log or EventLog("configuration")
         self._heard: dict[InstanceId, _Heard] = {}
+        self._newest_heard = ConfigRevision(0)
+        self._packed: tuple[ConfigRevision, bytes] = (ConfigRevision(0), b"")
+        self._pack_wanted = False
+        self._packing = False
+        self._listeners: list[Callable[[Snapshot], None]] = []
+        self._changed = anyio.Event()
         self._wake = anyio.Event()
         self._ready = anyio.Event()
         self._ready_logged = False
@@ -112,15 +120,29 @@
         return self.view.snapshot
 
     @property
-    def announced_revision(self) -> ConfigRevision:
-        """Return the revision for the header of each message sent."""
+    def revision(self) -> ConfigRevision:
+        """Return the revision for the header of each message; 0 until ready."""
         return self.view.announced_revision
 
+    @property
+    def ready(self) -> bool:
+        """Return whether this process may serve."""
+        return self.view.ready
+
     async def wait_ready(self) -> None:
         """Wait until this process may serve."""
         await self._ready.wait()
 
-    def heard(
+    def on_change(self, listener: Callable[[Snapshot], None]) -> None:
+        """Call a listener with each newer snapshot, before it is announced."""
+        self._listeners.append(listener)
+
+    async def wait_until_current(self) -> None:
+        """Wait until the newest revision that was heard of is in force here."""
+        while self.revision < self._newest_heard:
+            await self._changed.wait()
+
+    def heard_peer(
         self,
         peer: InstanceId,
         availability_zone: AvailabilityZone,
@@ -130,24 +152,41 @@
     ) -> None:
         """Take in the header of a message, request or reply.
 
-        :param name: the peer's name for operators; its instance id where the
-            caller knows none.
+        :param name: the peer's VM, by which operators know it; its instance
+            id where the caller knows none.
         """
         now_s = anyio.current_time()
+        self._newest_heard = max(self._newest_heard, revision)
         self.spread.heard(PeerWord(peer, availability_zone, revision, now_s))
         self._heard[peer] = _Heard(name or str(peer), revision, now_s)
         self._note_ready("peers")
         if self.spread.next_due_s() <= now_s + self.spread.settings.pull_jitter_s:
             self._wake.set()
 
-    async def serve(self, have_revision: ConfigRevision) -> bytes:
-        """Answer a peer's ``Configuration`` call."""
-        message = self.view.message_since(have_revision)
+    def heard(self, revision: ConfigRevision) -> None:
+        """Learn of a revision from a sender that cannot be asked for it."""
+        self._newest_heard = max(self._newest_heard, revision)
+        if self.spread.heard_of(revision, anyio.current_time()):
+            self._wake.set()
+
+    def newer_than(self, revision: ConfigRevision) -> bytes:
+        """Return what a peer at a revision lacks; empty where it lacks nothing.
+
+        The whole configuration takes a tenth of a second to pack at the target
+        size. It is packed beside the event loop and once for a revision; a
+        peer that asks before it is packed gets nothing, and asks again after
+        the next heartbeat.
+        """
+        message = self.view.message_since(revision)
         if message is None:
             return b""
-        # A whole configuration takes a tenth of a second to pack, in which
-        # this process must go on to answer requests.
-        return await anyio.to_thread.run_sync(encode_message, message)
+        if isinstance(message, ChangesMessage):
+            return encode_message(message)
+        if self._packed[0] == self.view.revision:
+            return self._packed[1]
+        self._pack_wanted = True
+        self._wake.set()
+        return b""
 
     async def run(self) -> None:
         """Keep asking until cancelled."""
@@ -157,10 +196,21 @@
                 self._wake = anyio.Event()
                 for action in self.spread.due(anyio.current_time()):
                     tasks.start_soon(self._carry_out, action)
+                if self._pack_wanted and not self._packing:
+                    self._packing = True
+                    tasks.start_soon(self._pack)
                 wait_s = self.spread.next_due_s() - anyio.current_time()
                 with anyio.move_on_after(max(0.0, wait_s)):
                     await self._wake.wait()
 
+    async def _pack(self) -> None:
+        documents = self.view.documents
+        message = DocumentsMessage(documents)
+        body = await anyio.to_thread.run_sync(encode_message, message)
+        self._packed = (documents.revision, body)
+        self._pack_wanted = False
+        self._packing = False
+
     async def _carry_out(self, action: Action) -> None:
         match action:
             case ReadChanges(after):
@@ -255,8 +305,8 @@
 
     def _adopted(self, adopted: Adopted | None, source: str) -> None:
         if adopted is not None:
-            if self._on_adopted is not None:
-                self._on_adopted(self.view.snapshot)
+            for listener in self._listeners:
+                listener(self.view.snapshot)
             self._log.emit(
                 CONFIGURATION_ADOPTED,
                 before=adopted.before,
@@ -264,6 +314,8 @@
                 source=source,
             )
         self._note_ready(source)
+        self._changed.set()
+        self._changed = anyio.Event()
 
     def _note_ready(self, source: str) -> None:
         if self.view.ready and not self._ready_logged:
--- a/src/endivegw/configuration/ini.py
+++ b/src/endivegw/configuration/ini.py
@@ -18,6 +18,7 @@
     "format_value",
     "parse_assignments",
     "parse_template",
+    "value_texts",
 ]
 
 TEMPLATE_SECTION = "template"
@@ -67,6 +68,9 @@
     if unexpected:
         line = _line_of(text, f"[{unexpected[0]}]")
         return (IniMistake(line, "", f"unknown section [{unexpected[0]}]"),)
+    if parser.defaults():
+        line = _line_of(text, f"[{parser.default_section}]")
+        return (IniMistake(line, "", f"unknown section [{parser.default_section}]"),)
     if not parser.has_section(TEMPLATE_SECTION):
         return (IniMistake(0, "", f"no section [{TEMPLATE_SECTION}]"),)
     values = dict(parser[TEMPLATE_SECTION])
@@ -83,12 +87,19 @@
 def format_parameters(parameters: Parameters) -> str:
     """Return parameters as a template file, which parses to the same again."""
     lines = [f"[{TEMPLATE_SECTION}]"]
-    for name, value in asdict(parameters).items():
-        if value is not None:
-            lines.append(f"{name} = {format_value(value)}")
+    lines += [f"{name} = {text}" for name, text in value_texts(parameters).items()]
     return "\n".join(lines) + "\n"
 
 
+def value_texts(parameters: Parameters) -> dict[str, str]:
+    """Return the parameters that are set, as text by name."""
+    return {
+        name: format_value(value)
+        for name, value in asdict(parameters).items()
+        if value is not None
+    }
+
+
 def format_value(value: object) -> str:
     """Return one parameter's value as it stands in a template file."""
     match value:
@@ -101,7 +112,8 @@
         case tuple():
             return ", ".join(str(item) for item in value)
         case float():
-            return f"{value:g}"
+            # All digits: a file that is shown and taken back changes nothing.
+            return repr(value).removesuffix(".0")
     return str(value)
 
 
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -9,15 +9,22 @@
 from attrs import frozen
 
 from endivegw.budgets import BudgetKeeper
-from endivegw.daemons.attempt_runner import AttemptRunner
-from endivegw.daemons.held_configuration import HeldConfiguration
+from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.http_front import HttpFront
+from endivegw.daemons.lent_grants import LentGrants
+from endivegw.daemons.peer_book import PeerBook
 from endivegw.daemons.placement_queue import PlacementQueue
-from endivegw.daemons.request_runner import RequestRunner
+from endivegw.daemons.recovery_watch import RecoveryWatch
+from endivegw.daemons.request_runner import RequestRunner, RunnerParts
+from endivegw.daemons.router_service import RouterService
+from endivegw.daemons.router_watch import RouterWatch
+from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.daemons.target_watch import TargetWatch
 from endivegw.http_server import ServedAddress, serve_asgi
+from endivegw.peers import PeerSecurity, serve_peers
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.settings import RouterSettings
-from endivegw.telemetry import EventLog, Metrics
+from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import daemons as events
 from endivegw.types import InstanceId
 
@@ -41,14 +48,21 @@
 
     settings: RouterSettings
     instance_id: InstanceId
-    configuration: HeldConfiguration
+    configuration: ConfigurationAgent
     keeper: BudgetKeeper
     queue: PlacementQueue
     watch: TargetWatch
-    attempts: AttemptRunner
+    routers: RouterWatch
+    recovery: RecoveryWatch
+    lent: LentGrants
+    slots: SlotMapReader
+    runner: RunnerParts
+    book: PeerBook
+    header: Callable[[], pb.Header]
+    on_header: Callable[[pb.Header], None]
+    security: PeerSecurity
     clock: Callable[[], float]
     log: EventLog
-    metrics: Metrics
 
 
 class Router:
@@ -64,8 +78,14 @@
     def ready(self) -> bool:
         """Return whether the balancer should send callers here."""
         parts = self._parts
-        known = parts.configuration.ready and parts.watch.settled
-        return known and not self._draining
+        if self._draining or not parts.configuration.ready:
+            return False
+        return parts.watch.settled and parts.slots.settled(parts.clock())
+
+    @property
+    def instance_id(self) -> InstanceId:
+        """Return the name of this start of this process."""
+        return self._parts.instance_id
 
     @property
     def in_progress(self) -> int:
@@ -76,13 +96,32 @@
         self, *, task_status: TaskStatus[ServedAddress] = anyio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until :meth:`drain` has ended or the task is cancelled."""
+        try:
+            await self._run(task_status)
+        finally:
+            self._parts.book.close()
+            self._parts.runner.claims.close()
+
+    async def _run(self, task_status: TaskStatus[ServedAddress]) -> None:
         parts = self._parts
         async with anyio.create_task_group() as tasks:
             self._front = self._build_front(tasks)
-            tasks.start_soon(parts.configuration.run)
-            tasks.start_soon(parts.watch.run)
-            tasks.start_soon(parts.queue.run)
-            tasks.start_soon(parts.keeper.run)
+            for run in (
+                parts.configuration.run,
+                parts.watch.run,
+                parts.routers.run,
+                parts.recovery.run,
+                parts.lent.run,
+                parts.slots.run,
+                parts.queue.run,
+                parts.keeper.run,
+            ):
+                tasks.start_soon(run)
+            peers = parts.settings.peers.listen
+            service = self._build_service()
+            await tasks.start(
+                serve_peers, (service,), peers.ip, peers.port, parts.security
+            )
             listen = parts.settings.listen
             address = await tasks.start(serve_asgi, self._front, listen.ip, listen.port)
             parts.log.emit(
@@ -124,20 +163,27 @@
         )
         self._stopped.set()
 
-    def _build_front(self, background: TaskGroup) -> HttpFront:
+    async def _serve_front(
+        self, ip: str, port: int, *, task_status: TaskStatus[ServedAddress]
+    ) -> None:
+        # A planned stop has waited for the answers in progress already.
+        await serve_asgi(self._front, ip, port, graceful_s=0, task_status=task_status)
+
+    def _build_service(self) -> RouterService:
         parts = self._parts
-        runner = RequestRunner(
+        return RouterService(
             parts.keeper,
-            parts.queue,
-            parts.attempts,
-            parts.watch,
-            background,
+            parts.configuration,
+            parts.header,
+            parts.on_header,
+            lambda: self._draining,
             parts.clock,
-            parts.log,
-            parts.metrics,
         )
+
+    def _build_front(self, background: TaskGroup) -> HttpFront:
+        parts = self._parts
         return HttpFront(
-            runner,
+            RequestRunner(parts.runner, background),
             lambda: parts.configuration.snapshot,
             lambda: self.ready,
             parts.settings.http,
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import ssl
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
+from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.sidecar_body import BodyChannel
 from endivegw.daemons.sidecar_frames import (
     answer_gone_frame,
@@ -28,7 +28,7 @@
 )
 from endivegw.daemons.sidecar_run import Run
 from endivegw.daemons.sidecar_work import Work
-from endivegw.peers import serve_peers
+from endivegw.peers import PeerSecurity, PlainPeers, serve_peers
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarBase
 from endivegw.requests.starts import (
@@ -96,14 +96,14 @@
         self,
         host: str,
         port: int,
-        tls: ssl.SSLContext | None = None,
+        security: PeerSecurity = PlainPeers(),
         *,
         task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until cancelled; report the bound port when it listens."""
         async with anyio.create_task_group() as tasks:
             self.start(tasks)
-            bound = await tasks.start(serve_peers, (self,), host, port, tls)
+            bound = await tasks.start(serve_peers, (self,), host, port, security)
             task_status.started(bound)
 
     def start(self, tasks: TaskGroup) -> None:
@@ -204,9 +204,12 @@
         await stream.send_message(reply)
 
     async def Heartbeat(self, stream: Any) -> None:
-        """Tell the target's load and whether it takes new work."""
-        request = await stream.recv_message()
-        self._gate.check_sender(request.header)
+        """Tell the target's load and whether it takes new work, at each ask."""
+        async for request in stream:
+            self._gate.check_sender(request.header)
+            await stream.send_message(self._heartbeat())
+
+    def _heartbeat(self) -> pb.HeartbeatReply:
         self._refresh_leaving()
         leaving = bool(self._gate.leaving)
         reply = pb.HeartbeatReply(
@@ -217,7 +220,7 @@
         )
         if self._claims is not None:
             reply.owned_slots.extend(self._claims.owned_slots())
-        await stream.send_message(reply)
+        return reply
 
     async def Claim(self, stream: Any) -> None:
         """Answer for the key slots that this process owns."""
@@ -238,7 +241,7 @@
         """Hand out the configuration to a process that has an older one."""
         request = await stream.recv_message()
         revision = ConfigRevision(request.header.config_revision)
-        self._configuration.heard(revision)
+        self._configuration.heard_header(request.header)
         snapshot = self._configuration.newer_than(revision)
         await stream.send_message(
             pb.ConfigReply(header=self._header(), snapshot=snapshot)
@@ -327,6 +330,9 @@
             instance_id=self._settings.instance_id,
             availability_zone=self._settings.availability_zone,
             config_revision=self._configuration.revision,
+            vm=self._settings.vm,
+            role=TARGET_ROLE,
+            address=self._settings.address,
         )
 
     def _log_refusal(self, start: pb.ExecuteStart, refused: Refused) -> None:
--- a/src/endivegw/daemons/sidecar_process.py
+++ b/src/endivegw/daemons/sidecar_process.py
@@ -8,10 +8,15 @@
 from anyio.abc import TaskStatus
 from attrs import frozen
 
+from endivegw.budgets.gate import GrantGate
 from endivegw.configuration import Snapshot
-from endivegw.daemons.held_configuration import HeldConfiguration
+from endivegw.configuration.agent import ConfigurationAgent
+from endivegw.daemons.claim_desk import SlotDesk
+from endivegw.daemons.peer_book import PeerBook
 from endivegw.daemons.sidecar import Sidecar
+from endivegw.peers import PeerSecurity
 from endivegw.settings import SidecarSettings
+from endivegw.targets.order_keeper import OrderKeeper
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import daemons as events
 from endivegw.types import InstanceId
@@ -23,6 +28,11 @@
 _LEAVE_NOTICE_S = 2.0
 
 
+#: What handing back key slots and writing the last checkpoint may take. Where
+#: the table is away for longer, recovery finds out what is left.
+_CLOSE_BOUND_S = 10.0
+
+
 class _Closable(Protocol):
     async def aclose(self) -> None:
         """Close the connections to the target."""
@@ -30,13 +40,21 @@
 
 @frozen
 class SidecarProcessParts:
-    """Hold what the composition root wired for one sidecar."""
+    """Hold what the composition root wired for one sidecar.
+
+    :param orders: None beside a plain service, which takes no orders.
+    """
 
     settings: SidecarSettings
     instance_id: InstanceId
-    configuration: HeldConfiguration
+    configuration: ConfigurationAgent
     sidecar: Sidecar
+    grants: GrantGate
+    desk: SlotDesk
     target: _Closable
+    security: PeerSecurity
+    orders: OrderKeeper | None
+    book: PeerBook
     log: EventLog
 
 
@@ -58,7 +76,13 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(parts.configuration.run)
-                port = await tasks.start(parts.sidecar.serve, listen.ip, listen.port)
+                tasks.start_soon(self._keep_grants)
+                tasks.start_soon(parts.desk.run)
+                if parts.orders is not None:
+                    tasks.start_soon(parts.orders.run)
+                port = await tasks.start(
+                    parts.sidecar.serve, listen.ip, listen.port, parts.security
+                )
                 parts.log.emit(
                     events.DAEMON_STARTED,
                     role="sidecar",
@@ -70,14 +94,24 @@
                 tasks.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+                parts.book.close()
                 await parts.target.aclose()
 
+    async def _keep_grants(self) -> None:
+        await self._parts.grants.start()
+        await self._parts.grants.run()
+
     async def drain(self) -> None:
         """Refuse new work, let what runs end, and stop."""
         self._draining = True
         bound_s = self._parts.settings.process.drain_bound_s
         whole = await self._parts.sidecar.drain(bound_s)
-        await anyio.sleep(_LEAVE_NOTICE_S)
+        with anyio.move_on_after(_CLOSE_BOUND_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._parts.desk.release)
+                if whole:
+                    tasks.start_soon(self._parts.grants.close)
+                await anyio.sleep(_LEAVE_NOTICE_S)
         self._parts.log.emit(
             events.DAEMON_STOPPED,
             role="sidecar",
--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -3,47 +3,31 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 from typing import Any, AsyncGenerator, AsyncIterator
 
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
-
-from endivegw.exceptions import PeerError
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarStub
-from endivegw.peers.errors import Broken, NotDelivered
-from endivegw.peers.limits import BODY_CHUNK_BYTES, BoundedCodec, peer_configuration
-
-__all__ = ["DEFAULT_CONNECT_TIMEOUT_S", "SidecarClient", "open_channel"]
-
-#: How long a connection may take to be made. Two regions are some 100 ms apart;
-#: a second covers one lost packet and leaves time to place the request elsewhere.
-DEFAULT_CONNECT_TIMEOUT_S = 1.0
-
-_LOST = (
-    GRPCError,
-    ProtocolError,
-    StreamTerminatedError,
-    OSError,
-    TimeoutError,
-    asyncio.TimeoutError,
+from endivegw.peers.call import (
+    DEFAULT_CONNECT_TIMEOUT_S,
+    LOST,
+    call_once,
+    cancelling,
+    connect,
+    forget_cancellation,
+    lost_error,
 )
+from endivegw.peers.heartbeat_stream import HeartbeatStream
+from endivegw.peers.limits import BODY_CHUNK_BYTES
+from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
 
-
-def open_channel(host: str, port: int, tls: ssl.SSLContext | None = None) -> Channel:
-    """Return a channel that connects at its first call.
-
-    :param tls: None for plain TCP.
-    """
-    return Channel(
-        host, port, codec=BoundedCodec(), ssl=tls, config=peer_configuration()
-    )
+__all__ = ["SidecarClient"]
 
 
 class SidecarClient:
     """Call one sidecar over one connection, which is made anew when it breaks.
 
+    :param security: how calls prove that they come from the fleet.
+    :param sender: the instance id of this process.
     :param connect_timeout_s: how long making the connection may take.
     """
 
@@ -51,13 +35,15 @@
         self,
         host: str,
         port: int,
-        tls: ssl.SSLContext | None = None,
+        security: PeerSecurity = PlainPeers(),
         *,
+        sender: str = "",
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
     ) -> None:
-        self._channel = open_channel(host, port, tls)
+        self._channel = open_channel(host, port, security, sender=sender)
         self._stub = SidecarStub(self._channel)
         self._connect_timeout_s = connect_timeout_s
+        self._heartbeats = HeartbeatStream(self._stub.Heartbeat, connect_timeout_s)
 
     def close(self) -> None:
         """Close the connection; running calls end as :exc:`Broken`."""
@@ -75,9 +61,10 @@
         :raises Broken: where it may have.
         """
         written = False
+        before = cancelling()
         try:
             async with self._stub.Execute.open() as stream:
-                await self._connect(stream)
+                await connect(stream, self._connect_timeout_s)
                 written = True
                 message = pb.ExecuteMessage(start=start)
                 await stream.send_message(message, end=body is None)
@@ -89,8 +76,9 @@
                         yield frame
                 finally:
                     await _stop(sender)
-        except _LOST as error:
-            raise _lost(written, error) from error
+        except LOST as error:
+            forget_cancellation(before)
+            raise lost_error(written, error) from error
 
     async def cancel(self, request: pb.CancelRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.CancelReply`."""
@@ -102,7 +90,7 @@
 
     async def heartbeat(self, request: pb.HeartbeatRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.HeartbeatReply`."""
-        return await self._call(self._stub.Heartbeat, request, timeout_s)
+        return await self._heartbeats.exchange(request, timeout_s)
 
     async def claim(self, request: pb.ClaimRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.ClaimReply`."""
@@ -113,31 +101,7 @@
         return await self._call(self._stub.Configuration, request, timeout_s)
 
     async def _call(self, method: Any, request: Any, timeout_s: float) -> Any:
-        written = False
-        try:
-            async with method.open(timeout=timeout_s) as stream:
-                await self._connect(stream)
-                written = True
-                await stream.send_message(request, end=True)
-                reply = await stream.recv_message()
-        except _LOST as error:
-            raise _lost(written, error) from error
-        if reply is None:
-            raise Broken("the call ended without a reply")
-        return reply
-
-    async def _connect(self, stream: Any) -> None:
-        await asyncio.wait_for(stream.send_request(), self._connect_timeout_s)
-
-
-def _lost(written: bool, error: BaseException) -> PeerError:
-    if written:
-        return Broken(_describe(error))
-    return NotDelivered(_describe(error))
-
-
-def _describe(error: BaseException) -> str:
-    return str(error) or type(error).__name__
+        return await call_once(method, request, timeout_s, self._connect_timeout_s)
 
 
 async def _send_body(stream: Any, body: AsyncIterator[bytes] | None) -> None:
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -7,6 +7,8 @@
 from endivegw.configuration import TargetKind
 from endivegw.exceptions import SettingsError
 from endivegw.settings.model import (
+    DEFAULT_WEIGHT_BYTES_PER_S,
+    DEFAULT_WEIGHT_LOADS_AT_ONCE,
     HttpLimits,
     LogSettings,
     PeerSettings,
@@ -19,7 +21,11 @@
 from endivegw.settings.reader import Address, SettingsReader
 from endivegw.types import AvailabilityZone, TargetName
 
-__all__ = ["load_router_settings", "load_sidecar_settings"]
+__all__ = [
+    "load_platform_settings",
+    "load_router_settings",
+    "load_sidecar_settings",
+]
 
 DEFAULT_ROUTER_PORT = 7401
 DEFAULT_SIDECAR_PORT = 7402
@@ -34,6 +40,9 @@
 DEFAULT_PLATFORM_TIMEOUT_S = 2.0
 DEFAULT_MAX_RUNNING = 64
 
+#: Today's fleets: a few entry VMs and two dozen targets.
+DEFAULT_FLEET_DAEMONS = 30
+
 _LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -66,6 +75,11 @@
     return settings
 
 
+def load_platform_settings(path: pathlib.Path) -> PlatformSettings:
+    """Read the section [platform] alone, from an operator's or a daemon's file."""
+    return _platform(SettingsReader(path))
+
+
 def _process(reader: SettingsReader) -> ProcessSettings:
     return ProcessSettings(
         vm=reader.text("process", "vm"),
@@ -132,6 +146,15 @@
         timeout_s=reader.number(
             "platform", "timeout_s", DEFAULT_PLATFORM_TIMEOUT_S, least=0.05, most=60.0
         ),
+        fleet_daemons=reader.whole(
+            "platform", "fleet_daemons", DEFAULT_FLEET_DAEMONS, least=1
+        ),
+        weight_bytes_per_s=reader.number(
+            "platform", "weight_bytes_per_s", DEFAULT_WEIGHT_BYTES_PER_S, least=1.0
+        ),
+        weight_loads_at_once=reader.whole(
+            "platform", "weight_loads_at_once", DEFAULT_WEIGHT_LOADS_AT_ONCE, least=1
+        ),
     )
 
 
--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -136,7 +136,7 @@
 class _Configuration:
     revision = ConfigRevision(1)
 
-    def heard(self, revision: ConfigRevision) -> None:
+    def heard_header(self, header: pb.Header) -> None:
         pass
 
     def newer_than(self, revision: ConfigRevision) -> bytes:
@@ -217,6 +217,12 @@
     def reset(self) -> None:
         self.received.clear()
 
+    def heard(self, header: pb.Header) -> None:
+        pass
+
+    def refused(self, step: HandOver, refused: Refused) -> None:
+        pass
+
 
 class RequestWorld:
     """Hold the whole of it; faults are changed while it runs.
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -21,6 +21,7 @@
 from endivegw.configuration import TargetKind, TargetParameters
 from endivegw.configuration.parameters import Parameters
 from endivegw.configuration.store import load_changes, load_documents, load_snapshot
+from endivegw.platform import Put, RowKey, Transaction
 from endivegw.results import Done, Reason, Refused, Unknown
 from endivegw.types import Priority
 from endivegw_standins.memory_table import MemoryTable
@@ -218,6 +219,28 @@
 
         self.assertIsInstance(anyio.run(run), Unknown)
 
+    def test_same_operation_run_again_changes_nothing(self):
+        """
+        The answer was lost for good, and the operator runs the command again
+        under the id it printed. It says what the first run did; an account's
+        key cannot be shown again, and the new one must not be shown as good.
+        """
+
+        async def run():
+            operation = self.operation()
+            first = await create_template(self.table, operation, "a", Parameters())
+            second = await create_template(self.table, operation, "a", Parameters())
+            operation = self.operation()
+            await create_account(self.table, operation, "lobby")
+            again = await create_account(self.table, operation, "lobby")
+            return first, second, again
+
+        first, second, again = anyio.run(run)
+        self.assertIsInstance(first, Done)
+        self.assertEqual(second.value.change, first.value.change)
+        self.assertEqual(again.reason, Reason.ALREADY_RUN)
+        self.assertEqual(self.snapshot().revision, 2)
+
     def test_dry_run_writes_nothing(self):
         """The change is shown and neither a row nor the revision is written."""
 
@@ -275,6 +298,32 @@
         names = [str(name) for name in documents.by_name]
         self.assertEqual(names, ["account lobby"])
 
+    def test_malformed_row_is_refused_and_unknown_parameter_left_out(self):
+        """
+        Somebody writes a row by hand, or a newer version writes a parameter
+        that this one does not know. Neither may end a daemon.
+        """
+
+        async def run():
+            await create_template(
+                self.table, self.operation(), "kiosk", Parameters(weight=2.0)
+            )
+            key = RowKey("config-template", "kiosk")
+            row = self.table.get(key)
+            newer = row.fields["document"].replace("{", '{"x":1,', 1)
+            newer = newer.replace('"parameters":{', '"parameters":{"colour":"red",')
+            put = Put(key, {"document": newer}, None)
+            self.table.transact_now(Transaction((put,)))
+            first = await load_documents(self.table, timeout_s=1)
+            put = Put(key, {"document": "{}"}, None)
+            self.table.transact_now(Transaction((put,)))
+            return first, await load_documents(self.table, timeout_s=1)
+
+        newer, broken = anyio.run(run)
+        template = newer.value.template("kiosk")
+        self.assertEqual(template.parameters, Parameters(weight=2.0))
+        self.assertEqual(broken.reason, Reason.BAD_REQUEST)
+
     def test_missing_change_is_noticed(self):
         """
         Somebody removed a row of the history by hand. A process must not skip
