--- a/src/endivegw/daemons/sidecar_ports.py
+++ b/src/endivegw/daemons/sidecar_ports.py
@@ -106,6 +106,8 @@
     :param answer_bytes: what one answer may hold in memory.
     :param kept_bytes: what the ended answers may hold together, for callers
         that retry. With the rest of the process this stays below 64 MB.
+    :param kept_answers: how many ended answers are kept at most, whatever their
+        size; each takes some 3 KB beside its bytes.
     :param kept_s: how long an ended answer is kept at least unless memory runs
         out; callers retry within seconds, a few of them after minutes.
     :param load_interval_s: how often the engine's own figures are read.
@@ -125,6 +127,7 @@
     slots: int = 64
     answer_bytes: int = 2 * 2**20
     kept_bytes: int = 16 * 2**20
+    kept_answers: int = 4000
     kept_s: float = 600.0
     load_interval_s: float = 0.5
     resume_tries: int = 3
--- a/src/endivegw/daemons/sidecar_work.py
+++ b/src/endivegw/daemons/sidecar_work.py
@@ -58,6 +58,7 @@
         self._metrics = metrics
         self._runs: dict[AttemptId, Run] = {}
         self._ended: OrderedDict[AttemptId, Run] = OrderedDict()
+        self._kept_bytes = 0
         self._tasks: TaskGroup | None = None
 
     def attach(self, tasks: TaskGroup) -> None:
@@ -103,13 +104,16 @@
     def expire(self) -> None:
         """Give up ended answers that are old, or that memory has no room for."""
         now_s = self._clock()
-        held = sum(run.buffer.held_bytes for run in self._ended.values())
-        for attempt_id, run in tuple(self._ended.items()):
+        settings = self._settings
+        while self._ended:
+            attempt_id, run = next(iter(self._ended.items()))
+            in_bounds = (
+                self._kept_bytes <= settings.kept_bytes
+                and len(self._ended) <= settings.kept_answers
+            )
             age_s = now_s - (run.ended_s or now_s)
-            in_bounds = held <= self._settings.kept_bytes
-            if in_bounds and age_s < self._settings.kept_s:
+            if in_bounds and age_s < settings.kept_s:
                 return
-            held -= run.buffer.held_bytes
             self._forget(attempt_id)
 
     async def wait_idle(self) -> None:
@@ -152,6 +156,7 @@
         else:
             self.registry.ended(attempt_id, whole=isinstance(outcome, BufferEnd))
             self._ended[attempt_id] = run
+            self._kept_bytes += run.buffer.held_bytes
         run.ended_s = now_s
         run.usage = usage
         run.ended.set()
@@ -177,6 +182,7 @@
 
     def _forget(self, attempt_id: AttemptId) -> None:
         run = self._ended.pop(attempt_id)
+        self._kept_bytes -= run.buffer.held_bytes
         del self._runs[attempt_id]
         self.registry.forget_answer(attempt_id)
         if run.readers == 0:
--- a/src/endivegw/requests/starts.py
+++ b/src/endivegw/requests/starts.py
@@ -149,12 +149,6 @@
         """Return what routers must bind new attempts to."""
         return f"{self._instance_id}.{self._current.number}"
 
-    @property
-    def running(self) -> int:
-        """Return how many attempts are running."""
-        states = (record.state for record in self._records.values())
-        return sum(state is _State.RUNNING for state in states)
-
     def offer(
         self, offer: Offer, now_s: float
     ) -> MayStart | Follow | AnswerGone | Refused:
--- a/src/endivegw_standins/request_net.py
+++ b/src/endivegw_standins/request_net.py
@@ -71,6 +71,11 @@
         message, self._message = self._message, None
         return message
 
+    async def __aiter__(self) -> AsyncIterator[Any]:
+        message = await self.recv_message()
+        if message is not None:
+            yield message
+
     async def send_message(self, message: Any) -> None:
         await self.sender.send(message)
 
--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -344,7 +344,9 @@
                 if died_s is not None:
                     self.report.retry_s.append(self.now_s() - died_s)
                 break
-            await anyio.sleep(self.rng.uniform(0.0, 2.0))
+            # A broken connection is retried at once, a word after a while.
+            if word is not None:
+                await anyio.sleep(self.rng.uniform(0.0, 2.0))
         self._note_last(word)
 
     def verify(self) -> WorldReport:
--- a/tests/test_sidecar_claims.py
+++ b/tests/test_sidecar_claims.py
@@ -178,6 +178,12 @@
     def reset(self):
         self.received = b""
 
+    def heard(self, header):
+        pass
+
+    def refused(self, step, refused):
+        pass
+
 
 @asynccontextmanager
 async def fleet_of_one():
