--- a/tests/test_configuration_agent.py
+++ b/tests/test_configuration_agent.py
@@ -118,9 +118,7 @@
                     await router.wait_ready()
                 await world.change("kiosk")
                 await until(lambda: router.revision == 1)
-                await until(
-                    lambda: "config/documents" in world.platform.objects.objects
-                )
+                await until(lambda: "config/revision" in world.platform.objects.objects)
                 router.heard_peer("s1", "a", 1, name="sidecar-1")
                 table = DynamoTable(f"{world.url}/table")
                 found = ()
@@ -194,7 +192,7 @@
                     before.start_soon(first.run)
                     await world.change("kiosk")
                     await until(
-                        lambda: "config/documents" in world.platform.objects.objects
+                        lambda: "config/revision" in world.platform.objects.objects
                     )
                     before.cancel_scope.cancel()
                 world.platform.faults.table.outage = True
