--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,8 @@
 
 clean:
 	rm -rf .mypy_cache .hypothesis results build dist
+
+capacity: $(STAMP)
+	$(BIN)/python -m benchmarks.capacity
+bench-requests: $(STAMP)
+	$(BIN)/python -m benchmarks.requests
--- a/src/endivegw/budgets/keeper.py
+++ b/src/endivegw/budgets/keeper.py
@@ -17,6 +17,7 @@
 from endivegw.budgets.bills import BillKind, BillLine, BillRecord
 from endivegw.budgets.borrower import Borrower
 from endivegw.budgets.options import KeeperOptions
+from endivegw.budgets.pace import WritePace
 from endivegw.budgets.planning import is_closable, wants_draw
 from endivegw.budgets.rows import HolderId
 from endivegw.budgets.transfer import (
@@ -39,6 +40,10 @@
 #: What a donor keeps for its own next moments, in seconds of its demand.
 _LEND_KEEP_S = 5.0
 
+#: A grant that only borrowers use is recovered when it is this old. Borrowed
+#: tokens are spent within minutes; what is left by then is stranded.
+_LENT_S = 1800.0
+
 #: While requests wait the loop looks again this often: tokens that other
 #: routers give back show only in the table.
 _WAITING_TICK_S = 0.4
@@ -70,6 +75,7 @@
         self._options = options or KeeperOptions()
         self._book = AccountBook()
         self._offers = OfferMemory()
+        self._pace = WritePace(self._options.writes_per_s, self._options.write_burst)
         self._wake = anyio.Event()
         self._closing = False
         self._tasks: TaskGroup | None = None
@@ -199,6 +205,20 @@
         self._offers.keep(offer, now_s)
         return offer
 
+    def stuck_grants(self, now_s: float) -> tuple[GrantId, ...]:
+        """Return own grants to be recovered although this router lives.
+
+        Of these only what peers borrowed is open. A peer that died, or an offer
+        whose answer was lost, would strand the tokens for good.
+        """
+        if self._writer.has_unwritten:
+            return ()
+        return self._book.stuck(self._writer.holder, now_s - _LENT_S)
+
+    def grant_recovered(self, grant_id: GrantId) -> None:
+        """Take in that recovery has closed a stuck grant."""
+        self._book.recovered(grant_id)
+
     def tokens_in_hand(self, budget: BudgetKey) -> int:
         """Return the free tokens of a budget, for metrics and tests."""
         account = self._book.find(budget)
@@ -219,7 +239,8 @@
                     with anyio.move_on_after(self._tick_s()):
                         await self._wake.wait()
                     self._wake = anyio.Event()
-                    await self._writer.write_once(self._closing)
+                    if await self._writer.write_once(self._closing):
+                        self._pace.take(self._clock())
                     await anyio.sleep(self._gap_s())
             finally:
                 self._tasks = None
@@ -234,7 +255,9 @@
         self._closing = True
         while not self._is_closed():
             await self._writer.write_once(True)
-            await anyio.sleep(self._options.write_gap_s)
+            away = self._writer.away_since_s is not None
+            gap_s = self._options.retry_gap_s if away else self._options.write_gap_s
+            await anyio.sleep(gap_s)
 
     def _is_closed(self) -> bool:
         if self._writer.has_unwritten or len(self._book.lines):
@@ -248,7 +271,8 @@
     def _gap_s(self) -> float:
         if self._writer.away_since_s is not None:
             return self._options.retry_gap_s
-        return self._options.write_gap_s
+        wait_s = self._pace.wait_s(self._clock())
+        return max(wait_s, self._options.write_gap_s)
 
     # Helpers.
 
@@ -332,5 +356,6 @@
     def _borrow(self, account: Account) -> None:
         if self._borrower is None or self._tasks is None:
             return
-        if account.waiters and not account.borrowing:
+        asked_lately = self._clock() < account.borrow_after_s
+        if account.waiters and not account.borrowing and not asked_lately:
             self._tasks.start_soon(self._borrower.borrow, account)
--- a/src/endivegw/composition/process.py
+++ b/src/endivegw/composition/process.py
@@ -53,6 +53,7 @@
     on_header: Callable[[pb.Header], None]
     connect_router: Callable[[str, int], RouterClient]
     connect_sidecar: Callable[[str, int], SidecarClient]
+    connect_owner: Callable[[str], SidecarClient]
     clock: Callable[[], float]
     rng: random.Random
     log: EventLog
@@ -90,6 +91,10 @@
     def connect_sidecar(host: str, port: int) -> SidecarClient:
         return SidecarClient(host, port, security, sender=name)
 
+    def connect_owner(address: str) -> SidecarClient:
+        host, _, port = address.rpartition(":")
+        return connect_sidecar(host.strip("[]"), int(port))
+
     # The book calls peers with this process's header, which carries the revision
     # of the configuration, which in turn is fetched through the book.
     book = PeerBook(connect_router, connect_sidecar, lambda: header(), clock)
@@ -130,6 +135,7 @@
         on_header=on_header,
         connect_router=connect_router,
         connect_sidecar=connect_sidecar,
+        connect_owner=connect_owner,
         clock=clock,
         rng=rng,
         log=process_log,
--- a/src/endivegw/composition/sidecar.py
+++ b/src/endivegw/composition/sidecar.py
@@ -20,6 +20,7 @@
 from endivegw.targets.http_service import HttpService
 from endivegw.targets.openai_engine import OpenAiEngine
 from endivegw.targets.order_keeper import KeeperPolicy, OrderKeeper
+from endivegw.targets.weight_slots import WeightShare
 from endivegw.telemetry import EventLog
 
 __all__ = ["build_sidecar"]
@@ -133,7 +134,13 @@
         process.platform.weights,
         process.log,
         checks_fence=settings.target.checks_fence,
-        policy=KeeperPolicy(table_timeout_s=settings.platform.timeout_s),
+        policy=KeeperPolicy(
+            table_timeout_s=settings.platform.timeout_s,
+            share=WeightShare(
+                settings.platform.weight_bytes_per_s,
+                settings.platform.weight_loads_at_once,
+            ),
+        ),
         clock=time.monotonic,
         rng=random.Random(),
     )
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -84,12 +84,12 @@
             if state is None or state.view.instance_id != view.instance_id:
                 if state is not None:
                     self._prefixes.forget(view.target)
-                state = TargetState(view, now_s, max(1, view.slots))
-            state.view = view
+                state = TargetState(view, max(1, view.slots))
+            state.set_view(view)
             self._targets[view.target] = state
             if view.draining:
                 continue
-            for model in view.models:
+            for model in state.models():
                 members.setdefault(model, []).append(state)
         for model, states in members.items():
             self._pool(model).set_members(states, self._zone)
@@ -100,14 +100,11 @@
         state = self._targets.get(target)
         if state is None:
             return
-        believed = state.report(figures, now_s, self._policy.frozen_reports)
-        if not believed:
-            state.others = max(
-                (self._pools[model].mean_others for model in state.view.models),
-                default=0.0,
-            )
-        else:
+        if state.report(figures, now_s, self._policy.frozen_reports):
             self._judge_report(state, figures)
+            pools = (self._pools[model] for model in state.models())
+            mean = max((pool.mean_others for pool in pools), default=0.0)
+            state.age(mean, self._estimates.held_s_of_all.mean, now_s)
         self._prefixes.events(
             target,
             figures.sequence,
@@ -135,7 +132,7 @@
         head = pool.queue.head()
         # New work must not overtake queued work of its own or a higher
         # priority: in a long overload the queue would starve.
-        if head is None or head.item.priority > item.priority:
+        if head is None or head.hopeful or head.item.priority > item.priority:
             choice = self._placer.choose(pool, item, now_s)
             if choice is not None:
                 return self._admit(pool, item, choice, now_s)
@@ -219,7 +216,7 @@
         """
         if figures.running < 2 or figures.tokens_per_s <= 0.0:
             return
-        for model in state.view.models:
+        for model in state.models():
             pool = self._pools.get(model)
             if pool is None or model.startswith(SERVICE_PREFIX):
                 continue
@@ -255,7 +252,7 @@
         """Show queued work a target that may have room now."""
         if state.view.draining or state.occupied() >= state.limit(1.0):
             return
-        for model in state.view.models:
+        for model in state.models():
             pool = self._pools.get(model)
             if pool is not None and len(pool.queue):
                 pool.room[state.view.target] = state
@@ -292,7 +289,8 @@
             detail = "gave way to an account below its share"
             self._given_up.append(Expired(victim.item, detail, wait_s))
         position = len(pool.queue)
-        pool.queue.push(item, held_s, latest_s)
+        last_s = item.deadline_s - held_s * policy.hope_margin
+        pool.queue.push(item, held_s, latest_s, last_s)
         return Queued(wait_s, position)
 
     def _make_way(
