--- a/src/endivegw/composition/platform.py
+++ b/src/endivegw/composition/platform.py
@@ -10,7 +10,12 @@
 from endivegw.daemons.vm_listings import ObservedVmList
 from endivegw.platform import ObjectStorePort, TablePort, WeightStorePort
 from endivegw.platform.dynamo_table import DynamoTable
-from endivegw.platform.guarded import GuardedObjects, GuardedTable
+from endivegw.platform.guarded import (
+    GuardedObjects,
+    GuardedTable,
+    GuardedVmList,
+    GuardedWeightStore,
+)
 from endivegw.platform.http_vm_list import HttpVmList
 from endivegw.platform.s3_objects import S3Objects
 from endivegw.platform.signing import Credentials
@@ -58,8 +63,8 @@
     return Platform(
         table=GuardedTable(table, daemons=settings.fleet_daemons, random_source=rng),
         objects=GuardedObjects(objects, random_source=rng),
-        vms=ObservedVmList(vms, clock),
-        weights=weights,
+        vms=ObservedVmList(GuardedVmList(vms, random_source=rng), clock),
+        weights=GuardedWeightStore(weights, random_source=rng),
         closers=(table.close, objects.close, vms.close, weights.close),
     )
 
--- a/src/endivegw/platform/guarded.py
+++ b/src/endivegw/platform/guarded.py
@@ -11,6 +11,7 @@
 from endivegw.platform.circuit import Circuit
 from endivegw.platform.guard import Guard
 from endivegw.platform.ports import (
+    ListedVm,
     ObjectStorePort,
     Page,
     Row,
@@ -18,11 +19,13 @@
     StoredObject,
     TablePort,
     Transaction,
+    VmListPort,
+    WeightStorePort,
 )
 from endivegw.platform.rate_cap import RateCap, TableShares
 from endivegw.results import Reason, Refused, Result
 
-__all__ = ["GuardedObjects", "GuardedTable"]
+__all__ = ["GuardedObjects", "GuardedTable", "GuardedVmList", "GuardedWeightStore"]
 
 T = TypeVar("T")
 
@@ -202,3 +205,60 @@
             timeout_s=timeout_s,
             changes=True,
         )
+
+
+class GuardedVmList:
+    """Guard the VM list in the same way; equal readings share one call."""
+
+    #: The list is read each half a minute, and more often only at a start.
+    CALLS_PER_S = 1.0
+
+    def __init__(
+        self, vms: VmListPort, *, random_source: random.Random | None = None
+    ) -> None:
+        source = random_source or random.Random()
+        self.circuit = Circuit(random=source)
+        cap = RateCap(self.CALLS_PER_S)
+        self._guard = Guard("VM list", self.circuit, cap, random=source)
+        self._vms = vms
+        self._coalescer = _Coalescer()
+
+    async def list_vms(self, *, timeout_s: float) -> Result[tuple[ListedVm, ...]]:
+        """Return the machines that the platform knows of."""
+
+        async def ask() -> Result[tuple[ListedVm, ...]]:
+            return await self._guard.call(
+                lambda left_s: self._vms.list_vms(timeout_s=left_s),
+                timeout_s=timeout_s,
+                changes=False,
+            )
+
+        return await self._coalescer.share("list", ask, timeout_s=timeout_s)
+
+
+class GuardedWeightStore:
+    """Guard the weight store in the same way.
+
+    The store limits its rate itself; a refusal that says when to come back is
+    tried again then, where the caller has the time.
+    """
+
+    #: A sidecar asks before a load, of which there is one at a time.
+    CALLS_PER_S = 1.0
+
+    def __init__(
+        self, weights: WeightStorePort, *, random_source: random.Random | None = None
+    ) -> None:
+        source = random_source or random.Random()
+        self.circuit = Circuit(random=source)
+        cap = RateCap(self.CALLS_PER_S)
+        self._guard = Guard("weight store", self.circuit, cap, random=source)
+        self._weights = weights
+
+    async def size_bytes(self, name: str, *, timeout_s: float) -> Result[int]:
+        """Return how large the weights of a model or adapter are."""
+        return await self._guard.call(
+            lambda left_s: self._weights.size_bytes(name, timeout_s=left_s),
+            timeout_s=timeout_s,
+            changes=False,
+        )
--- a/tests/test_platform_guard.py
+++ b/tests/test_platform_guard.py
@@ -7,7 +7,7 @@
 
 from endivegw.platform import Put, RowKey, Transaction
 from endivegw.platform.circuit import Admitted, Circuit, CircuitSettings, Held
-from endivegw.platform.guarded import GuardedTable
+from endivegw.platform.guarded import GuardedTable, GuardedWeightStore
 from endivegw.platform.rate_cap import RateCap, TableShares
 from endivegw.results import Done, Reason, Refused, Unknown
 from endivegw_standins.memory_table import MemoryTable
@@ -236,6 +236,29 @@
 
         anyio.run(run)
 
+    def test_weight_store_that_limits_its_rate_is_asked_when_it_says(self):
+        """
+        Two sidecars want to load at the same moment, and the store turns one
+        away for a moment. The load must not fail for it.
+        """
+
+        class Limited:
+            calls = []
+
+            async def size_bytes(self, name, *, timeout_s):
+                self.calls.append(anyio.current_time())
+                if len(self.calls) == 1:
+                    return Refused(Reason.THROTTLED, "", 0.2)
+                return Done(7)
+
+        async def run():
+            weights = GuardedWeightStore(Limited(), random_source=random.Random(1))
+            return await weights.size_bytes("m", timeout_s=2)
+
+        self.assertEqual(anyio.run(run), Done(7))
+        first, second = Limited.calls
+        self.assertGreaterEqual(second - first, 0.19)
+
     def test_cancelled_reader_leaves_no_one_waiting(self):
         """
         The request whose read others share is cancelled. The others must
