--- a/src/endivegw/requests/slots.py
+++ b/src/endivegw/requests/slots.py
@@ -37,6 +37,11 @@
 _FOLLOWED_BEATS = 64
 
 
+#: How many machines watch a slot closely; the next in rank steps in for the
+#: first one, and a third covers a rack that ends as a whole.
+_NEAR_RANKS = 3
+
+
 @frozen
 class Slot:
     """Hold one row of the map.
@@ -72,13 +77,13 @@
     :param confirmed: the last one of which the owner knew that it was written.
         A later one may have been written while its answer was lost, so that
         the owner counts its grace time from the confirmed one.
-    :param confirmed_wall_s: when the owner learned that, on its machine's
+    :param confirmed_wall_ms: when the owner learned that, on its machine's
         clock; of use on the same machine only.
     """
 
     count: int
     confirmed: int
-    confirmed_wall_s: int
+    confirmed_wall_ms: int
 
 
 @frozen
@@ -152,15 +157,44 @@
     # reading before that one began.
     _seen: dict[int, dict[int, float]] = field(factory=dict)
     _highest: dict[int, int] = field(factory=dict)
+    _beat_seen_s: dict[int, float] = field(factory=dict)
     _before_confirmed_s: dict[int, float] = field(factory=dict)
     _ownerless_since_s: dict[int, float] = field(factory=dict)
 
     def read(self, new: SlotMap) -> None:
         """Take in a reading of the map."""
         for number, beat in new.beats.items():
+            if self.current.beats.get(number) != beat:
+                self._beat_seen_s[number] = new.read_started_s
             self._follow(number, beat)
         self.current = new
 
+    def is_near(self, live_vms: frozenset[str]) -> bool:
+        """Return whether this sidecar is among the first to take some slot."""
+        return any(
+            self.vm in rank(number, live_vms)[:_NEAR_RANKS]
+            for number in range(self.rule.slots)
+        )
+
+    def needs_list(self, live_vms: frozenset[str], now_s: float) -> bool:
+        """Return whether an owner near in rank may have ended.
+
+        While beats go on there is nothing to learn from the VM list, and a
+        list of a thousand machines is too much to be read every few seconds.
+        """
+        for number in range(self.rule.slots):
+            slot = self.current.slots.get(number)
+            if slot is not None and self._is_predecessor(slot):
+                return True
+            if self.vm not in rank(number, live_vms)[:_NEAR_RANKS]:
+                continue
+            stalled_s = now_s - self._beat_seen_s.get(number, float("-inf"))
+            if slot is None or slot.released:
+                return True
+            if slot.vm != self.vm and stalled_s > 2 * self.limits.beat_s:
+                return True
+        return False
+
     def takes(
         self,
         listed_vms: frozenset[str],
@@ -196,11 +230,14 @@
         """
         if slot.released:
             return True
-        same_place = slot.vm == self.vm and slot.target == self.target
-        if same_place and slot.instance_id != self.instance_id:
+        if self._is_predecessor(slot):
             return True
         return slot.vm not in listed_vms
 
+    def _is_predecessor(self, slot: Slot) -> bool:
+        same_place = slot.vm == self.vm and slot.target == self.target
+        return same_place and slot.instance_id != self.instance_id
+
     def _is_my_turn(
         self,
         number: int,
@@ -240,7 +277,8 @@
         if beat is None or slot.vm != self.vm:
             return False
         # A clock that was set back would show a time to come.
-        return 0.0 <= wall_s - beat.confirmed_wall_s < self.limits.grace_s
+        age_s = wall_s - beat.confirmed_wall_ms / 1000
+        return 0.0 <= age_s < self.limits.grace_s
 
     def _follow(self, number: int, beat: Beat) -> None:
         seen = self._seen.setdefault(number, {})
