Say draining, not leaving, of a target that may take work again

The heartbeat's header names the router's grant holder, so that a sidecar knows it before the table goes away.

--- a/src/endivegw/budgets/escrow.py
+++ b/src/endivegw/budgets/escrow.py
@@ -67,6 +67,11 @@
         self._version = 0
         self._barrier_id: str | None = None
 
+    @property
+    def exists(self) -> bool:
+        """Return whether the holder's row is known to be in the table."""
+        return self._version > 0
+
     def new_operation_id(self) -> str:
         """Return an id for a batch, to be chosen before it is written."""
         return f"{self.holder}.{self._rng.getrandbits(64):016x}"
--- a/src/endivegw/budgets/gate.py
+++ b/src/endivegw/budgets/gate.py
@@ -20,7 +20,13 @@
     uses_row_key,
 )
 from endivegw.budgets.ledger import GrantLedger
-from endivegw.budgets.rows import HolderId, HolderRow, holder_of, holder_row_key
+from endivegw.budgets.rows import (
+    HolderId,
+    HolderRow,
+    grant_id_of,
+    holder_of,
+    holder_row_key,
+)
 from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused
 from endivegw.telemetry import EventLog
@@ -133,6 +139,11 @@
             self._wake.set()
         return None
 
+    async def meet(self, holder: HolderId) -> None:
+        """Ask the table about a holder before its first work comes."""
+        if self._version and not self.ledger.knows_holder(grant_id_of(holder, 0)):
+            await self._ask(holder)
+
     async def run(self) -> None:
         """Write checkpoints and look after holders until cancelled."""
         holders_at_s = self._clock() + HOLDERS_S * self._rng.random()
--- a/src/endivegw/budgets/keeper.py
+++ b/src/endivegw/budgets/keeper.py
@@ -94,6 +94,15 @@
             self._borrow,
         )
 
+    @property
+    def announced_holder(self) -> HolderId:
+        """Return the id that sidecars may ask the table about, "" before a draw.
+
+        A sidecar that hears of it early knows it when the table goes away; it
+        would refuse the first work of a holder that it cannot ask about.
+        """
+        return self._writer.holder if self._writer.holder_exists else HolderId("")
+
     @property
     def holder(self) -> HolderId:
         """Return the id under which this router draws at present."""
--- a/src/endivegw/budgets/writer.py
+++ b/src/endivegw/budgets/writer.py
@@ -88,6 +88,11 @@
         self._tries = 0
         self._lock = anyio.Lock()
 
+    @property
+    def holder_exists(self) -> bool:
+        """Return whether the present holder has written to the table."""
+        return self._escrow.exists
+
     @property
     def holder(self) -> HolderId:
         """Return the id under which this router draws at present."""
--- a/src/endivegw/composition/process.py
+++ b/src/endivegw/composition/process.py
@@ -67,10 +67,12 @@
     log: Callable[[InstanceId], EventLog],
     *,
     reports: bool,
+    grant_holder: Callable[[], str] = str,
 ) -> Process:
     """Wire what every daemon has.
 
     :param reports: whether it writes down which revisions it and its peers have.
+    :param grant_holder: returns the name under which it draws grants.
     """
     clock = _steady_unix_clock()
     rng = random.Random()
@@ -110,7 +112,7 @@
         reports=reports,
         log=process_log,
     )
-    header = header_writer(identity, configuration)
+    header = header_writer(identity, configuration, grant_holder)
 
     def on_header(received: pb.Header) -> None:
         sender = book.heard(received)
--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -36,6 +36,8 @@
         settings.platform,
         lambda name: EventLog("router", instance=name),
         reports=True,
+        # The keeper is made below, out of what this call returns.
+        grant_holder=lambda: keeper.announced_holder,
     )
     dispatcher = Dispatcher(Policy(), settings.process.availability_zone, process.rng)
     queue = PlacementQueue(dispatcher, process.clock)
--- a/src/endivegw/daemons/headers.py
+++ b/src/endivegw/daemons/headers.py
@@ -52,9 +52,15 @@
 
 
 def header_writer(
-    identity: ProcessIdentity, configuration: HasRevision
+    identity: ProcessIdentity,
+    configuration: HasRevision,
+    grant_holder: Callable[[], str] = str,
 ) -> Callable[[], pb.Header]:
-    """Return what makes the header of each message of a process."""
+    """Return what makes the header of each message of a process.
+
+    :param grant_holder: returns the name under which this process draws grants,
+        "" before it has drawn one.
+    """
 
     def header() -> pb.Header:
         return pb.Header(
@@ -65,6 +71,7 @@
             vm=identity.vm,
             role=identity.role,
             address=str(identity.address),
+            grant_holder=grant_holder(),
         )
 
     return header
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -96,8 +96,10 @@
         self._work = Work(registry, grants, settings, clock, log, metrics)
         self._gate = Gate(registry, grants, configuration, clock)
         self._load = LoadWatch(engine_of(target), settings, clock)
+        self._tasks: TaskGroup | None = None
         self._leaving = ""
         self._listed_leaving = False
+        self._stopping = False
 
     async def serve(
         self,
@@ -115,6 +117,7 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Run attempts and look after them in a task group, without a listener."""
+        self._tasks = tasks
         self._work.attach(tasks)
         tasks.start_soon(self._load.poll)
         tasks.start_soon(self._expire)
@@ -134,6 +137,7 @@
         """
         bound_s = self._settings.drain_bound_s if bound_s is None else bound_s
         started_s = self._clock()
+        self._stopping = True
         self.leave("the sidecar stops as planned")
         self._log.emit(DRAIN_STARTED, running=self._work.running, bound_s=bound_s)
         with anyio.move_on_after(bound_s):
@@ -214,6 +218,7 @@
         """Tell the target's load and whether it takes new work, at each ask."""
         async for request in stream:
             self._gate.check_sender(request.header)
+            self._meet_holder(request.header.grant_holder)
             self._hear_list(request.leaving_vm)
             await stream.send_message(self._heartbeat())
 
@@ -223,13 +228,24 @@
         if leaving_vm and leaving_vm == self._settings.vm:
             self._listed_leaving = True
 
+    def _meet_holder(self, holder: str) -> None:
+        """Get to know a router's grants while the table can be asked.
+
+        A router that was started shortly before the table went away would
+        otherwise be refused by every sidecar until the table is back, although
+        it has tokens in hand.
+        """
+        if holder and self._holders is not None and self._tasks is not None:
+            self._tasks.start_soon(self._holders.meet, holder)
+
     def _heartbeat(self) -> pb.HeartbeatReply:
         self._refresh_leaving()
-        leaving = bool(self._gate.leaving)
+        draining = bool(self._gate.leaving)
         reply = pb.HeartbeatReply(
             header=self._header(),
-            load=self._load.report(self._work.running, leaving),
-            leaving=leaving,
+            load=self._load.report(self._work.running, draining),
+            # Routers take this word for good; what may end is only draining.
+            leaving=self._stopping or self._listed_leaving,
             start_incarnation=self._registry.incarnation,
         )
         if self._claims is not None:
@@ -337,6 +353,10 @@
             why = "the VM list says that the machine leaves"
         if not why and self._load.leaving:
             why = "the target takes no new work"
+        if not why and self._configuration.revision == 0:
+            # Routers then place work elsewhere at once, where they would be
+            # refused here until the configuration has come.
+            why = "no configuration was heard yet"
         self._gate.leaving = why
 
     async def _expire(self) -> None:
--- a/src/endivegw/daemons/sidecar_ports.py
+++ b/src/endivegw/daemons/sidecar_ports.py
@@ -85,6 +85,9 @@
         :returns: why nothing can be admitted now, None where the gate decides.
         """
 
+    async def meet(self, holder: str) -> None:
+        """Ask about a holder before its first work comes."""
+
 
 class ClaimDesk(Protocol):
     """What answers claims where this sidecar owns key slots."""
