--- a/benchmarks/decisions_baselines.py
+++ b/benchmarks/decisions_baselines.py
@@ -255,12 +255,23 @@
                     heapq.heappop(queue)
                     return [Expired(item, "", None)]
                 placement = self._place(item, now_s)
-                if placement is None:
+                if placement is not None:
+                    heapq.heappop(queue)
+                    return [placement]
+                if not self._has_room(item):
                     break
                 heapq.heappop(queue)
-                return [placement]
+                return [Expired(item, "", None)]
         return []
 
+    def _has_room(self, item: WorkItem) -> bool:
+        for view in self.eligible(item):
+            engine = self.engines[view.target]
+            free = engine.running + engine.waiting < view.slots
+            if free and not engine.failing and engine.speed >= 1.0:
+                return True
+        return False
+
     def next_poll_s(self, now_s: float) -> float | None:
         return now_s + 0.05 if any(self.queues.values()) else None
 
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -113,7 +113,7 @@
     block_tokens: int = 256
     prefix_entries: int = 20_000
     prefix_ttl_s: float = 300.0
-    recheck_s: float = 0.1
+    recheck_s: float = 0.05
 
     prior_first_s: float = 0.05
     prior_prefill_tokens_per_s: float = 4000.0
