Free slots of attempts whose end was never reported

Found by reading how the router waits for a placement: a caller that goes away in the moment of its placement leaves its attempt counted for good. A report of a target that was draining when first seen raised KeyError; it no longer does. Tests for both.

--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -104,8 +104,8 @@
             return
         if state.report(figures, now_s, self._policy.frozen_reports):
             self._judge_report(state, figures)
-            pools = (self._pools[model] for model in state.models())
-            mean = max((pool.mean_others for pool in pools), default=0.0)
+            pools = (self._pools.get(model) for model in state.models())
+            mean = max((pool.mean_others for pool in pools if pool), default=0.0)
             state.age(mean, self._estimates.held_s_of_all.mean, now_s)
         self._prefixes.events(
             target,
@@ -269,9 +269,26 @@
         if now_s < self._next_sweep_s:
             return
         self._next_sweep_s = now_s + self._policy.sweep_s
+        for state in self._targets.values():
+            self._drop_lost(state, now_s)
         for pool in self._pools.values():
             health.sweep(pool, self._estimates, self._policy, now_s)
 
+    def _drop_lost(self, state: TargetState, now_s: float) -> None:
+        """Free the slot of an attempt whose end was never reported.
+
+        A caller that goes away in the moment of its placement can leave one
+        behind. Counted for ever, each would take a slot of this target away
+        from this router until it is restarted.
+        """
+        oldest = next(iter(state.own.items()), None)
+        if oldest is None:
+            return
+        request_id, attempt = oldest
+        if now_s > attempt.item.deadline_s + self._policy.lost_after_s:
+            end = AttemptEnd(AttemptKind.CANCELLED)
+            self.ended(request_id, state.view.target, end, now_s)
+
     def _admit(
         self, pool: Pool, item: WorkItem, choice: Choice, now_s: float
     ) -> Placement | Refused:
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -88,6 +88,8 @@
         came back is filled slowly because every router finds it empty.
     :param probe_interval_s: time between probes of a target that was shed.
     :param stale_report_s: a report older than this says nothing any more.
+    :param lost_after_s: an attempt whose end was not reported so long after its
+        deadline is taken as ended.
     :param frozen_reports: equal reports in a row, while work came and went,
         after which they are ignored.
     """
@@ -131,6 +133,7 @@
     recover_step: float = 0.05
     probe_interval_s: float = 1.0
     stale_report_s: float = 10.0
+    lost_after_s: float = 30.0
     frozen_reports: int = 3
 
     def slots_share(self, priority: Priority) -> float:
--- a/tests/test_decisions_dispatcher.py
+++ b/tests/test_decisions_dispatcher.py
@@ -153,6 +153,26 @@
         for number in range(2):
             self.assertEqual(made.submit(item(f"r{number}"), 0.0).target, "t2")
 
+    def test_a_report_of_a_target_that_was_draining_when_first_seen(self):
+        """A router that starts while a target drains takes in its reports."""
+        made = dispatcher(view("t1", draining=True))
+        made.report("t1", LoadFigures(1, 0, 2, 5.0, 0.1, ("badge",)), 0.5)
+        self.assertEqual(made.submit(item("r1"), 1.0).reason, Reason.NO_TARGET)
+
+    def test_an_attempt_whose_end_was_lost_gives_its_slot_back(self):
+        """A forgotten attempt does not take a slot away for good.
+
+        A caller hangs up in the very moment its work is placed, and the end of
+        the attempt is never reported. The router would count it for ever and
+        place less and less on that target, until it is restarted.
+        """
+        made = dispatcher(view("t1", slots=1))
+        self.assertIsInstance(made.submit(item("r1", deadline_s=5.0), 0.0), Placement)
+        self.assertIsInstance(made.submit(item("r2", 20.0), 20.0), Queued)
+        made.cancel("r2", 21.0)
+        made.poll(40.0)
+        self.assertIsInstance(made.submit(item("r3", 40.0), 40.0), Placement)
+
     def test_no_target_is_said_at_once(self):
         """Work that no target serves is refused and not queued."""
         made = dispatcher(view("t1", draining=True))
