--- a/src/endivegw/decisions/__init__.py
+++ b/src/endivegw/decisions/__init__.py
@@ -6,6 +6,7 @@
 
 from endivegw.decisions.dispatcher import Dispatcher
 from endivegw.decisions.policy import Policy
+from endivegw.decisions.prefix import PrefixScheme, prefix_digests
 from endivegw.decisions.retry import RetryBudget, RetryPolicy, backoff_s
 from endivegw.decisions.scaling import (
     DemandMeter,
@@ -40,6 +41,7 @@
     "PlacementFigures",
     "PlannedOrder",
     "Policy",
+    "PrefixScheme",
     "Queued",
     "RetryBudget",
     "RetryPolicy",
@@ -51,5 +53,6 @@
     "backoff_s",
     "choose_subset",
     "plan_orders",
+    "prefix_digests",
     "subset_size",
 ]
