--- a/src/endivegw/decisions/prefix.py
+++ b/src/endivegw/decisions/prefix.py
@@ -37,7 +37,7 @@
     # One split more than needed leaves the rest of a long prompt uncut.
     words = text.split(maxsplit=step * scheme.most)[: step * scheme.most]
     running = hashlib.sha256()
-    found = []
+    found: list[bytes] = []
     for end in range(step, len(words) + 1, step):
         block = " ".join(words[end - step : end])
         running.update((" " + block if found else block).encode())
