--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -20,6 +20,7 @@
     "membership/conclusions.py",
     "membership/peer.py",
     "membership/policy.py",
+    "membership/subset.py",
     "membership/view.py",
     "peers/call_auth.py",
     "targets/order_rows.py",
