--- a/benchmarks/decisions_loads.py
+++ b/benchmarks/decisions_loads.py
@@ -12,7 +12,7 @@
 from benchmarks.decisions_engine import BLOCK_TOKENS, EngineSpec
 
 from endivegw.decisions import WorkItem
-from endivegw.types import AvailabilityZone, ClientAccountName, Priority
+from endivegw.types import AvailabilityZone, ClientAccountName, Priority, TargetName
 
 __all__ = ["Arrival", "Fault", "Load", "LOADS", "TargetSpec", "make_load"]
 
@@ -109,6 +109,7 @@
     :param offered: offered work as a share of capacity, for the reader.
     :param caller_retries: how often a caller comes back after a refusal or a
         timeout.
+    :param subsets: the targets that each router sees; all where empty.
     :param report_with_answers: whether each answer's end carries the target's
         present load to the router that it goes to.
     :param measured_from_s: when the figures begin, after the caches are warm.
@@ -126,6 +127,7 @@
     report_interval_s: float = 1.0
     report_lag_s: float = 0.5
     event_loss: float = 0.1
+    subsets: tuple[tuple[TargetName, ...], ...] = ()
     report_with_answers: bool = False
 
 
@@ -231,7 +233,7 @@
     return lambda now_s: scale * offered(now_s)
 
 
-def _mixed(
+def mixed(
     capacity_slots: float,
     offered: Callable[[float], float],
     peak: float,
@@ -280,7 +282,7 @@
 ) -> Load:
     rng = random.Random(f"{name}/{seed}")
     slots = ENGINES * ENGINE.slots
-    streams = _mixed(slots, offered, peak, **mixed) + extra()  # type: ignore[arg-type]
+    streams = mixed(slots, offered, peak, **mixed) + extra()  # type: ignore[arg-type]
     mean = sum(offered(s * duration_s / 200) for s in range(200)) / 200
     return Load(
         name,
--- a/benchmarks/decisions_world.py
+++ b/benchmarks/decisions_world.py
@@ -140,7 +140,7 @@
             self.at(fault.begin_s, partial(self._apply, fault, True))
             self.at(fault.end_s, partial(self._apply, fault, False))
         for number in range(len(self.routers)):
-            for name in self.engines:
+            for name in self._seen(number):
                 offset_s = self._rng.random() * self.load.report_interval_s
                 self.at(offset_s, partial(self._read, number, name))
         while self._events:
@@ -150,7 +150,7 @@
         return self.records
 
     def _set_targets(self) -> None:
-        for router in self.routers:
+        for number, router in enumerate(self.routers):
             router.set_targets(
                 [
                     TargetView(
@@ -163,12 +163,19 @@
                         name in self._draining,
                     )
                     for name, engine in self.engines.items()
+                    if name in self._seen(number)
                 ],
                 self.now_s,
             )
         for number in range(len(self.routers)):
             self._poll(number)
 
+    def _seen(self, number: int) -> tuple[TargetName, ...]:
+        """Return the targets that a router talks to."""
+        if self.load.subsets and len(self.routers) > 1:
+            return self.load.subsets[number]
+        return tuple(self.engines)
+
     def _apply(self, fault: Fault, begins: bool) -> None:
         engine = self.engines[TargetName(fault.target)]
         engine.advance(self.now_s)
