--- a/benchmarks/decisions_loads.py
+++ b/benchmarks/decisions_loads.py
@@ -233,7 +233,7 @@
     return lambda now_s: scale * offered(now_s)
 
 
-def mixed(
+def mixed_streams(
     capacity_slots: float,
     offered: Callable[[float], float],
     peak: float,
@@ -282,7 +282,7 @@
 ) -> Load:
     rng = random.Random(f"{name}/{seed}")
     slots = ENGINES * ENGINE.slots
-    streams = mixed(slots, offered, peak, **mixed) + extra()  # type: ignore[arg-type]
+    streams = mixed_streams(slots, offered, peak, **mixed) + extra()  # type: ignore[arg-type]
     mean = sum(offered(s * duration_s / 200) for s in range(200)) / 200
     return Load(
         name,
--- a/benchmarks/decisions_subsets.py
+++ b/benchmarks/decisions_subsets.py
@@ -19,7 +19,7 @@
     TargetSpec,
     arrivals,
     constant,
-    mixed,
+    mixed_streams,
 )
 from benchmarks.decisions_outcomes import summarise
 from benchmarks.decisions_world import World
@@ -80,7 +80,7 @@
     routers, zones = fleet(37, 65)
     targets = tuple(TargetSpec(t, z, BOTH, ENGINE) for t, z in zones.items())
     rng = random.Random(f"subsets/{seed}")
-    streams = mixed(len(targets) * ENGINE.slots, constant(offered), offered)
+    streams = mixed_streams(len(targets) * ENGINE.slots, constant(offered), offered)
     duration_s = 30.0
     load = Load(
         "subsets",
