--- a/tests/test_decisions_dispatcher.py
+++ b/tests/test_decisions_dispatcher.py
@@ -91,6 +91,21 @@
         made.report("t2", LoadFigures(0, 0, 2, 0.0, 0.0), 0.0)
         self.assertEqual(made.submit(item("r1"), 0.0).target, "t2")
 
+    def test_report_of_a_draining_target_that_stands_alone(self):
+        """
+        The only target of a model drains, as one that was just started does,
+        and reports its load. Requests for the model are refused until it takes
+        work again, and the router lives on.
+        """
+        made = dispatcher(view("t1", draining=True))
+        figures = LoadFigures(0, 0, 2, 0.0, 0.0)
+        made.report("t1", figures, 0.0)
+        made.report("t1", figures, 1.0)
+        refused = made.submit(item("r1", 1.0), 1.0)
+        self.assertEqual(refused.reason, Reason.NO_TARGET)
+        made.set_targets([view("t1")], 2.0)
+        self.assertEqual(made.submit(item("r2", 2.0), 2.0).target, "t1")
+
     def test_a_prompt_goes_where_its_prefix_is_cached(self):
         """A cache event sends prompts with that prefix to its target."""
         targets = [view(f"t{n}", slots=8) for n in range(8)]
