--- a/benchmarks/decisions_loads.py
+++ b/benchmarks/decisions_loads.py
@@ -282,7 +282,8 @@
 ) -> Load:
     rng = random.Random(f"{name}/{seed}")
     slots = ENGINES * ENGINE.slots
-    streams = mixed_streams(slots, offered, peak, **mixed) + extra()  # type: ignore[arg-type]
+    streams = mixed_streams(slots, offered, peak, **mixed)  # type: ignore[arg-type]
+    streams += extra()
     mean = sum(offered(s * duration_s / 200) for s in range(200)) / 200
     return Load(
         name,
