--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -7,8 +7,10 @@
 
 from endivegw.decisions import admission, health
 from endivegw.decisions.affinity import PrefixIndex
+from endivegw.decisions.backlog import Backlog
 from endivegw.decisions.estimates import Estimates
 from endivegw.decisions.fair_queue import FairQueue
+from endivegw.decisions.feedback import judge_load, learn
 from endivegw.decisions.placement import Choice, Placer
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.pool import Pool, groups
@@ -52,12 +54,11 @@
         self._pools: dict[str, Pool] = {}
         #: Where each request's running attempt is.
         self._placed: dict[str, TargetState] = {}
-        #: Work given up between two polls.
         self._groups: dict[str, int] = {}
-        self._given_up: list[Expired] = []
         self._next_sweep_s = 0.0
         self._demand = DemandMeter(policy.demand_window_s)
         self._estimates = Estimates(policy)
+        self._backlog = Backlog(policy, self._estimates, self._pools)
         self._prefixes = PrefixIndex(
             policy.prefix_entries, policy.prefix_ttl_s, policy.block_tokens
         )
@@ -103,7 +104,7 @@
         if state is None:
             return
         if state.report(figures, now_s, self._policy.frozen_reports):
-            self._judge_report(state, figures)
+            judge_load(self._estimates, self._pools, state, figures)
             pools = (self._pools.get(model) for model in state.models())
             mean = max((pool.mean_others for pool in pools if pool), default=0.0)
             state.age(mean, self._estimates.held_s_of_all.mean, now_s)
@@ -139,22 +140,22 @@
             choice = self._placer.choose(pool, item, now_s)
             if choice is not None:
                 return self._admit(pool, item, choice, now_s)
-        return self._enqueue(pool, item, now_s)
+        return self._backlog.enqueue(pool, item, now_s)
 
     def poll(self, now_s: float) -> list[Placement | Expired]:
         """Return what became decided about queued work."""
         self._sweep(now_s)
-        decided: list[Placement | Expired] = list(self._given_up)
-        self._given_up.clear()
+        decided: list[Placement | Expired] = list(self._backlog.given_up)
+        self._backlog.given_up.clear()
         waiting = [pool for pool in self._pools.values() if len(pool.queue)]
         for pool in waiting:
-            self._give_up(pool, now_s, decided)
+            self._backlog.give_up(pool, now_s, decided)
         self._serve(waiting, now_s, decided)
         return decided
 
     def next_poll_s(self, now_s: float) -> float | None:
         """Return when :meth:`poll` must be called at the latest."""
-        if self._given_up:
+        if self._backlog.given_up:
             return now_s
         latest_s: float | None = None
         for pool in self._pools.values():
@@ -204,7 +205,7 @@
             # of failed attempts away.
             self._next_sweep_s = now_s
         if result.kind is AttemptKind.OK:
-            self._learn(state, attempt, result, now_s)
+            learn(self._estimates, state, attempt, result, now_s)
         self._offer(state)
 
     def cancel(self, request_id: str, now_s: float) -> None:
@@ -216,24 +217,6 @@
 
     # Inside.
 
-    def _judge_report(self, state: TargetState, figures: LoadFigures) -> None:
-        """Compare the target's own speed with its peers' at the same load.
-
-        Answers tell it too, but an answer of a target that became five times
-        slower takes five times as long to tell it.
-        """
-        if figures.running < 2 or figures.tokens_per_s <= 0.0:
-            return
-        for model in state.models():
-            pool = self._pools.get(model)
-            if pool is None or model.startswith(SERVICE_PREFIX):
-                continue
-            load = min(1.0, figures.running / state.slots)
-            step_s = figures.running / figures.tokens_per_s
-            ratio = step_s / max(1e-4, self._estimates.speed(model).step.at(load))
-            health.judge_report(state, pool, ratio)
-            return
-
     def _pool(self, model: str) -> Pool:
         pool = self._pools.get(model)
         if pool is None:
@@ -297,93 +280,6 @@
             return admission.too_short(item, choice.finish_s, now_s)
         return self._place(pool, item, choice, now_s)
 
-    def _enqueue(self, pool: Pool, item: WorkItem, now_s: float) -> Queued | Refused:
-        policy = self._policy
-        held_s = self._estimates.held_s(item, 1.0)
-        most_s = self._estimates.held_s(item, 1.0, policy.queue_deviations)
-        latest_s = item.deadline_s - most_s * policy.queue_margin
-        wait_s = self._wait_s(pool, item, held_s, latest_s)
-        excess_s = admission.excess_s(item, wait_s, most_s, policy, now_s)
-        if excess_s is None:
-            return admission.too_short(item, most_s, now_s)
-        if excess_s > 0.0 and not self._make_way(pool, item, held_s, latest_s, now_s):
-            retry_s = self._retry_s(pool, held_s, excess_s, now_s)
-            return admission.overloaded(wait_s, held_s, retry_s)
-        if len(pool.queue) >= policy.queue_items:
-            victim = pool.queue.victim(item)
-            retry_s = self._retry_s(pool, held_s, wait_s, now_s)
-            if victim is None:
-                return Refused(Reason.OVERLOADED, "the queue is full", retry_s)
-            pool.queue.remove(victim)
-            detail = "gave way to an account below its share"
-            self._given_up.append(Expired(victim.item, detail, retry_s))
-        position = len(pool.queue)
-        last_s = item.deadline_s - held_s * policy.hope_margin
-        pool.queue.push(item, held_s, latest_s, last_s)
-        return Queued(wait_s, position)
-
-    def _retry_s(self, pool: Pool, held_s: float, wait_s: float, now_s: float) -> float:
-        """Return after how long a refused caller should come back."""
-        return pool.queue.shares.appoint(held_s, wait_s, self._policy, now_s)
-
-    def _make_way(
-        self,
-        pool: Pool,
-        item: WorkItem,
-        held_s: float,
-        latest_s: float,
-        now_s: float,
-    ) -> bool:
-        """Give up an account's longest queued work for several shorter ones.
-
-        In an overload not all of an account's work can end in time. Dropping
-        the longest piece whenever the next would be late serves the most
-        callers (Moore and Hodgson's rule for the number of late jobs).
-        """
-        most_s = held_s * self._policy.make_way_factor
-        shares = pool.queue.shares
-        found = None
-        for other in self._pools.values():
-            if other.queue.shares is shares:
-                entry = other.queue.longest_before(item, most_s, latest_s)
-                if entry is not None:
-                    found, most_s = (other, entry), entry.held_s
-        if found is None:
-            return False
-        other, entry = found
-        other.queue.remove(entry)
-        wait_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
-        detail = "gave way to several shorter requests of its account"
-        retry_s = self._retry_s(pool, entry.held_s, wait_s, now_s)
-        self._given_up.append(Expired(entry.item, detail, retry_s))
-        return True
-
-    def _wait_s(
-        self, pool: Pool, item: WorkItem, held_s: float, latest_s: float
-    ) -> float:
-        """Return how long work would wait.
-
-        While there is a queue, each slot that this router's work holds serves
-        one slot-second of the queue per second. It needs no measured rate,
-        which would lag behind the very changes that matter.
-        """
-        shares = pool.queue.shares
-        return shares.ahead_s(item, held_s, latest_s) / max(1, shares.running)
-
-    def _give_up(
-        self, pool: Pool, now_s: float, decided: list[Placement | Expired]
-    ) -> None:
-        """Answer work that can no longer end in time, now and not later."""
-        while True:
-            entry = pool.queue.expired(now_s)
-            if entry is None:
-                return
-            pool.queue.remove(entry)
-            wait_s = self._wait_s(pool, entry.item, entry.held_s, entry.latest_s)
-            retry_s = self._retry_s(pool, entry.held_s, wait_s, now_s)
-            detail = "it could no longer end before its deadline"
-            decided.append(Expired(entry.item, detail, retry_s))
-
     def _serve(
         self, waiting: list[Pool], now_s: float, decided: list[Placement | Expired]
     ) -> None:
@@ -432,27 +328,3 @@
         return Placement(
             item, view.target, view.instance_id, view.address, choice.why, figures
         )
-
-    def _learn(
-        self, state: TargetState, attempt: Outstanding, end: AttemptEnd, now_s: float
-    ) -> None:
-        item = attempt.item
-        held_s = now_s - attempt.placed_s
-        speed = self._estimates.speed(item.model)
-        well = state.weight >= 0.5
-        if item.model.startswith(SERVICE_PREFIX):
-            health.judge_speed(state, held_s / max(1e-3, speed.held_s.mean))
-            if well:
-                self._estimates.learn_end(item, held_s, end.output_tokens)
-            return
-        if well:
-            self._estimates.learn_end(item, held_s, end.output_tokens)
-        if attempt.first_s is None or end.output_tokens < 8:
-            return
-        step_s = (now_s - attempt.first_s) / (end.output_tokens - 1)
-        load = min(1.0, 0.5 * (attempt.load + state.load()) + 1.0 / state.slots)
-        expected_s = speed.step.at(load)
-        if expected_s > 0.0:
-            health.judge_speed(state, step_s / expected_s)
-        if well:
-            self._estimates.learn_step(item.model, load, step_s)
