--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -18,7 +18,6 @@
 from endivegw.decisions.shares import Shares
 from endivegw.decisions.target_state import Outstanding, TargetState
 from endivegw.decisions.work import (
-    SERVICE_PREFIX,
     AttemptEnd,
     AttemptKind,
     Expired,
--- a/tests/test_decisions_dispatcher.py
+++ b/tests/test_decisions_dispatcher.py
@@ -146,6 +146,31 @@
             [(p.item.request_id, p.target) for p in placed], [("r3", other)]
         )
 
+    def test_queued_work_stays_when_targets_change_their_models(self):
+        """Loading another model beside one loses no queued work and no slot."""
+        made = dispatcher(view("t1", slots=1), view("t2", 1, models=("plan",)))
+        self.assertIsInstance(made.submit(item("r1"), 0.0), Placement)
+        for name in ("r2", "r3"):
+            self.assertIsInstance(made.submit(item(name), 0.0), Queued)
+        both = ("badge", "plan")
+        made.set_targets([view("t1", 1), view("t2", 1, models=both)], 1.0)
+        placed = made.poll(1.0)
+        self.assertEqual([p.item.request_id for p in placed], ["r2"])
+        made.ended("r1", "t1", OK, 2.0)
+        placed = made.poll(2.0)
+        self.assertEqual([p.item.request_id for p in placed], ["r3"])
+        self.assertIsNone(made.next_poll_s(2.0))
+
+    def test_a_restarted_target_begins_empty(self):
+        """Work of a former instance takes no slot of the new one."""
+        made = dispatcher(view("t1", slots=1))
+        made.submit(item("r1"), 0.0)
+        made.set_targets([view("t1", slots=1, instance="2")], 1.0)
+        placement = made.submit(item("r2"), 1.0)
+        self.assertEqual(placement.instance_id, "2")
+        made.ended("r1", "t1", FAILED, 1.5)
+        self.assertIsInstance(made.submit(item("r3"), 1.5), Queued)
+
     def test_a_draining_report_stops_new_work(self):
         """A target's own word to be draining comes before membership's."""
         made = dispatcher(view("t1"), view("t2"))
