Check random histories: one decision for each request, none to a leaving target

The dispatcher itself raises before it hands out a placement on a target that leaves or was ruled out.

--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -28,6 +28,7 @@
     TargetView,
     WorkItem,
 )
+from endivegw.exceptions import InvariantError
 from endivegw.results import Reason, Refused
 from endivegw.types import AvailabilityZone, TargetName
 
@@ -305,6 +306,11 @@
     ) -> Placement:
         state = choice.state
         view = state.view
+        if view.draining or state.draining or view.target in item.excluded:
+            raise InvariantError(
+                f"{item.request_id} was about to go to {view.target}, which is "
+                "leaving or was ruled out for it"
+            )
         load = state.load()
         figures = PlacementFigures(
             load=load,
--- /dev/null
+++ b/tests/test_decisions_random.py
@@ -0,0 +1,192 @@
+"""Random histories: each request gets one decision, and none of it is lost."""
+
+import random
+import unittest
+
+from hypothesis import given, seed, settings, strategies as st
+
+from endivegw.decisions import (
+    AttemptEnd,
+    AttemptKind,
+    Dispatcher,
+    Expired,
+    LoadFigures,
+    Placement,
+    Policy,
+    Queued,
+    TargetView,
+    WorkItem,
+)
+from endivegw.results import Refused
+from endivegw.types import Priority
+
+TARGETS = 5
+MODELS = ("badge", "plan", "service:ramp")
+
+STEP = st.one_of(
+    st.tuples(
+        st.just("submit"),
+        st.sampled_from(MODELS),
+        st.sampled_from(list(Priority)),
+        st.integers(0, 3),
+        st.floats(0.1, 30.0),
+    ),
+    st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(list(AttemptKind))),
+    st.tuples(st.just("cancel"), st.integers(0, 50)),
+    st.tuples(st.just("drain"), st.integers(0, TARGETS - 1)),
+    st.tuples(st.just("models"), st.integers(0, TARGETS - 1), st.integers(1, 7)),
+    st.tuples(
+        st.just("report"),
+        st.integers(0, TARGETS - 1),
+        st.integers(0, 6),
+        st.booleans(),
+    ),
+    st.tuples(st.just("wait"), st.floats(0.0, 5.0)),
+)
+
+
+class History:
+    """Carry out steps and check what each one promises."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.made = Dispatcher(Policy(queue_items=12), "a", random.Random(1))
+        self.models = [frozenset(MODELS)] * TARGETS
+        self.draining = set()
+        self.said_draining = set()
+        self.queued = set()
+        self.running = {}
+        self.settled = {}
+        self.count = 0
+        self.publish()
+
+    def publish(self):
+        """Tell the dispatcher what membership says."""
+        self.made.set_targets(
+            [
+                TargetView(f"t{n}", "1", "", "ab"[n % 2], models, 2, n in self.draining)
+                for n, models in enumerate(self.models)
+            ],
+            self.now_s,
+        )
+
+    def settle(self, name, decision):
+        """Note the one decision that a request gets."""
+        assert name not in self.settled, f"{name} was decided twice"
+        self.settled[name] = decision
+        self.queued.discard(name)
+        if isinstance(decision, Placement):
+            number = int(decision.target[1:])
+            assert number not in self.draining | self.said_draining
+            assert decision.item.model in self.models[number]
+            assert decision.item.deadline_s > self.now_s
+            self.running[name] = decision
+
+    def poll(self):
+        """Take what became decided."""
+        for decision in self.made.poll(self.now_s):
+            assert isinstance(decision, (Placement, Expired))
+            assert decision.item.request_id in self.queued
+            self.settle(decision.item.request_id, decision)
+        next_s = self.made.next_poll_s(self.now_s)
+        assert (next_s is not None) == bool(self.queued)
+
+    def submit(self, model, priority, account, deadline_s):
+        """Send a request."""
+        name = f"r{self.count}"
+        self.count += 1
+        item = WorkItem(
+            name,
+            f"account-{account}",
+            priority,
+            1.0 + account,
+            model,
+            self.now_s + deadline_s,
+            100 * (not model.startswith("service:")),
+            50 * (not model.startswith("service:")),
+            self.now_s,
+            (model.encode(),),
+        )
+        decision = self.made.submit(item, self.now_s)
+        if isinstance(decision, Queued):
+            assert decision.wait_s >= 0.0
+            self.queued.add(name)
+            return
+        if isinstance(decision, Refused) and decision.retry_after_s is not None:
+            assert decision.retry_after_s >= 0.0
+        self.settle(name, decision)
+
+    def end(self, number, kind):
+        """End a running attempt."""
+        if self.running:
+            names = list(self.running)
+            name = names[number % len(names)]
+            target = self.running.pop(name).target
+            end = AttemptEnd(kind, 100, 30)
+            self.made.first_token(name, self.now_s)
+            self.made.ended(name, target, end, self.now_s)
+
+    def cancel(self, number):
+        """Let a queued request's caller go away."""
+        if self.queued:
+            name = sorted(self.queued)[number % len(self.queued)]
+            self.made.cancel(name, self.now_s)
+            self.settle(name, None)
+
+    def drain(self, number):
+        """Begin or end a drain."""
+        self.draining ^= {number}
+        self.publish()
+
+    def change_models(self, number, mask):
+        """Load and unload models."""
+        kept = [model for bit, model in enumerate(MODELS) if mask >> bit & 1]
+        self.models[number] = frozenset(kept)
+        self.publish()
+
+    def report(self, number, running, draining):
+        """Hear a load report."""
+        self.said_draining.discard(number)
+        if draining:
+            self.said_draining.add(number)
+        figures = LoadFigures(running, 0, 2, 10.0, 0.2, draining=draining)
+        self.made.report(f"t{number}", figures, self.now_s)
+
+    def step(self, what):
+        """Carry out one step."""
+        match what:
+            case ("submit", model, priority, account, deadline_s):
+                self.submit(model, priority, account, deadline_s)
+            case ("end", number, kind):
+                self.end(number, kind)
+            case ("cancel", number):
+                self.cancel(number)
+            case ("drain", number):
+                self.drain(number)
+            case ("models", number, mask):
+                self.change_models(number, mask)
+            case ("report", number, running, draining):
+                self.report(number, running, draining)
+            case ("wait", wait_s):
+                self.now_s += wait_s
+        self.poll()
+
+
+class RandomHistoryTests(unittest.TestCase):
+    @seed(6)
+    @settings(derandomize=True, database=None, deadline=None, max_examples=300)
+    @given(st.lists(STEP, min_size=20, max_size=80))
+    def test_each_request_is_decided_once(self, steps):
+        """Drains, failures, lost targets and restarts lose or double no decision.
+
+        Requests wait while targets drain, fail and change what they serve. A
+        caller notices a lost decision as a request that hangs until it times
+        out, and a doubled one as work that ran twice.
+        """
+        history = History()
+        for what in steps:
+            history.step(what)
+        history.now_s += 60.0
+        history.poll()
+        self.assertEqual(history.queued, set())
+        self.assertEqual(len(history.settled), history.count)
