--- a/src/endivegw/budgets/ledger.py
+++ b/src/endivegw/budgets/ledger.py
@@ -79,6 +79,7 @@
     ceiling_tokens: int
     first_at_s: float
     consumed_tokens: int = 0
+    allowance_tokens: int = DEFAULT_CEILING_TOKENS
     running: set[AttemptId] = field(factory=set)
     reserved_tokens: int = 0
     dirty: bool = False
@@ -188,7 +189,7 @@
         grant = self._grants.get(grant_id)
         if grant is None:
             return False
-        return self.room_tokens(grant_id) * 2 < grant.ceiling_tokens
+        return self.room_tokens(grant_id) * 2 < grant.allowance_tokens
 
     def remaining_tokens(self, attempt_id: AttemptId) -> int:
         """Return how many tokens a running attempt may still consume."""
@@ -273,6 +274,8 @@
             if grant is None:
                 continue
             grant.ceiling_tokens = max(grant.ceiling_tokens, use.ceiling_tokens)
+            committed_tokens = use.consumed_tokens + use.reserved_tokens
+            grant.allowance_tokens = use.ceiling_tokens - committed_tokens
             same = grant.consumed_tokens == use.consumed_tokens
             if same and grant.reserved_tokens == use.reserved_tokens:
                 grant.dirty = False
