--- a/tests/test_budgets_parts.py
+++ b/tests/test_budgets_parts.py
@@ -8,6 +8,7 @@
 
 from endivegw.budgets import GrantLedger, TransferAsk
 from endivegw.budgets.bound import prompt_bound_tokens, request_bound
+from endivegw.budgets.checkpoint import decode_uses, uses_row_key
 from endivegw.budgets.demand import DemandEstimate
 from endivegw.budgets.sizing import (
     DemandSize,
@@ -180,6 +181,60 @@
 
         self.run_fleet(scenario)
 
+    def test_use_stops_at_the_ceiling_while_the_table_is_away(self):
+        """
+        A sidecar that is lost may have consumed up to its ceiling, which is all
+        that recovery knows. Were it to run work beyond, the account could spend
+        the same tokens twice; the router is told that nothing ran.
+        """
+
+        async def scenario(fleet):
+            router, sidecar = fleet.routers[0], fleet.all_sidecars[0]
+            await self.send(fleet, [router], 1)
+            grant_id = next(iter(next(iter(router.keeper.wallets())).grants))
+            sidecar.faults.away = True
+            results = []
+            for number in range(4):
+                refused = await sidecar.gate.admit(
+                    grant_id, BUDGET, f"x{number}", 3_000, fleet.clock()
+                )
+                results.append(refused.reason if refused else None)
+            self.assertEqual(results[:2], [None, None])
+            self.assertEqual(results[2:], [Reason.NOT_READY] * 2)
+            sidecar.faults.away = False
+            self.assertIsNone(
+                await sidecar.gate.admit(grant_id, BUDGET, "y", 3_000, fleet.clock())
+            )
+
+        self.run_fleet(scenario)
+
+    def test_a_lost_sidecar_costs_no_more_than_its_ceiling(self):
+        """
+        A rack goes with a router and a sidecar. Of the router's tokens in hand
+        the account loses what the sidecar was allowed to consume unseen.
+        """
+
+        async def scenario(fleet):
+            dead, lost = fleet.routers[0], fleet.all_sidecars[0]
+            await self.send(fleet, [dead], 60, reserve_s=900.0)
+            await anyio.sleep(40)
+            in_hand = (await budget_row(fleet)).granted_tokens
+            uses = fleet.table.get(uses_row_key(lost.instance_id))
+            (use,) = decode_uses(uses)
+            unseen = use.ceiling_tokens - use.consumed_tokens
+            self.assertLess(unseen, in_hand / 2)
+            lost.die()
+            fleet.kill(dead)
+            lost.gone_at_s = fleet.clock()
+            self.assertIsNotNone(await fleet.recover(dead.instance_id))
+            row = await budget_row(fleet)
+            charged = row.settled_tokens - fleet.consumed_tokens[BUDGET]
+            self.assertEqual(charged, unseen)
+            await self.close_all(fleet)
+            await self.assert_settled(fleet, exact=False)
+
+        self.run_fleet(scenario, tokens=400_000)
+
     def test_a_router_is_fenced_before_its_recovery_ends(self):
         """
         A paused router wakes up while its recovery still waits for a sidecar. A
