--- a/benchmarks/budget_fleet.py
+++ b/benchmarks/budget_fleet.py
@@ -84,6 +84,7 @@
     alive: bool = True
     gone_at_s: float | None = None
     usages: dict[AttemptId, Usage] = field(factory=dict)
+    used: dict[AttemptId, int] = field(factory=dict)
     running: set[AttemptId] = field(factory=set)
     gate: GrantGate = None
     scope: anyio.CancelScope = field(factory=anyio.CancelScope)
@@ -167,6 +168,8 @@
 
     def _consume(self, reservation, tokens):
         self.gate.ledger.consume(reservation.reservation_id, tokens, self.fleet.clock())
+        attempt_id = reservation.reservation_id
+        self.used[attempt_id] = self.used.get(attempt_id, 0) + tokens
         self.fleet.count(reservation.budget, tokens)
 
     def die(self):
@@ -313,7 +316,14 @@
             self.keeper.release(reservation, clock())
             return Refused(Reason.NO_TARGET)
         await self.awake()
-        result = await sidecar.execute(reservation, work)
+        needed = work.prompt_tokens + work.completion_tokens
+        self.fleet.expect(work.budget, needed)
+        try:
+            result = await sidecar.execute(reservation, work)
+        finally:
+            used = sidecar.used.get(reservation.reservation_id, 0)
+            if reservation.reservation_id not in sidecar.running:
+                self.fleet.expect(work.budget, used - needed)
         await self.awake()
         if sidecar.target in self.cut_from and not isinstance(result, Refused):
             result = Unknown(Reason.ANSWER_LOST)
@@ -459,6 +469,7 @@
         self.checkpoint_s = checkpoint_s
         self.engine_tokens_per_s = engine_tokens_per_s
         self.consumed_tokens: dict[BudgetKey, int] = {}
+        self.expected_tokens: dict[BudgetKey, int] = {}
         self.billed: list[str] = []
         self.scopes: dict[InstanceId, set[anyio.CancelScope]] = {}
         self.unsealable: set[TargetName] = set()
@@ -497,6 +508,11 @@
         """Count what an engine really consumed."""
         known = self.consumed_tokens.get(budget, 0)
         self.consumed_tokens[budget] = known + tokens
+        self.expect(budget, -tokens)
+
+    def expect(self, budget, tokens):
+        """Note that running work will consume so many tokens more."""
+        self.expected_tokens[budget] = self.expected_tokens.get(budget, 0) + tokens
 
     def add_router(self):
         """Start a router."""
--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -162,7 +162,6 @@
         self.tally = Tally()
         self.demands = DEPLOYMENTS[cell.deployment]
         self.prepaid: dict[BudgetKey, int] = {}
-        self.pending: dict[BudgetKey, int] = {}
         self.started_s = 0.0
         self.unbalanced = set()
 
@@ -204,7 +203,6 @@
             tokens = int(demand.requests_per_s * used * demand.lasts_s)
             budget = _budget(demand)
             self.prepaid[budget] = tokens
-            self.pending[budget] = 0
             await top_up(
                 self.fleet.table, budget, "first", tokens, timeout_s=1, now_s=0
             )
@@ -244,24 +242,20 @@
     async def _one(self, router, work):
         tally = self.tally
         tally.requests += 1
-        budget = work.budget
-        needed = work.prompt_tokens + work.completion_tokens
-        # What runs will consume counts as gone already.
-        left = self.prepaid[budget] - self.fleet.consumed_tokens.get(budget, 0)
-        left -= self.pending[budget]
-        self.pending[budget] += needed
-        try:
-            outcome = await router.handle(work)
-        finally:
-            self.pending[budget] -= needed
+        outcome = await router.handle(work)
         if isinstance(outcome, Refused):
-            self._refused(left, needed, work)
+            self._refused(work)
         elif outcome is Outcome.ANSWERED:
             tally.answered += 1
         else:
             tally.lost += 1
 
-    def _refused(self, left, needed, work):
+    def _refused(self, work):
+        needed = work.prompt_tokens + work.completion_tokens
+        # What runs will consume counts as gone already.
+        left = self.prepaid[work.budget]
+        left -= self.fleet.consumed_tokens.get(work.budget, 0)
+        left -= self.fleet.expected_tokens.get(work.budget, 0)
         if left < needed:
             self.tally.refused_rightly += 1
             return
--- a/src/endivegw/configuration/model.py
+++ b/src/endivegw/configuration/model.py
@@ -60,7 +60,7 @@
     repeatable_generations: bool = True
     weight: float = 1.0
     max_output_tokens: int = 1024
-    reserve_s: float = 60.0
+    reserve_s: float = 700.0
     template: str = ""
     enabled: bool = True
 
