--- a/src/endivegw/configuration/agent.py
+++ b/src/endivegw/configuration/agent.py
@@ -44,7 +44,7 @@
 
 __all__ = ["ConfigurationAgent", "PeerConfigPort"]
 
-#: For one call of the table or a peer: longer, and 7 s could not be kept.
+#: For one call of the table: longer, and 7 s could not be kept.
 CALL_TIMEOUT_S = 2.0
 
 #: For a whole load: a megabyte in pages.
@@ -240,7 +240,8 @@
                 self._failed("table", failure.reason)
 
     async def _pull(self, peer: InstanceId, have: ConfigRevision) -> None:
-        result = await self._peers.fetch(peer, have, timeout_s=CALL_TIMEOUT_S)
+        timeout_s = self.spread.settings.pull_timeout_s
+        result = await self._peers.fetch(peer, have, timeout_s=timeout_s)
         parsed = await _parsed(result)
         now_s = anyio.current_time()
         match parsed:
--- a/src/endivegw/configuration/spread.py
+++ b/src/endivegw/configuration/spread.py
@@ -52,7 +52,13 @@
     :param pull_jitter_s: a process that hears a higher revision waits up to
         this, so that the 30 receivers of one heartbeat round do not all ask
         its sender in the same millisecond.
-    :param pull_retry_s: wait after a peer did not answer.
+    :param pull_timeout_s: longest wait for a peer; regions are 0.1 s apart.
+    :param pull_retry_s: a peer that did not answer is passed over for this,
+        then for twice as long and so on, and others are asked at once. In a
+        one-way cut a process goes on to hear peers that cannot hear it;
+        without the pause it would ask them again and again and come to the
+        one that answers late or never.
+    :param longest_retry_s: the pause grows up to this.
     :param object_read_s: mean time between two looks into the object store,
         only while the table does not answer: 68 reads a second in all.
     :param table_silent_s: the table counts as away when it has not answered
@@ -77,7 +83,9 @@
     load_reads: int = 5
     load_reads_hz: float = 1000.0
     pull_jitter_s: float = 0.2
+    pull_timeout_s: float = 1.0
     pull_retry_s: float = 1.0
+    longest_retry_s: float = 16.0
     object_read_s: float = 15.0
     table_silent_s: float = 9.0
     object_write_s: float = 60.0
@@ -125,6 +133,14 @@
 Action = ReadChanges | ReadAllFromTable | PullPeer | ReadObject | WriteObject | Report
 
 
+@frozen
+class _Failing:
+    """Hold until when a peer is passed over, and for how long the last time."""
+
+    until_s: float
+    wait_s: float
+
+
 @define
 class Spread:
     """Schedule one process's questions; at most one of each kind is under way.
@@ -149,6 +165,7 @@
     _pull_at_s: float = _NEVER
     _pulling: bool = False
     _candidates: dict[InstanceId, ConfigRevision] = field(factory=dict)
+    _failing: dict[InstanceId, _Failing] = field(factory=dict)
     _object_read_at_s: float = 0.0
     _object_write_at_s: float = _NEVER
     _object_busy: bool = False
@@ -196,7 +213,7 @@
             self._poll_at_s = now_s + self._draw_around(self.settings.poll_s)
             actions.append(self._poll())
         if not self._pulling and now_s >= self._pull_at_s:
-            actions += self._pull()
+            actions += self._pull(now_s)
         if not self._reporting and now_s >= self._report_at_s:
             self._reporting = True
             self._report_at_s = now_s + self._draw_around(self.settings.report_s)
@@ -271,6 +288,7 @@
         """Take in a peer's answer; None where it had nothing newer."""
         self._pulling = False
         self._candidates.pop(peer, None)
+        self._failing.pop(peer, None)
         adopted = self._adopt(message, now_s) if message else None
         self._schedule_pull(now_s)
         return adopted
@@ -278,11 +296,11 @@
     def peer_failed(self, peer: InstanceId, now_s: float) -> None:
         """Note that a peer gave no answer; another one is asked next."""
         self._pulling = False
-        self._candidates.pop(peer, None)
-        if self._candidates:
-            self._pull_at_s = now_s + self._random.uniform(
-                0.0, self.settings.pull_retry_s
-            )
+        failing = self._failing.get(peer)
+        wait_s = failing.wait_s * 2 if failing else self.settings.pull_retry_s
+        wait_s = min(wait_s, self.settings.longest_retry_s)
+        self._failing[peer] = _Failing(now_s + wait_s, wait_s)
+        self._schedule_pull(now_s)
 
     def object_gave(
         self, message: ConfigMessage | None, now_s: float
@@ -336,6 +354,7 @@
         self._candidates = {p: r for p, r in self._candidates.items() if r > revision}
         if not self._candidates:
             self._pull_at_s = _NEVER
+            self._failing = {}
         chosen = self._random.random() < self.settings.object_writers / self.daemons
         if chosen and self._object_write_at_s == _NEVER:
             wait_s = self._random.uniform(0.0, self.settings.object_write_s)
@@ -350,14 +369,20 @@
             return ReadAllFromTable()
         return ReadChanges(self.view.revision)
 
-    def _pull(self) -> list[Action]:
-        if not self._candidates:
-            self._pull_at_s = _NEVER
+    def _pull(self, now_s: float) -> list[Action]:
+        self._pull_at_s = _NEVER
+        answering = {
+            peer: revision
+            for peer, revision in self._candidates.items()
+            if peer not in self._failing or self._failing[peer].until_s <= now_s
+        }
+        if not answering:
+            waits = [self._failing[peer].until_s for peer in self._candidates]
+            self._pull_at_s = min(waits, default=_NEVER)
             return []
-        newest = max(self._candidates.values())
-        peers = sorted(p for p, r in self._candidates.items() if r == newest)
+        newest = max(answering.values())
+        peers = sorted(peer for peer, held in answering.items() if held == newest)
         self._pulling = True
-        self._pull_at_s = _NEVER
         return [PullPeer(self._random.choice(peers), self.view.revision)]
 
     def _schedule_pull(self, now_s: float) -> None:
--- a/src/endivegw_standins/spread_world.py
+++ b/src/endivegw_standins/spread_world.py
@@ -300,7 +300,7 @@
             self._answer(
                 process,
                 spread,
-                _TIMEOUT_S,
+                spread.settings.pull_timeout_s,
                 lambda: spread.peer_failed(peer, self.now_s),
             )
             return
