--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -21,7 +21,7 @@
 )
 from endivegw.configuration.model import EMPTY_SNAPSHOT
 from endivegw.configuration.parameters import Parameters
-from endivegw.configuration.spread import ReadAllFromTable, Spread
+from endivegw.configuration.spread import PullPeer, ReadAllFromTable, Spread
 from endivegw.configuration.view import (
     Adopted,
     ConfigurationView,
@@ -206,6 +206,28 @@
         spread.peer_gave("p1", ChangesMessage(4, changes(5, 6)), 1.9)
         self.assertEqual(spread.due(1.9), (ReadAllFromTable(),))
 
+    def test_peer_that_does_not_answer_is_passed_over(self):
+        """
+        A process hears two peers with a newer revision, one of which cannot
+        hear it. Asking that one again and again would keep the change away.
+        """
+        spread = Spread(ConfigurationView(), random.Random(1))
+        spread.start(0.0)
+        now_s, asked = 0.0, []
+        while now_s < 10.0:
+            for peer in ("deaf", "good"):
+                spread.heard(word(peer, "a", 6, now_s))
+            for action in spread.due(now_s):
+                if isinstance(action, PullPeer):
+                    asked.append(action.peer)
+                    spread.peer_failed(action.peer, now_s + 0.1)
+            now_s += 0.1
+        firsts = asked[:2]
+        self.assertEqual(sorted(firsts), ["deaf", "good"])
+        # Neither answers here: each is asked after pauses that double.
+        self.assertLessEqual(len(asked), 10)
+        self.assertGreaterEqual(len(asked), 6)
+
 
 class CodecTests(unittest.TestCase):
     def test_messages_come_back_as_they_were(self):
