--- a/src/endivegw/commands/account.py
+++ b/src/endivegw/commands/account.py
@@ -8,13 +8,14 @@
 from attrs import evolve, frozen
 
 from endivegw.commands.changes import Operation, Outcome, commit, difference, is_name
+from endivegw.configuration.commits import Edit
 from endivegw.configuration.documents import (
     AccountDocument,
     DocumentKind,
     DocumentName,
 )
 from endivegw.configuration.parameters import Parameters, layered
-from endivegw.configuration.store import Edit, load_document, load_revision
+from endivegw.configuration.store import load_document, load_revision
 from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
 from endivegw.types import ClientAccountName
--- a/src/endivegw/commands/changes.py
+++ b/src/endivegw/commands/changes.py
@@ -6,16 +6,11 @@
 
 from attrs import evolve, field, frozen
 
+from endivegw.configuration.commits import Draft, Edit, Removal, commit_change
 from endivegw.configuration.documents import Change, DocumentName
 from endivegw.configuration.ini import format_value
 from endivegw.configuration.parameters import PARAMETER_NAMES, Parameters
-from endivegw.configuration.store import (
-    Draft,
-    Edit,
-    Removal,
-    commit_change,
-    load_changes,
-)
+from endivegw.configuration.store import load_changes
 from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
 from endivegw.types import ConfigRevision
--- a/src/endivegw/commands/target.py
+++ b/src/endivegw/commands/target.py
@@ -5,13 +5,14 @@
 from attrs import evolve
 
 from endivegw.commands.changes import Operation, Outcome, commit, is_name
+from endivegw.configuration.commits import Edit
 from endivegw.configuration.documents import (
     DocumentKind,
     DocumentName,
     TargetDocument,
 )
 from endivegw.configuration.model import TargetParameters
-from endivegw.configuration.store import Edit, load_document, load_revision
+from endivegw.configuration.store import load_document, load_revision
 from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
 
--- a/src/endivegw/commands/template.py
+++ b/src/endivegw/commands/template.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 
 from endivegw.commands.changes import Operation, Outcome, commit, difference, is_name
+from endivegw.configuration.commits import Edit, Removal
 from endivegw.configuration.documents import (
     DocumentKind,
     DocumentName,
@@ -12,8 +13,6 @@
 )
 from endivegw.configuration.parameters import Parameters
 from endivegw.configuration.store import (
-    Edit,
-    Removal,
     VersionedDocument,
     load_document,
     load_documents,
--- a/src/endivegw/commands/transfer.py
+++ b/src/endivegw/commands/transfer.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 
 from endivegw.commands.changes import Operation, Outcome, commit
+from endivegw.configuration.commits import Edit, Removal
 from endivegw.configuration.documents import (
     AccountDocument,
     Document,
@@ -12,12 +13,7 @@
     DocumentName,
     Documents,
 )
-from endivegw.configuration.store import (
-    Edit,
-    Removal,
-    load_document_versions,
-    load_documents,
-)
+from endivegw.configuration.store import load_document_versions, load_documents
 from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
 from endivegw.types import ConfigRevision
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -51,6 +51,8 @@
     "configuration/model.py",
     "configuration/parameters.py",
     "configuration/spread.py",
+    "configuration/spread_actions.py",
+    "configuration/spread_settings.py",
     "configuration/view.py",
     "platform/circuit.py",
     "platform/rate_cap.py",
