--- a/src/endivegw/membership/__init__.py
+++ b/src/endivegw/membership/__init__.py
@@ -4,6 +4,7 @@
 from endivegw.membership.peer import Peer
 from endivegw.membership.policy import MembershipPolicy
 from endivegw.membership.ports import Heartbeat, HeartbeatPort, PeerAddress
+from endivegw.membership.subset import TargetSubset
 from endivegw.membership.view import Change, MembershipView
 
 __all__ = [
@@ -16,6 +17,7 @@
     "Peer",
     "PeerAddress",
     "PeerState",
+    "TargetSubset",
     "Use",
     "conclude",
 ]
