--- a/src/endivegw/targets/order_keeper.py
+++ b/src/endivegw/targets/order_keeper.py
@@ -9,6 +9,7 @@
 import anyio
 from attrs import evolve, field, frozen
 
+from endivegw.exceptions import InvariantError
 from endivegw.platform import RowKey, TablePort, Transaction, WeightStorePort
 from endivegw.results import Done, Refused, Unknown
 from endivegw.targets.order_rows import (
@@ -41,6 +42,7 @@
     take_slot,
 )
 from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue.daemons import INVARIANT_BROKEN
 from endivegw.telemetry.catalogue.membership import (
     ORDER_ENDED,
     ORDER_REPAIRED,
@@ -136,11 +138,19 @@
             # Only an idle keeper looks by itself: one that waits, for a claim
             # or a slot, would ask the table again at every look.
             if due or (last is KeeperStep.IDLE and await self._deviates()):
-                last = await self.step()
+                last = await self._step_or_report()
                 wait_s = self._wait_behind(last)
                 due_s = self._clock() + wait_s * self._rng.uniform(0.8, 1.0)
             await anyio.sleep(self._policy.engine_check_s)
 
+    async def _step_or_report(self) -> KeeperStep:
+        """Stop an order that would break a promise, and keep the sidecar up."""
+        try:
+            return await self.step()
+        except InvariantError as error:
+            self._log.emit(INVARIANT_BROKEN, detail=error.message)
+            return KeeperStep.UNAVAILABLE
+
     def _wait_behind(self, step: KeeperStep) -> float:
         match step:
             case KeeperStep.WORKED:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -301,6 +301,26 @@
 
         run(scenario)
 
+    def test_table_that_went_back_orders_nothing(self):
+        """The table is restored from a backup and gives numbers out again that
+        were used. An engine could not tell the new orders from late old ones.
+        """
+
+        async def scenario():
+            fixture = Fixture(checks_fence=False)
+            keeper, _ = fixture.keeper("s1")
+            for version in "23":
+                await fixture.give(OrderKind.LOAD_MODEL, "badge", version)
+                await keeper.step()
+            fixture.table = MemoryTable()
+            keeper._table = fixture.table
+            await fixture.give(OrderKind.UNLOAD_MODEL, "badge", "3")
+            with self.assertRaises(InvariantError):
+                await keeper.step()
+            self.assertEqual(len(fixture.engine.orders), 2)
+
+        run(scenario)
+
     async def supersede(self, fixture):
         """Let a successor carry out the load, and an unload behind it."""
         successor, _ = fixture.keeper("s2")
