--- a/src/endivegw/targets/order_keeper.py
+++ b/src/endivegw/targets/order_keeper.py
@@ -10,7 +10,7 @@
 from attrs import evolve, field, frozen
 
 from endivegw.exceptions import InvariantError
-from endivegw.platform import RowKey, TablePort, Transaction, WeightStorePort
+from endivegw.platform import TablePort, Transaction, WeightStorePort
 from endivegw.results import Done, Refused, Unknown
 from endivegw.targets.order_rows import (
     claim_transaction,
@@ -33,14 +33,8 @@
     holds,
 )
 from endivegw.targets.ports import EnginePort
-from endivegw.targets.weight_slots import (
-    SLOT_PARTITION,
-    SlotClaim,
-    SlotWatch,
-    WeightShare,
-    release_slot,
-    take_slot,
-)
+from endivegw.targets.weight_desk import WeightDesk
+from endivegw.targets.weight_slots import SlotClaim, WeightShare
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue.daemons import INVARIANT_BROKEN
 from endivegw.telemetry.catalogue.membership import (
@@ -118,14 +112,21 @@
         self._instance_id = instance_id
         self._engine = engine
         self._table = table
-        self._weights = weights
         self._log = log
         self._checks_fence = checks_fence
         self._policy = policy
         self._clock = clock
         self._rng = rng
         self._claims = ClaimWatch()
-        self._slots = SlotWatch()
+        self._slots = WeightDesk(
+            target,
+            instance_id,
+            table,
+            weights,
+            policy.share,
+            timeout_s=policy.table_timeout_s,
+            clock=clock,
+        )
         self._fences = FenceLedger()
         self._desk: Desk | None = None
 
@@ -217,7 +218,7 @@
         """Send an order under a claim, and confirm it by a read-back."""
         slot: SlotClaim | None = None
         if order.loads:
-            slot = await self._take_slot(order)
+            slot = await self._slots.take(order.name)
             if slot is None:
                 return KeeperStep.WAITING
         try:
@@ -225,7 +226,7 @@
         finally:
             if slot is not None:
                 with anyio.CancelScope(shield=True):
-                    await self._write(release_slot(slot))
+                    await self._slots.release(slot)
 
     async def _send_claimed(self, desk: Desk, order: Order) -> KeeperStep:
         claimed = await self._claim(desk, order.sequence)
@@ -341,38 +342,6 @@
         await self._write(settle_transaction(self._target, desk, after, row))
         return KeeperStep.WAITING
 
-    async def _take_slot(self, order: Order) -> SlotClaim | None:
-        size = await self._weights.size_bytes(
-            order.name, timeout_s=self._policy.table_timeout_s
-        )
-        size_bytes = size.value if isinstance(size, Done) else 0
-        page = await self._table.scan(
-            SLOT_PARTITION, timeout_s=self._policy.table_timeout_s
-        )
-        if not isinstance(page, Done):
-            return None
-        claim = take_slot(
-            page.value.rows,
-            self._policy.share,
-            self._target,
-            self._instance_id,
-            size_bytes,
-            self._slots,
-            self._clock(),
-        )
-        if claim is None:
-            return None
-        result = await self._write(claim.transaction)
-        if isinstance(result, Unknown):
-            return claim if await self._holds_slot(claim.key) else None
-        return claim if isinstance(result, Done) else None
-
-    async def _holds_slot(self, key: RowKey) -> bool:
-        result = await self._table.read((key,), timeout_s=self._policy.table_timeout_s)
-        if not isinstance(result, Done) or result.value[0] is None:
-            return False
-        return result.value[0].fields["holder"] == self._instance_id
-
     async def _write(self, transaction: Transaction) -> Done[None] | Refused | Unknown:
         return await self._table.transact(
             transaction, timeout_s=self._policy.table_timeout_s
--- /dev/null
+++ b/src/endivegw/targets/weight_desk.py
@@ -0,0 +1,84 @@
+"""Take and give back slots of the weight store, through the table."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+from endivegw.platform import RowKey, TablePort, WeightStorePort
+from endivegw.results import Done, Unknown
+from endivegw.targets.weight_slots import (
+    SLOT_PARTITION,
+    SlotClaim,
+    SlotWatch,
+    WeightShare,
+    release_slot,
+    take_slot,
+)
+from endivegw.types import InstanceId, TargetName
+
+__all__ = ["WeightDesk"]
+
+
+class WeightDesk:
+    """Hold at most one slot at a time for one target.
+
+    :param timeout_s: for each call of the table and of the weight store.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        target: TargetName,
+        instance_id: InstanceId,
+        table: TablePort,
+        weights: WeightStorePort,
+        share: WeightShare,
+        *,
+        timeout_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._target = target
+        self._instance_id = instance_id
+        self._table = table
+        self._weights = weights
+        self._share = share
+        self._timeout_s = timeout_s
+        self._clock = clock
+        self._watch = SlotWatch()
+
+    async def take(self, name: str) -> SlotClaim | None:
+        """Take a slot for loading what is named, None where none can be had."""
+        size = await self._weights.size_bytes(name, timeout_s=self._timeout_s)
+        # Without an answer the slot is held for the least time; an engine that
+        # loads for longer then shares the rate with one more.
+        size_bytes = size.value if isinstance(size, Done) else 0
+        page = await self._table.scan(SLOT_PARTITION, timeout_s=self._timeout_s)
+        if not isinstance(page, Done):
+            return None
+        claim = take_slot(
+            page.value.rows,
+            self._share,
+            self._target,
+            self._instance_id,
+            size_bytes,
+            self._watch,
+            self._clock(),
+        )
+        if claim is None:
+            return None
+        result = await self._table.transact(
+            claim.transaction, timeout_s=self._timeout_s
+        )
+        if isinstance(result, Unknown):
+            return claim if await self._holds(claim.key) else None
+        return claim if isinstance(result, Done) else None
+
+    async def release(self, claim: SlotClaim) -> None:
+        """Give a slot back; where that fails it is free after its time."""
+        await self._table.transact(release_slot(claim), timeout_s=self._timeout_s)
+
+    async def _holds(self, key: RowKey) -> bool:
+        result = await self._table.read((key,), timeout_s=self._timeout_s)
+        if not isinstance(result, Done) or result.value[0] is None:
+            return False
+        return result.value[0].fields["holder"] == self._instance_id
