--- a/benchmarks/capacity/small_fleet.py
+++ b/benchmarks/capacity/small_fleet.py
@@ -141,7 +141,8 @@
             platform.vms.append(_vm(f"entry-{number}", router_address(number), number))
         for number in range(1, sidecars + 1):
             platform.vms.append(_vm(f"target-{number}", target_address(number), number))
-        accounts = await load_sample(platform.table, _BUDGET_TOKENS)
+        budgets = (_BUDGET_TOKENS, _BUDGET_TOKENS)
+        accounts = await load_sample(platform.table, budgets)
         async with anyio.create_task_group() as tasks:
             url = await serve_in(tasks, platform, lifespan=False)
             pipe.send((url, [account.key for account in accounts]))
