Keep what may have run in a record of its own; never glue two answers

Cause: a repeatable answer that was cut, failed at its target and was started anew there by the caller's other try ended the router's task in an invariant error (found by reading). It now ends in an explicit error, or is read from the start where nothing was given out. Another router's attempt is no longer cancelled when this one gives it up.

--- a/src/endivegw/daemons/request_driver.py
+++ b/src/endivegw/daemons/request_driver.py
@@ -178,7 +178,9 @@
                 self._ports.refused(order, refused)
                 return machine.refused(refused, now_s)
             case "head":
-                machine.head(attempt_id, frame.head.joined)
+                step = machine.head(attempt_id, frame.head.joined, now_s)
+                if step is not None:
+                    return step
                 fields = tuple((f.name, f.value) for f in frame.head.fields)
                 await self._ports.head(frame.head.status, fields)
             case "data":
--- a/src/endivegw/requests/attempts.py
+++ b/src/endivegw/requests/attempts.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from typing import Callable, Iterable
+from typing import Callable
 
 from attrs import define, field
 
@@ -24,6 +24,7 @@
     Waiting,
     claim_key,
 )
+from endivegw.requests.run_record import Attempt, RunRecord
 from endivegw.requests.steps import (
     AskClaim,
     CancelAttempt,
@@ -83,32 +84,10 @@
     resumes_before_retry: int = 1
 
 
-@define
-class _Attempt:
-    """Hold what is known of one attempt.
-
-    :ivar orders: how often its start was written to a connection.
-    :ivar broken: whether one of these connections broke before its answer.
-    """
-
-    attempt_id: AttemptId
-    target: TargetName
-    incarnation: str
-    foreign: bool = False
-    orders: int = 0
-    broken: bool = False
-
-
 @define
 class RequestMachine:
     """Drive one request to an honest ending.
 
-    What goes wrong without it: a router calls a request *not run* because its
-    connection broke, the caller sends it again, and it runs twice. So an attempt
-    counts as possibly run from the moment its order is written, until its
-    refusal or its bar is confirmed.
-
-    :ivar charges: what each attempt consumed; None where it is not known.
     :ivar abandoned: attempts that were given up and should be cancelled.
     """
 
@@ -118,18 +97,16 @@
     retries: RetryBudget
     rng: random.Random
     new_id: Callable[[], AttemptId]
-    charges: dict[AttemptId, Usage | None] = field(factory=dict)
     abandoned: list[CancelAttempt] = field(factory=list)
     _assembler: Assembler = field(init=False)
-    _attempt: _Attempt | None = None
-    _may_have_run: set[AttemptId] = field(factory=set)
+    _record: RunRecord = field(init=False)
+    _attempt: Attempt | None = None
     _avoid: set[TargetName] = field(factory=set)
     _placements: int = 0
     _asked_anew: int = 0
     _resumes: int = 0
     _waits: int = 0
     _replaces: AttemptId = AttemptId("")
-    _key_clear: bool = False
     _after_pause: Step | None = None
     _after_cancel: Reason | None = None
     _retry_after: Refused | None = None
@@ -137,7 +114,12 @@
     def __attrs_post_init__(self) -> None:
         self._assembler = Assembler(AttemptId(""))
         # Only a claim can tell that no earlier try with the key ran.
-        self._key_clear = self.facts.repeatable
+        self._record = RunRecord(key_clear=self.facts.repeatable)
+
+    @property
+    def charges(self) -> dict[AttemptId, Usage | None]:
+        """Return what each attempt consumed; None where it is not known."""
+        return self._record.charges
 
     @property
     def gave_out_bytes(self) -> bool:
@@ -147,6 +129,8 @@
     def begin(self, now_s: float) -> Step:
         """Return the first step."""
         if not self.facts.repeatable and not self.facts.keyed:
+            # Without a key there is no earlier try that could have run.
+            self._record.key_clear = True
             return self._finish_refused(
                 Refused(Reason.KEY_REQUIRED, "not repeatable, so it needs a key")
             )
@@ -155,7 +139,7 @@
 
     def placed(self, target: TargetName, incarnation: str, now_s: float) -> Step:
         """Take the target that was found."""
-        self._attempt = _Attempt(self.new_id(), target, incarnation)
+        self._attempt = Attempt(self.new_id(), target, incarnation)
         self._resumes = 0
         if self.facts.keyed:
             return self._claim_step()
@@ -169,13 +153,13 @@
         """Take the word of the slot's owner."""
         match answer:
             case Granted():
-                self._key_clear = True
+                self._record.key_clear = True
                 self._replaces = AttemptId("")
                 return self._hand_over()
             case Existing(claim=claim):
                 return self._join(claim)
             case Refused(reason=Reason.KEY_CONFLICT):
-                self._key_clear = True
+                self._record.key_clear = True
                 return self._finish_refused(answer)
             case CannotTell() if not self.facts.repeatable:
                 why = "an earlier try with this key may have run"
@@ -207,18 +191,28 @@
             return self._refused_join(attempt, refused, now_s)
         if attempt.broken:
             return self._refused_after_loss(attempt, refused, now_s)
-        self._did_not_run(attempt)
+        self._record.did_not_run(attempt)
         return self._elsewhere_after_refusal(attempt, refused, now_s)
 
-    def head(self, attempt_id: AttemptId, joined: bool) -> None:
-        """Take the head of an answer; it says whose answer it is."""
-        if not joined and attempt_id != self._current().attempt_id:
-            raise InvariantError("an answer of another attempt would be given out")
-        if joined and attempt_id != self._current().attempt_id:
+    def head(self, attempt_id: AttemptId, joined: bool, now_s: float) -> Step | None:
+        """Take the head of an answer; it says whose answer it is.
+
+        :returns: how to go on where this answer is of no use, else None.
+        """
+        attempt = self._current()
+        if attempt_id != attempt.attempt_id:
+            if not joined:
+                raise InvariantError("an answer of another attempt would be given out")
             # The key had an attempt here already; this one was never started.
-            self._did_not_run(self._current())
-            self._may_have_run.add(attempt_id)
+            self._record.did_not_run(attempt)
+            self._record.found(attempt_id)
+        if self._assembler.offset_bytes and attempt_id != self._assembler.attempt_id:
+            # The attempt failed and the key was started anew by another router.
+            # The rest of its answer does not fit to what was read before.
+            why = "the answer was made anew by another attempt"
+            return self._cannot_finish(Reason.ANSWER_LOST, why, now_s)
         self._assembler.move_to(attempt_id)
+        return None
 
     def data(
         self, attempt_id: AttemptId, offset_bytes: int, data: bytes, now_s: float
@@ -235,7 +229,7 @@
         """Take the end frame; the answer is whole only if every byte came."""
         match self._assembler.end(attempt_id, length_bytes):
             case Whole():
-                self._charge(attempt_id, usage)
+                self._record.charge(attempt_id, usage)
                 return self._finish(
                     Ending(Outcome.ANSWERED, None, "", usage), answered=True
                 )
@@ -253,7 +247,7 @@
         now_s: float,
     ) -> Step:
         """Take it that a started attempt will not be finished."""
-        self._charge(attempt_id, usage if usage_final else None)
+        self._record.charge(attempt_id, usage if usage_final else None)
         return self._cannot_finish(reason, detail, now_s)
 
     def lost(self, *, delivered: bool, now_s: float) -> Step:
@@ -266,10 +260,9 @@
         if delivered:
             attempt.orders += 1
             attempt.broken = True
-            if not attempt.foreign:
-                self._may_have_run.add(attempt.attempt_id)
+            self._record.handed_over(attempt)
         elif attempt.orders == 0 and not attempt.foreign:
-            self._did_not_run(attempt)
+            self._record.did_not_run(attempt)
             refused = Refused(Reason.UNREACHABLE, "the target cannot be reached")
             return self._elsewhere_after_refusal(attempt, refused, now_s)
         return self._resume(attempt, now_s)
@@ -286,9 +279,9 @@
         """Take the answer to a cancel; all False where the sidecar cannot tell."""
         attempt = self._current()
         if never_started:
-            self._did_not_run(attempt)
+            self._record.did_not_run(attempt)
         elif ended:
-            self._charge(attempt.attempt_id, usage)
+            self._record.charge(attempt.attempt_id, usage)
         if self._after_cancel is not None:
             return self._finish_stopped(self._after_cancel)
         if never_started:
@@ -308,7 +301,7 @@
     def stop(self, reason: Reason, now_s: float) -> Step:
         """Take it that the deadline passed or the caller went away."""
         attempt = self._attempt
-        if attempt is None or attempt.foreign or not self._possibly_runs(attempt):
+        if attempt is None or attempt.foreign or not self._record.may_have_run(attempt):
             return self._finish_stopped(reason)
         if reason is Reason.CANCELLED and not self.facts.repeatable:
             # A booking that is half made helps nobody: the answer is made and
@@ -319,29 +312,13 @@
 
     def handed_over(self) -> None:
         """Take it that the order is being written from now on."""
-        attempt = self._current()
-        if not attempt.foreign:
-            self._may_have_run.add(attempt.attempt_id)
-            self.charges.setdefault(attempt.attempt_id, None)
+        self._record.handed_over(self._current())
 
-    def _current(self) -> _Attempt:
+    def _current(self) -> Attempt:
         if self._attempt is None:
             raise InvariantError("no attempt was placed")
         return self._attempt
 
-    def _possibly_runs(self, attempt: _Attempt) -> bool:
-        return attempt.attempt_id in self._may_have_run
-
-    def _did_not_run(self, attempt: _Attempt) -> None:
-        self._may_have_run.discard(attempt.attempt_id)
-        if not attempt.foreign:
-            self.charges[attempt.attempt_id] = Usage()
-
-    def _charge(self, attempt_id: AttemptId, usage: Usage | None) -> None:
-        # Another router's attempt is charged to the grant that it runs under.
-        if attempt_id in self.charges:
-            self.charges[attempt_id] = usage
-
     def _place(self, now_s: float) -> Step:
         if self._placements >= self.limits.placements:
             return self._finish_refused(
@@ -375,14 +352,14 @@
         )
 
     def _join(self, claim: Claim) -> Step:
-        self._attempt = _Attempt(
+        self._attempt = Attempt(
             claim.attempt_id, claim.target, claim.incarnation, foreign=True
         )
         self._resumes = 0
-        self._may_have_run.add(claim.attempt_id)
+        self._record.found(claim.attempt_id)
         return self._hand_over()
 
-    def _resume(self, attempt: _Attempt, now_s: float) -> Step:
+    def _resume(self, attempt: Attempt, now_s: float) -> Step:
         self._resumes += 1
         if self.facts.repeatable and self._resumes > self._most_resumes():
             return self._elsewhere_after_loss(
@@ -406,7 +383,7 @@
         self._after_pause = then
         return Pause(wait_s)
 
-    def _refused_join(self, attempt: _Attempt, refused: Refused, now_s: float) -> Step:
+    def _refused_join(self, attempt: Attempt, refused: Refused, now_s: float) -> Step:
         match refused.reason:
             case Reason.NOT_FOUND:
                 # Its router may have died before the order left, or the order is
@@ -417,7 +394,7 @@
         return self._pause(self._hand_over(), now_s)
 
     def _refused_after_loss(
-        self, attempt: _Attempt, refused: Refused, now_s: float
+        self, attempt: Attempt, refused: Refused, now_s: float
     ) -> Step:
         # An earlier order of this attempt was written to a connection that
         # broke, and can still arrive behind this refusal.
@@ -426,24 +403,24 @@
             return self._no_proof(attempt, why, now_s)
         return self._cancel(attempt, bar_only=True)
 
-    def _cancel(self, attempt: _Attempt, *, bar_only: bool) -> CancelAttempt:
+    def _cancel(self, attempt: Attempt, *, bar_only: bool) -> CancelAttempt:
         return CancelAttempt(
             attempt.attempt_id, attempt.target, attempt.incarnation, bar_only
         )
 
-    def _moved(self, attempt: _Attempt, now_s: float) -> Step:
+    def _moved(self, attempt: Attempt, now_s: float) -> Step:
         """Go on with a new attempt, in the place of one that never starts."""
         self._replaces = attempt.attempt_id
         return self._place(now_s)
 
-    def _no_proof(self, attempt: _Attempt, why: str, now_s: float) -> Step:
+    def _no_proof(self, attempt: Attempt, why: str, now_s: float) -> Step:
         if self.facts.repeatable:
             self._replaces = attempt.attempt_id
             return self._elsewhere_after_loss(Reason.ANSWER_LOST, why, now_s)
         return self._finish_unknown(Reason.ANSWER_LOST, why)
 
     def _elsewhere_after_refusal(
-        self, attempt: _Attempt, refused: Refused, now_s: float
+        self, attempt: Attempt, refused: Refused, now_s: float
     ) -> Step:
         self._retry_after = refused
         if refused.reason in _HOPELESS:
@@ -459,7 +436,7 @@
         attempt = self._current()
         if not self.facts.repeatable or self.gave_out_bytes:
             return self._finish_unknown(reason, detail)
-        if self._possibly_runs(attempt):
+        if self._record.may_have_run(attempt) and not attempt.foreign:
             self.abandoned.append(self._cancel(attempt, bar_only=False))
         if self.retries.may_retry(now_s) is not True:
             return self._finish_unknown(reason, detail)
@@ -474,34 +451,22 @@
         return self._elsewhere_after_loss(reason, detail, now_s)
 
     def _finish_refused(self, refused: Refused) -> Step:
-        if self._may_have_run or not self._key_clear_for(refused):
+        if not self._record.nothing_ran:
             return self._finish_unknown(refused.reason, refused.detail)
         ending = Ending(Outcome.NOT_RUN, refused.reason, refused.detail, Usage())
         return self._finish(ending)
 
-    def _key_clear_for(self, refused: Refused) -> bool:
-        return self._key_clear or refused.reason is Reason.KEY_REQUIRED
-
     def _finish_stopped(self, reason: Reason) -> Step:
         return self._finish_refused(Refused(reason, "stopped before an answer"))
 
     def _finish_unknown(self, reason: Reason, detail: str) -> Step:
-        known = (usage for usage in self.charges.values() if usage is not None)
-        usage = _sum(known)
+        usage = self._record.known_usage()
         cut = self.gave_out_bytes
         return self._finish(Ending(Outcome.UNKNOWN, reason, detail, usage, cut))
 
     def _finish(self, ending: Ending, *, answered: bool = False) -> Finish:
-        if ending.outcome is Outcome.NOT_RUN and self._may_have_run:
+        if ending.outcome is Outcome.NOT_RUN and not self._record.nothing_ran:
             raise InvariantError("a request that may have run would be called not run")
         if answered and not self._assembler.whole:
             raise InvariantError("a cut answer would be called whole")
         return Finish(ending)
-
-
-def _sum(usages: Iterable[Usage]) -> Usage:
-    prompt_tokens = completion_tokens = 0
-    for usage in usages:
-        prompt_tokens += usage.prompt_tokens
-        completion_tokens += usage.completion_tokens
-    return Usage(prompt_tokens, completion_tokens)
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -74,12 +74,12 @@
         """
         request = machine()
         handed_over(request)
-        request.head(AttemptId("a0"), False)
+        request.head(AttemptId("a0"), False, 0.0)
         request.data(AttemptId("a0"), 0, b"half", 0.0)
         self.assertIsInstance(request.lost(delivered=True, now_s=0.0), Pause)
         step = request.paused(0.1)
         self.assertEqual(step.resume_offset_bytes, 4)
-        request.head(AttemptId("a0"), True)
+        request.head(AttemptId("a0"), True, 0.0)
         request.data(AttemptId("a0"), 4, b"rest", 0.2)
         step = request.ended(AttemptId("a0"), 8, Usage(1, 2), 0.2)
         self.ended(step, Outcome.ANSWERED)
@@ -168,7 +168,7 @@
         self.assertEqual(step, Place(frozenset({TARGET})))
         request = machine(repeatable=True, keyed=False)
         handed_over(request)
-        request.head(AttemptId("a0"), False)
+        request.head(AttemptId("a0"), False, 0.0)
         request.data(AttemptId("a0"), 0, b"half", 0.0)
         step = request.failed(
             AttemptId("a0"), Reason.TARGET_FAILED, "", Usage(), True, 0.0
@@ -219,12 +219,33 @@
         step = request.placed(TARGET, "i.0", 0.0)
         self.assertEqual(step.ask.replaces, "b")
 
+    def test_answer_made_anew_is_not_glued_to_the_old_one(self):
+        """
+        An answer breaks off, fails at its target, and the caller's other try
+        starts it anew there. The rest of the new answer is not given out behind
+        the first half of the old one.
+        """
+        for streams in (True, False):
+            request = machine(repeatable=True, streams=streams)
+            handed_over(request)
+            request.head(AttemptId("a0"), False, 0.0)
+            request.data(AttemptId("a0"), 0, b"half", 0.0)
+            request.lost(delivered=True, now_s=0.0)
+            request.paused(0.1)
+            request.handed_over()
+            step = request.head(AttemptId("b"), True, 0.2)
+            if streams:
+                self.ended(step, Outcome.UNKNOWN, Reason.ANSWER_LOST)
+                self.assertIs(step.ending.cut, True)
+            else:
+                self.assertIsInstance(step, Place)
+
     def test_answer_of_another_attempt_is_not_given_out(self):
         """Frames of a foreign attempt that was not joined raise."""
         request = machine()
         handed_over(request)
         with self.assertRaises(InvariantError):
-            request.head(AttemptId("other"), False)
+            request.head(AttemptId("other"), False, 0.0)
 
 
 class _Truth:
@@ -309,7 +330,7 @@
     def answer(self, step, joined):
         request, attempt = self.request, step.attempt_id
         whole = f"answer of {attempt}".encode()
-        request.head(attempt, joined)
+        request.head(attempt, joined, self.now_s)
         luck = self.rng.random()
         cut = len(whole) if luck < 0.7 else self.rng.randint(0, len(whole))
         offset = step.resume_offset_bytes
