--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -14,7 +14,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from endivegw.daemons.claim_client import ClaimClient
 from endivegw.daemons.claim_desk import DeskSettings, SlotDesk
@@ -28,7 +28,7 @@
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.platform import ListedVm, VmState
 from endivegw.requests.attempts import AttemptLimits, RequestMachine
-from endivegw.requests.claims import ClaimAnswer, ClaimAsk, ClaimLimits
+from endivegw.requests.claims import ClaimAnswer, ClaimAsk
 from endivegw.requests.slots import TakeRule
 from endivegw.requests.starts import StartRegistry
 from endivegw.requests.steps import Ending, HandOver, RequestFacts
@@ -48,6 +48,7 @@
 from endivegw_standins.faulty_table import FaultyTable, TableFaults
 from endivegw_standins.memory_table import MemoryTable
 from endivegw_standins.request_net import FaultyClient, Host, NetFaults
+from endivegw_standins.request_report import WorldLimits, WorldReport
 from endivegw_standins.virtual_time import VirtualLoop
 
 __all__ = ["RequestWorld", "WorldLimits", "WorldReport", "run_world"]
@@ -56,51 +57,6 @@
 _BODY_DIGEST = b"digest"
 
 
-@frozen
-class WorldLimits:
-    """Hold the size of a world.
-
-    :param service_s: how long a target works on a request.
-    :param list_lag_s: how late the VM list learns of a machine's end.
-    """
-
-    targets: int = 6
-    routers: int = 3
-    slots: int = 4
-    service_s: float = 0.2
-    deadline_s: float = 10.0
-    tries: int = 4
-    list_lag_s: float = 10.0
-    claims: ClaimLimits = ClaimLimits()
-
-
-@define
-class WorldReport:
-    """Count what came of the requests.
-
-    :ivar doubled: requests that may not be repeated and started twice.
-    :ivar told_not_run_but_ran: callers who were told *not run* wrongly.
-    :ivar wrong_bytes: answers that are not what one attempt made.
-    :ivar lost: requests whose caller was told nothing within all its tries.
-    :ivar first: what callers were told at their first try.
-    :ivar last: what they had in the end, with retries.
-    :ivar reasons: why the last word was not an answer.
-    :ivar retry_s: from a router's death to the whole answer by the retry.
-    :ivar claim_s: how long claims took.
-    """
-
-    requests: int = 0
-    doubled: int = 0
-    told_not_run_but_ran: int = 0
-    wrong_bytes: int = 0
-    lost: int = 0
-    first: Counter[str] = field(factory=Counter)
-    last: Counter[str] = field(factory=Counter)
-    reasons: Counter[str] = field(factory=Counter)
-    retry_s: list[float] = field(factory=list)
-    claim_s: list[float] = field(factory=list)
-
-
 class _Service:
     """A plain service that notes each call and answers in pieces."""
 
