--- a/src/endivegw/requests/slots.py
+++ b/src/endivegw/requests/slots.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
-from typing import Iterable, Mapping
+from typing import Mapping
 
 from attrs import define, field, frozen
 
@@ -126,11 +127,13 @@
     wait_s: float = 10.0
 
 
-def rank(slot: int, vms: Iterable[str]) -> tuple[str, ...]:
+@functools.lru_cache(maxsize=2 * DEFAULT_SLOTS)
+def rank(slot: int, vms: frozenset[str]) -> tuple[str, ...]:
     """Return machines in the order in which they should own a slot.
 
     Each slot has an order of its own, and a machine that comes or goes moves
-    no slot between two others.
+    no slot between two others. Orders are kept until the machines change: 32
+    orders of 650 machines take some 20 ms, too much for every reading.
     """
 
     def weight(vm: str) -> bytes:
