Stop a cancelled attempt also where its stream's end is noticed late

Cause: the cancel can be handled before the end of the canceller's own stream, and a run that seems to be read was left running to its deadline; the test hid it behind a pause, which is gone.

--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from typing import Any
 
 import anyio
@@ -60,6 +61,10 @@
 __all__ = ["Sidecar"]
 
 
+#: How long the end of a canceller's own stream may take to be noticed.
+_STREAM_END_S = 0.2
+
+
 class Sidecar(SidecarBase):  # type: ignore[misc]
     """Serve the calls of routers and operators beside one target.
 
@@ -171,13 +176,9 @@
         bound_to = request.target_instance_id
         answer = self._registry.cancel(attempt_id, bound_to, self._clock())
         run = self._work.find(attempt_id)
-        # Another caller may have joined; its answer must not be cut off by the
-        # one who goes away. The one who cancels has left its own stream.
-        stoppable = run is not None and not run.readers and not request.bar_only
-        if answer == Started(running=True) and run is not None and stoppable:
-            run.scope.cancel()
-            with anyio.move_on_after(self._settings.cancel_timeout_s):
-                await run.ended.wait()
+        running = run is not None and answer == Started(running=True)
+        if run is not None and running and not request.bar_only:
+            await self._stop_unread(run)
             answer = self._registry.cancel(attempt_id, bound_to, self._clock())
         self._log.emit(ATTEMPT_CANCELLED, attempt_id=attempt_id, answer=repr(answer))
         reply = pb.CancelReply(header=self._header())
@@ -189,6 +190,22 @@
             reply.completion_tokens = run.usage.completion_tokens
         await stream.send_message(reply)
 
+    async def _stop_unread(self, run: Run) -> None:
+        """Stop an attempt unless somebody goes on reading its answer.
+
+        Another caller may have joined; its answer must not be cut off by the
+        one who goes away. That one has closed its own stream before it
+        cancelled, but the end of the stream can be noticed after the cancel.
+        """
+        with anyio.move_on_after(_STREAM_END_S):
+            while run.readers:
+                await run.idle()
+        if run.readers:
+            return
+        run.scope.cancel()
+        with anyio.move_on_after(self._settings.cancel_timeout_s):
+            await run.ended.wait()
+
     async def Seal(self, stream: Any) -> None:
         """Refuse later work under grants; tell what each consumed."""
         request = await stream.recv_message()
@@ -319,8 +336,11 @@
         await self._send(stream, run, start.resume_offset, joined=True)
 
     async def _send(self, stream: Any, run: Run, offset: int, joined: bool) -> None:
-        async for frame in run.follow(self._header(), offset, joined):
-            await stream.send_message(frame)
+        # Closing it at once takes the reader off the run; a run without readers
+        # can be cancelled, and one that seems read could not.
+        async with aclosing(run.follow(self._header(), offset, joined)) as frames:
+            async for frame in frames:
+                await stream.send_message(frame)
 
     async def _refuse_work(self, stream: Any, start: pb.ExecuteStart, run: Run) -> None:
         # The grant was admitted and nothing runs under it.
--- a/src/endivegw/daemons/sidecar_run.py
+++ b/src/endivegw/daemons/sidecar_run.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import AsyncIterator
+from typing import AsyncGenerator
 
 import anyio
 
@@ -73,7 +73,7 @@
 
     async def follow(
         self, header: pb.Header, offset_bytes: int, joined: bool
-    ) -> AsyncIterator[pb.Frame]:
+    ) -> AsyncGenerator[pb.Frame, None]:
         """Yield the answer's frames from an offset to its last one.
 
         The head comes only once the target has begun to answer: a target that
--- a/tests/test_sidecar_execute.py
+++ b/tests/test_sidecar_execute.py
@@ -249,13 +249,36 @@
             ):
                 if frame.data:
                     break
-            await anyio.sleep(0.05)
             request = pb.CancelRequest(header=rig.header(), attempt_id="a1")
             reply = await rig.client.cancel(request, 2.0)
         self.assertIs(reply.ended, True)
         self.assertEqual(engine.cancelled, ["a1"])
         self.assertEqual(rig.grants.charged, {"a1": 4})
 
+    async def test_cancel_of_one_caller_leaves_the_other_its_answer(self):
+        """
+        Two callers read the same answer, and one of them hangs up. The other
+        one still gets the whole of it.
+        """
+        engine = FakeEngine(pause_s=0.1)
+        async with served(engine) as rig:
+            answers = []
+
+            async def read():
+                answers.append(await rig.frames(rig.start_message("a2")))
+
+            async with anyio.create_task_group() as tasks:
+                async for frame in rig.client.execute(rig.start_message()):
+                    if frame.data:
+                        tasks.start_soon(read)
+                        await anyio.sleep(0.05)
+                        break
+                request = pb.CancelRequest(header=rig.header(), attempt_id="a1")
+                reply = await rig.client.cancel(request, 2.0)
+        self.assertIs(reply.running, True)
+        self.assertEqual(text_of(answers[0]), WHOLE)
+        self.assertEqual(engine.cancelled, [])
+
     async def test_deadline_frees_the_engine(self):
         """
         An engine is too slow for a request's deadline. The answer ends in an
