Test separate processes: a kill, a pause beyond recovery, a planned stop

The routers and sidecars run as processes of their own, with keyed messages between them; when a router's grants are taken from it is a setting now.

--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -10,7 +10,7 @@
 from endivegw.daemons.lent_grants import LentGrants
 from endivegw.daemons.peer_book import ROUTER_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
-from endivegw.daemons.recovery_watch import RecoveryWatch
+from endivegw.daemons.recovery_watch import RecoveryOptions, RecoveryWatch
 from endivegw.daemons.request_runner import RunnerParts
 from endivegw.daemons.router import Router, RouterParts
 from endivegw.daemons.router_watch import RouterWatch
@@ -162,4 +162,7 @@
         process.clock,
         process.rng,
         process.log,
+        RecoveryOptions(
+            turn_s=settings.recovery.turn_s, silence_s=settings.recovery.silence_s
+        ),
     )
--- a/src/endivegw/daemons/recovery_watch.py
+++ b/src/endivegw/daemons/recovery_watch.py
@@ -25,22 +25,25 @@
 __all__ = ["RecoveryOptions", "RecoveryWatch", "is_on_duty"]
 
 
+#: Heartbeats over the silence; one that is answered ends the suspicion.
+_PROBES = 6
+
+
 @frozen
 class RecoveryOptions:
     """Hold the pace of recovery.
 
     :param turn_s: how long one router is on duty. One scan of 370 holder rows
         each turn is the whole fleet's cost while nothing fails.
-    :param probes: unanswered heartbeats, one each ``probe_s``, after which a
-        listed router counts as ended. Half a minute covers a paused machine
-        and a lost link; recovering a router that lives is safe, since the
-        sidecars refuse its work as not run, but costs it a new draw.
+    :param silence_s: after how long without an answered heartbeat a listed
+        router counts as ended. Half a minute covers a paused machine and a lost
+        link; recovering a router that lives is safe, since the sidecars refuse
+        its work as not run, but costs it a new draw.
     :param sweep_every: turns between two deletions of old rows.
     """
 
     turn_s: float = 15.0
-    probes: int = 6
-    probe_s: float = 5.0
+    silence_s: float = 30.0
     probe_timeout_s: float = 1.0
     sweep_every: int = 100
 
@@ -153,11 +156,11 @@
             # Off the list, which may lag or have skipped it: probing cannot
             # tell, but sealing makes recovery safe in any case.
             return bool(self._vms.current)
-        for _ in range(self._options.probes):
+        for _ in range(_PROBES):
             present = await self._instance_at(address)
             if present is not None:
                 return present != instance_id
-            await anyio.sleep(self._options.probe_s)
+            await anyio.sleep(self._options.silence_s / _PROBES)
         return True
 
     async def _instance_at(self, address: str) -> InstanceId | None:
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -14,6 +14,7 @@
     PeerSettings,
     PlatformSettings,
     ProcessSettings,
+    RecoverySettings,
     RouterSettings,
     SidecarSettings,
     TargetSettings,
@@ -56,6 +57,7 @@
         peers=_peers(reader, DEFAULT_ROUTER_PORT),
         platform=_platform(reader),
         logs=_logs(reader),
+        recovery=_recovery(reader),
     )
     reader.end()
     return settings
@@ -158,6 +160,14 @@
     )
 
 
+def _recovery(reader: SettingsReader) -> RecoverySettings:
+    default = RecoverySettings()
+    return RecoverySettings(
+        silence_s=reader.number("recovery", "silence_s", default.silence_s, least=1.0),
+        turn_s=reader.number("recovery", "turn_s", default.turn_s, least=0.5),
+    )
+
+
 def _logs(reader: SettingsReader) -> LogSettings:
     return LogSettings(
         level=reader.choice("logs", "level", _LEVELS, "info"),
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -16,6 +16,7 @@
     "PeerSettings",
     "PlatformSettings",
     "ProcessSettings",
+    "RecoverySettings",
     "RouterSettings",
     "SidecarSettings",
     "TargetSettings",
@@ -103,6 +104,20 @@
     max_deadline_s: float
 
 
+@frozen
+class RecoverySettings:
+    """Say when a router's grants are taken from it.
+
+    :param silence_s: how long a listed router may leave heartbeats unanswered.
+        Shorter returns a dead router's tokens sooner; a router that was merely
+        paused for longer draws anew, and its work is refused meanwhile.
+    :param turn_s: how often one of the routers looks for dead ones.
+    """
+
+    silence_s: float = 30.0
+    turn_s: float = 15.0
+
+
 @frozen
 class RouterSettings:
     """Hold all settings of a router."""
@@ -113,6 +128,7 @@
     peers: PeerSettings
     platform: PlatformSettings
     logs: LogSettings
+    recovery: RecoverySettings = RecoverySettings()
 
 
 @frozen
--- /dev/null
+++ b/tests/process_fleet.py
@@ -0,0 +1,223 @@
+"""The fleet as separate processes on loopback, beside stand-ins in this one."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any, Iterator
+
+import anyio
+import httpcore
+from anyio.from_thread import start_blocking_portal
+
+from endivegw.dev.layout import (
+    LOOPBACK,
+    TARGETS,
+    ZONES,
+    free_port,
+    router_address,
+    target_address,
+)
+from endivegw.dev.sample import load_sample
+from endivegw.platform import ListedVm, VmState
+from endivegw_standins.engine_app import EngineApp, EngineKnobs, FakeEngine
+from endivegw_standins.platform_app import StandinPlatform
+from endivegw_standins.service_app import ServiceApp
+from endivegw_standins.serving import serve_in
+
+START_S = 30.0
+
+_COMMON = """
+[process]
+vm = {vm}
+availability_zone = {zone}
+drain_bound_s = 20
+[peers]
+listen = {address}:{peer_port}
+router_port = {peer_port}
+sidecar_port = {peer_port}
+shared_key_file = {key_file}
+[platform]
+table_url = {platform}/table
+object_store_url = {platform}/objects
+vm_list_url = {platform}/vms
+weight_store_url = {platform}/weights
+[logs]
+level = {level}
+"""
+
+_ROUTER = """
+[http]
+listen = {http}
+[recovery]
+silence_s = 3
+turn_s = 1
+"""
+
+_SIDECAR = """
+[target]
+name = {name}
+kind = {kind}
+url = {url}
+serves = {serves}
+"""
+
+
+class ProcessFleet:
+    """Hold the processes, the stand-ins and the sample accounts.
+
+    :ivar routers: processes by number.
+    :ivar sidecars: processes by the target's name.
+    """
+
+    def __init__(self, folder: pathlib.Path, routers: int, level: str) -> None:
+        self.folder = folder
+        self.level = level
+        self.platform = StandinPlatform()
+        self.engines: dict[str, FakeEngine] = {}
+        self.services: dict[str, ServiceApp] = {}
+        self.routers: dict[int, subprocess.Popen[bytes]] = {}
+        self.sidecars: dict[str, subprocess.Popen[bytes]] = {}
+        self.accounts: tuple[Any, ...] = ()
+        self.platform_url = ""
+        self.engine_urls: dict[str, str] = {}
+        self.peer_port = free_port()
+        self.http_ports = {n: free_port() for n in range(1, routers + 1)}
+        self.key_file = folder / "peers.key"
+        self.key_file.write_text("a-shared-key-of-thirty-two-chars-or-more\n")
+
+    async def serve_standins(
+        self, *, task_status: Any = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve all stand-ins until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self.platform_url = await serve_in(tasks, self.platform, lifespan=False)
+            self.accounts = await load_sample(
+                self.platform.table, (2_000_000, 2_000_000)
+            )
+            for target in TARGETS:
+                if target.kind.value == "service":
+                    app: Any = ServiceApp()
+                    self.services[target.name] = app
+                else:
+                    engine = FakeEngine(knobs=EngineKnobs(checks_fence=False))
+                    self.engines[target.name] = engine
+                    app = EngineApp(engine)
+                lifespan = target.kind.value == "engine"
+                url = await serve_in(tasks, app, lifespan=lifespan)
+                self.engine_urls[target.name] = url
+            self.stop_standins = tasks.cancel_scope.cancel
+            task_status.started()
+            await anyio.sleep_forever()
+
+    def start_sidecar(self, number: int) -> None:
+        """Start the sidecar beside the numbered target."""
+        target = TARGETS[number - 1]
+        address = target_address(number)
+        zone = target.availability_zone
+        self._list(f"target-{number}", address, zone, "target")
+        text = _COMMON.format(
+            vm=f"target-{number}", zone=zone, address=address, **self._shared()
+        ) + _SIDECAR.format(
+            name=target.name,
+            kind=target.kind.value,
+            url=self.engine_urls[target.name],
+            serves=" ".join(target.serves),
+        )
+        self.sidecars[target.name] = self._start("sidecar", f"target-{number}", text)
+
+    def start_router(self, number: int) -> None:
+        """Start the numbered router."""
+        address = router_address(number)
+        zone = ZONES[(number - 1) % len(ZONES)]
+        self._list(f"entry-{number}", address, zone, "router")
+        text = _COMMON.format(
+            vm=f"entry-{number}", zone=zone, address=address, **self._shared()
+        ) + _ROUTER.format(http=f"{LOOPBACK}:{self.http_ports[number]}")
+        self.routers[number] = self._start("router", f"entry-{number}", text)
+
+    def url(self, number: int) -> str:
+        """Return where the numbered router listens for callers."""
+        return f"http://{LOOPBACK}:{self.http_ports[number]}"
+
+    def wait_ready(self, number: int) -> None:
+        """Wait until a router says that it is ready."""
+        deadline_s = time.monotonic() + START_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+                reply = httpcore.request("GET", self.url(number) + "/readyz")
+                if reply.status == 200:
+                    return
+            time.sleep(0.05)
+        raise TimeoutError(f"router {number} did not become ready")
+
+    def pause(self, number: int) -> None:
+        """Freeze a router's process."""
+        self.routers[number].send_signal(signal.SIGSTOP)
+
+    def wake(self, number: int) -> None:
+        """Let a frozen router go on."""
+        self.routers[number].send_signal(signal.SIGCONT)
+
+    def end(self) -> None:
+        """End every process that this fleet started."""
+        processes = [*self.routers.values(), *self.sidecars.values()]
+        for process in processes:
+            if process.poll() is None:
+                process.kill()
+                process.send_signal(signal.SIGCONT)
+        for process in processes:
+            process.wait()
+
+    def log(self, name: str) -> str:
+        """Return the log of a process, by the id of its machine."""
+        return (self.folder / f"{name}.log").read_text()
+
+    def _shared(self) -> dict[str, Any]:
+        return {
+            "peer_port": self.peer_port,
+            "platform": self.platform_url,
+            "key_file": self.key_file,
+            "level": self.level,
+        }
+
+    def _start(self, command: str, name: str, text: str) -> subprocess.Popen[bytes]:
+        path = self.folder / f"{name}.ini"
+        path.write_text(text)
+        with (self.folder / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "-m", "endivegw", command, "--settings", str(path)],
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": "src"},
+            )
+
+    def _list(self, vm: str, address: str, zone: Any, role: str) -> None:
+        others = [line for line in self.platform.vms if line.vm != vm]
+        self.platform.vms = others + [ListedVm(vm, address, zone, role, VmState.LIVE)]
+
+
+@contextlib.contextmanager
+def process_fleet(*, routers: int = 2, level: str = "info") -> Iterator[ProcessFleet]:
+    """Run stand-ins and processes; yield when every router is ready."""
+    with tempfile.TemporaryDirectory() as folder, start_blocking_portal() as portal:
+        fleet = ProcessFleet(pathlib.Path(folder), routers, level)
+        served, _ = portal.start_task(fleet.serve_standins)
+        try:
+            for number in range(1, len(TARGETS) + 1):
+                fleet.start_sidecar(number)
+            for number in fleet.http_ports:
+                fleet.start_router(number)
+            for number in fleet.http_ports:
+                fleet.wait_ready(number)
+            yield fleet
+        finally:
+            fleet.end()
+            portal.call(fleet.stop_standins)
+            served.result()
