--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -76,8 +76,15 @@
     :ivar sidecars: processes by the target's name.
     """
 
-    def __init__(self, folder: pathlib.Path, routers: int, level: str) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        routers: int,
+        level: str,
+        router_profile: pathlib.Path | None,
+    ) -> None:
         self.folder = folder
+        self.router_profile = router_profile
         self.level = level
         self.platform = StandinPlatform()
         self.engines: dict[str, FakeEngine] = {}
@@ -190,9 +197,12 @@
     def _start(self, command: str, name: str, text: str) -> subprocess.Popen[bytes]:
         path = self.folder / f"{name}.ini"
         path.write_text(text)
+        program = ["-m", "endivegw", command, "--settings", str(path)]
+        if command == "router" and self.router_profile is not None:
+            program = ["-m", "cProfile", "-o", str(self.router_profile), *program]
         with (self.folder / f"{name}.log").open("ab") as log:
             return subprocess.Popen(
-                [sys.executable, "-m", "endivegw", command, "--settings", str(path)],
+                [sys.executable, *program],
                 stdout=log,
                 stderr=log,
                 env={**os.environ, "PYTHONPATH": "src"},
@@ -204,10 +214,18 @@
 
 
 @contextlib.contextmanager
-def process_fleet(*, routers: int = 2, level: str = "info") -> Iterator[ProcessFleet]:
-    """Run stand-ins and processes; yield when every router is ready."""
+def process_fleet(
+    *,
+    routers: int = 2,
+    level: str = "info",
+    router_profile: pathlib.Path | None = None,
+) -> Iterator[ProcessFleet]:
+    """Run stand-ins and processes; yield when every router is ready.
+
+    :param router_profile: where each router writes a profile when it ends.
+    """
     with tempfile.TemporaryDirectory() as folder, start_blocking_portal() as portal:
-        fleet = ProcessFleet(pathlib.Path(folder), routers, level)
+        fleet = ProcessFleet(pathlib.Path(folder), routers, level, router_profile)
         served, _ = portal.start_task(fleet.serve_standins)
         try:
             for number in range(1, len(TARGETS) + 1):
