--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -230,7 +230,14 @@
 
 
 def _is_heard(peer: Peer) -> bool:
-    return bool(_models(peer)) or peer.failures >= _SETTLE_FAILURES
+    """Return whether a target takes work now, or seems not to answer.
+
+    One that was started together with this router says at first that it takes
+    none, and takes it a heartbeat later.
+    """
+    heartbeat = peer.heartbeat
+    takes_work = heartbeat is not None and not heartbeat.draining
+    return takes_work and bool(_models(peer)) or peer.failures >= _SETTLE_FAILURES
 
 
 def _models(peer: Peer) -> frozenset[str]:
