--- a/src/endivegw/daemons/http_answers.py
+++ b/src/endivegw/daemons/http_answers.py
@@ -69,8 +69,11 @@
     :param fields: header fields of every answer of this request.
     """
 
-    def __init__(self, send: Send, include_usage: bool, fields: Fields) -> None:
+    def __init__(
+        self, send: Send, include_usage: bool, fields: Fields, keyed: bool
+    ) -> None:
         self._send = send
+        self._keyed = keyed
         self._include_usage = include_usage
         self._fields = fields
         self._splitter = ChunkSplitter()
@@ -100,7 +103,8 @@
                 tail = self._usage_event(end.usage) + DONE_EVENT
                 await _body(self._send, tail, more=False)
             case Refused() | Unknown() if not self._begun:
-                await send_error(self._send, http_error(end), self._fields)
+                error = http_error(end, keyed=self._keyed)
+                await send_error(self._send, error, self._fields)
             case Refused() | Unknown():
                 failed = b"event: error\n" + event(error_body(end))
                 await _body(self._send, failed, more=False)
@@ -124,8 +128,9 @@
 class ObjectAnswer:
     """Collect the chunks and send one object when the answer is whole."""
 
-    def __init__(self, send: Send, chat: bool, fields: Fields) -> None:
+    def __init__(self, send: Send, chat: bool, fields: Fields, keyed: bool) -> None:
         self._send = send
+        self._keyed = keyed
         self._fields = fields
         self._chat = chat
         self.reset()
@@ -151,7 +156,8 @@
                 await _start(self._send, _HTTP_OK, _JSON + _ANSWERED + self._fields)
                 await _body(self._send, body, more=False)
             case Refused() | Unknown():
-                await send_error(self._send, http_error(end), self._fields)
+                error = http_error(end, keyed=self._keyed)
+                await send_error(self._send, error, self._fields)
 
 
 class CutAnswer(Exception):
@@ -166,8 +172,9 @@
 class PassedAnswer:
     """Pass a plain service's answer through as it comes."""
 
-    def __init__(self, send: Send, fields: Fields) -> None:
+    def __init__(self, send: Send, fields: Fields, keyed: bool) -> None:
         self._send = send
+        self._keyed = keyed
         self._fields = fields
         self._begun = False
 
@@ -189,6 +196,7 @@
             case Answered():
                 await _body(self._send, b"", more=False)
             case Refused() | Unknown() if not self._begun:
-                await send_error(self._send, http_error(end), self._fields)
+                error = http_error(end, keyed=self._keyed)
+                await send_error(self._send, error, self._fields)
             case Refused() | Unknown():
                 raise CutAnswer(end.detail or end.reason.value)
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -92,6 +92,10 @@
     says_repeatable: bool | None
     request_id: str
 
+    @property
+    def keyed(self) -> bool:
+        return self.idempotency_key is not None
+
     @property
     def fields(self) -> tuple[tuple[str, str], ...]:
         return ((_REQUEST_ID, self.request_id),)
@@ -263,9 +267,11 @@
             return
         sink: _EndingSink
         if completion.stream:
-            sink = StreamedAnswer(send, completion.include_usage, caller.fields)
+            sink = StreamedAnswer(
+                send, completion.include_usage, caller.fields, caller.keyed
+            )
         else:
-            sink = ObjectAnswer(send, chat, caller.fields)
+            sink = ObjectAnswer(send, chat, caller.fields, caller.keyed)
         repeatable = caller.account.repeatable_generations
         request = self._routed(
             caller, _engine_call(completion), repeatable, completion.stream
@@ -306,7 +312,8 @@
         named = f"{name}/{rest}"
         repeatable = any(named.startswith(prefix.lstrip("/")) for prefix in prefixes)
         request = self._routed(caller, call, repeatable)
-        await self._run(request, PassedAnswer(send, caller.fields), receive)
+        sink = PassedAnswer(send, caller.fields, caller.keyed)
+        await self._run(request, sink, receive)
 
     def _routed(
         self,
--- a/src/endivegw/daemons/http_messages.py
+++ b/src/endivegw/daemons/http_messages.py
@@ -33,6 +33,10 @@
 _TIMEOUT = 504
 _BAD_GATEWAY = 502
 
+#: When to ask again under the same key: a lost answer is found again, or a dead
+#: process replaced, within seconds.
+_UNKNOWN_RETRY_S = 1
+
 #: Status of a request that did not run, by reason; 503 where none is named.
 _STATUS: Mapping[Reason, int] = {
     Reason.BAD_REQUEST: _BAD_REQUEST,
@@ -76,9 +80,11 @@
     body: bytes
 
 
-def http_error(problem: Refused | Unknown) -> HttpError:
+def http_error(problem: Refused | Unknown, *, keyed: bool = False) -> HttpError:
     """Return the answer for a request that did not run or may have run.
 
+    :param keyed: whether the request carried an idempotency key.
+
     The outcome stands in a header of its own, so that a client can tell "did
     not run" from "may have run" without knowing the codes.
     """
@@ -96,9 +102,12 @@
             timed_out = problem.reason in (Reason.DEADLINE, Reason.TIMEOUT)
             status = _TIMEOUT if timed_out else _BAD_GATEWAY
             fields.append((OUTCOME_HEADER, Outcome.UNKNOWN.value))
-            # A retry under the same key joins or replays; without a key the
-            # client must decide, so the header does not invite one.
-            fields.append(("x-should-retry", "false"))
+            # A retry under the same key joins the attempt or replays its
+            # answer. Without a key it would be another request, so that the
+            # client must decide, and the header does not invite one.
+            fields.append(("x-should-retry", "true" if keyed else "false"))
+            if keyed:
+                fields.append(("retry-after", str(_UNKNOWN_RETRY_S)))
     return HttpError(status, tuple(fields), error_body(problem))
 
 
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -165,6 +165,17 @@
         reply = call(FakeRunner(end), "/v1/chat/completions", chat())
         self.assertEqual(reply.status, 502)
         self.assertEqual(reply.headers["endivegw-outcome"], "unknown")
+        self.assertEqual(reply.headers["x-should-retry"], "false")
+
+    def test_uncertain_end_under_a_key_invites_a_retry(self):
+        """The same under a key: sending it again joins or replays, so that the
+        caller is told to, and when."""
+        end = Unknown(Reason.ANSWER_LOST)
+        runner = FakeRunner(end)
+        reply = call(runner, "/v1/chat/completions", chat(), idempotency_key="k")
+        self.assertEqual(reply.headers["endivegw-outcome"], "unknown")
+        self.assertEqual(reply.headers["x-should-retry"], "true")
+        self.assertEqual(reply.headers["retry-after"], "1")
 
     def test_refusals_say_not_run_and_when_to_retry(self):
         """Exhausted budgets are final; overload says when to come back."""
