--- a/benchmarks/decisions_cost.py
+++ b/benchmarks/decisions_cost.py
@@ -10,7 +10,7 @@
 import statistics
 import time
 
-from benchmarks.decisions_loads import (
+from benchmarks.decisions_streams import (
     EXPLAIN,
     KIOSK,
     PLAN,
--- a/benchmarks/decisions_subsets.py
+++ b/benchmarks/decisions_subsets.py
@@ -12,16 +12,9 @@
 from typing import Callable, Sequence
 
 from benchmarks.decisions import DEFAULT_SEED, makers
-from benchmarks.decisions_loads import (
-    BOTH,
-    ENGINE,
-    Load,
-    TargetSpec,
-    arrivals,
-    constant,
-    mixed_streams,
-)
+from benchmarks.decisions_loads import BOTH, Load, TargetSpec
 from benchmarks.decisions_outcomes import summarise
+from benchmarks.decisions_streams import ENGINE, arrivals, constant, mixed_streams
 from benchmarks.decisions_world import World
 
 from endivegw.decisions import Policy, SubsetPolicy, choose_subset
--- a/benchmarks/decisions_world.py
+++ b/benchmarks/decisions_world.py
@@ -10,7 +10,8 @@
 from attrs import define, evolve
 from benchmarks.decisions_baselines import Oracle, Router
 from benchmarks.decisions_engine import Engine, Job
-from benchmarks.decisions_loads import Arrival, Fault, Load
+from benchmarks.decisions_loads import Fault, Load
+from benchmarks.decisions_streams import Arrival
 
 from endivegw.decisions import (
     AttemptEnd,
