--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -34,13 +34,14 @@
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarBase
 from endivegw.requests.starts import (
     AnswerGone,
+    CannotTell,
     Follow,
     MayStart,
     NeverStarted,
     Started,
     StartRegistry,
 )
-from endivegw.results import Reason, Refused
+from endivegw.results import Done, Reason, Refused
 from endivegw.telemetry import EventLog, Metrics
 from endivegw.telemetry.catalogue.sidecar import (
     ATTEMPT_CANCELLED,
@@ -56,6 +57,7 @@
     ClientAccountName,
     ConfigRevision,
     GrantId,
+    Usage,
 )
 
 __all__ = ["Sidecar"]
@@ -97,10 +99,11 @@
         self._settings = settings
         self._claims = claims
         self._holders = holders
+        self._engine = engine_of(target)
         self._jobs = Jobs(target, grants, settings, clock)
         self._work = Work(registry, grants, settings, clock, log, metrics)
         self._gate = Gate(registry, grants, configuration, clock)
-        self._load = LoadWatch(engine_of(target), settings, clock)
+        self._load = LoadWatch(self._engine, settings, clock)
         self._tasks: TaskGroup | None = None
         self._leaving = ""
         self._listed_leaving = False
@@ -184,16 +187,35 @@
         if run is not None and running and not request.bar_only:
             await self._stop_unread(run)
             answer = self._registry.cancel(attempt_id, bound_to, self._clock())
+        usage = run.usage if run is not None else None
+        if isinstance(answer, CannotTell):
+            usage = await self._engine_usage(attempt_id)
         self._log.emit(ATTEMPT_CANCELLED, attempt_id=attempt_id, answer=repr(answer))
         reply = pb.CancelReply(header=self._header())
         reply.never_started = isinstance(answer, NeverStarted)
-        reply.ended = answer == Started(running=False)
+        counted = isinstance(answer, CannotTell) and usage is not None
+        reply.ended = counted or answer == Started(running=False)
         reply.running = answer == Started(running=True)
-        if run is not None:
-            reply.prompt_tokens = run.usage.prompt_tokens
-            reply.completion_tokens = run.usage.completion_tokens
+        if usage is not None:
+            reply.prompt_tokens = usage.prompt_tokens
+            reply.completion_tokens = usage.completion_tokens
         await stream.send_message(reply)
 
+    async def _engine_usage(self, attempt_id: AttemptId) -> Usage | None:
+        """Return what an attempt of an earlier process consumed, stopping it.
+
+        That process took its counts with it, and nobody reads the answer any
+        more. Without the engine's word the account would be charged the whole
+        reservation.
+        """
+        if self._engine is None:
+            return None
+        with anyio.move_on_after(self._settings.cancel_timeout_s):
+            result = await self._engine.cancel(attempt_id)
+            if isinstance(result, Done):
+                return result.value
+        return None
+
     async def _stop_unread(self, run: Run) -> None:
         """Stop an attempt unless somebody goes on reading its answer.
 
--- a/src/endivegw/requests/attempts.py
+++ b/src/endivegw/requests/attempts.py
@@ -84,6 +84,11 @@
     resumes_before_retry: int = 1
 
 
+#: A sidecar was replaced, and the engine knows that the attempt has ended: asking
+#: again would go round and round until the deadline.
+_GONE = "the attempt has ended and its answer is not held any more"
+
+
 @define
 class RequestMachine:
     """Drive one request to an honest ending.
@@ -281,6 +286,7 @@
         if never_started:
             self._record.did_not_run(attempt)
         elif ended:
+            attempt.over = True
             self._record.charge(attempt.attempt_id, usage)
         if self._after_cancel is not None:
             return self._finish_stopped(self._after_cancel)
@@ -385,6 +391,8 @@
 
     def _refused_join(self, attempt: Attempt, refused: Refused, now_s: float) -> Step:
         match refused.reason:
+            case Reason.NOT_FOUND if attempt.over:
+                return self._no_proof(attempt, _GONE, now_s)
             case Reason.NOT_FOUND:
                 # Its router may have died before the order left, or the order is
                 # still under way: only the bar proves that it will not start.
@@ -401,6 +409,8 @@
         if refused.reason is Reason.WRONG_INSTANCE:
             why = "the target's sidecar restarted"
             return self._no_proof(attempt, why, now_s)
+        if refused.reason is Reason.NOT_FOUND and attempt.over:
+            return self._no_proof(attempt, _GONE, now_s)
         return self._cancel(attempt, bar_only=True)
 
     def _cancel(self, attempt: Attempt, *, bar_only: bool) -> CancelAttempt:
--- a/src/endivegw/requests/run_record.py
+++ b/src/endivegw/requests/run_record.py
@@ -16,6 +16,7 @@
     :ivar foreign: whether another router made it; this one only joins it.
     :ivar orders: how often its start was written to a connection.
     :ivar broken: whether one of these connections broke before its answer.
+    :ivar over: whether it is known to have started and ended.
     """
 
     attempt_id: AttemptId
@@ -24,6 +25,7 @@
     foreign: bool = False
     orders: int = 0
     broken: bool = False
+    over: bool = False
 
 
 @define
--- a/tests/sidecar_fakes.py
+++ b/tests/sidecar_fakes.py
@@ -66,6 +66,8 @@
         yield EngineEnded(Usage(3, self.pieces), "stop")
 
     async def cancel(self, attempt_id):
+        if attempt_id not in self.starts:
+            return Refused(Reason.NOT_FOUND)
         self.cancelled.append(attempt_id)
         return Done(Usage(3, 1))
 
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -114,6 +114,37 @@
         step = request.refused(Refused(Reason.WRONG_INSTANCE), 0.1)
         self.ended(step, Outcome.UNKNOWN, Reason.ANSWER_LOST)
 
+    def test_answer_that_nobody_holds_is_not_asked_for_for_ever(self):
+        """
+        A sidecar was replaced, and its successor learns from the engine that
+        the attempt has ended. Its answer is lost. A caller whose request may be
+        repeated gets it from another target at once, and one whose request may
+        not be hears at once that it is unknown.
+        """
+        for repeatable in (True, False):
+            with self.subTest(repeatable=repeatable):
+                request = machine(repeatable=repeatable)
+                handed_over(request)
+                request.lost(delivered=True, now_s=0.0)
+                request.paused(0.1)
+                request.handed_over()
+                missing = Refused(Reason.NOT_FOUND)
+                self.assertIsInstance(request.refused(missing, 0.1), CancelAttempt)
+                join = request.cancelled(
+                    never_started=False,
+                    running=False,
+                    ended=True,
+                    usage=Usage(3, 1),
+                    now_s=0.2,
+                )
+                self.assertIs(join.join_only, True)
+                request.handed_over()
+                step = request.refused(missing, 0.2)
+                if repeatable:
+                    self.assertIsInstance(step, Place)
+                else:
+                    self.ended(step, Outcome.UNKNOWN, Reason.ANSWER_LOST)
+
     def test_deadline_before_the_hand_over_is_not_run(self):
         """The deadline passes in the queue; nothing was handed over."""
         request = machine(repeatable=True, keyed=False)
--- a/tests/test_sidecar_execute.py
+++ b/tests/test_sidecar_execute.py
@@ -237,6 +237,28 @@
         self.assertIs(reply.never_started, False)
         self.assertIs(reply.ended, False)
 
+    async def test_engine_counts_what_a_lost_sidecar_cannot(self):
+        """
+        A sidecar is replaced while its engine works. The router asks the new
+        one what the attempt consumed; the engine knows, and the account is
+        charged that and not the whole reservation.
+        """
+        engine = FakeEngine(pieces=500, pause_s=0.02)
+        async with served(engine) as rig:
+            async for frame in rig.client.execute(
+                rig.start_message(reservation_tokens=900)
+            ):
+                if frame.data:
+                    break
+        async with served(engine, instance="s2") as rig:
+            request = pb.CancelRequest(
+                header=rig.header(), attempt_id="a1", target_instance_id="s1.0"
+            )
+            reply = await rig.client.cancel(request, 2.0)
+        self.assertIs(reply.never_started, False)
+        self.assertIs(reply.ended, True)
+        self.assertEqual((reply.prompt_tokens, reply.completion_tokens), (3, 1))
+
     async def test_cancel_frees_engine_and_reservation(self):
         """
         A caller hangs up in the middle of its answer. The engine stops and only
