--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import aclosing
 from typing import Any
 
 import anyio
@@ -60,6 +61,10 @@
 __all__ = ["Sidecar"]
 
 
+#: How long the end of a canceller's own stream may take to be noticed.
+_STREAM_END_S = 0.2
+
+
 class Sidecar(SidecarBase):  # type: ignore[misc]
     """Serve the calls of routers and operators beside one target.
 
@@ -96,8 +101,10 @@
         self._work = Work(registry, grants, settings, clock, log, metrics)
         self._gate = Gate(registry, grants, configuration, clock)
         self._load = LoadWatch(engine_of(target), settings, clock)
+        self._tasks: TaskGroup | None = None
         self._leaving = ""
         self._listed_leaving = False
+        self._stopping = False
 
     async def serve(
         self,
@@ -115,6 +122,7 @@
 
     def start(self, tasks: TaskGroup) -> None:
         """Run attempts and look after them in a task group, without a listener."""
+        self._tasks = tasks
         self._work.attach(tasks)
         tasks.start_soon(self._load.poll)
         tasks.start_soon(self._expire)
@@ -134,6 +142,7 @@
         """
         bound_s = self._settings.drain_bound_s if bound_s is None else bound_s
         started_s = self._clock()
+        self._stopping = True
         self.leave("the sidecar stops as planned")
         self._log.emit(DRAIN_STARTED, running=self._work.running, bound_s=bound_s)
         with anyio.move_on_after(bound_s):
@@ -171,13 +180,9 @@
         bound_to = request.target_instance_id
         answer = self._registry.cancel(attempt_id, bound_to, self._clock())
         run = self._work.find(attempt_id)
-        # Another caller may have joined; its answer must not be cut off by the
-        # one who goes away. The one who cancels has left its own stream.
-        stoppable = run is not None and not run.readers and not request.bar_only
-        if answer == Started(running=True) and run is not None and stoppable:
-            run.scope.cancel()
-            with anyio.move_on_after(self._settings.cancel_timeout_s):
-                await run.ended.wait()
+        running = run is not None and answer == Started(running=True)
+        if run is not None and running and not request.bar_only:
+            await self._stop_unread(run)
             answer = self._registry.cancel(attempt_id, bound_to, self._clock())
         self._log.emit(ATTEMPT_CANCELLED, attempt_id=attempt_id, answer=repr(answer))
         reply = pb.CancelReply(header=self._header())
@@ -189,6 +194,22 @@
             reply.completion_tokens = run.usage.completion_tokens
         await stream.send_message(reply)
 
+    async def _stop_unread(self, run: Run) -> None:
+        """Stop an attempt unless somebody goes on reading its answer.
+
+        Another caller may have joined; its answer must not be cut off by the
+        one who goes away. That one has closed its own stream before it
+        cancelled, but the end of the stream can be noticed after the cancel.
+        """
+        with anyio.move_on_after(_STREAM_END_S):
+            while run.readers:
+                await run.idle()
+        if run.readers:
+            return
+        run.scope.cancel()
+        with anyio.move_on_after(self._settings.cancel_timeout_s):
+            await run.ended.wait()
+
     async def Seal(self, stream: Any) -> None:
         """Refuse later work under grants; tell what each consumed."""
         request = await stream.recv_message()
@@ -214,6 +235,7 @@
         """Tell the target's load and whether it takes new work, at each ask."""
         async for request in stream:
             self._gate.check_sender(request.header)
+            self._meet_holder(request.header.grant_holder)
             self._hear_list(request.leaving_vm)
             await stream.send_message(self._heartbeat())
 
@@ -223,13 +245,24 @@
         if leaving_vm and leaving_vm == self._settings.vm:
             self._listed_leaving = True
 
+    def _meet_holder(self, holder: str) -> None:
+        """Get to know a router's grants while the table can be asked.
+
+        A router that was started shortly before the table went away would
+        otherwise be refused by every sidecar until the table is back, although
+        it has tokens in hand.
+        """
+        if holder and self._holders is not None and self._tasks is not None:
+            self._tasks.start_soon(self._holders.meet, holder)
+
     def _heartbeat(self) -> pb.HeartbeatReply:
         self._refresh_leaving()
-        leaving = bool(self._gate.leaving)
+        draining = bool(self._gate.leaving)
         reply = pb.HeartbeatReply(
             header=self._header(),
-            load=self._load.report(self._work.running, leaving),
-            leaving=leaving,
+            load=self._load.report(self._work.running, draining),
+            # Routers take this word for good; what may end is only draining.
+            leaving=self._stopping or self._listed_leaving,
             start_incarnation=self._registry.incarnation,
         )
         if self._claims is not None:
@@ -319,8 +352,11 @@
         await self._send(stream, run, start.resume_offset, joined=True)
 
     async def _send(self, stream: Any, run: Run, offset: int, joined: bool) -> None:
-        async for frame in run.follow(self._header(), offset, joined):
-            await stream.send_message(frame)
+        # Closing it at once takes the reader off the run; a run without readers
+        # can be cancelled, and one that seems read could not.
+        async with aclosing(run.follow(self._header(), offset, joined)) as frames:
+            async for frame in frames:
+                await stream.send_message(frame)
 
     async def _refuse_work(self, stream: Any, start: pb.ExecuteStart, run: Run) -> None:
         # The grant was admitted and nothing runs under it.
@@ -337,6 +373,10 @@
             why = "the VM list says that the machine leaves"
         if not why and self._load.leaving:
             why = "the target takes no new work"
+        if not why and self._configuration.revision == 0:
+            # Routers then place work elsewhere at once, where they would be
+            # refused here until the configuration has come.
+            why = "no configuration was heard yet"
         self._gate.leaving = why
 
     async def _expire(self) -> None:
--- a/tests/test_decisions_dispatcher.py
+++ b/tests/test_decisions_dispatcher.py
@@ -91,6 +91,21 @@
         made.report("t2", LoadFigures(0, 0, 2, 0.0, 0.0), 0.0)
         self.assertEqual(made.submit(item("r1"), 0.0).target, "t2")
 
+    def test_report_of_a_draining_target_that_stands_alone(self):
+        """
+        The only target of a model drains, as one that was just started does,
+        and reports its load. Requests for the model are refused until it takes
+        work again, and the router lives on.
+        """
+        made = dispatcher(view("t1", draining=True))
+        figures = LoadFigures(0, 0, 2, 0.0, 0.0)
+        made.report("t1", figures, 0.0)
+        made.report("t1", figures, 1.0)
+        refused = made.submit(item("r1", 1.0), 1.0)
+        self.assertEqual(refused.reason, Reason.NO_TARGET)
+        made.set_targets([view("t1")], 2.0)
+        self.assertEqual(made.submit(item("r2", 2.0), 2.0).target, "t1")
+
     def test_a_prompt_goes_where_its_prefix_is_cached(self):
         """A cache event sends prompts with that prefix to its target."""
         targets = [view(f"t{n}", slots=8) for n in range(8)]
@@ -146,6 +161,31 @@
             [(p.item.request_id, p.target) for p in placed], [("r3", other)]
         )
 
+    def test_queued_work_stays_when_targets_change_their_models(self):
+        """Loading another model beside one loses no queued work and no slot."""
+        made = dispatcher(view("t1", slots=1), view("t2", 1, models=("plan",)))
+        self.assertIsInstance(made.submit(item("r1"), 0.0), Placement)
+        for name in ("r2", "r3"):
+            self.assertIsInstance(made.submit(item(name), 0.0), Queued)
+        both = ("badge", "plan")
+        made.set_targets([view("t1", 1), view("t2", 1, models=both)], 1.0)
+        placed = made.poll(1.0)
+        self.assertEqual([p.item.request_id for p in placed], ["r2"])
+        made.ended("r1", "t1", OK, 2.0)
+        placed = made.poll(2.0)
+        self.assertEqual([p.item.request_id for p in placed], ["r3"])
+        self.assertIsNone(made.next_poll_s(2.0))
+
+    def test_a_restarted_target_begins_empty(self):
+        """Work of a former instance takes no slot of the new one."""
+        made = dispatcher(view("t1", slots=1))
+        made.submit(item("r1"), 0.0)
+        made.set_targets([view("t1", slots=1, instance="2")], 1.0)
+        placement = made.submit(item("r2"), 1.0)
+        self.assertEqual(placement.instance_id, "2")
+        made.ended("r1", "t1", FAILED, 1.5)
+        self.assertIsInstance(made.submit(item("r3"), 1.5), Queued)
+
     def test_a_draining_report_stops_new_work(self):
         """A target's own word to be draining comes before membership's."""
         made = dispatcher(view("t1"), view("t2"))
@@ -153,6 +193,26 @@
         for number in range(2):
             self.assertEqual(made.submit(item(f"r{number}"), 0.0).target, "t2")
 
+    def test_a_report_of_a_target_that_was_draining_when_first_seen(self):
+        """A router that starts while a target drains takes in its reports."""
+        made = dispatcher(view("t1", draining=True))
+        made.report("t1", LoadFigures(1, 0, 2, 5.0, 0.1, ("badge",)), 0.5)
+        self.assertEqual(made.submit(item("r1"), 1.0).reason, Reason.NO_TARGET)
+
+    def test_an_attempt_whose_end_was_lost_gives_its_slot_back(self):
+        """A forgotten attempt does not take a slot away for good.
+
+        A caller hangs up in the very moment its work is placed, and the end of
+        the attempt is never reported. The router would count it for ever and
+        place less and less on that target, until it is restarted.
+        """
+        made = dispatcher(view("t1", slots=1))
+        self.assertIsInstance(made.submit(item("r1", deadline_s=5.0), 0.0), Placement)
+        self.assertIsInstance(made.submit(item("r2", 20.0), 20.0), Queued)
+        made.cancel("r2", 21.0)
+        made.poll(40.0)
+        self.assertIsInstance(made.submit(item("r3", 40.0), 40.0), Placement)
+
     def test_no_target_is_said_at_once(self):
         """Work that no target serves is refused and not queued."""
         made = dispatcher(view("t1", draining=True))
@@ -193,7 +253,7 @@
 
     def test_a_large_account_leaves_others_their_share(self):
         """Two requests of a small account do not wait for thirty of a large one."""
-        made = self.full()
+        made = self.full(share_tolerance_s=10.0)
         for number in range(30):
             large = item(f"l{number}", deadline_s=900.0, client_account="large")
             made.submit(large, 0.0)
@@ -267,6 +327,21 @@
         given_up = made.poll(0.0)
         self.assertEqual([type(d) for d in given_up], [Expired])
         self.assertEqual(given_up[0].item.client_account, "large")
+        self.assertEqual(made.poll(0.0), [])
+
+    def test_long_work_gives_way_to_short_work_of_its_account(self):
+        """Where not both can end in time, the longer one is answered at once."""
+        made = self.full()
+        long = item("long", deadline_s=20.0, output_tokens=800)
+        self.assertIsInstance(made.submit(long, 0.0), Queued)
+        other = item("other", deadline_s=20.0, client_account="other")
+        self.assertIsInstance(made.submit(other, 0.0), Queued)
+        short = item("short", deadline_s=12.0)
+        self.assertIsInstance(made.submit(short, 0.0), Queued)
+        given_up = made.poll(0.0)
+        self.assertEqual([d.item.request_id for d in given_up], ["long"])
+        self.assertGreater(given_up[0].retry_after_s, 0.0)
+        self.assertEqual(set(self.served(made)), {"short", "other"})
 
 
 class HealthTests(unittest.TestCase):
