--- a/src/endivegw/configuration/spread.py
+++ b/src/endivegw/configuration/spread.py
@@ -19,6 +19,16 @@
     DocumentsMessage,
 )
 from endivegw.configuration.documents import Change, Documents
+from endivegw.configuration.spread_actions import (
+    Action,
+    PullPeer,
+    ReadAllFromTable,
+    ReadChanges,
+    ReadObject,
+    Report,
+    WriteObject,
+)
+from endivegw.configuration.spread_settings import SpreadSettings
 from endivegw.configuration.view import Adopted, ConfigurationView, Gap, PeerWord
 from endivegw.types import ConfigRevision, InstanceId
 
@@ -38,91 +48,11 @@
 
 
 @frozen
-class SpreadSettings:
-    """Hold how often a process asks; worked out for 1,020 processes.
-
-    :param poll_s: mean time between two polls of the table, drawn from 3/4 to
-        5/4 of it. Three seconds make 340 reads a second, a sixth of what the
-        table bears. A process that no peer reaches waits 3.75 s at most; the
-        rest of the 7 s is for a slow answer, or for the way over peers where
-        one router alone reaches the table.
-    :param load_reads: calls of the table that load all documents.
-    :param load_reads_hz: such calls a second when the whole fleet starts; the
-        other half of what the table bears is for budgets.
-    :param pull_jitter_s: a process that hears a higher revision waits up to
-        this, so that the 30 receivers of one heartbeat round do not all ask
-        its sender in the same millisecond.
-    :param pull_retry_s: wait after a peer did not answer.
-    :param object_read_s: mean time between two looks into the object store,
-        only while the table does not answer: 68 reads a second in all.
-    :param table_silent_s: the table counts as away when it has not answered
-        for so long; two polls and a timeout.
-    :param object_write_s: an adopted change is written to the object store
-        within this. The object is where fresh processes start from, not how
-        changes travel, so it may lag.
-    :param object_writers: how many processes consider writing it; the first
-        does, the others find it done. One alone may die before it writes.
-    :param report_spread_s: a router reports between half of this and this
-        after it adopted a revision, and again after it heard that a peer has
-        another one than it reported. Most peers follow within the first wait,
-        so that a change costs a router 1.3 reports. 370 routers make 186
-        writes in the busiest second, of several hundred that the table bears.
-    :param reported_s: a peer heard within this is in the report; a few
-        heartbeats, so that a dead one is soon missed.
-    :param report_s: an unchanged report is written again after this, by which
-        operators see that the daemon lives: 6 writes a second in all.
-    """
-
-    poll_s: float = 3.0
-    load_reads: int = 5
-    load_reads_hz: float = 1000.0
-    pull_jitter_s: float = 0.2
-    pull_retry_s: float = 1.0
-    object_read_s: float = 15.0
-    table_silent_s: float = 9.0
-    object_write_s: float = 60.0
-    object_writers: int = 8
-    report_spread_s: float = 5.0
-    reported_s: float = 30.0
-    report_s: float = 60.0
-
-
-@frozen
-class ReadChanges:
-    """Ask the table for the changes behind a revision; most often there are none."""
-
-    after: ConfigRevision
-
-
-@frozen
-class ReadAllFromTable:
-    """Ask the table for all documents, where changes do not suffice."""
-
-
-@frozen
-class PullPeer:
-    """Ask a peer for what it has beyond a revision."""
-
-    peer: InstanceId
-    have: ConfigRevision
-
-
-@frozen
-class ReadObject:
-    """Look whether the object store has a newer revision, and take it."""
-
-
-@frozen
-class WriteObject:
-    """Put the configuration into the object store, unless a newer one is there."""
-
-
-@frozen
-class Report:
-    """Write down which revision this process and its peers have."""
-
+class _Failing:
+    """Hold until when a peer is passed over, and for how long the last time."""
 
-Action = ReadChanges | ReadAllFromTable | PullPeer | ReadObject | WriteObject | Report
+    until_s: float
+    wait_s: float
 
 
 @define
@@ -149,6 +79,7 @@
     _pull_at_s: float = _NEVER
     _pulling: bool = False
     _candidates: dict[InstanceId, ConfigRevision] = field(factory=dict)
+    _failing: dict[InstanceId, _Failing] = field(factory=dict)
     _object_read_at_s: float = 0.0
     _object_write_at_s: float = _NEVER
     _object_busy: bool = False
@@ -196,7 +127,7 @@
             self._poll_at_s = now_s + self._draw_around(self.settings.poll_s)
             actions.append(self._poll())
         if not self._pulling and now_s >= self._pull_at_s:
-            actions += self._pull()
+            actions += self._pull(now_s)
         if not self._reporting and now_s >= self._report_at_s:
             self._reporting = True
             self._report_at_s = now_s + self._draw_around(self.settings.report_s)
@@ -271,6 +202,7 @@
         """Take in a peer's answer; None where it had nothing newer."""
         self._pulling = False
         self._candidates.pop(peer, None)
+        self._failing.pop(peer, None)
         adopted = self._adopt(message, now_s) if message else None
         self._schedule_pull(now_s)
         return adopted
@@ -278,11 +210,11 @@
     def peer_failed(self, peer: InstanceId, now_s: float) -> None:
         """Note that a peer gave no answer; another one is asked next."""
         self._pulling = False
-        self._candidates.pop(peer, None)
-        if self._candidates:
-            self._pull_at_s = now_s + self._random.uniform(
-                0.0, self.settings.pull_retry_s
-            )
+        failing = self._failing.get(peer)
+        wait_s = failing.wait_s * 2 if failing else self.settings.pull_retry_s
+        wait_s = min(wait_s, self.settings.longest_retry_s)
+        self._failing[peer] = _Failing(now_s + wait_s, wait_s)
+        self._schedule_pull(now_s)
 
     def object_gave(
         self, message: ConfigMessage | None, now_s: float
@@ -336,6 +268,7 @@
         self._candidates = {p: r for p, r in self._candidates.items() if r > revision}
         if not self._candidates:
             self._pull_at_s = _NEVER
+            self._failing = {}
         chosen = self._random.random() < self.settings.object_writers / self.daemons
         if chosen and self._object_write_at_s == _NEVER:
             wait_s = self._random.uniform(0.0, self.settings.object_write_s)
@@ -350,14 +283,20 @@
             return ReadAllFromTable()
         return ReadChanges(self.view.revision)
 
-    def _pull(self) -> list[Action]:
-        if not self._candidates:
-            self._pull_at_s = _NEVER
+    def _pull(self, now_s: float) -> list[Action]:
+        self._pull_at_s = _NEVER
+        answering = {
+            peer: revision
+            for peer, revision in self._candidates.items()
+            if peer not in self._failing or self._failing[peer].until_s <= now_s
+        }
+        if not answering:
+            waits = [self._failing[peer].until_s for peer in self._candidates]
+            self._pull_at_s = min(waits, default=_NEVER)
             return []
-        newest = max(self._candidates.values())
-        peers = sorted(p for p, r in self._candidates.items() if r == newest)
+        newest = max(answering.values())
+        peers = sorted(peer for peer, held in answering.items() if held == newest)
         self._pulling = True
-        self._pull_at_s = _NEVER
         return [PullPeer(self._random.choice(peers), self.view.revision)]
 
     def _schedule_pull(self, now_s: float) -> None:
--- a/tests/test_sidecar_execute.py
+++ b/tests/test_sidecar_execute.py
@@ -249,13 +249,36 @@
             ):
                 if frame.data:
                     break
-            await anyio.sleep(0.05)
             request = pb.CancelRequest(header=rig.header(), attempt_id="a1")
             reply = await rig.client.cancel(request, 2.0)
         self.assertIs(reply.ended, True)
         self.assertEqual(engine.cancelled, ["a1"])
         self.assertEqual(rig.grants.charged, {"a1": 4})
 
+    async def test_cancel_of_one_caller_leaves_the_other_its_answer(self):
+        """
+        Two callers read the same answer, and one of them hangs up. The other
+        one still gets the whole of it.
+        """
+        engine = FakeEngine(pause_s=0.1)
+        async with served(engine) as rig:
+            answers = []
+
+            async def read():
+                answers.append(await rig.frames(rig.start_message("a2")))
+
+            async with anyio.create_task_group() as tasks:
+                async for frame in rig.client.execute(rig.start_message()):
+                    if frame.data:
+                        tasks.start_soon(read)
+                        await anyio.sleep(0.05)
+                        break
+                request = pb.CancelRequest(header=rig.header(), attempt_id="a1")
+                reply = await rig.client.cancel(request, 2.0)
+        self.assertIs(reply.running, True)
+        self.assertEqual(text_of(answers[0]), WHOLE)
+        self.assertEqual(engine.cancelled, [])
+
     async def test_deadline_frees_the_engine(self):
         """
         An engine is too slow for a request's deadline. The answer ends in an
@@ -352,7 +375,7 @@
             request = pb.HeartbeatRequest(header=rig.header())
             beat = await rig.client.heartbeat(request, 1.0)
         self.assertEqual(frames[0].refused.reason, "draining")
-        self.assertIs(beat.leaving, True)
+        self.assertIs(beat.load.draining, True)
 
     async def test_word_of_the_vm_list_reaches_the_sidecar(self):
         """
@@ -370,3 +393,32 @@
         self.assertIs(beat.leaving, True)
         self.assertEqual(frames[0].refused.reason, "draining")
         self.assertEqual(engine.starts, [])
+
+    async def test_sidecar_without_configuration_is_not_offered(self):
+        """
+        A sidecar was just started and has no configuration yet. Its heartbeat
+        says that it takes no work, so that callers' requests go elsewhere.
+        """
+        async with served(FakeEngine()) as rig:
+            rig.configuration.revision = 0
+            request = pb.HeartbeatRequest(header=rig.header())
+            before = await rig.client.heartbeat(request, 1.0)
+            rig.configuration.revision = 1
+            after = await rig.client.heartbeat(request, 1.0)
+        self.assertIs(before.load.draining, True)
+        self.assertIs(after.load.draining, False)
+
+    async def test_drained_target_is_not_called_leaving(self):
+        """
+        Operators drain a target and resume it. Routers hear that it takes no
+        work for now; had they heard that it leaves, they would never use it again.
+        """
+        async with served(FakeEngine()) as rig:
+            request = pb.HeartbeatRequest(header=rig.header())
+            rig.sidecar.leave("drained by operators")
+            drained = await rig.client.heartbeat(request, 1.0)
+            rig.sidecar.leave("")
+            resumed = await rig.client.heartbeat(request, 1.0)
+        self.assertIs(drained.load.draining, True)
+        self.assertIs(drained.leaving, False)
+        self.assertIs(resumed.load.draining, False)
