Place by prompt prefixes; count all that an engine reads; give back unused places

Requests carried no prefix digests, so that cache events had no effect on placement. Roles counted as text of the prompt while names, tool calls and other parts of a message did not count towards the bound.

--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -11,6 +11,7 @@
 from endivegw.daemons.peer_book import ROUTER_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.recovery_watch import RecoveryOptions, RecoveryWatch
+from endivegw.daemons.request_plan import PREFIX_SCHEME
 from endivegw.daemons.request_runner import RunnerParts
 from endivegw.daemons.router import Router, RouterParts
 from endivegw.daemons.router_watch import RouterWatch
@@ -39,7 +40,11 @@
         # The keeper is made below, out of what this call returns.
         grant_holder=lambda: keeper.announced_holder,
     )
-    dispatcher = Dispatcher(Policy(), settings.process.availability_zone, process.rng)
+    dispatcher = Dispatcher(
+        Policy(block_tokens=PREFIX_SCHEME.block_tokens),
+        settings.process.availability_zone,
+        process.rng,
+    )
     queue = PlacementQueue(dispatcher, process.clock)
     keeper = BudgetKeeper(
         process.identity.instance_id,
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -369,6 +369,7 @@
         model=model,
         adapter=adapter,
         texts=completion.texts,
+        prefix_text=completion.prefix_text,
         max_tokens=completion.max_tokens,
     )
 
--- a/src/endivegw/daemons/placement_queue.py
+++ b/src/endivegw/daemons/placement_queue.py
@@ -7,7 +7,15 @@
 import anyio
 from attrs import define, field
 
-from endivegw.decisions import Dispatcher, Expired, Placement, Queued, WorkItem
+from endivegw.decisions import (
+    AttemptEnd,
+    AttemptKind,
+    Dispatcher,
+    Expired,
+    Placement,
+    Queued,
+    WorkItem,
+)
 from endivegw.results import Reason, Refused
 
 __all__ = ["PlacementQueue"]
@@ -71,18 +79,37 @@
         waiter = _Waiter()
         self._waiters[item.request_id] = waiter
         self.kick()
+        taken = False
         try:
             await waiter.decided.wait()
+            taken = True
         finally:
             self._waiters.pop(item.request_id, None)
             if waiter.decision is None:
                 self.dispatcher.cancel(item.request_id, self._clock())
+            elif not taken:
+                self._give_back(waiter.decision)
         assert waiter.decision is not None
         return waiter.decision
 
+    def _give_back(self, decision: Placement | Refused) -> None:
+        """Free the place of work whose caller went away just as it was placed.
+
+        The target would otherwise count as occupied until long after the
+        request's deadline, which shows as a target that gets less and less work.
+        """
+        if isinstance(decision, Placement):
+            end = AttemptEnd(AttemptKind.CANCELLED)
+            self.dispatcher.ended(
+                decision.item.request_id, decision.target, end, self._clock()
+            )
+            self.kick()
+
     def _deliver(self, decision: Placement | Expired) -> None:
         waiter = self._waiters.get(decision.item.request_id)
         if waiter is None:
+            if isinstance(decision, Placement):
+                self._give_back(decision)
             return
         match decision:
             case Placement():
--- a/src/endivegw/daemons/request_plan.py
+++ b/src/endivegw/daemons/request_plan.py
@@ -8,11 +8,19 @@
 
 from endivegw.budgets.bound import RequestBound, request_bound
 from endivegw.daemons.routed import EngineCall, RoutedRequest, ServiceCall
-from endivegw.decisions import SERVICE_PREFIX, WorkItem
+from endivegw.decisions import (
+    SERVICE_PREFIX,
+    PrefixScheme,
+    WorkItem,
+    prefix_digests,
+)
 from endivegw.requests.steps import RequestFacts
 from endivegw.types import RequestIdentity, TargetName
 
-__all__ = ["RequestPlan", "plan_request", "work_item"]
+__all__ = ["PREFIX_SCHEME", "RequestPlan", "plan_request", "work_item"]
+
+#: How the engines at hand name prompt prefixes in their cache events.
+PREFIX_SCHEME = PrefixScheme()
 
 
 @frozen
@@ -21,12 +29,14 @@
 
     :param bound: the most that one attempt may consume; nothing for a plain
         service.
+    :param prefixes: digests of the prompt's leading blocks.
     """
 
     request: RoutedRequest
     facts: RequestFacts
     bound: RequestBound
     model: str
+    prefixes: tuple[bytes, ...]
 
     @property
     def can_be_sent_again(self) -> bool:
@@ -43,11 +53,13 @@
             limit_tokens = request.account.max_output_tokens
             bound = request_bound(call.texts, call.max_tokens, limit_tokens)
             model = f"{call.model}+{call.adapter}" if call.adapter else call.model
+            prefixes = prefix_digests(call.prefix_text, PREFIX_SCHEME)
         case ServiceCall() as call:
             line = f"{call.service} {call.method} {call.path}\n"
             digest = hashlib.sha256(line.encode() + call.body).digest()
             bound = RequestBound(0, 0)
             model = SERVICE_PREFIX + call.service
+            prefixes = ()
     facts = RequestFacts(
         identity=RequestIdentity(
             request.account.client_account,
@@ -59,7 +71,7 @@
         deadline_s=request.deadline_s,
         streams=request.streams,
     )
-    return RequestPlan(request, facts, bound, model)
+    return RequestPlan(request, facts, bound, model, prefixes)
 
 
 def work_item(plan: RequestPlan, avoid: frozenset[TargetName]) -> WorkItem:
@@ -75,5 +87,6 @@
         prompt_tokens=plan.bound.prompt_tokens,
         output_tokens=plan.bound.completion_tokens,
         arrived_s=request.arrived_s,
+        prefix_digests=plan.prefixes,
         excluded=avoid,
     )
--- a/src/endivegw/daemons/routed.py
+++ b/src/endivegw/daemons/routed.py
@@ -29,6 +29,7 @@
     model: str
     adapter: str
     texts: tuple[str, ...]
+    prefix_text: str
     max_tokens: int | None
 
 
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -200,6 +200,7 @@
             chat(messages=[]): "bad_request",
             chat(messages=[{"role": "user", "content": 3}]): "bad_request",
             chat(stream="yes"): "bad_request",
+            chat(messages=[{"role": "me", "content": "hi"}]): "bad_request",
             chat(model="other"): "model_not_found",
             chat(pad="x" * 3000): "body_too_large",
         }
@@ -235,6 +236,22 @@
         call(runner, "/v1/chat/completions", chat(), gone=True)
         self.assertIs(runner.cancelled, True)
 
+    def test_all_that_the_engine_reads_counts_towards_the_bound(self):
+        """Names, tool calls and tools are prompt tokens, too: a bound without
+        them would let an account consume more than was reserved."""
+        runner = FakeRunner(ANSWERED)
+        calls = [{"id": "c", "function": {"name": "gate", "arguments": "x" * 50}}]
+        messages = [
+            {"role": "user", "content": "hi", "name": "ana"},
+            {"role": "assistant", "content": None, "tool_calls": calls},
+        ]
+        body = chat(messages=messages, tools=[{"name": "y" * 40}])
+        call(runner, "/v1/chat/completions", body)
+        read = "".join(runner.requests[0].call.texts)
+        for part in ("hi", "ana", "x" * 50, "y" * 40):
+            self.assertIn(part, read)
+        self.assertEqual(runner.requests[0].call.prefix_text, "hi ")
+
     def test_models_are_those_of_the_account(self):
         """The list of models names what this client account may use."""
         reply = call(FakeRunner(ANSWERED), "/v1/models", method="GET")
