Bound the head of a caller's request

The setting http.max_header_bytes was read and never used: the HTTP parser keeps header fields and trailers of any length, so that a stranger without a key could grow a router past its memory. The bytes are counted as they come, below the application; beyond the bound (and one read of the socket) the caller gets 431, 'headers_too_large', marked as not run, and the connection closes.

The slower parser of h11 has such a limit, but costs each request more; the bound on the fast one is a few additions a header field.

--- a/src/endivegw/daemons/http_messages.py
+++ b/src/endivegw/daemons/http_messages.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from endivegw.http_protocol import HeaderBound
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.types import Outcome
 
@@ -19,6 +20,7 @@
     "OUTCOME_HEADER",
     "REPEATABLE_HEADER",
     "error_body",
+    "header_bound",
     "http_error",
 ]
 
@@ -45,6 +47,7 @@
     Reason.KEY_CONFLICT: 409,
     Reason.ALREADY_RUN: 409,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
     Reason.BUDGET_EXHAUSTED: 429,
     Reason.DEADLINE: _TIMEOUT,
 }
@@ -62,6 +65,7 @@
         Reason.KEY_CONFLICT,
         Reason.ALREADY_RUN,
         Reason.BODY_TOO_LARGE,
+        Reason.HEADERS_TOO_LARGE,
         Reason.BUDGET_EXHAUSTED,
     }
 )
@@ -106,7 +110,7 @@
     """Return the error object in the shape that the ecosystem's clients read."""
     outcome = Outcome.NOT_RUN if isinstance(problem, Refused) else Outcome.UNKNOWN
     status = _STATUS.get(problem.reason, _UNAVAILABLE)
-    kind = "invalid_request_error" if status < 429 else "server_error"
+    kind = "invalid_request_error" if status < 500 else "server_error"
     if problem.reason is Reason.BUDGET_EXHAUSTED:
         kind = Reason.BUDGET_EXHAUSTED.value
     error = {
@@ -117,3 +121,10 @@
         "outcome": outcome.value,
     }
     return json.dumps({"error": error}).encode()
+
+
+def header_bound(max_bytes: int) -> HeaderBound:
+    """Return the bound on a request's head, with the answer beyond it."""
+    detail = f"the request line and header fields are over {max_bytes} bytes"
+    error = http_error(Refused(Reason.HEADERS_TOO_LARGE, detail))
+    return HeaderBound(max_bytes, error.fields, error.body)
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -11,6 +11,7 @@
 from endivegw.budgets import BudgetKeeper
 from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.http_front import HttpFront
+from endivegw.daemons.http_messages import header_bound
 from endivegw.daemons.lent_grants import LentGrants
 from endivegw.daemons.peer_book import PeerBook
 from endivegw.daemons.placement_queue import PlacementQueue
@@ -123,7 +124,7 @@
                 serve_peers, (service,), peers.ip, peers.port, parts.security
             )
             listen = parts.settings.listen
-            address = await tasks.start(serve_asgi, self._front, listen.ip, listen.port)
+            address = await tasks.start(self._serve_front, listen.ip, listen.port)
             parts.log.emit(
                 events.DAEMON_STARTED,
                 role="router",
@@ -166,8 +167,13 @@
     async def _serve_front(
         self, ip: str, port: int, *, task_status: TaskStatus[ServedAddress]
     ) -> None:
-        # A planned stop has waited for the answers in progress already.
-        await serve_asgi(self._front, ip, port, graceful_s=0, task_status=task_status)
+        await serve_asgi(
+            self._front,
+            ip,
+            port,
+            header_bound=header_bound(self._parts.settings.http.max_header_bytes),
+            task_status=task_status,
+        )
 
     def _build_service(self) -> RouterService:
         parts = self._parts
--- a/src/endivegw/http_server.py
+++ b/src/endivegw/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import socket
 from typing import Any, Callable, Iterator
 
@@ -10,6 +11,8 @@
 import uvicorn
 from anyio.abc import TaskStatus
 
+from endivegw.http_protocol import BoundedHttpProtocol, HeaderBound
+
 __all__ = ["ServedAddress", "serve_asgi"]
 
 #: Host and port that a server listens on.
@@ -46,6 +49,7 @@
     *,
     lifespan: bool = False,
     graceful_s: int = 5,
+    header_bound: HeaderBound | None = None,
     task_status: TaskStatus[ServedAddress] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until cancelled; report the address once the socket listens.
@@ -55,6 +59,8 @@
     :param lifespan: whether the application takes lifespan events.
     :param graceful_s: how long answers in progress may still run after the
         cancellation; beyond it they are cut off.
+    :param header_bound: None where every client is trusted with the length of
+        its header fields.
     """
     with socket.socket() as listener:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -62,6 +68,7 @@
         address: ServedAddress = listener.getsockname()[:2]
         config = uvicorn.Config(
             app,
+            http=_protocol(header_bound),
             lifespan="on" if lifespan else "off",
             log_config=None,
             log_level="critical",
@@ -73,6 +80,13 @@
         await _run_until_cancelled(server, listener)
 
 
+def _protocol(bound: HeaderBound | None) -> Any:
+    """Return what uvicorn makes a connection's protocol with."""
+    if bound is None:
+        return "httptools"
+    return functools.partial(BoundedHttpProtocol, bound=bound)
+
+
 async def _run_until_cancelled(server: _Server, listener: socket.socket) -> None:
     async def run() -> None:
         # Shielded, so that answers in progress end before the sockets close.
--- a/src/endivegw/results.py
+++ b/src/endivegw/results.py
@@ -24,6 +24,7 @@
     BAD_REQUEST = "bad_request"
     BAD_KEY = "invalid_api_key"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     UNKNOWN_MODEL = "model_not_found"
     UNKNOWN_SERVICE = "service_not_found"
     KEY_REQUIRED = "idempotency_key_required"
