Join the tokens that an engine makes within 20 ms in one frame

Each data frame costs the router some 0.3 ms CPU, whatever it holds: HTTP/2 framing, the tag's check, the state machine, one write to the caller. Plain services' bytes go on as they come. The caller's last chunk is parsed once an answer, not once a frame.

It saves nothing for an engine below 50 tokens a second a stream.

--- a/src/endivegw/daemons/http_answers.py
+++ b/src/endivegw/daemons/http_answers.py
@@ -75,7 +75,7 @@
         self._fields = fields
         self._splitter = ChunkSplitter()
         self._begun = False
-        self._last: dict[str, Any] = {}
+        self._last = b"{}"
 
     def reset(self) -> None:
         """Do nothing: what was sent is sent, and an answer goes on from there."""
@@ -89,7 +89,7 @@
         if not lines:
             return
         await self._begin()
-        self._last = json.loads(lines[-1])
+        self._last = lines[-1]
         await _body(self._send, b"".join(map(event, lines)), more=True)
 
     async def end(self, end: RequestEnd) -> None:
@@ -116,7 +116,9 @@
         if not self._include_usage:
             return b""
         names = ("id", "object", "created", "model")
-        document = {name: self._last[name] for name in names if name in self._last}
+        # Read once an answer, not once a piece: few callers ask for the usage.
+        last = json.loads(self._last)
+        document: dict[str, Any] = {n: last[n] for n in names if n in last}
         document.update(choices=[], usage=usage_object(usage))
         return event(json.dumps(document).encode())
 
--- a/src/endivegw/daemons/sidecar_run.py
+++ b/src/endivegw/daemons/sidecar_run.py
@@ -19,6 +19,12 @@
 #: where a reader catches up.
 READ_BYTES = 32 * 2**10
 
+#: The least time between two data frames of one engine's answer, but for its
+#: first and its last. A frame costs the router and the sidecar some 0.3 ms CPU
+#: each, whatever it holds: tokens that an engine makes faster than this go
+#: together. A person reads no faster, and the answer ends no later.
+_FRAME_GAP_S = 0.02
+
 
 class Run:
     """Hold an attempt's answer while it grows, and let any number read it.
@@ -102,6 +108,7 @@
                     self._readers[reader] = offset_bytes
                     if self.buffer.full:
                         self.changed()
+                    await self._gather(offset_bytes)
                     continue
                 outcome = self.buffer.outcome
                 if outcome is not None:
@@ -119,6 +126,17 @@
         """Wait for the next change, where one is to come."""
         await self._changed.wait()
 
+    async def _gather(self, offset_bytes: int) -> None:
+        """Let some tokens come together, while more of them are being made."""
+        buffer = self.buffer
+        # A plain service's bytes come in pieces that are large already.
+        if buffer.head is not None or buffer.outcome is not None or buffer.full:
+            return
+        if buffer.length_bytes - offset_bytes >= READ_BYTES:
+            return
+        with anyio.move_on_after(_FRAME_GAP_S):
+            await self.ended.wait()
+
     def _lost(self, offset_bytes: int) -> pb.Frame:
         failure = BufferFailure(
             Reason.ANSWER_LOST, "the answer is no longer held", Usage(), True
