Start no tasks for what a call to a sidecar need not wait for

Opening a call waited for its headers in a task of its own, an execution without a body had a task that sent nothing, and the sidecar opened a task group for that body. Each costs a few turns of the event loop before the first token.

--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -328,9 +328,11 @@
             await self._refuse_work(stream, start, run)
             return
         self._work.start(run, job)
+        if body is None:
+            await self._send(stream, run, start.resume_offset, joined=False)
+            return
         async with anyio.create_task_group() as tasks:
-            if body is not None:
-                tasks.start_soon(body.pump, stream)
+            tasks.start_soon(body.pump, stream)
             await self._send(stream, run, start.resume_offset, joined=False)
             tasks.cancel_scope.cancel()
 
--- a/src/endivegw/peers/call.py
+++ b/src/endivegw/peers/call.py
@@ -62,7 +62,10 @@
 
 async def connect(stream: Any, timeout_s: float) -> None:
     """Make the connection where there is none, and open the call."""
-    await asyncio.wait_for(stream.send_request(), timeout_s)
+    # In this task: a task for the wait would cost each call more than the call's
+    # own headers, as the connection is there but for the first one.
+    async with asyncio.timeout(timeout_s):
+        await stream.send_request()
 
 
 def lost_error(written: bool, error: BaseException) -> PeerError:
--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -70,12 +70,13 @@
                 await stream.send_message(message, end=body is None)
                 # The body goes out beside the answer: a service may answer,
                 # or the sidecar refuse, before it has read the whole body.
-                sender = asyncio.ensure_future(_send_body(stream, body))
+                sender = _start_sender(stream, body)
                 try:
                     async for frame in stream:
                         yield frame
                 finally:
-                    await _stop(sender)
+                    if sender is not None:
+                        await _stop(sender)
         except LOST as error:
             forget_cancellation(before)
             raise lost_error(written, error) from error
@@ -104,9 +105,13 @@
         return await call_once(method, request, timeout_s, self._connect_timeout_s)
 
 
-async def _send_body(stream: Any, body: AsyncIterator[bytes] | None) -> None:
-    if body is None:
-        return
+def _start_sender(
+    stream: Any, body: AsyncIterator[bytes] | None
+) -> asyncio.Future[None] | None:
+    return None if body is None else asyncio.ensure_future(_send_body(stream, body))
+
+
+async def _send_body(stream: Any, body: AsyncIterator[bytes]) -> None:
     async for data in body:
         for start in range(0, len(data), BODY_CHUNK_BYTES):
             piece = data[start : start + BODY_CHUNK_BYTES]
