--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -10,6 +10,7 @@
 
 from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.sidecar_body import BodyChannel
+from endivegw.daemons.sidecar_cancel import Cancels
 from endivegw.daemons.sidecar_frames import (
     answer_gone_frame,
     offer_of,
@@ -34,17 +35,13 @@
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarBase
 from endivegw.requests.starts import (
     AnswerGone,
-    CannotTell,
     Follow,
     MayStart,
-    NeverStarted,
-    Started,
     StartRegistry,
 )
-from endivegw.results import Done, Reason, Refused
+from endivegw.results import Reason, Refused
 from endivegw.telemetry import EventLog, Metrics
 from endivegw.telemetry.catalogue.sidecar import (
-    ATTEMPT_CANCELLED,
     ATTEMPT_JOINED,
     ATTEMPT_REFUSED,
     DRAIN_ENDED,
@@ -57,16 +54,11 @@
     ClientAccountName,
     ConfigRevision,
     GrantId,
-    Usage,
 )
 
 __all__ = ["Sidecar"]
 
 
-#: How long the end of a canceller's own stream may take to be noticed.
-_STREAM_END_S = 0.2
-
-
 class Sidecar(SidecarBase):  # type: ignore[misc]
     """Serve the calls of routers and operators beside one target.
 
@@ -99,11 +91,12 @@
         self._settings = settings
         self._claims = claims
         self._holders = holders
-        self._engine = engine_of(target)
+        engine = engine_of(target)
         self._jobs = Jobs(target, grants, settings, clock)
         self._work = Work(registry, grants, settings, clock, log, metrics)
+        self._cancels = Cancels(registry, self._work, engine, settings, clock, log)
         self._gate = Gate(registry, grants, configuration, clock)
-        self._load = LoadWatch(self._engine, settings, clock)
+        self._load = LoadWatch(engine, settings, clock)
         self._tasks: TaskGroup | None = None
         self._leaving = ""
         self._listed_leaving = False
@@ -179,59 +172,10 @@
     async def Cancel(self, stream: Any) -> None:
         """Bar an attempt that has not started, stop one that runs."""
         request = await stream.recv_message()
-        attempt_id = AttemptId(request.attempt_id)
-        bound_to = request.target_instance_id
-        answer = self._registry.cancel(attempt_id, bound_to, self._clock())
-        run = self._work.find(attempt_id)
-        running = run is not None and answer == Started(running=True)
-        if run is not None and running and not request.bar_only:
-            await self._stop_unread(run)
-            answer = self._registry.cancel(attempt_id, bound_to, self._clock())
-        usage = run.usage if run is not None else None
-        if isinstance(answer, CannotTell):
-            usage = await self._engine_usage(attempt_id)
-        self._log.emit(ATTEMPT_CANCELLED, attempt_id=attempt_id, answer=repr(answer))
-        reply = pb.CancelReply(header=self._header())
-        reply.never_started = isinstance(answer, NeverStarted)
-        counted = isinstance(answer, CannotTell) and usage is not None
-        reply.ended = counted or answer == Started(running=False)
-        reply.running = answer == Started(running=True)
-        if usage is not None:
-            reply.prompt_tokens = usage.prompt_tokens
-            reply.completion_tokens = usage.completion_tokens
+        reply = await self._cancels.cancel(request)
+        reply.header.CopyFrom(self._header())
         await stream.send_message(reply)
 
-    async def _engine_usage(self, attempt_id: AttemptId) -> Usage | None:
-        """Return what an attempt of an earlier process consumed, stopping it.
-
-        That process took its counts with it, and nobody reads the answer any
-        more. Without the engine's word the account would be charged the whole
-        reservation.
-        """
-        if self._engine is None:
-            return None
-        with anyio.move_on_after(self._settings.cancel_timeout_s):
-            result = await self._engine.cancel(attempt_id)
-            if isinstance(result, Done):
-                return result.value
-        return None
-
-    async def _stop_unread(self, run: Run) -> None:
-        """Stop an attempt unless somebody goes on reading its answer.
-
-        Another caller may have joined; its answer must not be cut off by the
-        one who goes away. That one has closed its own stream before it
-        cancelled, but the end of the stream can be noticed after the cancel.
-        """
-        with anyio.move_on_after(_STREAM_END_S):
-            while run.readers:
-                await run.idle()
-        if run.readers:
-            return
-        run.scope.cancel()
-        with anyio.move_on_after(self._settings.cancel_timeout_s):
-            await run.ended.wait()
-
     async def Seal(self, stream: Any) -> None:
         """Refuse later work under grants; tell what each consumed."""
         request = await stream.recv_message()
