--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -171,6 +171,8 @@
             self._front,
             ip,
             port,
+            # A planned stop has waited for the answers in progress already.
+            graceful_s=0,
             header_bound=header_bound(self._parts.settings.http.max_header_bytes),
             task_status=task_status,
         )
