Fail the health page of a router that seems cut off; tell peers a reachable address

A process that listens on 0.0.0.0 told its peers and the key slots' map that address; it now has to name another one. The share of silent targets was worked out and nothing acted on it.

--- a/src/endivegw/composition/process.py
+++ b/src/endivegw/composition/process.py
@@ -81,7 +81,7 @@
         process.vm,
         role,
         process.availability_zone,
-        peers.listen,
+        peers.address,
     )
     name = identity.instance_id
     platform = open_platform(platform_settings, name, clock, rng)
--- a/src/endivegw/composition/sidecar.py
+++ b/src/endivegw/composition/sidecar.py
@@ -84,7 +84,7 @@
         instance_id=process.identity.instance_id,
         availability_zone=settings.process.availability_zone,
         vm=settings.process.vm,
-        address=str(settings.peers.listen),
+        address=str(settings.peers.address),
         serves=settings.target.serves,
         slots=settings.target.max_running,
         drain_bound_s=settings.process.drain_bound_s,
@@ -96,7 +96,7 @@
         vm=settings.process.vm,
         target=settings.target.target,
         instance_id=process.identity.instance_id,
-        address=str(settings.peers.listen),
+        address=str(settings.peers.address),
     )
     platform = process.platform
     return SlotDesk(
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -81,7 +81,9 @@
     """Answer callers' HTTP requests; an ASGI application.
 
     :param snapshot: returns the configuration in force in this process.
-    :param ready: returns whether the balancer should send callers here.
+    :param takes_work: returns whether requests are taken.
+    :param healthy: returns whether the balancer should send callers here; a
+        router that seems cut off from its targets still tries what comes.
     :param clock: seconds on a clock that never goes back.
     """
 
@@ -89,13 +91,15 @@
         self,
         runner: RunRequest,
         snapshot: Callable[[], Snapshot],
-        ready: Callable[[], bool],
+        takes_work: Callable[[], bool],
+        healthy: Callable[[], bool],
         limits: HttpLimits,
         clock: Callable[[], float],
     ) -> None:
         self._runner = runner
         self._snapshot = snapshot
-        self._ready = ready
+        self._takes_work = takes_work
+        self._healthy = healthy
         self._limits = limits
         self._clock = clock
         #: Requests whose answer has not ended; a planned stop waits for them.
@@ -124,14 +128,14 @@
             await send_json(send, 200, {"status": "live"})
             return
         if path == "/readyz":
-            ready = self._ready()
+            ready = self._takes_work() and self._healthy()
             status = "ready" if ready else "not ready"
             await send_json(send, 200 if ready else 503, {"status": status})
             return
         headers = {
             k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]
         }
-        if not self._ready():
+        if not self._takes_work():
             refused = Refused(Reason.NOT_READY, "this router takes no new work", 1.0)
             await send_error(send, http_error(refused))
             return
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -194,6 +194,9 @@
             RequestRunner(parts.runner, background),
             lambda: parts.configuration.snapshot,
             lambda: self.ready,
+            # Cut off from most targets, the fault is most likely here: callers
+            # fare better at another router.
+            lambda: not parts.watch.seems_cut_off,
             parts.settings.http,
             parts.clock,
         )
--- a/src/endivegw/dev/layout.py
+++ b/src/endivegw/dev/layout.py
@@ -142,6 +142,7 @@
 def _peers(ip: str, peer_port: int) -> PeerSettings:
     return PeerSettings(
         listen=Address(ip, peer_port),
+        address=Address(ip, peer_port),
         router_port=peer_port,
         sidecar_port=peer_port,
         plain=True,
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import pathlib
 
 from endivegw.configuration import TargetKind
@@ -108,8 +109,10 @@
 
 
 def _peers(reader: SettingsReader, own_port: int) -> PeerSettings:
+    listen = reader.address("peers", "listen", Address("127.0.0.1", own_port))
     settings = PeerSettings(
-        listen=reader.address("peers", "listen", Address("127.0.0.1", own_port)),
+        listen=listen,
+        address=reader.address("peers", "address", listen),
         router_port=reader.whole("peers", "router_port", DEFAULT_ROUTER_PORT),
         sidecar_port=reader.whole("peers", "sidecar_port", DEFAULT_SIDECAR_PORT),
         plain=reader.flag("peers", "plain", False),
@@ -119,9 +122,19 @@
         shared_key_file=reader.file("peers", "shared_key_file"),
     )
     _check_authentication(reader, settings)
+    _check_address(reader, settings)
     return settings
 
 
+def _check_address(reader: SettingsReader, settings: PeerSettings) -> None:
+    if not ipaddress.ip_address(settings.address.ip).is_unspecified:
+        return
+    raise SettingsError(
+        f"{reader.path}: [peers] address: peers cannot reach {settings.address}; "
+        "name the machine's own address here"
+    )
+
+
 def _check_authentication(reader: SettingsReader, settings: PeerSettings) -> None:
     tls = (settings.tls_ca, settings.tls_certificate, settings.tls_key)
     if any(tls) and not all(tls):
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -46,12 +46,15 @@
     """Say how the fleet's processes reach and know each other.
 
     :param listen: the address on which this process takes its peers' calls.
+    :param address: where peers reach it, which is told to them; the same
+        address, unless the process listens on all of its machine's.
     :param router_port: port of every router's peer address.
     :param sidecar_port: port of every sidecar's peer address.
     :param plain: whether calls go without authentication.
     """
 
     listen: Address
+    address: Address
     router_port: int
     sidecar_port: int
     plain: bool
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -86,12 +86,15 @@
     *,
     method="POST",
     ready=True,
+    healthy=True,
     gone=False,
     chunks=None,
     **headers,
 ):
     """Return the reply to one request."""
-    front = HttpFront(runner, lambda: SNAPSHOT, lambda: ready, LIMITS, lambda: 100.0)
+    front = HttpFront(
+        runner, lambda: SNAPSHOT, lambda: ready, lambda: healthy, LIMITS, lambda: 100.0
+    )
     fields = {"authorization": f"Bearer {KEY}", **headers}
     scope = {
         "type": "http",
@@ -329,3 +332,11 @@
         reply = call(runner, "/v1/chat/completions", chat(), ready=False)
         self.assertEqual(reply.headers["endivegw-outcome"], "not-run")
         self.assertEqual(reply.headers["retry-after"], "1")
+
+    def test_router_that_seems_cut_off_leaves_the_balancer(self):
+        """Most targets of a router fell silent at once. Its health page fails,
+        so that callers go to another one; who comes all the same is served."""
+        runner = FakeRunner(ANSWERED)
+        self.assertEqual(call(runner, "/readyz", healthy=False).status, 503)
+        reply = call(runner, "/v1/chat/completions", chat(), healthy=False)
+        self.assertEqual(reply.status, 200)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -76,6 +76,14 @@
         """Without TLS, a shared key or an explicit word no daemon starts."""
         self.assert_problem(ROUTER.replace("plain = yes", ""), "[peers] plain")
 
+    def test_address_for_peers_must_be_one_that_they_can_reach(self):
+        """A process that listens everywhere must say where peers find it; they
+        would otherwise send claims and heartbeats to themselves."""
+        text = ROUTER.replace("listen = 127.0.0.1:7401", "listen = 0.0.0.0:7401")
+        self.assert_problem(text, "[peers] address")
+        told = text.replace("plain = yes", "plain = yes\naddress = 10.0.0.7:7401")
+        self.assertEqual(str(self.load(told).peers.address), "10.0.0.7:7401")
+
     def test_sidecar_names_its_target(self):
         """A sidecar's file without a target is refused."""
         self.path.write_text(ROUTER)
