Answer a request that a check stopped; keep its failure from ending the router

A request stopped by an invariant got the server's bare error page, and one that failed after its caller had gone took the whole router with it.

--- a/src/endivegw/daemons/held_attempts.py
+++ b/src/endivegw/daemons/held_attempts.py
@@ -10,10 +10,10 @@
 from typing import Callable
 
 import anyio
-from anyio.abc import TaskGroup
 from attrs import evolve, frozen
 
 from endivegw.budgets import BudgetKeeper, Reservation
+from endivegw.daemons.background import Background
 from endivegw.daemons.request_plan import RequestPlan
 from endivegw.daemons.sidecar_links import (
     CancelWord,
@@ -60,7 +60,7 @@
         keeper: BudgetKeeper,
         sidecars: SidecarDirectory,
         header: Callable[[], pb.Header],
-        tasks: TaskGroup,
+        tasks: Background,
         clock: Callable[[], float],
         log: EventLog,
     ) -> None:
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -33,8 +33,11 @@
     RoutedRequest,
     ServiceCall,
 )
-from endivegw.results import Reason, Refused
+from endivegw.exceptions import EndivegwError
+from endivegw.results import Reason, Refused, Unknown
 from endivegw.settings import HttpLimits
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue.daemons import INVARIANT_BROKEN
 
 __all__ = ["HttpFront", "RunRequest"]
 
@@ -95,6 +98,7 @@
         healthy: Callable[[], bool],
         limits: HttpLimits,
         clock: Callable[[], float],
+        log: EventLog,
     ) -> None:
         self._runner = runner
         self._snapshot = snapshot
@@ -102,6 +106,7 @@
         self._healthy = healthy
         self._limits = limits
         self._clock = clock
+        self._log = log
         #: Requests whose answer has not ended; a planned stop waits for them.
         self.in_progress = 0
 
@@ -283,7 +288,7 @@
             streaming = isinstance(request.call, ServiceCall) and request.call.rest
             if not streaming:
                 tasks.start_soon(_cancel_when_gone, receive, tasks.cancel_scope)
-            end = await self._runner.run(request, sink)
+            end = await self._run_checked(request, sink)
             try:
                 await sink.end(end)
             except CutAnswer as cut:
@@ -291,6 +296,17 @@
                 raise cut
             tasks.cancel_scope.cancel()
 
+    async def _run_checked(
+        self, request: RoutedRequest, sink: AnswerSink
+    ) -> RequestEnd:
+        try:
+            return await self._runner.run(request, sink)
+        except EndivegwError as error:
+            # A promise was about to be broken, or an answer made no sense. The
+            # server's own page would not say that the request may have run.
+            self._log.emit(INVARIANT_BROKEN, detail=error.message)
+            return Unknown(Reason.TARGET_FAILED, "an internal check failed")
+
 
 def _engine_call(completion: CompletionRequest) -> EngineCall:
     model, _, adapter = completion.model.partition("+")
--- a/src/endivegw/daemons/request_runner.py
+++ b/src/endivegw/daemons/request_runner.py
@@ -6,10 +6,10 @@
 import uuid
 from typing import Callable
 
-from anyio.abc import TaskGroup
 from attrs import frozen
 
 from endivegw.budgets import BudgetKeeper
+from endivegw.daemons.background import Background
 from endivegw.daemons.claim_client import ClaimClient
 from endivegw.daemons.held_attempts import HeldAttempts
 from endivegw.daemons.placement_queue import PlacementQueue
@@ -55,7 +55,7 @@
         caller went away is settled there.
     """
 
-    def __init__(self, parts: RunnerParts, background: TaskGroup) -> None:
+    def __init__(self, parts: RunnerParts, background: Background) -> None:
         self._parts = parts
         self._background = background
         self._retries = RetryBudget(parts.retry_policy)
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -10,6 +10,7 @@
 
 from endivegw.budgets import BudgetKeeper
 from endivegw.configuration.agent import ConfigurationAgent
+from endivegw.daemons.background import Background
 from endivegw.daemons.http_front import HttpFront
 from endivegw.daemons.http_messages import header_bound
 from endivegw.daemons.lent_grants import LentGrants
@@ -191,7 +192,7 @@
     def _build_front(self, background: TaskGroup) -> HttpFront:
         parts = self._parts
         return HttpFront(
-            RequestRunner(parts.runner, background),
+            RequestRunner(parts.runner, Background(background, parts.log)),
             lambda: parts.configuration.snapshot,
             lambda: self.ready,
             # Cut off from most targets, the fault is most likely here: callers
@@ -199,4 +200,5 @@
             lambda: not parts.watch.seems_cut_off,
             parts.settings.http,
             parts.clock,
+            parts.log,
         )
--- a/src/endivegw/dev/calls.py
+++ b/src/endivegw/dev/calls.py
@@ -214,7 +214,7 @@
         said = headers.get(OUTCOME_HEADER)
         reply.outcome = Outcome(said) if said else None
         if reply.status != _OK:
-            reply.code = json.loads(data)["error"]["code"]
+            reply.code = _code_of(data)
             return
         _understand(call, data, reply)
 
@@ -233,6 +233,14 @@
     return "POST", "/v1/chat/completions", json.dumps(document).encode()
 
 
+def _code_of(data: bytes) -> str:
+    """Return an error's code; "" for a page of the server that was killed."""
+    try:
+        return str(json.loads(data)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 def _understand(call: Call, data: bytes, reply: _Reply) -> None:
     """Take an answer apart as a client would."""
     if call.is_service:
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -10,8 +10,10 @@
 from endivegw.daemons.http_answers import CutAnswer
 from endivegw.daemons.http_front import HttpFront
 from endivegw.daemons.routed import Answered
+from endivegw.exceptions import InvariantError
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.settings import HttpLimits
+from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, ConfigRevision, Usage
 
 KEY = "sk-lobby"
@@ -47,6 +49,8 @@
 
     async def run(self, request, sink):
         self.requests.append(request)
+        if isinstance(self.end, Exception):
+            raise self.end
         try:
             if self.wait:
                 await anyio.sleep_forever()
@@ -93,7 +97,13 @@
 ):
     """Return the reply to one request."""
     front = HttpFront(
-        runner, lambda: SNAPSHOT, lambda: ready, lambda: healthy, LIMITS, lambda: 100.0
+        runner,
+        lambda: SNAPSHOT,
+        lambda: ready,
+        lambda: healthy,
+        LIMITS,
+        lambda: 100.0,
+        EventLog("router"),
     )
     fields = {"authorization": f"Bearer {KEY}", **headers}
     scope = {
@@ -180,6 +190,15 @@
         self.assertEqual(reply.headers["x-should-retry"], "true")
         self.assertEqual(reply.headers["retry-after"], "1")
 
+    def test_broken_invariant_is_told_as_unknown(self):
+        """A check inside the program stops a request half-way. The caller hears
+        in the usual shape that it may have run, not a bare server error."""
+        runner = FakeRunner(InvariantError("billed twice"))
+        reply = call(runner, "/v1/chat/completions", chat())
+        self.assertEqual((reply.status, reply.code), (502, "target_failed"))
+        self.assertEqual(reply.headers["endivegw-outcome"], "unknown")
+        self.assertNotIn(b"billed", reply.body)
+
     def test_refusals_say_not_run_and_when_to_retry(self):
         """Exhausted budgets are final; overload says when to come back."""
         spent = Refused(Reason.BUDGET_EXHAUSTED, "the budget is spent")
--- a/tests/test_request_body.py
+++ b/tests/test_request_body.py
@@ -7,6 +7,7 @@
 import anyio
 
 from endivegw.configuration import AccountParameters
+from endivegw.daemons.background import Background
 from endivegw.daemons.request_runner import RequestRunner, RunnerParts
 from endivegw.daemons.routed import RoutedRequest, ServiceCall
 from endivegw.daemons.sidecar_links import SidecarLink
@@ -91,7 +92,7 @@
         deadline_s=now_s + 20.0,
     )
     async with anyio.create_task_group() as tasks:
-        runner = RequestRunner(parts, tasks)
+        runner = RequestRunner(parts, Background(tasks, parts.log))
         end = await runner.run(request, SimpleNamespace(reset=lambda: None))
         tasks.cancel_scope.cancel()
     return end
