--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -10,8 +10,10 @@
 from endivegw.daemons.http_answers import CutAnswer
 from endivegw.daemons.http_front import HttpFront
 from endivegw.daemons.routed import Answered
+from endivegw.exceptions import InvariantError
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.settings import HttpLimits
+from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, ConfigRevision, Usage
 
 KEY = "sk-lobby"
@@ -47,6 +49,8 @@
 
     async def run(self, request, sink):
         self.requests.append(request)
+        if isinstance(self.end, Exception):
+            raise self.end
         try:
             if self.wait:
                 await anyio.sleep_forever()
@@ -86,12 +90,21 @@
     *,
     method="POST",
     ready=True,
+    healthy=True,
     gone=False,
     chunks=None,
     **headers,
 ):
     """Return the reply to one request."""
-    front = HttpFront(runner, lambda: SNAPSHOT, lambda: ready, LIMITS, lambda: 100.0)
+    front = HttpFront(
+        runner,
+        lambda: SNAPSHOT,
+        lambda: ready,
+        lambda: healthy,
+        LIMITS,
+        lambda: 100.0,
+        EventLog("router"),
+    )
     fields = {"authorization": f"Bearer {KEY}", **headers}
     scope = {
         "type": "http",
@@ -177,6 +190,15 @@
         self.assertEqual(reply.headers["x-should-retry"], "true")
         self.assertEqual(reply.headers["retry-after"], "1")
 
+    def test_broken_invariant_is_told_as_unknown(self):
+        """A check inside the program stops a request half-way. The caller hears
+        in the usual shape that it may have run, not a bare server error."""
+        runner = FakeRunner(InvariantError("billed twice"))
+        reply = call(runner, "/v1/chat/completions", chat())
+        self.assertEqual((reply.status, reply.code), (502, "target_failed"))
+        self.assertEqual(reply.headers["endivegw-outcome"], "unknown")
+        self.assertNotIn(b"billed", reply.body)
+
     def test_refusals_say_not_run_and_when_to_retry(self):
         """Exhausted budgets are final; overload says when to come back."""
         spent = Refused(Reason.BUDGET_EXHAUSTED, "the budget is spent")
@@ -281,6 +303,24 @@
         self.assertEqual(reply.status, 200)
         self.assertIs(runner.requests[0].repeatable, False)
 
+    def test_only_what_lies_below_a_prefix_is_repeatable(self):
+        """A prefix ends at a slash: a longer name is another call, and a path
+        that climbs out of the prefix is refused. Either would let a notice
+        that may not be repeated run twice."""
+        runner = FakeRunner(ANSWERED, pieces=(b"ok",))
+        base = "/services/lobby-app/"
+        for path, code in (
+            ("statusboard", "idempotency_key_required"),
+            ("status/../notices", "bad_request"),
+            ("status/./7", "bad_request"),
+            ("status/..\\notices", "bad_request"),
+        ):
+            with self.subTest(path=path):
+                self.assertEqual(call(runner, base + path, b"x").code, code)
+        self.assertEqual(runner.requests, [])
+        self.assertEqual(call(runner, base + "status", b"x").status, 200)
+        self.assertIs(runner.requests[0].repeatable, True)
+
     def test_cut_answer_closes_the_connection(self):
         """A service dies in the middle of its answer.
         The connection is cut, so that nobody takes the piece for the whole."""
@@ -311,3 +351,11 @@
         reply = call(runner, "/v1/chat/completions", chat(), ready=False)
         self.assertEqual(reply.headers["endivegw-outcome"], "not-run")
         self.assertEqual(reply.headers["retry-after"], "1")
+
+    def test_router_that_seems_cut_off_leaves_the_balancer(self):
+        """Most targets of a router fell silent at once. Its health page fails,
+        so that callers go to another one; who comes all the same is served."""
+        runner = FakeRunner(ANSWERED)
+        self.assertEqual(call(runner, "/readyz", healthy=False).status, 503)
+        reply = call(runner, "/v1/chat/completions", chat(), healthy=False)
+        self.assertEqual(reply.status, 200)
