Give the fake router the driver's new question

Six tests of claims ended on an attribute that the fake lacked; the driver asks since the last change whether an order may still start the request.

--- a/tests/test_sidecar_claims.py
+++ b/tests/test_sidecar_claims.py
@@ -160,6 +160,9 @@
         start.remaining_s = max(0.0, remaining_s)
         return start
 
+    def may_start(self):
+        return True
+
     def body(self):
         return None
 
