--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -8,46 +8,23 @@
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarStub
 from endivegw.peers.call import (
-    DEFAULT_CONNECT_TIMEOUT_S,
     LOST,
-    call_once,
     cancelling,
     connect,
     forget_cancellation,
     lost_error,
 )
-from endivegw.peers.heartbeat_stream import HeartbeatStream
 from endivegw.peers.limits import BODY_CHUNK_BYTES
-from endivegw.peers.security import PeerSecurity, PlainPeers, open_channel
+from endivegw.peers.peer_client import PeerClient
 
 __all__ = ["SidecarClient"]
 
 
-class SidecarClient:
-    """Call one sidecar over one connection, which is made anew when it breaks.
-
-    :param security: how calls prove that they come from the fleet.
-    :param sender: the instance id of this process.
-    :param connect_timeout_s: how long making the connection may take.
-    """
-
-    def __init__(
-        self,
-        host: str,
-        port: int,
-        security: PeerSecurity = PlainPeers(),
-        *,
-        sender: str = "",
-        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
-    ) -> None:
-        self._channel = open_channel(host, port, security, sender=sender)
-        self._stub = SidecarStub(self._channel)
-        self._connect_timeout_s = connect_timeout_s
-        self._heartbeats = HeartbeatStream(self._stub.Heartbeat, connect_timeout_s)
-
-    def close(self) -> None:
-        """Close the connection; running calls end as :exc:`Broken`."""
-        self._channel.close()
+class SidecarClient(PeerClient):
+    """Call one sidecar; the parameters are those of :class:`PeerClient`."""
+
+    def __init__(self, *address: Any, **options: Any) -> None:
+        super().__init__(SidecarStub, *address, **options)
 
     async def execute(
         self, start: pb.ExecuteStart, body: AsyncIterator[bytes] | None = None
@@ -89,21 +66,10 @@
         """Return the :class:`pb.SealReply`."""
         return await self._call(self._stub.Seal, request, timeout_s)
 
-    async def heartbeat(self, request: pb.HeartbeatRequest, timeout_s: float) -> Any:
-        """Return the :class:`pb.HeartbeatReply`."""
-        return await self._heartbeats.exchange(request, timeout_s)
-
     async def claim(self, request: pb.ClaimRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.ClaimReply`."""
         return await self._call(self._stub.Claim, request, timeout_s)
 
-    async def configuration(self, request: pb.ConfigRequest, timeout_s: float) -> Any:
-        """Return the :class:`pb.ConfigReply`."""
-        return await self._call(self._stub.Configuration, request, timeout_s)
-
-    async def _call(self, method: Any, request: Any, timeout_s: float) -> Any:
-        return await call_once(method, request, timeout_s, self._connect_timeout_s)
-
 
 def _start_sender(
     stream: Any, body: AsyncIterator[bytes] | None
