Keep one version of the messages; drop a listing of connections that nobody calls

The version that a process writes stood twice, once for routers and once for sidecars, and an upgrade of one alone would have had every order refused.

--- a/src/endivegw/daemons/headers.py
+++ b/src/endivegw/daemons/headers.py
@@ -10,9 +10,16 @@
 from endivegw.settings import Address
 from endivegw.types import AvailabilityZone, ConfigRevision, InstanceId
 
-__all__ = ["HasRevision", "ProcessIdentity", "Sender", "header_writer", "sender_of"]
-
-#: Version of the messages between the fleet's processes.
+__all__ = [
+    "HasRevision",
+    "PROTOCOL_VERSION",
+    "ProcessIdentity",
+    "Sender",
+    "header_writer",
+    "sender_of",
+]
+
+#: Version of the messages between the fleet's processes that this program writes.
 PROTOCOL_VERSION = 1
 
 
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
+from endivegw.daemons.headers import PROTOCOL_VERSION
 from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.sidecar_body import BodyChannel
 from endivegw.daemons.sidecar_cancel import Cancels
@@ -17,7 +18,7 @@
     refusal,
     refusal_frame,
 )
-from endivegw.daemons.sidecar_gate import PROTOCOL_VERSION, Gate
+from endivegw.daemons.sidecar_gate import Gate
 from endivegw.daemons.sidecar_jobs import Jobs, Target, engine_of
 from endivegw.daemons.sidecar_load import LoadWatch
 from endivegw.daemons.sidecar_ports import (
--- a/src/endivegw/daemons/sidecar_gate.py
+++ b/src/endivegw/daemons/sidecar_gate.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from endivegw.daemons.headers import PROTOCOL_VERSION
 from endivegw.daemons.sidecar_frames import offer_of
 from endivegw.daemons.sidecar_ports import Clock, GrantGate, KnownConfiguration
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
@@ -17,12 +18,10 @@
     GrantId,
 )
 
-__all__ = ["Gate", "OLDEST_PROTOCOL_VERSION", "PROTOCOL_VERSION"]
+__all__ = ["Gate", "OLDEST_PROTOCOL_VERSION"]
 
-#: The version of the messages that this program writes.
-PROTOCOL_VERSION = 1
-
-#: The oldest that it still understands; both run side by side in an upgrade.
+#: The oldest version of the messages that this program still understands: in an
+#: upgrade two versions run side by side.
 OLDEST_PROTOCOL_VERSION = 1
 
 
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -132,14 +132,6 @@
                 return SidecarLink(client, heartbeat.start_incarnation)
         return None
 
-    def clients(self) -> dict[TargetName, SidecarClient]:
-        """Return the connections to all targets that have answered once."""
-        return {
-            peer.heartbeat.target: self._heartbeats.client(peer.address)
-            for peer in self._view.peers(TARGET_ROLE)
-            if peer.heartbeat is not None and not peer.superseded
-        }
-
     async def run(self) -> None:
         """Watch for as long as the router lives."""
         try:
