--- a/benchmarks/capacity/operator_cost.py
+++ b/benchmarks/capacity/operator_cost.py
@@ -18,8 +18,8 @@
 from endivegw.configuration import TargetKind, TargetParameters
 from endivegw.configuration.parameters import Parameters
 from endivegw.configuration.store import load_documents
-from endivegw.platform.dynamo_table import DynamoTable
 from endivegw.results import Done
+from endivegw.services.dynamo_table import DynamoTable
 from endivegw.types import TargetName
 from endivegw_standins.platform_app import StandinPlatform
 from endivegw_standins.serving import served
--- a/benchmarks/capacity/small_fleet.py
+++ b/benchmarks/capacity/small_fleet.py
@@ -27,7 +27,7 @@
     target_address,
 )
 from endivegw.dev.sample import load_sample
-from endivegw.platform import ListedVm, VmState
+from endivegw.services import ListedVm, VmState
 from endivegw.settings import PeerSettings
 from endivegw.telemetry import json_line_handler
 from endivegw.types import TargetName
--- a/benchmarks/capacity/state_cost.py
+++ b/benchmarks/capacity/state_cost.py
@@ -28,8 +28,8 @@
     MembershipView,
 )
 from endivegw.peers.call_auth import NonceMemory
-from endivegw.platform import ListedVm, VmState
 from endivegw.requests.buffer import AnswerBuffer
+from endivegw.services import ListedVm, VmState
 from endivegw.targets import EngineLoad
 from endivegw.types import (
     AttemptId,
--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -42,9 +42,9 @@
 from endivegw.configuration.spread import SpreadSettings
 from endivegw.configuration.store import load_changes
 from endivegw.membership.policy import MembershipPolicy
-from endivegw.platform.dynamo_table import DynamoTable
-from endivegw.platform.signing import Credentials
 from endivegw.results import Done
+from endivegw.services.dynamo_table import DynamoTable
+from endivegw.services.signing import Credentials
 from endivegw_standins.platform_app import StandinPlatform
 from endivegw_standins.serving import served
 from endivegw_standins.spread_world import SpreadWorld, WorldSettings
--- /dev/null
+++ b/src/endivegw/allowances/book.py
@@ -0,0 +1,220 @@
+"""All budgets of one router: reserve, settle, lend, borrow, plan the next write.
+
+Pure state: the present time and the store's time are arguments.
+"""
+
+from __future__ import annotations
+
+import enum
+
+from attrs import define, field, frozen
+
+from endivegw.allowances.funds import Funds, Terms
+from endivegw.allowances.options import AllowanceOptions
+from endivegw.allowances.reservation import Reservation
+from endivegw.allowances.rows import BudgetTotal, HolderRow
+from endivegw.types import ClientAccountName, InstanceId
+
+__all__ = ["AllowanceBook", "PlannedWrite", "Shortage"]
+
+
+class Shortage(enum.Enum):
+    """What a request lacks."""
+
+    #: The tokens are held, but the recorded limit does not cover them yet.
+    LIMIT = "limit"
+    #: The router holds too few tokens.
+    TOKENS = "tokens"
+
+
+@frozen
+class PlannedWrite:
+    """Hold one transaction: the router's row and the budgets that it draws on.
+
+    :param budgets: the new total by account.
+    :param expected: the revisions that the budgets' rows must have.
+    """
+
+    row: HolderRow
+    budgets: dict[ClientAccountName, int]
+    expected: dict[ClientAccountName, int]
+
+
+@define
+class AllowanceBook:
+    """Hold one router's part of all budgets.
+
+    :ivar prepaid_tokens: what each account may consume in all, by the
+        configuration in force.
+    :ivar totals: what all routers drew, as last read.
+    :ivar wanted_tokens: what requests wait for, by account.
+    """
+
+    instance_id: InstanceId
+    options: AllowanceOptions = field(factory=AllowanceOptions)
+    funds: dict[ClientAccountName, Funds] = field(factory=dict)
+    prepaid_tokens: dict[ClientAccountName, int] = field(factory=dict)
+    totals: dict[ClientAccountName, BudgetTotal] = field(factory=dict)
+    wanted_tokens: dict[ClientAccountName, int] = field(factory=dict)
+    _sequence: int = 0
+
+    def set_prepaid(self, prepaid: dict[ClientAccountName, int]) -> None:
+        """Take over the budgets of the configuration in force."""
+        self.prepaid_tokens = dict(prepaid)
+
+    def of(self, account: ClientAccountName) -> Funds:
+        """Return the funds of an account, empty ones at first."""
+        return self.funds.setdefault(account, Funds())
+
+    # Requests.
+
+    def reserve(
+        self,
+        account: ClientAccountName,
+        tokens: int,
+        store_ms: float,
+        now_s: float,
+    ) -> Reservation | Shortage:
+        """Hold tokens for a request, or say what is short."""
+        funds = self.of(account)
+        if funds.room_tokens(store_ms, self.options.pace_most_s) >= tokens:
+            funds.reserved_tokens += tokens
+            return Reservation(account, tokens)
+        if funds.hand_tokens >= tokens:
+            return Shortage.LIMIT
+        return Shortage.TOKENS
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """End a reservation with what the request consumed."""
+        if not reservation.open:
+            return
+        reservation.open = False
+        funds = self.of(reservation.client_account)
+        funds.reserved_tokens -= reservation.tokens
+        funds.settled_tokens += min(used_tokens, reservation.tokens)
+
+    # Peers.
+
+    def lend(
+        self,
+        account: ClientAccountName,
+        least_tokens: int,
+        wanted_tokens: int,
+        store_ms: float,
+    ) -> int:
+        """Debit tokens for a peer; return how many.
+
+        It gets what its request lacks, and up to half of what is free here, so
+        that an account whose callers moved to the peer does not ask each time.
+        """
+        funds = self.of(account)
+        room = funds.room_tokens(store_ms, self.options.pace_most_s)
+        tokens = min(wanted_tokens, max(min(least_tokens, room), room // 2))
+        if tokens <= 0:
+            return 0
+        funds.lent_tokens += tokens
+        return tokens
+
+    def borrow(self, account: ClientAccountName, tokens: int) -> None:
+        """Credit tokens that a peer has debited."""
+        self.of(account).borrowed_tokens += tokens
+
+    # The store.
+
+    def left_tokens(self, account: ClientAccountName) -> int:
+        """Return what the budget has beyond what routers drew, as last read."""
+        prepaid = self.prepaid_tokens.get(account, 0)
+        total = self.totals.get(account, BudgetTotal())
+        return prepaid - total.drawn_tokens
+
+    def plan_write(self, store_ms: float, now_s: float, routers: int) -> PlannedWrite:
+        """Return the next write, and count it as pending.
+
+        :param routers: how many routers share the budgets now.
+        """
+        terms: dict[ClientAccountName, Terms] = {}
+        budgets: dict[ClientAccountName, int] = {}
+        expected: dict[ClientAccountName, int] = {}
+        for account in sorted(set(self.prepaid_tokens) | set(self.funds)):
+            funds = self.of(account)
+            funds.fade(now_s, self.options.demand_s)
+            change = self._draw(account, funds, routers)
+            if change:
+                total = self.totals.get(account, BudgetTotal())
+                budgets[account] = total.drawn_tokens + change
+                expected[account] = total.revision
+            drawn = funds.confirmed.drawn_tokens + change
+            funds.pending = self._terms(account, funds, drawn, store_ms)
+            terms[account] = funds.pending
+        self._sequence += 1
+        row = HolderRow(self.instance_id, self._sequence, terms)
+        return PlannedWrite(row, budgets, expected)
+
+    def commit(self, write: PlannedWrite, revision: int) -> None:
+        """Take in that a write took effect."""
+        for account, terms in write.row.terms.items():
+            funds = self.of(account)
+            funds.confirmed = terms
+            funds.pending = None
+        for account, drawn in write.budgets.items():
+            self.totals[account] = BudgetTotal(drawn, revision)
+
+    def void(self) -> None:
+        """Take in that a write did not take effect and never will."""
+        for funds in self.funds.values():
+            funds.pending = None
+
+    def succeed(self, row: HolderRow, store_ms: float) -> dict[ClientAccountName, int]:
+        """Take over the tokens of this router's earlier process, which ended.
+
+        What it may have used counts as used.
+
+        :returns: what is so written off by account.
+        """
+        lost: dict[ClientAccountName, int] = {}
+        for account, terms in row.terms.items():
+            most = terms.most_used_tokens(store_ms, self.options.pace_most_s)
+            funds = self.of(account)
+            funds.confirmed = Terms(terms.drawn_tokens, most, 0, terms.as_of_ms)
+            funds.settled_tokens = most
+            lost[account] = most
+        return lost
+
+    def give_back_all(self) -> None:
+        """Let the next write return what is in hand and state the exact use."""
+        self.prepaid_tokens = dict.fromkeys(self.prepaid_tokens, -1)
+
+    def _draw(self, account: ClientAccountName, funds: Funds, routers: int) -> int:
+        """Return what to draw now; below 0 to give back.
+
+        All of a budget is drawn as soon as it is there, in equal parts. What
+        counts in a cut is what the routers hold together: they lend to each
+        other within milliseconds, but nobody can draw.
+        """
+        if account in self.prepaid_tokens and self.prepaid_tokens[account] < 0:
+            return -max(0, funds.hand_tokens)
+        left = self.left_tokens(account)
+        if left < 0:
+            return -max(0, min(-left, funds.hand_tokens))
+        wanted = self.wanted_tokens.get(account, 0)
+        share = -(-left // max(1, routers))
+        if wanted <= 0 and share < self.options.least_draw_tokens:
+            return 0
+        return min(left, max(wanted, share))
+
+    def _terms(
+        self,
+        account: ClientAccountName,
+        funds: Funds,
+        drawn_tokens: int,
+        store_ms: float,
+    ) -> Terms:
+        """Return the promise of the next write."""
+        options = self.options
+        if self.prepaid_tokens.get(account, 0) < 0:
+            return Terms(drawn_tokens, funds.used_tokens, 0, int(store_ms))
+        demand = funds.demand_tokens_per_s
+        lead = int(demand * options.lead_s) + funds.largest_tokens
+        lead = max(lead, self.wanted_tokens.get(account, 0))
+        pace = int(demand * options.pace_factor)
+        return Terms(drawn_tokens, funds.used_tokens + lead, pace, int(store_ms))
--- /dev/null
+++ b/src/endivegw/allowances/funds.py
@@ -0,0 +1,96 @@
+"""One router's tokens of one budget: what it holds and how much it may use.
+
+Pure state. The router's row in the store carries :class:`Terms`. They promise
+that its use never exceeds a limit that grows with the store's clock at a stated
+pace. A successor that reads the row therefore knows the most that can have been
+used, whenever the router died and whether or not it could reach the store then.
+Without the pace, a router that is cut off could use only what it had written
+before; without the limit, all that it held would be lost with it.
+"""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+__all__ = ["Funds", "Terms"]
+
+
+@frozen
+class Terms:
+    """Hold what a row says of one budget.
+
+    :param drawn_tokens: what the router took from the budget, less what it gave
+        back. Below 0 where it gave back more, having received from peers.
+    :param limit_tokens: the most that it may have used at ``as_of_ms``.
+    :param pace_tokens_per_s: how fast the limit grows from then on.
+    :param as_of_ms: on the store's clock.
+    """
+
+    drawn_tokens: int = 0
+    limit_tokens: int = 0
+    pace_tokens_per_s: int = 0
+    as_of_ms: int = 0
+
+    def most_used_tokens(self, store_ms: float, pace_most_s: float) -> int:
+        """Return the most that may be used by a moment on the store's clock."""
+        elapsed_s = min(max(0.0, (store_ms - self.as_of_ms) / 1000.0), pace_most_s)
+        grown = self.limit_tokens + int(self.pace_tokens_per_s * elapsed_s)
+        return min(self.drawn_tokens, grown)
+
+
+@define
+class Funds:
+    """Count one router's tokens of one budget.
+
+    :ivar confirmed: what the store is known to hold.
+    :ivar pending: what a write without an answer may have put in its place; the
+        use stays within both, since either may be what a successor reads.
+    :ivar settled_tokens: consumed by requests that ended.
+    :ivar reserved_tokens: held by requests in progress.
+    :ivar lent_tokens: given to peers; for the row they count as used.
+    :ivar borrowed_tokens: received from peers, who count them as used.
+    """
+
+    confirmed: Terms = field(factory=Terms)
+    pending: Terms | None = None
+    settled_tokens: int = 0
+    reserved_tokens: int = 0
+    lent_tokens: int = 0
+    borrowed_tokens: int = 0
+    demand_tokens_per_s: float = 0.0
+    largest_tokens: int = 0
+    _noted_s: float | None = None
+
+    @property
+    def used_tokens(self) -> int:
+        """Return the net use that the row's limit must cover."""
+        own = self.settled_tokens + self.reserved_tokens
+        return own + self.lent_tokens - self.borrowed_tokens
+
+    @property
+    def hand_tokens(self) -> int:
+        """Return what is held and not in use, whether or not it may be used."""
+        drawn = self.confirmed.drawn_tokens
+        if self.pending is not None:
+            drawn = min(drawn, self.pending.drawn_tokens)
+        return drawn - self.used_tokens
+
+    def room_tokens(self, store_ms: float, pace_most_s: float) -> int:
+        """Return what may be used now."""
+        most = self.confirmed.most_used_tokens(store_ms, pace_most_s)
+        if self.pending is not None:
+            most = min(most, self.pending.most_used_tokens(store_ms, pace_most_s))
+        return most - self.used_tokens
+
+    def note_demand(self, tokens: int, now_s: float, demand_s: float) -> None:
+        """Count tokens asked for into the measured demand."""
+        self.largest_tokens = max(self.largest_tokens, tokens)
+        self.fade(now_s, demand_s)
+        self.demand_tokens_per_s += tokens / demand_s
+
+    def fade(self, now_s: float, demand_s: float) -> None:
+        """Let the measured demand fade with time."""
+        if self._noted_s is not None:
+            elapsed_s = max(0.0, now_s - self._noted_s)
+            self.demand_tokens_per_s *= max(0.0, 1.0 - elapsed_s / demand_s)
+        self._noted_s = now_s
--- /dev/null
+++ b/src/endivegw/allowances/keeper.py
@@ -0,0 +1,237 @@
+"""Keep a router's tokens: reserve for requests, write the row, ask peers."""
+
+from __future__ import annotations
+
+from typing import Callable, Protocol
+
+import anyio
+from attrs import frozen
+
+from endivegw.allowances.book import AllowanceBook, Shortage
+from endivegw.allowances.options import AllowanceOptions
+from endivegw.allowances.reservation import Reservation
+from endivegw.allowances.row_writer import RowWriter
+from endivegw.allowances.store_clock import StoreClock
+from endivegw.results import Reason, Refused
+from endivegw.services.row_store import RowStorePort
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue import allowances as events
+from endivegw.types import ClientAccountName, InstanceId
+
+__all__ = ["AllowanceKeeper", "LendingPort", "PeerSpare"]
+
+#: When a caller without tokens should come back: by then writes and peers have
+#: had several more tries.
+_RETRY_S = 0.4
+
+#: Rounds of one reservation; each ends in tokens or in one thing less to try.
+_ROUNDS = 4
+
+
+@frozen
+class PeerSpare:
+    """Hold what peers said last about one account.
+
+    :param spare_tokens: what they had free together.
+    :param all_heard: whether each router was heard within the last second.
+    """
+
+    spare_tokens: int
+    all_heard: bool
+
+
+class LendingPort(Protocol):
+    """The other routers, asked for tokens."""
+
+    async def ask(
+        self,
+        account: ClientAccountName,
+        least_tokens: int,
+        wanted_tokens: int,
+        *,
+        timeout_s: float,
+    ) -> int:
+        """Have peers debit tokens; return how many were credited to the keeper."""
+
+    def spare(self, account: ClientAccountName, now_s: float) -> PeerSpare:
+        """Return what peers said last."""
+
+    def routers(self, now_s: float) -> int:
+        """Return how many routers there are, this one included."""
+
+
+class AllowanceKeeper:
+    """Hold the budgets of one router and keep its row in the store.
+
+    :param vm: names the row, so that the next process on the machine finds it.
+    :param clock: steady, and going on while the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        store: RowStorePort,
+        vm: str,
+        instance_id: InstanceId,
+        lending: LendingPort,
+        clock: Callable[[], float],
+        log: EventLog,
+        options: AllowanceOptions = AllowanceOptions(),
+    ) -> None:
+        self.options = options
+        self.book = AllowanceBook(instance_id, options)
+        self._lending = lending
+        self._clock = clock
+        self._log = log
+        self.store_clock = StoreClock(options.clock_margin)
+        self._writer = RowWriter(
+            store, vm, self.book, self.store_clock, lending.routers, clock, log
+        )
+        #: One slow reservation an account at a time: others of the account then
+        #: find what it fetched.
+        self._locks: dict[ClientAccountName, anyio.Lock] = {}
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the router has its row and may reserve."""
+        return self._writer.registered
+
+    async def run(self) -> None:
+        """Keep the row until cancelled."""
+        await self._writer.run()
+
+    def set_prepaid(self, prepaid: dict[ClientAccountName, int]) -> None:
+        """Take over budgets of a configuration, and draw at once on a top-up."""
+        self.book.set_prepaid(prepaid)
+        self._writer.read_budgets_soon()
+
+    def settle(self, reservation: Reservation, used_tokens: int) -> None:
+        """End a reservation with what was consumed."""
+        self.book.settle(reservation, used_tokens)
+
+    def lend(
+        self, account: ClientAccountName, least_tokens: int, wanted_tokens: int
+    ) -> int:
+        """Debit tokens for a peer that asks."""
+        store_ms = self.store_clock.now_ms(self._clock())
+        tokens = self.book.lend(account, least_tokens, wanted_tokens, store_ms)
+        if tokens < least_tokens:
+            self._writer.wake()
+        return tokens
+
+    def spare_tokens(self) -> dict[ClientAccountName, int]:
+        """Return what is free of each account, for the peers."""
+        return {
+            account: funds.hand_tokens
+            for account, funds in self.book.funds.items()
+            if funds.hand_tokens > 0
+        }
+
+    async def reserve(
+        self, account: ClientAccountName, tokens: int
+    ) -> Reservation | Refused:
+        """Hold tokens for a request.
+
+        :returns: refused with ``BUDGET_EXHAUSTED`` where the budget is known to
+            lack them, with ``BUDGET_UNAVAILABLE`` where it may have them and
+            they cannot be reached now.
+        """
+        now_s = self._clock()
+        if not self.ready:
+            return Refused(Reason.BUDGET_UNAVAILABLE, "no row in the store yet", 1.0)
+        self.book.of(account).note_demand(tokens, now_s, self.options.demand_s)
+        held = self._try(account, tokens)
+        if isinstance(held, Reservation):
+            return held
+        lock = self._locks.setdefault(account, anyio.Lock())
+        async with lock:
+            return await self._fetch(account, tokens)
+
+    async def stop(self) -> None:
+        """Give back what is in hand and state the exact use."""
+        await self._writer.stop()
+
+    def _try(self, account: ClientAccountName, tokens: int) -> Reservation | Shortage:
+        now_s = self._clock()
+        return self.book.reserve(account, tokens, self.store_clock.now_ms(now_s), now_s)
+
+    async def _fetch(
+        self, account: ClientAccountName, tokens: int
+    ) -> Reservation | Refused:
+        """Get what is short: from the store first, then from the peers."""
+        started_s = self._clock()
+        written = borrowed = False
+        for _ in range(_ROUNDS):
+            held = self._try(account, tokens)
+            if isinstance(held, Reservation):
+                return held
+            in_store = self.book.left_tokens(account) > 0
+            if not written and (held is Shortage.LIMIT or in_store):
+                written = True
+                await self._write_for(account, tokens)
+            elif not borrowed:
+                borrowed = True
+                await self._borrow(account, tokens)
+            else:
+                break
+        held = self._try(account, tokens)
+        if isinstance(held, Reservation):
+            return held
+        return self._refuse(account, tokens, held, started_s)
+
+    async def _write_for(self, account: ClientAccountName, tokens: int) -> None:
+        self.book.wanted_tokens[account] = tokens
+        try:
+            await self._writer.write_now(self.options.wait_s)
+        finally:
+            self.book.wanted_tokens.pop(account, None)
+
+    async def _borrow(self, account: ClientAccountName, tokens: int) -> None:
+        funds = self.book.of(account)
+        store_ms = self.store_clock.now_ms(self._clock())
+        room = funds.room_tokens(store_ms, self.options.pace_most_s)
+        least = tokens - max(0, room) if room > 0 else tokens - room
+        wanted = least + int(funds.demand_tokens_per_s)
+        got = await self._lending.ask(
+            account, least, wanted, timeout_s=self.options.borrow_s
+        )
+        self._log.emit(
+            events.TOKENS_BORROWED, client_account=account, tokens=got, least=least
+        )
+
+    def credit(self, account: ClientAccountName, tokens: int) -> None:
+        """Take tokens that a peer debited for this router."""
+        self.book.borrow(account, tokens)
+
+    def _refuse(
+        self,
+        account: ClientAccountName,
+        tokens: int,
+        shortage: Shortage,
+        started_s: float,
+    ) -> Refused:
+        """Say whether the budget has too little, or it cannot be told now."""
+        now_s = self._clock()
+        funds = self.book.of(account)
+        spare = self._lending.spare(account, now_s)
+        left = self.book.left_tokens(account)
+        known = spare.all_heard and self._writer.budgets_age_s(now_s) < 2.0
+        short = funds.hand_tokens + spare.spare_tokens + max(0, left) < tokens
+        exhausted = known and short
+        self._log.emit(
+            events.TOKENS_REFUSED,
+            client_account=account,
+            tokens=tokens,
+            shortage=shortage.value,
+            hand_tokens=funds.hand_tokens,
+            reserved_tokens=funds.reserved_tokens,
+            spare_tokens=spare.spare_tokens,
+            left_tokens=left,
+            exhausted=exhausted,
+            store_age_s=round(self._writer.store_age_s(now_s), 3),
+            waited_s=round(now_s - started_s, 4),
+        )
+        if exhausted:
+            detail = "the prepaid budget does not cover the request"
+            return Refused(Reason.BUDGET_EXHAUSTED, detail)
+        detail = "the prepaid budget cannot be reached now"
+        return Refused(Reason.BUDGET_UNAVAILABLE, detail, _RETRY_S)
--- /dev/null
+++ b/src/endivegw/allowances/row_writer.py
@@ -0,0 +1,278 @@
+"""Keep one router's row of token counts in the store.
+
+One write is under way at a time. A write without an answer is repeated as it
+is until the store says what became of it: it may still take effect seconds
+later, and another one in its place could draw the same tokens twice.
+"""
+
+from __future__ import annotations
+
+from typing import Callable
+
+import anyio
+
+from endivegw.allowances.book import AllowanceBook, PlannedWrite
+from endivegw.allowances.rows import (
+    BUDGETS_TABLE,
+    HOLDERS_TABLE,
+    HolderRow,
+    RowError,
+    decode_budget,
+    decode_holder,
+    encode_budget,
+    encode_holder,
+)
+from endivegw.allowances.store_clock import StoreClock
+from endivegw.results import Done
+from endivegw.services.row_store import (
+    Conflict,
+    ExpectedRow,
+    NewRow,
+    RowStorePort,
+    StoredRow,
+)
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue import allowances as events
+from endivegw.types import ClientAccountName, InstanceId
+
+__all__ = ["RowWriter"]
+
+#: Pause after a call that failed at once, such as one to a store that resets.
+_PAUSE_S = 0.1
+
+
+class RowWriter:
+    """Write a router's row, and read what is left of the budgets.
+
+    :param routers: returns how many routers share the budgets now.
+    """
+
+    def __init__(
+        self,
+        store: RowStorePort,
+        vm: str,
+        book: AllowanceBook,
+        store_clock: StoreClock,
+        routers: Callable[[float], int],
+        clock: Callable[[], float],
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._vm = vm
+        self._book = book
+        self._options = book.options
+        self._store_clock = store_clock
+        self._routers = routers
+        self._clock = clock
+        self._log = log
+        self.registered = False
+        self._written = False
+        self._revision = 0
+        self._wake = anyio.Event()
+        self._attempted = anyio.Event()
+        self._read_at_s: float | None = None
+        self._heard_at_s: float | None = None
+        self._away_since_s: float | None = None
+        self._stopping = False
+        self.stopped = anyio.Event()
+
+    def budgets_age_s(self, now_s: float) -> float:
+        """Return how old the reading of the budgets is."""
+        return 1e9 if self._read_at_s is None else now_s - self._read_at_s
+
+    def store_age_s(self, now_s: float) -> float:
+        """Return how long ago the store answered."""
+        return 1e9 if self._heard_at_s is None else now_s - self._heard_at_s
+
+    def wake(self) -> None:
+        """Write as soon as the write under way has ended."""
+        self._wake.set()
+
+    def read_budgets_soon(self) -> None:
+        """Read the budgets before the next write."""
+        self._read_at_s = None
+        self.wake()
+
+    async def write_now(self, timeout_s: float) -> None:
+        """Wait until a write that begins from now on has been tried."""
+        with anyio.move_on_after(timeout_s):
+            self.wake()
+            await self._attempted.wait()
+            if self._wake.is_set():
+                await self._attempted.wait()
+
+    async def stop(self) -> None:
+        """Give back all that is in hand; returns when that is written."""
+        self._stopping = True
+        self.wake()
+        await self.stopped.wait()
+
+    async def run(self) -> None:
+        """Take over the earlier row, then write until stopped."""
+        while not self.registered:
+            if not await self._register():
+                await anyio.sleep(_PAUSE_S)
+        while not self.stopped.is_set():
+            with anyio.move_on_after(self._options.write_every_s):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            stopping = self._stopping
+            if stopping:
+                self._book.give_back_all()
+            age_s = self.budgets_age_s(self._clock())
+            if age_s >= self._options.pools_every_s:
+                await self._read_budgets()
+            if await self._write() and stopping:
+                self.stopped.set()
+            self._attempted.set()
+            self._attempted = anyio.Event()
+
+    async def _register(self) -> bool:
+        """Take over what the earlier process on this machine left."""
+        timeout_s = self._options.write_timeout_s
+        rows = await self._store.list_rows(HOLDERS_TABLE, timeout_s=timeout_s)
+        if not isinstance(rows, Done):
+            return False
+        now_s = self._clock()
+        self._heard(rows.value.moment.now_ms, now_s)
+        own = next((row for row in rows.value.rows if row.key == self._vm), None)
+        if own is not None:
+            # The clock is read at the answer: the earlier process has ended, so
+            # that its use grew no further than until now.
+            self._revision = own.revision
+            self._succeed(decode_holder(own.value), own.revision)
+        self.registered = True
+        return True
+
+    def _succeed(self, holder: HolderRow, revision: int) -> None:
+        """Take over a row; a late write of the predecessor brings another one."""
+        self._book.funds.clear()
+        store_ms = self._store_clock.now_ms(self._clock())
+        self._log.emit(
+            events.TOKENS_SUCCEEDED,
+            predecessor=holder.instance_id,
+            revision=revision,
+            accounts=self._book.succeed(holder, store_ms),
+        )
+
+    async def _read_budgets(self) -> None:
+        timeout_s = self._options.write_timeout_s
+        rows = await self._store.list_rows(BUDGETS_TABLE, timeout_s=timeout_s)
+        now_s = self._clock()
+        if not isinstance(rows, Done):
+            self._lost(now_s, "read")
+            return
+        self._heard(rows.value.moment.now_ms, now_s)
+        self._read_at_s = now_s
+        for row in rows.value.rows:
+            self._take_budget(row)
+
+    def _take_budget(self, row: StoredRow) -> None:
+        try:
+            total = decode_budget(row.value, row.revision)
+        except RowError as error:
+            self._log.emit(
+                events.ROW_UNREADABLE,
+                table=row.table,
+                key=row.key,
+                revision=row.revision,
+                detail=str(error),
+            )
+            return
+        self._book.totals[ClientAccountName(row.key)] = total
+
+    async def _write(self) -> bool:
+        """Make one write, repeating it until its outcome is known."""
+        now_s = self._clock()
+        store_ms = self._store_clock.now_ms(now_s)
+        write = self._book.plan_write(store_ms, now_s, self._routers(now_s))
+        while True:
+            outcome = await self._try(write)
+            if outcome is not None:
+                return outcome
+            self._attempted.set()
+            self._attempted = anyio.Event()
+            await anyio.sleep(_PAUSE_S)
+
+    async def _try(self, write: PlannedWrite) -> bool | None:
+        """Return whether a write took effect, None where that is not known."""
+        expected = [ExpectedRow(HOLDERS_TABLE, self._vm, self._revision)]
+        puts = [NewRow(HOLDERS_TABLE, self._vm, encode_holder(write.row))]
+        for account, drawn_tokens in write.budgets.items():
+            revision = write.expected[account]
+            expected.append(ExpectedRow(BUDGETS_TABLE, account, revision))
+            puts.append(NewRow(BUDGETS_TABLE, account, encode_budget(drawn_tokens)))
+        result = await self._store.transact(
+            tuple(expected), tuple(puts), timeout_s=self._options.write_timeout_s
+        )
+        now_s = self._clock()
+        match result:
+            case Done(moment):
+                self._heard(moment.now_ms, now_s)
+                self._commit(write, moment.revision)
+                return True
+            case Conflict(rows, moment):
+                self._heard(moment.now_ms, now_s)
+                return self._resolve(write, rows)
+        self._lost(now_s, result.reason.value)
+        return None
+
+    def _commit(self, write: PlannedWrite, revision: int) -> None:
+        self._revision = revision
+        self._written = True
+        self._book.commit(write, revision)
+        if write.budgets:
+            self._log.emit(events.TOKENS_DRAWN, totals=write.budgets, revision=revision)
+
+    def _resolve(self, write: PlannedWrite, rows: tuple[StoredRow, ...]) -> bool:
+        """Find out what a conflict means: an earlier copy landed, or none will.
+
+        A copy of the write that is still on its way finds the same rows moved
+        on, since revisions only grow, and does nothing.
+        """
+        own = next((row for row in rows if row.table == HOLDERS_TABLE), None)
+        for row in rows:
+            if row.table == BUDGETS_TABLE and not row.deleted:
+                self._take_budget(row)
+        if own is None or own.deleted:
+            if self._revision:
+                self._taken_over(None)
+            else:
+                self._book.void()
+            return False
+        holder = decode_holder(own.value)
+        if holder.instance_id != self._book.instance_id:
+            self._revision = own.revision
+            if self._written:
+                self._taken_over(holder)
+            else:
+                self._succeed(holder, own.revision)
+            return False
+        if holder.sequence == write.row.sequence:
+            self._commit(write, own.revision)
+            return True
+        self._book.void()
+        return False
+
+    def _taken_over(self, holder: HolderRow | None) -> None:
+        """Start without tokens: another process settled this one's row."""
+        self._log.emit(
+            events.TOKENS_TAKEN_OVER,
+            instance=holder.instance_id if holder else InstanceId(""),
+        )
+        self._book.funds.clear()
+        if holder is None:
+            self._revision = 0
+
+    def _heard(self, store_ms: int, now_s: float) -> None:
+        self._store_clock.heard(store_ms, now_s)
+        self._heard_at_s = now_s
+        if self._away_since_s is not None:
+            away_s = round(now_s - self._away_since_s, 3)
+            self._log.emit(events.STORE_BACK, away_s=away_s)
+            self._away_since_s = None
+
+    def _lost(self, now_s: float, reason: str) -> None:
+        if self._away_since_s is None:
+            self._away_since_s = now_s
+            self._log.emit(events.STORE_AWAY, reason=reason)
--- /dev/null
+++ b/src/endivegw/allowances/rows.py
@@ -0,0 +1,102 @@
+"""The rows of prepaid budgets in the platform's store, and their encoding."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Mapping
+
+from attrs import field, frozen
+
+from endivegw.allowances.funds import Terms
+from endivegw.types import ClientAccountName, InstanceId
+
+__all__ = [
+    "BUDGETS_TABLE",
+    "HOLDERS_TABLE",
+    "BudgetTotal",
+    "HolderRow",
+    "RowError",
+    "decode_budget",
+    "decode_holder",
+    "encode_budget",
+    "encode_holder",
+]
+
+#: One row for each router: what it drew and how much it may use.
+HOLDERS_TABLE = "token-holders"
+
+#: One row for each client account: what all routers drew together.
+BUDGETS_TABLE = "token-budgets"
+
+
+class RowError(ValueError):
+    """Say that a row's value is not what this program writes."""
+
+
+@frozen
+class HolderRow:
+    """Hold one router's row.
+
+    :param instance_id: the process that wrote it.
+    :param sequence: grows with each of its writes, so that a write without an
+        answer is recognised when it is read back.
+    """
+
+    instance_id: InstanceId
+    sequence: int
+    terms: Mapping[ClientAccountName, Terms] = field(factory=dict)
+
+
+@frozen
+class BudgetTotal:
+    """Hold what all routers drew of one budget, at a revision of its row."""
+
+    drawn_tokens: int = 0
+    revision: int = 0
+
+
+def encode_holder(row: HolderRow) -> bytes:
+    """Return the row's value; ``as_of_ms`` is the same for all accounts."""
+    as_of_ms = max((terms.as_of_ms for terms in row.terms.values()), default=0)
+    accounts = {
+        account: [terms.drawn_tokens, terms.limit_tokens, terms.pace_tokens_per_s]
+        for account, terms in row.terms.items()
+    }
+    document = {
+        "instance": row.instance_id,
+        "sequence": row.sequence,
+        "as_of_ms": as_of_ms,
+        "accounts": accounts,
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_holder(value: bytes) -> HolderRow:
+    """Read a router's row; :exc:`RowError` where it is not one."""
+    try:
+        document = json.loads(value)
+        as_of_ms = int(document["as_of_ms"])
+        terms = {
+            ClientAccountName(account): Terms(
+                int(drawn), int(limit), int(pace), as_of_ms
+            )
+            for account, (drawn, limit, pace) in document["accounts"].items()
+        }
+        instance_id = InstanceId(str(document["instance"]))
+        return HolderRow(instance_id, int(document["sequence"]), terms)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise RowError(f"not a holder's row: {error!r}") from error
+
+
+def encode_budget(drawn_tokens: int) -> bytes:
+    """Return the value of a budget's row."""
+    return json.dumps({"drawn": drawn_tokens}).encode()
+
+
+def decode_budget(value: bytes, revision: int) -> BudgetTotal:
+    """Read a budget's row; :exc:`RowError` where it is not one."""
+    try:
+        document: Any = json.loads(value)
+        return BudgetTotal(int(document["drawn"]), revision)
+    except (ValueError, TypeError, KeyError) as error:
+        raise RowError(f"not a budget's row: {error!r}") from error
--- a/src/endivegw/budgets/batch.py
+++ b/src/endivegw/budgets/batch.py
@@ -19,7 +19,7 @@
     holder_row_key,
 )
 from endivegw.budgets.wallet import GrantChange
-from endivegw.platform import Add, Delete, Put, RowKey, RowValue, Transaction, Write
+from endivegw.services import Add, Delete, Put, RowKey, RowValue, Transaction, Write
 from endivegw.types import BudgetKey, InstanceId
 
 __all__ = ["Batch", "BilledChunk", "batch_transaction", "holder_put"]
--- a/src/endivegw/budgets/bills.py
+++ b/src/endivegw/budgets/bills.py
@@ -17,7 +17,7 @@
 
 from endivegw.budgets.rows import budget_key_of
 from endivegw.exceptions import InvariantError
-from endivegw.platform import Row, RowKey
+from endivegw.services import Row, RowKey
 from endivegw.types import BudgetKey, Outcome, RequestIdentity
 
 __all__ = [
--- a/src/endivegw/budgets/checkpoint.py
+++ b/src/endivegw/budgets/checkpoint.py
@@ -12,7 +12,7 @@
 
 from endivegw.budgets.ledger import GrantUse
 from endivegw.budgets.rows import budget_key_of
-from endivegw.platform import Check, Put, Row, RowKey, RowValue, Transaction, Write
+from endivegw.services import Check, Put, Row, RowKey, RowValue, Transaction, Write
 from endivegw.types import GrantId, InstanceId, TargetName
 
 __all__ = [
--- a/src/endivegw/budgets/escrow.py
+++ b/src/endivegw/budgets/escrow.py
@@ -26,8 +26,8 @@
     topup_row_key,
 )
 from endivegw.exceptions import InvariantError
-from endivegw.platform import Add, Put, RowKey, RowValue, TablePort, Transaction, Write
 from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services import Add, Put, RowKey, RowValue, TablePort, Transaction, Write
 from endivegw.types import BudgetKey, GrantId, InstanceId
 
 __all__ = ["CommitState", "HolderEscrow", "read_budgets", "read_grants", "top_up"]
--- a/src/endivegw/budgets/gate.py
+++ b/src/endivegw/budgets/gate.py
@@ -27,8 +27,8 @@
     holder_of,
     holder_row_key,
 )
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused
+from endivegw.services import TablePort
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import budgets as events
 from endivegw.types import AttemptId, BudgetKey, GrantId, InstanceId, TargetName
--- a/src/endivegw/budgets/keeper.py
+++ b/src/endivegw/budgets/keeper.py
@@ -29,8 +29,8 @@
 from endivegw.budgets.wallet import BudgetWallet, Reservation
 from endivegw.budgets.writer import BudgetWriter
 from endivegw.exceptions import InvariantError
-from endivegw.platform import TablePort
 from endivegw.results import Reason, Refused
+from endivegw.services import TablePort
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import budgets as events
 from endivegw.types import AttemptId, BudgetKey, GrantId, InstanceId, Usage
--- a/src/endivegw/budgets/reconcile.py
+++ b/src/endivegw/budgets/reconcile.py
@@ -14,8 +14,8 @@
     hour_prefix,
 )
 from endivegw.budgets.rows import BudgetRow
-from endivegw.platform import Row, TablePort
 from endivegw.results import Done, Refused, Unknown
+from endivegw.services import Row, TablePort
 from endivegw.types import BudgetKey
 
 __all__ = ["Reconciliation", "read_bill", "reconcile"]
--- a/src/endivegw/budgets/recovery.py
+++ b/src/endivegw/budgets/recovery.py
@@ -39,8 +39,8 @@
     grant_row_key,
     holder_row_key,
 )
-from endivegw.platform import Delete, Put, Row, TablePort, Transaction
 from endivegw.results import Done, Result
+from endivegw.services import Delete, Put, Row, TablePort, Transaction
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import budgets as events
 from endivegw.types import GrantId, InstanceId, TargetName
--- a/src/endivegw/budgets/recovery_writes.py
+++ b/src/endivegw/budgets/recovery_writes.py
@@ -11,7 +11,7 @@
     grant_row_key,
     holder_row_key,
 )
-from endivegw.platform import Add, Delete, Put, RowValue, Transaction, Write
+from endivegw.services import Add, Delete, Put, RowValue, Transaction, Write
 
 __all__ = ["grant_transaction", "holder_put_sealed"]
 
--- a/src/endivegw/budgets/rows.py
+++ b/src/endivegw/budgets/rows.py
@@ -9,7 +9,7 @@
 from attrs import frozen
 
 from endivegw.exceptions import InvariantError
-from endivegw.platform import Row, RowKey
+from endivegw.services import Row, RowKey
 from endivegw.types import BudgetKey, ClientAccountName, GrantId, InstanceId
 
 __all__ = [
--- a/src/endivegw/budgets/writer.py
+++ b/src/endivegw/budgets/writer.py
@@ -33,8 +33,8 @@
     wants_write,
 )
 from endivegw.budgets.rows import BudgetRow, HolderId
-from endivegw.platform import MAX_TRANSACTION_ITEMS, TablePort
 from endivegw.results import Done, Reason, Refused
+from endivegw.services import MAX_TRANSACTION_ITEMS, TablePort
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import budgets as events
 from endivegw.types import BudgetKey, InstanceId
--- a/src/endivegw/commands/account.py
+++ b/src/endivegw/commands/account.py
@@ -16,8 +16,8 @@
 )
 from endivegw.configuration.parameters import Parameters, layered
 from endivegw.configuration.store import load_document, load_revision
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import TablePort
 from endivegw.types import ClientAccountName
 
 __all__ = [
--- a/src/endivegw/commands/budget.py
+++ b/src/endivegw/commands/budget.py
@@ -7,8 +7,8 @@
 from endivegw.budgets import read_budgets, top_up
 from endivegw.commands.changes import Operation
 from endivegw.configuration.store import load_account_parameters
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import TablePort
 from endivegw.types import BudgetKey
 
 __all__ = ["TopUpOutcome", "top_up_budget"]
--- a/src/endivegw/commands/changes.py
+++ b/src/endivegw/commands/changes.py
@@ -11,8 +11,8 @@
 from endivegw.configuration.ini import format_value
 from endivegw.configuration.parameters import PARAMETER_NAMES, Parameters
 from endivegw.configuration.store import load_changes
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import TablePort
 from endivegw.types import ConfigRevision
 
 __all__ = ["Operation", "Outcome", "commit", "difference", "is_name"]
--- a/src/endivegw/commands/target.py
+++ b/src/endivegw/commands/target.py
@@ -13,8 +13,8 @@
 )
 from endivegw.configuration.model import TargetParameters
 from endivegw.configuration.store import load_document, load_revision
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import TablePort
 
 __all__ = ["drain_target", "resume_target", "set_target", "stop_target"]
 
--- a/src/endivegw/commands/template.py
+++ b/src/endivegw/commands/template.py
@@ -18,8 +18,8 @@
     load_documents,
     load_revision,
 )
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import TablePort
 from endivegw.types import ConfigRevision
 
 __all__ = [
--- a/src/endivegw/commands/transfer.py
+++ b/src/endivegw/commands/transfer.py
@@ -14,8 +14,8 @@
     Documents,
 )
 from endivegw.configuration.store import load_document_versions, load_documents
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import TablePort
 from endivegw.types import ConfigRevision
 
 __all__ = ["MAX_EDITS", "import_documents"]
--- /dev/null
+++ b/src/endivegw/composition/direct_router.py
@@ -0,0 +1,147 @@
+"""Wire a router that calls targets itself."""
+
+from __future__ import annotations
+
+import random
+import time
+import uuid
+
+from endivegw.allowances import AllowanceKeeper
+from endivegw.daemons.direct_beliefs import (
+    ConfigurationReader,
+    PeerReader,
+    RowDecoder,
+    TargetReader,
+)
+from endivegw.daemons.direct_router import (
+    DirectRouter,
+    DirectRouterOptions,
+    DirectRouterParts,
+)
+from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.daemons.row_feed import FeedReader, RowFeed
+from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
+from endivegw.gossip import PeerEntry, PeerLink, PeerTable
+from endivegw.gossip.peers import PEERS_TABLE
+from endivegw.relay.handler import RelayContext, RequestHandler
+from endivegw.relay.target_pool import TargetPool
+from endivegw.relay.wire import WirePort
+from endivegw.services.row_store import RowStorePort
+from endivegw.settings.direct import DirectRouterSettings
+from endivegw.telemetry import EventLog
+from endivegw.types import InstanceId
+
+__all__ = ["build_direct_router"]
+
+#: What is left of the time for an orderly stop when the router ends by itself.
+_STOP_MARGIN_S = 0.6
+
+#: Fleets of this size are compared in full for each placement; the others' load
+#: is known from what they say of themselves, not from lagged reports.
+_CHOICES = 32
+
+#: Statements of peers are never frozen: they come from routers that live.
+_NEVER_FROZEN = 1_000_000_000
+
+
+def build_direct_router(
+    settings: DirectRouterSettings,
+    store: RowStorePort,
+    wire: WirePort,
+    decoder: RowDecoder,
+) -> DirectRouter:
+    """Return a router; the adapter of the deployment is passed in.
+
+    :param store: the deployment's store.
+    :param wire: the deployment's header fields.
+    :param decoder: the deployment's rows.
+    """
+    clock = steady_clock
+    rng = random.Random()
+    instance_id = InstanceId(f"{settings.vm}-{uuid.uuid4().hex[:8]}")
+    log = EventLog("router", vm=settings.vm)
+    entry = PeerEntry(settings.vm, instance_id, settings.peers.ip, settings.peers.port)
+    peers = PeerTable(settings.vm)
+    policy = _policy()
+    dispatcher = Dispatcher(policy, settings.availability_zone, rng)
+    link = PeerLink(
+        entry,
+        peers,
+        lend=lambda account, least, wanted: keeper.lend(account, least, wanted),
+        spare=lambda: keeper.spare_tokens(),
+        outstanding=dispatcher.outstanding,
+        on_offer=lambda account, tokens: keeper.credit(account, tokens),
+        clock=clock,
+        log=log,
+    )
+    keeper = AllowanceKeeper(store, settings.vm, instance_id, link, clock, log)
+    context = RelayContext(
+        wire=wire,
+        keeper=keeper,
+        queue=PlacementQueue(dispatcher, clock),
+        pool=TargetPool(clock),
+        retries=RetryBudget(RetryPolicy(settings.retry_share, settings.retry_burst)),
+        rng=rng,
+        clock=clock,
+        log=log,
+        block_tokens=policy.block_tokens,
+    )
+    targets = TargetReader(context, decoder, clock, log)
+
+    def on_configuration() -> None:
+        if context.table is not None:
+            keeper.set_prepaid(context.table.prepaid_tokens())
+            targets.apply()
+
+    configuration = ConfigurationReader(context, decoder, on_configuration, log)
+    peer_reader = PeerReader(peers, entry, log)
+    readers: dict[str, FeedReader] = {
+        decoder.configuration_table: configuration,
+        decoder.targets_table: targets,
+        PEERS_TABLE: peer_reader,
+    }
+    feeds = tuple(
+        RowFeed(store, table, reader, clock, log) for table, reader in readers.items()
+    )
+    parts = DirectRouterParts(
+        context=context,
+        handler=RequestHandler(context).handle,
+        keeper=keeper,
+        link=link,
+        store=store,
+        targets=targets,
+        peer_reader=peer_reader,
+        feeds=feeds,
+        callers_address=settings.callers,
+        ready_address=settings.ready,
+        clock=clock,
+        log=log,
+    )
+    within_s = max(1.0, settings.stop_within_s - _STOP_MARGIN_S)
+    return DirectRouter(parts, DirectRouterOptions(stop_within_s=within_s))
+
+
+def steady_clock() -> float:
+    """Return seconds on a clock that goes on while the machine is suspended.
+
+    On a clock that stands still meanwhile, a process that wakes up would take
+    deadlines and counts of its budgets for as fresh as before.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _policy() -> Policy:
+    """Return the decisions' limits for targets that are called directly.
+
+    The priors are those of the engines that are usual there; measured speeds
+    take their place within the first dozens of answers.
+    """
+    return Policy(
+        choices=_CHOICES,
+        frozen_reports=_NEVER_FROZEN,
+        zone_penalty_s=0.004,
+        prefix_ttl_s=30.0,
+        prior_prefill_tokens_per_s=30_000.0,
+        prior_step_s=0.01,
+        prior_service_s=0.05,
+    )
--- a/src/endivegw/composition/platform.py
+++ b/src/endivegw/composition/platform.py
@@ -8,18 +8,18 @@
 from attrs import frozen
 
 from endivegw.daemons.vm_listings import ObservedVmList
-from endivegw.platform import ObjectStorePort, TablePort, WeightStorePort
-from endivegw.platform.dynamo_table import DynamoTable
-from endivegw.platform.guarded import (
+from endivegw.services import ObjectStorePort, TablePort, WeightStorePort
+from endivegw.services.dynamo_table import DynamoTable
+from endivegw.services.guarded import (
     GuardedObjects,
     GuardedTable,
     GuardedVmList,
     GuardedWeightStore,
 )
-from endivegw.platform.http_vm_list import HttpVmList
-from endivegw.platform.s3_objects import S3Objects
-from endivegw.platform.signing import Credentials
-from endivegw.platform.weight_store import HttpWeightStore
+from endivegw.services.http_vm_list import HttpVmList
+from endivegw.services.s3_objects import S3Objects
+from endivegw.services.signing import Credentials
+from endivegw.services.weight_store import HttpWeightStore
 from endivegw.settings import PlatformSettings
 
 __all__ = ["Platform", "open_platform"]
--- a/src/endivegw/composition/process.py
+++ b/src/endivegw/composition/process.py
@@ -23,7 +23,7 @@
     tls_peers,
 )
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import ListedVm
+from endivegw.services import ListedVm
 from endivegw.settings import (
     LogSettings,
     PeerSettings,
--- a/src/endivegw/configuration/agent.py
+++ b/src/endivegw/configuration/agent.py
@@ -32,8 +32,8 @@
 )
 from endivegw.configuration.store import load_changes, load_documents
 from endivegw.configuration.view import Adopted, ConfigurationView, PeerWord
-from endivegw.platform import ObjectStorePort, TablePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import ObjectStorePort, TablePort
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue.configuration import (
     CONFIGURATION_ADOPTED,
--- a/src/endivegw/configuration/commits.py
+++ b/src/endivegw/configuration/commits.py
@@ -23,8 +23,8 @@
     parse_change_row,
     revision_of,
 )
-from endivegw.platform import Check, Delete, Put, Row, TablePort, Transaction, Write
 from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services import Check, Delete, Put, Row, TablePort, Transaction, Write
 from endivegw.types import ConfigRevision
 
 __all__ = ["Draft", "Edit", "Removal", "commit_change"]
--- a/src/endivegw/configuration/objects.py
+++ b/src/endivegw/configuration/objects.py
@@ -16,8 +16,8 @@
     parse_message,
 )
 from endivegw.configuration.documents import Documents
-from endivegw.platform import ObjectStorePort
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import ObjectStorePort
 from endivegw.types import ConfigRevision
 
 __all__ = ["read_newer_object", "write_object"]
--- a/src/endivegw/configuration/reports.py
+++ b/src/endivegw/configuration/reports.py
@@ -13,8 +13,8 @@
 
 from attrs import frozen
 
-from endivegw.platform import Put, Row, RowKey, TablePort, Transaction
 from endivegw.results import Done, Result
+from endivegw.services import Put, Row, RowKey, TablePort, Transaction
 from endivegw.types import ConfigRevision
 
 __all__ = [
--- a/src/endivegw/configuration/rows.py
+++ b/src/endivegw/configuration/rows.py
@@ -13,8 +13,8 @@
     DocumentKind,
     DocumentName,
 )
-from endivegw.platform import Row, RowKey
 from endivegw.results import Reason, Refused
+from endivegw.services import Row, RowKey
 from endivegw.types import ConfigRevision
 
 __all__ = [
--- a/src/endivegw/configuration/store.py
+++ b/src/endivegw/configuration/store.py
@@ -27,8 +27,8 @@
     revision_of,
 )
 from endivegw.exceptions import PlatformError
-from endivegw.platform import Row, TablePort
 from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services import Row, TablePort
 from endivegw.types import ConfigRevision
 
 __all__ = [
--- a/src/endivegw/daemons/claim_desk.py
+++ b/src/endivegw/daemons/claim_desk.py
@@ -13,11 +13,11 @@
 from endivegw.daemons.sidecar_ports import Clock
 from endivegw.daemons.slot_map_reader import read_slot_map
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import TablePort, VmListPort, VmState
 from endivegw.requests.claim_rows import take_transaction
 from endivegw.requests.claims import ClaimAnswer, ClaimLimits, SlotOwner
 from endivegw.requests.slots import Beat, Slot, SlotWatch, Take, TakeRule, slot_of
 from endivegw.results import Done, Reason, Refused
+from endivegw.services import TablePort, VmListPort, VmState
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue.sidecar import (
     CLAIM_ANSWERED,
--- a/src/endivegw/daemons/claim_slot.py
+++ b/src/endivegw/daemons/claim_slot.py
@@ -7,7 +7,6 @@
 import anyio
 
 from endivegw.daemons.sidecar_ports import Clock
-from endivegw.platform import Row, TablePort, Transaction
 from endivegw.requests.claim_rows import (
     beat_transaction,
     claims_of_rows,
@@ -22,6 +21,7 @@
 from endivegw.requests.claims import ClaimAnswer, ClaimAsk, SlotOwner, Waiting
 from endivegw.requests.slots import Beat, Slot, Take
 from endivegw.results import Done, Reason, Refused
+from endivegw.services import Row, TablePort, Transaction
 
 __all__ = ["KeptSlot"]
 
--- /dev/null
+++ b/src/endivegw/daemons/direct_router.py
@@ -0,0 +1,205 @@
+"""A router that calls targets itself: listeners, feeds, orderly stop."""
+
+from __future__ import annotations
+
+from typing import Any, Callable
+
+import anyio
+from anyio.abc import SocketStream
+from attrs import frozen
+
+from endivegw.allowances import AllowanceKeeper
+from endivegw.daemons.direct_beliefs import PeerReader, TargetReader
+from endivegw.daemons.row_feed import RowFeed
+from endivegw.decisions import LoadFigures
+from endivegw.gossip import PeerLink
+from endivegw.gossip.peers import PEERS_TABLE
+from endivegw.relay.caller_connection import Answerer, CallerConnection, Handler
+from endivegw.relay.handler import RelayContext
+from endivegw.relay.messages import CallerRequest
+from endivegw.routing import CallerLimits
+from endivegw.services.row_store import ExpectedRow, NewRow, RowStorePort
+from endivegw.settings.reader import Address
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue import relay as events
+from endivegw.types import TargetName
+
+__all__ = ["DirectRouter", "DirectRouterOptions"]
+
+#: Connections that wait to be accepted; a balancer opens many at once when a
+#: router joins.
+_BACKLOG = 1024
+
+#: Pause between two tries to write the own address.
+_PAUSE_S = 0.2
+
+_OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
+
+
+@frozen
+class DirectRouterOptions:
+    """Hold intervals and the times of an orderly stop.
+
+    :param state_every_s: how often peers are told load and spare tokens. Work
+        that takes a second is then seen while it runs.
+    :param stop_after_s: how long a stopping router takes new connections: the
+        balancer asks once a second and needs two bad answers.
+    :param stop_within_s: when it ends at the latest.
+    :param write_timeout_s: for writes of the own address.
+    """
+
+    state_every_s: float = 0.2
+    stop_after_s: float = 2.6
+    stop_within_s: float = 7.4
+    write_timeout_s: float = 1.0
+
+
+@frozen
+class DirectRouterParts:
+    """Hold what the composition root wired."""
+
+    context: RelayContext
+    handler: Handler
+    keeper: AllowanceKeeper
+    link: PeerLink
+    store: RowStorePort
+    targets: TargetReader
+    peer_reader: PeerReader
+    feeds: tuple[RowFeed, ...]
+    callers_address: Address
+    ready_address: Address
+    clock: Callable[[], float]
+    log: EventLog
+
+
+class DirectRouter:
+    """Run one router until it is told to stop."""
+
+    def __init__(
+        self,
+        parts: DirectRouterParts,
+        options: DirectRouterOptions = DirectRouterOptions(),
+    ) -> None:
+        self._parts = parts
+        self._options = options
+        self._connections: set[CallerConnection] = set()
+        self._stopped = anyio.Event()
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        context = self._parts.context
+        known = context.table is not None and self._parts.keeper.ready
+        return known and not context.draining
+
+    async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until stopped."""
+        parts = self._parts
+        async with anyio.create_task_group() as tasks:
+            for feed in parts.feeds:
+                tasks.start_soon(feed.run)
+            tasks.start_soon(parts.keeper.run)
+            tasks.start_soon(parts.context.queue.run)
+            tasks.start_soon(parts.link.run, self._options.state_every_s)
+            tasks.start_soon(self._keep_own_address)
+            tasks.start_soon(self._tell_load)
+            tasks.start_soon(self._listen, parts.ready_address, self._say_ready)
+            tasks.start_soon(self._listen, parts.callers_address, parts.handler)
+            parts.log.emit(
+                events.PROCESS_STARTED,
+                vm=parts.link.entry.vm,
+                instance=parts.link.entry.instance_id,
+                address=str(parts.callers_address),
+            )
+            task_status.started()
+            await self._stopped.wait()
+            tasks.cancel_scope.cancel()
+        parts.log.emit(events.PROCESS_STOPPED, connections=len(self._connections))
+
+    async def drain(self) -> None:
+        """End what runs, give the tokens back, then let :meth:`run` return."""
+        options = self._options
+        self._parts.context.draining = True
+        self._parts.log.emit(events.DRAINING_BEGUN, connections=len(self._connections))
+        with anyio.move_on_after(options.stop_within_s):
+            await anyio.sleep(options.stop_after_s)
+            while any(connection.busy for connection in self._connections):
+                await anyio.sleep(0.05)
+            await self._remove_own_address()
+            await self._parts.keeper.stop()
+        self._stopped.set()
+
+    async def _listen(self, address: Address, handler: Handler) -> None:
+        listener = await anyio.create_tcp_listener(
+            local_host=address.ip,
+            local_port=address.port,
+            backlog=_BACKLOG,
+            reuse_port=False,
+        )
+
+        async def serve(stream: SocketStream) -> None:
+            connection = CallerConnection(
+                stream,
+                handler,
+                self._limits,
+                lambda: self._parts.context.draining,
+                self._parts.clock,
+            )
+            self._connections.add(connection)
+            try:
+                await connection.serve()
+            finally:
+                self._connections.discard(connection)
+
+        await listener.serve(serve)
+
+    def _limits(self) -> CallerLimits:
+        table = self._parts.context.table
+        return table.limits if table is not None else CallerLimits()
+
+    async def _say_ready(self, request: CallerRequest, answerer: Answerer) -> None:
+        if request.path != "/ready":
+            await answerer.whole(_NOT_FOUND, [], b"")
+            return
+        await answerer.whole(_OK if self.ready else _UNAVAILABLE, [], b"")
+
+    async def _tell_load(self) -> None:
+        """Show the dispatcher what the other routers have at the targets."""
+        parts = self._parts
+        dispatcher = parts.context.queue.dispatcher
+        while True:
+            await anyio.sleep(self._options.state_every_s)
+            parts.targets.settle()
+            now_s = parts.clock()
+            others = parts.link.peers.outstanding(now_s)
+            own = dispatcher.outstanding()
+            for target in parts.targets.view.targets.values():
+                name = TargetName(target.instance_id)
+                running = own.get(name, 0) + others.get(name, 0)
+                figures = LoadFigures(running, 0, target.slots, 0.0, 0.0)
+                dispatcher.report(name, figures, now_s)
+            parts.context.queue.kick()
+
+    async def _keep_own_address(self) -> None:
+        """Write the own row, again where an earlier process's late write hid it."""
+        reader = self._parts.peer_reader
+        entry = self._parts.link.entry
+        while True:
+            if not reader.registered and not self._parts.context.draining:
+                expected = ExpectedRow(PEERS_TABLE, entry.vm, reader.own_revision)
+                await self._parts.store.transact(
+                    (expected,),
+                    (NewRow(PEERS_TABLE, entry.vm, entry.encode()),),
+                    timeout_s=self._options.write_timeout_s,
+                )
+            await anyio.sleep(_PAUSE_S)
+
+    async def _remove_own_address(self) -> None:
+        reader = self._parts.peer_reader
+        if not reader.registered:
+            return
+        vm = self._parts.link.entry.vm
+        own = ExpectedRow(PEERS_TABLE, vm, reader.own_revision)
+        await self._parts.store.transact(
+            (), (), deletes=(own,), timeout_s=self._options.write_timeout_s
+        )
--- a/src/endivegw/daemons/recovery_watch.py
+++ b/src/endivegw/daemons/recovery_watch.py
@@ -16,8 +16,8 @@
 from endivegw.daemons.vm_listings import ObservedVmList
 from endivegw.exceptions import PeerError
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import TablePort
 from endivegw.results import Done
+from endivegw.services import TablePort
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import router as events
 from endivegw.types import InstanceId
--- a/src/endivegw/daemons/router_watch.py
+++ b/src/endivegw/daemons/router_watch.py
@@ -14,7 +14,7 @@
 from endivegw.membership import MembershipPolicy
 from endivegw.peers import RouterClient
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import ListedVm
+from endivegw.services import ListedVm
 from endivegw.types import AvailabilityZone
 
 __all__ = ["RouterWatch", "partners"]
--- a/src/endivegw/daemons/seal_calls.py
+++ b/src/endivegw/daemons/seal_calls.py
@@ -13,8 +13,8 @@
 from endivegw.exceptions import PeerError
 from endivegw.peers import NotDelivered, SidecarClient
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import ListedVm
 from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services import ListedVm
 from endivegw.types import GrantId, InstanceId, TargetName
 
 __all__ = ["SealCalls", "vm_of_instance"]
--- a/src/endivegw/daemons/slot_map_reader.py
+++ b/src/endivegw/daemons/slot_map_reader.py
@@ -5,10 +5,10 @@
 import anyio
 
 from endivegw.daemons.sidecar_ports import Clock
-from endivegw.platform import TablePort
 from endivegw.requests.claim_rows import SLOT_PARTITION, slot_map_of_rows
 from endivegw.requests.slots import DEFAULT_SLOTS, SlotMap
 from endivegw.results import Done
+from endivegw.services import TablePort
 
 __all__ = ["SlotMapReader", "read_slot_map"]
 
--- a/src/endivegw/daemons/target_watch.py
+++ b/src/endivegw/daemons/target_watch.py
@@ -25,7 +25,7 @@
 from endivegw.membership.agent import MembershipAgent
 from endivegw.peers import SidecarClient
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import VmListPort
+from endivegw.services import VmListPort
 from endivegw.telemetry import EventLog
 from endivegw.types import AvailabilityZone, InstanceId, TargetName
 
--- a/src/endivegw/daemons/vm_listings.py
+++ b/src/endivegw/daemons/vm_listings.py
@@ -5,8 +5,8 @@
 from collections import Counter
 from typing import Callable, Mapping
 
-from endivegw.platform import ListedVm, VmListPort
 from endivegw.results import Done, Result
+from endivegw.services import ListedVm, VmListPort
 from endivegw.types import AvailabilityZone
 
 __all__ = ["ObservedVmList", "others_by_zone"]
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -171,6 +171,10 @@
         meter = self._demand
         return {model: meter.slots(model, now_s) for model in meter.models()}
 
+    def outstanding(self) -> dict[TargetName, int]:
+        """Return this router's own running work by target."""
+        return {target: len(state.own) for target, state in self._targets.items()}
+
     def started(self, request_id: str, now_s: float) -> None:
         """Note that the target took the work."""
 
--- a/src/endivegw/dev/fleet.py
+++ b/src/endivegw/dev/fleet.py
@@ -24,7 +24,7 @@
     target_address,
 )
 from endivegw.dev.sample import SAMPLE_BUDGET_TOKENS, SampleAccount, load_sample
-from endivegw.platform import ListedVm, VmState
+from endivegw.services import ListedVm, VmState
 from endivegw_standins.engine_app import EngineApp, EngineKnobs, FakeEngine
 from endivegw_standins.platform_app import StandinPlatform
 from endivegw_standins.service_app import ServiceApp
--- a/src/endivegw/dev/sample.py
+++ b/src/endivegw/dev/sample.py
@@ -17,8 +17,8 @@
 from endivegw.configuration.parameters import Parameters
 from endivegw.dev.layout import MODEL, SERVICE, TARGETS
 from endivegw.exceptions import PlatformError
-from endivegw.platform import TablePort
 from endivegw.results import Done, Result
+from endivegw.services import TablePort
 from endivegw.types import BudgetKey, ClientAccountName, Priority
 
 __all__ = ["SAMPLE_BUDGET_TOKENS", "SampleAccount", "load_sample"]
--- /dev/null
+++ b/src/endivegw/gossip/link.py
@@ -0,0 +1,230 @@
+"""Exchange datagrams with the other routers: statements, asks and offers."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+import anyio
+from anyio.abc import UDPSocket
+from attrs import define, field
+
+from endivegw.allowances.keeper import PeerSpare
+from endivegw.gossip.messages import (
+    MOST_BYTES,
+    Ask,
+    Message,
+    Offer,
+    PeerState,
+    decode,
+    encode,
+)
+from endivegw.gossip.peers import PeerEntry, PeerTable
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue import allowances as events
+from endivegw.types import ClientAccountName, TargetName, TransferId
+
+__all__ = ["PeerLink"]
+
+#: An ask is repeated after this long; twice the way to another availability zone
+#: and back, with a busy peer in between.
+_REPEAT_S = 0.02
+
+#: How long an answer is remembered. An ask is repeated for far less.
+_MEMORY_S = 30.0
+
+
+@define
+class _Wait:
+    """Hold one ask, also after it was given up: its offer may come late."""
+
+    client_account: ClientAccountName
+    asked_s: float
+    answered: anyio.Event = field(factory=anyio.Event)
+    offer: Offer | None = None
+
+
+class PeerLink:
+    """Speak with the other routers.
+
+    :param lend: debits tokens for a peer; returns how many.
+    :param spare: returns what is free by account.
+    :param outstanding: returns the own requests by target.
+    :param on_offer: credits tokens that a peer debited, once for each ask, also
+        where the ask was given up meanwhile: they exist nowhere else.
+    """
+
+    def __init__(
+        self,
+        entry: PeerEntry,
+        peers: PeerTable,
+        lend: Callable[[ClientAccountName, int, int], int],
+        spare: Callable[[], dict[ClientAccountName, int]],
+        outstanding: Callable[[], dict[TargetName, int]],
+        on_offer: Callable[[ClientAccountName, int], None],
+        clock: Callable[[], float],
+        log: EventLog,
+    ) -> None:
+        self.entry = entry
+        self.peers = peers
+        self._lend = lend
+        self._spare = spare
+        self._outstanding = outstanding
+        self._on_offer = on_offer
+        self._clock = clock
+        self._log = log
+        self._socket: UDPSocket | None = None
+        self._sequence = 0
+        self._asked = 0
+        self._waits: dict[TransferId, _Wait] = {}
+        self._offers: dict[TransferId, tuple[Offer, float]] = {}
+
+    async def run(self, state_every_s: float) -> None:
+        """Listen, and state the own figures at intervals, until cancelled."""
+        host, port = self.entry.host, self.entry.port
+        async with await anyio.create_udp_socket(
+            local_host=host, local_port=port
+        ) as self._socket:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._listen)
+                while True:
+                    await self._state()
+                    await anyio.sleep(state_every_s)
+
+    # What the keeper asks for.
+
+    async def ask(
+        self,
+        account: ClientAccountName,
+        least_tokens: int,
+        wanted_tokens: int,
+        *,
+        timeout_s: float,
+    ) -> int:
+        """Ask peers in turn until the least is there; return what was received."""
+        got = 0
+        ends_s = self._clock() + timeout_s
+        for peer in self.peers.lenders(account, self._clock()):
+            left_s = ends_s - self._clock()
+            if got >= least_tokens or left_s <= 0:
+                break
+            got += await self._ask_one(
+                peer, account, least_tokens - got, wanted_tokens - got, left_s
+            )
+        return got
+
+    def spare(self, account: ClientAccountName, now_s: float) -> PeerSpare:
+        """Return what peers said last."""
+        tokens = self.peers.spare_tokens(account, now_s)
+        return PeerSpare(tokens, self.peers.all_heard(now_s))
+
+    def routers(self, now_s: float) -> int:
+        """Return how many routers there are, this one included."""
+        return len(self.peers.live(now_s)) + 1
+
+    # Inside.
+
+    async def _ask_one(
+        self,
+        peer: PeerEntry,
+        account: ClientAccountName,
+        least_tokens: int,
+        wanted_tokens: int,
+        timeout_s: float,
+    ) -> int:
+        self._asked += 1
+        transfer_id = TransferId(f"{self.entry.instance_id}.{self._asked}")
+        ask = Ask(
+            self.entry.instance_id, transfer_id, account, least_tokens, wanted_tokens
+        )
+        wait = self._waits[transfer_id] = _Wait(account, self._clock())
+        with anyio.move_on_after(min(timeout_s, _REPEAT_S * 3)):
+            while wait.offer is None:
+                await self._send(peer, ask)
+                with anyio.move_on_after(_REPEAT_S):
+                    await wait.answered.wait()
+        return wait.offer.tokens if wait.offer is not None else 0
+
+    async def _listen(self) -> None:
+        assert self._socket is not None
+        async for data, (host, port) in self._socket:
+            message = decode(data)
+            match message:
+                case PeerState():
+                    self.peers.hear(message, self._clock())
+                case Ask():
+                    await self._answer(message, host, port)
+                case Offer():
+                    self._take(message)
+
+    async def _answer(self, ask: Ask, host: str, port: int) -> None:
+        """Debit once for an id; a repeated ask gets the same answer."""
+        now_s = self._clock()
+        known = self._offers.get(ask.transfer_id)
+        if known is None:
+            tokens = self._lend(ask.client_account, ask.least_tokens, ask.wanted_tokens)
+            left = self._spare().get(ask.client_account, 0)
+            offer = Offer(self.entry.instance_id, ask.transfer_id, tokens, left)
+            self._offers[ask.transfer_id] = known = (offer, now_s)
+            if tokens:
+                self._log.emit(
+                    events.TOKENS_LENT,
+                    client_account=ask.client_account,
+                    tokens=tokens,
+                    least=ask.least_tokens,
+                    peer=ask.sender,
+                )
+        self._forget(now_s)
+        await self._send_to(encode(known[0]), host, port)
+
+    def _take(self, offer: Offer) -> None:
+        wait = self._waits.get(offer.transfer_id)
+        if wait is None or wait.offer is not None:
+            return
+        wait.offer = offer
+        wait.answered.set()
+        if offer.tokens:
+            self._on_offer(wait.client_account, offer.tokens)
+
+    def _forget(self, now_s: float) -> None:
+        for transfer_id, (_, answered_s) in list(self._offers.items()):
+            if now_s - answered_s < _MEMORY_S:
+                break
+            del self._offers[transfer_id]
+        for transfer_id, wait in list(self._waits.items()):
+            if now_s - wait.asked_s < _MEMORY_S:
+                break
+            del self._waits[transfer_id]
+
+    async def _state(self) -> None:
+        self._sequence += 1
+        state = PeerState(
+            self.entry.instance_id, self._sequence, self._spare(), self._outstanding()
+        )
+        data = encode(state)
+        if len(data) > MOST_BYTES:
+            data = encode(_shortened(state))
+        for peer in self.peers.entries():
+            await self._send_to(data, peer.host, peer.port)
+
+    async def _send(self, peer: PeerEntry, message: Message) -> None:
+        await self._send_to(encode(message), peer.host, peer.port)
+
+    async def _send_to(self, data: bytes, host: str, port: int) -> None:
+        assert self._socket is not None
+        try:
+            await self._socket.sendto(data, host, port)
+        except (OSError, anyio.BrokenResourceError):
+            # A peer that is gone shows as silence, which is judged elsewhere.
+            return
+
+
+def _shortened(state: PeerState) -> PeerState:
+    """Return a statement that fits one datagram.
+
+    An account that is not named counts as spent here; peers then ask others
+    first. So the accounts with the most to spare are named.
+    """
+    most = 20
+    spare = sorted(state.spare_tokens.items(), key=lambda item: -item[1])[:most]
+    load = sorted(state.outstanding.items(), key=lambda item: -item[1])[:most]
+    return PeerState(state.sender, state.sequence, dict(spare), dict(load))
--- /dev/null
+++ b/src/endivegw/gossip/peers.py
@@ -0,0 +1,122 @@
+"""What a router knows of the other routers. Pure state."""
+
+from __future__ import annotations
+
+import json
+
+from attrs import define, field, frozen
+
+from endivegw.gossip.messages import PeerState
+from endivegw.types import ClientAccountName, InstanceId, TargetName
+
+__all__ = ["PEERS_TABLE", "PeerEntry", "PeerTable"]
+
+#: One row for each router, by vm.
+PEERS_TABLE = "router-addresses"
+
+#: A router that said nothing for this long is not reached or is gone: five
+#: statements in a row are missing.
+HEARD_S = 1.0
+
+
+@frozen
+class PeerEntry:
+    """Hold a router's address, as it registered itself."""
+
+    vm: str
+    instance_id: InstanceId
+    host: str
+    port: int
+
+    def encode(self) -> bytes:
+        """Return the value of its row."""
+        document = {"instance": self.instance_id, "host": self.host, "port": self.port}
+        return json.dumps(document).encode()
+
+    @classmethod
+    def decode(cls, vm: str, value: bytes) -> PeerEntry:
+        """Read a row; :exc:`ValueError` where it is not one."""
+        try:
+            document = json.loads(value)
+            instance_id = InstanceId(str(document["instance"]))
+            return cls(vm, instance_id, str(document["host"]), int(document["port"]))
+        except (TypeError, KeyError) as error:
+            raise ValueError(f"not a router's row: {error!r}") from error
+
+
+@define
+class _Peer:
+    entry: PeerEntry
+    state: PeerState | None = None
+    heard_s: float | None = None
+
+
+@define
+class PeerTable:
+    """Hold the other routers and what they said last."""
+
+    own_vm: str
+    _peers: dict[str, _Peer] = field(factory=dict)
+
+    def put(self, entry: PeerEntry) -> None:
+        """Take in a router's row."""
+        if entry.vm == self.own_vm:
+            return
+        known = self._peers.get(entry.vm)
+        if known is None or known.entry != entry:
+            self._peers[entry.vm] = _Peer(entry)
+
+    def remove(self, vm: str) -> None:
+        """Take in that a router's row is gone."""
+        self._peers.pop(vm, None)
+
+    def hear(self, state: PeerState, now_s: float) -> None:
+        """Take in what a router says; older statements are dropped."""
+        for peer in self._peers.values():
+            if peer.entry.instance_id != state.sender:
+                continue
+            if peer.state is None or state.sequence > peer.state.sequence:
+                peer.state = state
+                peer.heard_s = now_s
+
+    def entries(self) -> list[PeerEntry]:
+        """Return all known routers but this one."""
+        return [peer.entry for peer in self._peers.values()]
+
+    def live(self, now_s: float) -> list[PeerEntry]:
+        """Return those heard lately."""
+        return [peer.entry for peer in self._heard(now_s)]
+
+    def all_heard(self, now_s: float) -> bool:
+        """Return whether each known router was heard lately."""
+        return len(self._heard(now_s)) == len(self._peers)
+
+    def spare_tokens(self, account: ClientAccountName, now_s: float) -> int:
+        """Return what the others said they have free of an account."""
+        states = [peer.state for peer in self._heard(now_s) if peer.state]
+        return sum(max(0, state.spare_tokens.get(account, 0)) for state in states)
+
+    def lenders(self, account: ClientAccountName, now_s: float) -> list[PeerEntry]:
+        """Return the routers to ask for tokens, the one with the most first."""
+
+        def spare(peer: _Peer) -> int:
+            return peer.state.spare_tokens.get(account, 0) if peer.state else 0
+
+        heard = sorted(self._heard(now_s), key=spare, reverse=True)
+        return [peer.entry for peer in heard]
+
+    def outstanding(self, now_s: float) -> dict[TargetName, int]:
+        """Return the requests of the other routers by target."""
+        found: dict[TargetName, int] = {}
+        for peer in self._heard(now_s):
+            if peer.state is not None:
+                for target, count in peer.state.outstanding.items():
+                    found[target] = found.get(target, 0) + count
+        return found
+
+    def _heard(self, now_s: float) -> list[_Peer]:
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.heard_s is not None and now_s - peer.heard_s <= HEARD_S
+        ]
--- a/src/endivegw/membership/agent.py
+++ b/src/endivegw/membership/agent.py
@@ -11,8 +11,8 @@
 from endivegw.membership.policy import MembershipPolicy
 from endivegw.membership.ports import Heartbeat, HeartbeatPort, PeerAddress
 from endivegw.membership.view import Change, MembershipView
-from endivegw.platform import VmListPort
 from endivegw.results import Done
+from endivegw.services import VmListPort
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue.membership import (
     INSTANCE_REPLACED,
--- a/src/endivegw/membership/peer.py
+++ b/src/endivegw/membership/peer.py
@@ -9,7 +9,7 @@
 from endivegw.membership.conclusions import PeerState
 from endivegw.membership.policy import MembershipPolicy
 from endivegw.membership.ports import Heartbeat, PeerAddress
-from endivegw.platform import ListedVm, VmState
+from endivegw.services import ListedVm, VmState
 from endivegw.types import AvailabilityZone, InstanceId
 
 __all__ = ["Peer"]
--- a/src/endivegw/membership/view.py
+++ b/src/endivegw/membership/view.py
@@ -14,7 +14,7 @@
 from endivegw.membership.peer import Peer
 from endivegw.membership.policy import MembershipPolicy
 from endivegw.membership.ports import Heartbeat, PeerAddress
-from endivegw.platform import ListedVm, VmState
+from endivegw.services import ListedVm, VmState
 from endivegw.types import InstanceId
 
 __all__ = ["Change", "MembershipView"]
--- a/src/endivegw/platform/__init__.py
+++ b/src/endivegw/platform/__init__.py
@@ -1,43 +1,5 @@
-"""The platform's services: typed ports, and one adapter module for each."""
+"""The adapter of the users' platform: the one folder that knows its names.
 
-from endivegw.platform.ports import (
-    MAX_TRANSACTION_ITEMS,
-    Add,
-    Check,
-    Delete,
-    ListedVm,
-    ObjectStorePort,
-    Page,
-    Put,
-    Row,
-    RowKey,
-    RowValue,
-    StoredObject,
-    TablePort,
-    Transaction,
-    VmListPort,
-    VmState,
-    WeightStorePort,
-    Write,
-)
-
-__all__ = [
-    "Add",
-    "Check",
-    "Delete",
-    "ListedVm",
-    "MAX_TRANSACTION_ITEMS",
-    "ObjectStorePort",
-    "Page",
-    "Put",
-    "Row",
-    "RowKey",
-    "RowValue",
-    "StoredObject",
-    "TablePort",
-    "Transaction",
-    "VmListPort",
-    "VmState",
-    "WeightStorePort",
-    "Write",
-]
+It turns the platform's rows, header fields and calls into the product's types
+and back. It decides nothing.
+"""
--- /dev/null
+++ b/src/endivegw/platform/command.py
@@ -0,0 +1,104 @@
+"""The command that runs a router on the platform."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import sys
+
+import anyio
+import click
+import logbook
+
+from endivegw.composition.direct_router import build_direct_router
+from endivegw.daemons.direct_router import DirectRouter
+from endivegw.exceptions import EndivegwError
+from endivegw.platform.configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    TARGETS_TABLE,
+    decode_configuration,
+    decode_target,
+)
+from endivegw.platform.store import PlatformStore
+from endivegw.platform.wire import PlatformWire
+from endivegw.routing import DirectTarget, FleetConfiguration
+from endivegw.settings.direct import load_direct_router_settings
+from endivegw.telemetry.bounded import BoundedLines, bounded_handler
+
+__all__ = ["platform_router"]
+
+#: Where the platform says which settings file is the process's own.
+_SETTINGS_VARIABLE = "ENDIVEGW_SETTINGS"
+
+
+class _Decoder:
+    """Decode the platform's rows."""
+
+    configuration_table = CONFIGURATION_TABLE
+    configuration_key = CONFIGURATION_KEY
+    targets_table = TARGETS_TABLE
+
+    def configuration(self, value: bytes) -> FleetConfiguration:
+        """Return a configuration."""
+        return decode_configuration(value)
+
+    def target(self, key: str, value: bytes) -> DirectTarget:
+        """Return a target's entry."""
+        return decode_target(key, value)
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "settings_path",
+    type=click.Path(path_type=pathlib.Path, dir_okay=False),
+    default=lambda: os.environ.get(_SETTINGS_VARIABLE),
+    help=f"INI file with the router's settings; by default ${_SETTINGS_VARIABLE}.",
+)
+@click.option("--check-settings", is_flag=True, help="Check the settings and exit.")
+def platform_router(settings_path: pathlib.Path | None, check_settings: bool) -> None:
+    """Run a router on the platform's entry VMs.
+
+    SIGTERM stops it as planned: it ends what it has, gives its tokens back and
+    exits.
+    """
+    if settings_path is None:
+        raise click.UsageError(f"neither --settings nor ${_SETTINGS_VARIABLE} is given")
+    try:
+        settings = load_direct_router_settings(pathlib.Path(settings_path))
+    except EndivegwError as error:
+        click.echo(error.message, err=True)
+        sys.exit(error.exit_code)
+    if check_settings:
+        click.echo(f"{settings_path}: settings are valid")
+        return
+    level = logbook.lookup_level(settings.log_level.upper())
+    handler, lines = bounded_handler(sys.stdout.fileno(), level)
+    with handler.applicationbound():
+        store = PlatformStore(str(settings.store))
+        router = build_direct_router(settings, store, PlatformWire(), _Decoder())
+        anyio.run(_run, router, lines)
+    lines.flush()
+
+
+async def _run(router: DirectRouter, lines: BoundedLines) -> None:
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(lines.run)
+        tasks.start_soon(_watch_signals, router)
+        await router.run()
+        tasks.cancel_scope.cancel()
+
+
+async def _watch_signals(router: DirectRouter) -> None:
+    """Stop on SIGTERM; the settings hold for the life of a process."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                continue
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(router.drain)
+            return
--- /dev/null
+++ b/src/endivegw/platform/configuration.py
@@ -0,0 +1,144 @@
+"""Decode the operator's configuration and the targets' entries."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Mapping
+
+from endivegw.routing import (
+    CallerLimits,
+    ClientAccount,
+    DirectTarget,
+    FleetConfiguration,
+    Route,
+    RouteKind,
+    ServiceKind,
+    WeightedService,
+)
+from endivegw.types import AvailabilityZone, ClientAccountName, InstanceId
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
+    "TARGETS_TABLE",
+    "DecodeError",
+    "decode_configuration",
+    "decode_target",
+]
+
+#: The operator's table, and the row with the newest configuration.
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+
+#: Where targets register themselves, each under the id of its incarnation.
+TARGETS_TABLE = "servers"
+
+
+class DecodeError(ValueError):
+    """Say that a row of the operator or of a target cannot be understood."""
+
+
+def decode_configuration(value: bytes) -> FleetConfiguration:
+    """Return a configuration; :exc:`DecodeError` where it is not one."""
+    try:
+        document = json.loads(value)
+        services = document.get("Services") or ()
+        return FleetConfiguration(
+            version=int(document["Version"]),
+            routes=tuple(_route(route) for route in document.get("Routes") or ()),
+            services={service["Name"]: _service_kind(service) for service in services},
+            accounts=tuple(_account(entry) for entry in document.get("Tenants") or ()),
+            limits=_limits(document.get("Limits") or {}),
+            tokens_per_event=max(
+                (
+                    int((entry.get("Engine") or {}).get("Stride", 1))
+                    for entry in services
+                ),
+                default=1,
+            ),
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise DecodeError(f"not a configuration: {error!r}") from error
+
+
+def decode_target(key: str, value: bytes) -> DirectTarget:
+    """Return a target's entry; :exc:`DecodeError` where it is not one.
+
+    :param key: the row's key, which is the only place of the instance's id.
+    """
+    try:
+        entry = json.loads(value)
+        return DirectTarget(
+            instance_id=InstanceId(key),
+            service=str(entry["Service"]),
+            address=str(entry["Address"]),
+            availability_zone=AvailabilityZone(str(entry["Zone"])),
+            slots=max(1, int(entry["Slots"])),
+            leaving=entry.get("State") != "ready",
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise DecodeError(f"not an entry of a target: {error!r}") from error
+
+
+def _route(entry: Mapping[str, Any]) -> Route:
+    split = entry.get("TrafficSplit")
+    if split:
+        services = tuple(
+            WeightedService(str(share["Service"]), float(share["Weight"]))
+            for share in split
+            if float(share["Weight"]) > 0
+        )
+    else:
+        services = (WeightedService(str(entry["Service"]), 1.0),)
+    return Route(
+        name=str(entry["Name"]),
+        host=str(entry["Host"]).lower(),
+        prefix=str(entry["Prefix"]),
+        kind=_route_kind(entry),
+        services=services,
+        timeout_s=float(entry["TimeoutMs"]) / 1000.0,
+        objective_s=float(entry["TargetLatencyMs"]) / 1000.0,
+        priority=int(entry.get("Priority", 0)),
+        # The name speaks of attempts; it bounds the targets of one request.
+        most_targets=max(1, int(entry.get("MaxAttempts", 1))),
+        public=bool(entry.get("Public", False)),
+    )
+
+
+def _route_kind(entry: Mapping[str, Any]) -> RouteKind:
+    match entry["Kind"]:
+        case "safe":
+            return RouteKind.REPEATABLE
+        case "unsafe":
+            return RouteKind.AT_MOST_ONCE
+        case "streaming" if entry.get("Resumable"):
+            return RouteKind.RESUMABLE_STREAM
+        case "streaming":
+            return RouteKind.STREAM
+        case kind:
+            raise DecodeError(f"unknown kind of route {kind!r}")
+
+
+def _service_kind(entry: Mapping[str, Any]) -> ServiceKind:
+    return ServiceKind.ENGINE if entry.get("Engine") else ServiceKind.PLAIN
+
+
+def _account(entry: Mapping[str, Any]) -> ClientAccount:
+    prepaid = entry.get("Prepaid")
+    priority = entry.get("Priority")
+    return ClientAccount(
+        name=ClientAccountName(str(entry["Name"])),
+        keys=frozenset(str(key) for key in entry.get("ApiKeys") or ()),
+        priority=None if priority is None else int(priority),
+        prepaid_tokens=None if prepaid is None else int(prepaid),
+    )
+
+
+def _limits(entry: Mapping[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        head_bytes=int(entry.get("MaxHeaderBytes", usual.head_bytes)),
+        body_bytes=int(entry.get("MaxBodyBytes", usual.body_bytes)),
+        head_timeout_s=entry.get("HeaderTimeoutMs", usual.head_timeout_s * 1e3) / 1e3,
+        idle_timeout_s=entry.get("IdleTimeoutMs", usual.idle_timeout_s * 1e3) / 1e3,
+    )
--- /dev/null
+++ b/src/endivegw/platform/store.py
@@ -0,0 +1,180 @@
+"""The platform's metadata store as the product's port of versioned rows."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import json
+from typing import Any, Mapping
+from urllib.parse import urlencode
+
+from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw.services.http_calls import (
+    Answer,
+    HttpCaller,
+    failed_read,
+    failed_write,
+)
+from endivegw.services.row_store import (
+    Changes,
+    Conflict,
+    ExpectedRow,
+    HistoryGone,
+    NewRow,
+    StoredRow,
+    StoreMoment,
+)
+
+__all__ = ["PlatformStore"]
+
+#: All our tables have one partition, so that any rows can change together.
+_PARTITION = ""
+
+#: Rows of one page of a listing; the store's own bound.
+_PAGE_ROWS = 500
+
+_JSON = {"content-type": "application/json"}
+
+
+class PlatformStore:
+    """Call the store; it answers ``429`` and ``503`` only where nothing was done."""
+
+    def __init__(self, address: str) -> None:
+        self._caller = HttpCaller(f"http://{address}")
+
+    async def transact(
+        self,
+        expected: tuple[ExpectedRow, ...],
+        puts: tuple[NewRow, ...],
+        *,
+        deletes: tuple[ExpectedRow, ...] = (),
+        timeout_s: float,
+    ) -> Done[StoreMoment] | Conflict | Refused | Unknown:
+        """Write all or nothing."""
+        document = {
+            "ExpectedRevision": [
+                {**_key(row.table, row.key), "ResourceVersion": row.revision}
+                for row in expected + deletes
+            ],
+            "SetKeys": [
+                {
+                    **_key(row.table, row.key),
+                    "Value": base64.b64encode(row.value).decode(),
+                }
+                for row in puts
+            ],
+            "Remove": [_key(row.table, row.key) for row in deletes],
+        }
+        body = json.dumps(document, separators=(",", ":")).encode()
+        answer = await self._caller.call(
+            "POST", "/rows-tx", fields=_JSON, body=body, timeout_s=timeout_s
+        )
+        if not isinstance(answer, Answer):
+            return failed_write(answer)
+        if answer.status not in (200, 412):
+            return _refused(answer)
+        try:
+            content = json.loads(answer.body)
+            if answer.status == 200:
+                return Done(_moment(content))
+            return Conflict(_rows(content), _moment(content))
+        except (ValueError, TypeError, KeyError) as error:
+            return Unknown(Reason.ANSWER_LOST, f"not an answer of the store: {error}")
+
+    async def list_rows(
+        self, table: str, *, timeout_s: float
+    ) -> Done[Changes] | Refused | Unknown:
+        """Return all rows of a table; pages after the first may be newer."""
+        rows: list[StoredRow] = []
+        moment: StoreMoment | None = None
+        query: dict[str, str] = {"Table": table, "part": _PARTITION}
+        query["Limit"] = str(_PAGE_ROWS)
+        while True:
+            content = await self._read("/rows-get", query, timeout_s)
+            if isinstance(content, (Refused, Unknown)):
+                return content
+            try:
+                page = _rows(content)
+                moment = moment or _moment(content)
+                more = bool(content.get("MorePages"))
+            except (ValueError, TypeError, KeyError) as error:
+                return Refused(Reason.ANSWER_LOST, f"not a listing: {error}")
+            rows += page
+            if not more or not page:
+                # Changes after the first page's moment come with the feed.
+                return Done(Changes(tuple(rows), moment))
+            query["From"] = page[-1].key + "\0"
+
+    async def watch(
+        self, table: str, after_revision: int, *, wait_s: float, timeout_s: float
+    ) -> Done[Changes] | HistoryGone | Refused | Unknown:
+        """Return the changes since a revision, as soon as there is one."""
+        query = {
+            "Table": table,
+            "AfterRevision": str(after_revision),
+            "WaitMs": str(int(wait_s * 1000)),
+        }
+        content = await self._read("/rows-feed", query, timeout_s)
+        if isinstance(content, Refused) and content.reason is Reason.NOT_FOUND:
+            return HistoryGone()
+        if isinstance(content, (Refused, Unknown)):
+            return content
+        try:
+            return Done(Changes(_rows(content), _moment(content)))
+        except (ValueError, TypeError, KeyError) as error:
+            return Refused(Reason.ANSWER_LOST, f"not a list of changes: {error}")
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._caller.close()
+
+    async def _read(
+        self, path: str, query: Mapping[str, str], timeout_s: float
+    ) -> dict[str, Any] | Refused | Unknown:
+        answer = await self._caller.call(
+            "GET", f"{path}?{urlencode(query)}", timeout_s=timeout_s
+        )
+        if not isinstance(answer, Answer):
+            return failed_read(answer)
+        if answer.status == 410:
+            return Refused(Reason.NOT_FOUND, "the history is no longer available")
+        if answer.status != 200:
+            return _refused(answer)
+        try:
+            content = json.loads(answer.body)
+        except ValueError as error:
+            return Refused(Reason.ANSWER_LOST, f"not JSON: {error}")
+        if not isinstance(content, dict):
+            return Refused(Reason.ANSWER_LOST, "not an object")
+        return content
+
+
+def _key(table: str, key: str) -> dict[str, str]:
+    # "part" is the store's name of a partition.
+    return {"Table": table, "part": _PARTITION, "Key": key}
+
+
+def _moment(content: Mapping[str, Any]) -> StoreMoment:
+    return StoreMoment(int(content["ResourceVersion"]), int(content["NowMs"]))
+
+
+def _rows(content: Mapping[str, Any]) -> tuple[StoredRow, ...]:
+    found = []
+    for row in content["Rows"]:
+        deleted = bool(row.get("Tombstone"))
+        value = row.get("Value") or ""
+        try:
+            decoded = base64.b64decode(value, validate=True)
+        except binascii.Error as error:
+            raise ValueError(f"row {row['Key']!r}: {error}") from error
+        # An absent row of a conflict has the revision 0.
+        revision = int(row.get("ResourceVersion") or 0)
+        deleted = deleted or revision == 0
+        found.append(StoredRow(row["Table"], row["Key"], decoded, revision, deleted))
+    return tuple(found)
+
+
+def _refused(answer: Answer) -> Refused:
+    reason = Reason.THROTTLED if answer.status == 429 else Reason.UNREACHABLE
+    detail = f"the store answered {answer.status}"
+    return Refused(reason, detail, answer.retry_after_s())
--- /dev/null
+++ b/src/endivegw/platform/wire.py
@@ -0,0 +1,137 @@
+"""The platform's header fields."""
+
+from __future__ import annotations
+
+from endivegw.relay.wire import (
+    AnswerMarks,
+    CallerMarks,
+    HeaderFields,
+    PromptPart,
+    SendMarks,
+)
+from endivegw.results import Reason, Refused
+
+__all__ = ["PlatformWire"]
+
+_ATTEMPT_ID = b"endivegw-attempt-id"
+_DEADLINE = b"endivegw-deadline-ms"
+_TOKEN_COUNTS = b"endivegw-token-counts"
+_PROMPT_PARTS = b"endivegw-prompt-prefix"
+_LENGTH_HINT = b"endivegw-length-hint"
+_EXPECTED_INSTANCE = b"endivegw-expect-instance"
+_ACCOUNT = b"endivegw-tenant"
+_PRIORITY = b"endivegw-request-priority"
+_NOT_RUN = b"endivegw-not-executed"
+_LAST_EVENT = b"last-event-id"
+_AUTHORIZATION = b"authorization"
+
+#: Fields that the router alone sets; what a caller sends under these names would
+#: let it reserve engine memory, jump the queue or pose as another account.
+_RESERVED = frozenset(
+    {
+        _DEADLINE,
+        _EXPECTED_INSTANCE,
+        b"endivegw-expect-version",
+        _ACCOUNT,
+        _PRIORITY,
+        b"endivegw-hold",
+        b"endivegw-pin-ms",
+        b"endivegw-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"endivegw-kv-from",
+        b"endivegw-kv-fetch",
+        _LAST_EVENT,
+        _AUTHORIZATION,
+    }
+)
+
+#: Status of a target at whose address another instance answers now.
+_MISDIRECTED = 421
+
+
+class PlatformWire:
+    """Read and write the platform's header fields."""
+
+    def read_caller(self, fields: HeaderFields) -> CallerMarks | Refused:
+        """Return what a request says; refused where a field is malformed."""
+        found = dict(fields)
+        try:
+            counts = _counts(found.get(_TOKEN_COUNTS))
+            return CallerMarks(
+                request_id=_text(found.get(_ATTEMPT_ID)),
+                key=_key(found.get(_AUTHORIZATION)),
+                deadline_s=_seconds(found.get(_DEADLINE)),
+                prompt_tokens=counts[0] if counts else None,
+                most_output_tokens=counts[1] if counts else 0,
+                likely_output_tokens=_whole(found.get(_LENGTH_HINT)),
+                parts=_parts(found.get(_PROMPT_PARTS)),
+                resume_after=_whole(found.get(_LAST_EVENT)),
+            )
+        except ValueError as error:
+            return Refused(Reason.BAD_REQUEST, f"malformed header field: {error}")
+
+    def write_send(self, fields: HeaderFields, marks: SendMarks) -> HeaderFields:
+        """Return the fields for a target: the caller's own and those added."""
+        sent = [(name, value) for name, value in fields if name not in _RESERVED]
+        left_ms = max(1, int(marks.deadline_s * 1000))
+        sent.append((_DEADLINE, str(left_ms).encode()))
+        sent.append((_EXPECTED_INSTANCE, marks.instance_id.encode()))
+        if marks.client_account is not None:
+            sent.append((_ACCOUNT, marks.client_account.encode()))
+        if marks.priority is not None:
+            sent.append((_PRIORITY, str(marks.priority).encode()))
+        if marks.resume_after is not None:
+            sent.append((_LAST_EVENT, str(marks.resume_after).encode()))
+        return sent
+
+    def read_answer(self, status: int, fields: HeaderFields) -> AnswerMarks:
+        """Return what an answer says."""
+        found = dict(fields)
+        not_run = _NOT_RUN in found or status == _MISDIRECTED
+        return AnswerMarks(_text(found.get(_ATTEMPT_ID)), not_run)
+
+    def own_answer(self, request_id: str | None) -> HeaderFields:
+        """Return the fields that an answer of the router itself carries."""
+        if request_id is None:
+            return []
+        return [(_ATTEMPT_ID, request_id.encode("latin-1"))]
+
+
+def _text(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
+
+
+def _whole(value: bytes | None) -> int | None:
+    return None if value is None else int(value)
+
+
+def _seconds(value: bytes | None) -> float | None:
+    return None if value is None else int(value) / 1000.0
+
+
+def _key(value: bytes | None) -> str | None:
+    scheme, _, key = (value or b"").partition(b" ")
+    if scheme.lower() != b"bearer" or not key.strip():
+        return None
+    return key.strip().decode("latin-1")
+
+
+def _counts(value: bytes | None) -> tuple[int, int] | None:
+    if value is None:
+        return None
+    prompt, _, output = value.partition(b",")
+    counts = int(prompt), int(output)
+    if min(counts) < 0:
+        raise ValueError("token counts below 0")
+    return counts
+
+
+def _parts(value: bytes | None) -> tuple[PromptPart, ...]:
+    if not value:
+        return ()
+    found = []
+    for entry in value.decode("latin-1").split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        found.append(PromptPart(part_id, int(tokens)))
+    return tuple(found)
--- a/src/endivegw/queries/bills.py
+++ b/src/endivegw/queries/bills.py
@@ -7,8 +7,8 @@
 from endivegw.budgets import read_budgets
 from endivegw.budgets.bills import BillRecord
 from endivegw.budgets.reconcile import Reconciliation, read_bill, reconcile
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services import TablePort
 from endivegw.types import BudgetKey
 
 __all__ = ["Bill", "bill_of"]
--- a/src/endivegw/queries/budgets.py
+++ b/src/endivegw/queries/budgets.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from endivegw.budgets.rows import BUDGET_PARTITION, BudgetRow
-from endivegw.platform import TablePort
 from endivegw.results import Done, Result
+from endivegw.services import TablePort
 
 __all__ = ["list_budgets"]
 
--- a/src/endivegw/queries/fleet.py
+++ b/src/endivegw/queries/fleet.py
@@ -10,8 +10,8 @@
     load_reports,
 )
 from endivegw.configuration.store import load_revision
-from endivegw.platform import ListedVm, TablePort, VmListPort, VmState
 from endivegw.results import Done, Result
+from endivegw.services import ListedVm, TablePort, VmListPort, VmState
 from endivegw.types import ConfigRevision
 
 __all__ = ["FleetRevisions", "fleet_revisions"]
--- /dev/null
+++ b/src/endivegw/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relay callers' HTTP requests to targets, and their answers back."""
--- /dev/null
+++ b/src/endivegw/relay/handler.py
@@ -0,0 +1,408 @@
+"""Handle one caller's request: admit, reserve, place, send, answer, settle."""
+
+from __future__ import annotations
+
+import random
+from http import HTTPStatus
+from typing import Callable
+
+import anyio
+from attrs import define, field
+
+from endivegw.allowances import AllowanceKeeper, Reservation
+from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.decisions import (
+    AttemptEnd,
+    AttemptKind,
+    Placement,
+    RetryBudget,
+)
+from endivegw.relay.admission import Admitted, admit, work_item
+from endivegw.relay.answers import own_answer
+from endivegw.relay.attempt import (
+    Attempt,
+    AttemptLimits,
+    AttemptResult,
+    End,
+    StreamPassed,
+    WholeAnswer,
+)
+from endivegw.relay.caller_connection import Answerer
+from endivegw.relay.events import EventOrder
+from endivegw.relay.messages import CallerRequest, TargetHead, end_to_end
+from endivegw.relay.target_connection import Outgoing
+from endivegw.relay.target_pool import TargetPool
+from endivegw.relay.wire import SendMarks, WirePort
+from endivegw.results import Reason, Refused, Unknown
+from endivegw.routing import RouteKind, RoutingTable
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue import relay as events
+from endivegw.types import TargetName
+
+__all__ = ["RelayContext", "RequestHandler"]
+
+_SERVER_ERROR = 500
+
+
+@define
+class RelayContext:
+    """Hold what all requests of one router share.
+
+    :ivar table: the configuration in force; None before the first.
+    :ivar block_tokens: what one prefix digest covers, as placement counts.
+    :ivar draining: whether the router is about to stop.
+    """
+
+    wire: WirePort
+    keeper: AllowanceKeeper
+    queue: PlacementQueue
+    pool: TargetPool
+    retries: RetryBudget
+    rng: random.Random
+    clock: Callable[[], float]
+    log: EventLog
+    block_tokens: int
+    limits: AttemptLimits = field(factory=AttemptLimits)
+    table: RoutingTable | None = None
+    draining: bool = False
+
+
+@define
+class _Progress:
+    """Count what became of one request.
+
+    :ivar sent: targets that the request went to.
+    :ivar maybe_run: whether some target may have run it.
+    """
+
+    passed: StreamPassed
+    sent: int = 0
+    maybe_run: bool = False
+    excluded: set[TargetName] = field(factory=set)
+    first_s: float | None = None
+    target: str = ""
+
+
+class RequestHandler:
+    """Handle the requests of one router."""
+
+    def __init__(self, context: RelayContext) -> None:
+        self._context = context
+
+    async def handle(self, request: CallerRequest, answerer: Answerer) -> None:
+        """Answer one request."""
+        context = self._context
+        admitted = admit(
+            request, context.table, context.wire, context.rng, context.clock()
+        )
+        if isinstance(admitted, Refused):
+            await self._answer_self(None, admitted, answerer)
+            return
+        await _Run(context, admitted, answerer).run()
+
+    async def _answer_self(
+        self, request_id: str | None, end: Refused, answerer: Answerer
+    ) -> None:
+        answer = own_answer(end)
+        table = self._context.table
+        self._context.log.emit(
+            events.REQUEST_REFUSED,
+            request_id=request_id,
+            reason=end.reason.value,
+            detail=end.detail,
+            status=answer.status,
+            version=table.version if table else None,
+        )
+        fields = self._context.wire.own_answer(request_id) + answer.fields()
+        await answerer.whole(answer.status, fields, answer.body())
+
+
+class _Run:
+    """Carry one admitted request to its end."""
+
+    def __init__(
+        self, context: RelayContext, admitted: Admitted, answerer: Answerer
+    ) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._answerer = answerer
+        after = admitted.marks.resume_after
+        self._progress = _Progress(StreamPassed(EventOrder(after)))
+        self._reservation: Reservation | None = None
+
+    async def run(self) -> None:
+        """Answer the request, and settle what it consumed."""
+        left_s = self._admitted.deadline_s - self._context.clock()
+        outcome = "caller-left"
+        try:
+            with anyio.move_on_after(max(0.0, left_s)) as scope:
+                outcome = await self._serve()
+            if scope.cancelled_caught:
+                outcome = "deadline"
+                await self._end(self._expired())
+        finally:
+            self._settle(outcome)
+
+    async def _serve(self) -> str:
+        refused = await self._reserve()
+        if refused is None:
+            end = await self._attempts()
+            if not isinstance(end, (Refused, Unknown)):
+                return end
+        else:
+            end = refused
+        await self._end(end)
+        return end.reason.value
+
+    async def _reserve(self) -> Refused | None:
+        admitted = self._admitted
+        if not admitted.metered:
+            return None
+        assert admitted.account is not None
+        held = await self._context.keeper.reserve(
+            admitted.account.name, admitted.tokens
+        )
+        if isinstance(held, Refused):
+            return held
+        self._reservation = held
+        return None
+
+    async def _attempts(self) -> str | Refused | Unknown:
+        """Send until an answer is there or nothing more may be sent."""
+        self._context.retries.first_attempt(self._context.clock())
+        last: Refused | Unknown | None = None
+        spare: WholeAnswer | None = None
+        while True:
+            placement = await self._place()
+            if isinstance(placement, Refused):
+                if spare is not None:
+                    return await self._pass_on(spare)
+                return last or placement
+            result = await self._attempt(placement)
+            last = self._conclude(placement, result)
+            if last is None:
+                assert result.end is End.ANSWERED
+                if result.answer is None:
+                    await self._answerer.end()
+                    return "answered"
+                if not self._wants_better(result.answer):
+                    return await self._pass_on(result.answer)
+                spare = result.answer
+            if not self._may_send_again(result):
+                if spare is not None:
+                    return await self._pass_on(spare)
+                assert last is not None
+                return last
+
+    async def _place(self) -> Placement | Refused:
+        context = self._context
+        item = work_item(
+            self._admitted,
+            context.block_tokens,
+            frozenset(self._progress.excluded),
+            context.clock(),
+        )
+        placement = await context.queue.place(item)
+        if isinstance(placement, Placement):
+            figures = placement.figures
+            context.log.emit(
+                events.REQUEST_PLACED,
+                request_id=self._admitted.request_id,
+                target=placement.target,
+                why=placement.why,
+                load=round(figures.load, 3),
+                cached_tokens=figures.cached_tokens,
+                queued_s=round(figures.queued_s, 4),
+                finish_s=round(figures.finish_s, 3),
+            )
+        return placement
+
+    async def _attempt(self, placement: Placement) -> AttemptResult:
+        context = self._context
+        admitted = self._admitted
+        progress = self._progress
+        kind = admitted.route.kind
+        attempt = Attempt(
+            context.pool,
+            context.wire,
+            admitted.request_id,
+            progress.passed,
+            self._pass_head,
+            self._answerer.piece,
+            self._note_first,
+        )
+        progress.target = placement.target
+        result = AttemptResult(End.LOST, "the caller left")
+        done = False
+        try:
+            result = await attempt.run(
+                placement.address,
+                self._outgoing(placement),
+                fresh=not kind.may_repeat,
+                stream=kind.is_stream,
+                silence_s=context.limits.silence_s if kind.may_repeat else None,
+            )
+            done = True
+        finally:
+            self._report(placement, result, done)
+        return result
+
+    def _outgoing(self, placement: Placement) -> Outgoing:
+        admitted = self._admitted
+        request = admitted.request
+        marks = SendMarks(
+            instance_id=placement.instance_id,
+            client_account=admitted.account.name if admitted.account else None,
+            deadline_s=admitted.deadline_s - self._context.clock(),
+            resume_after=self._progress.passed.order.last_id,
+        )
+        fields = self._context.wire.write_send(end_to_end(request.fields), marks)
+        return Outgoing(request.method, request.target, fields, request.body)
+
+    def _report(self, placement: Placement, result: AttemptResult, done: bool) -> None:
+        """Tell the dispatcher how the attempt ended, and count it."""
+        context = self._context
+        if result.end is not End.NOT_SENT:
+            self._progress.sent += 1
+        if result.end in (End.ANSWERED, End.LOST):
+            self._progress.maybe_run = True
+        output = self._output_tokens()
+        end = AttemptEnd(_kind(result, done), output_tokens=output)
+        context.queue.dispatcher.ended(
+            self._admitted.request_id, placement.target, end, context.clock()
+        )
+        context.queue.kick()
+        if done and result.end is not End.ANSWERED:
+            context.log.emit(
+                events.ATTEMPT_FAILED,
+                request_id=self._admitted.request_id,
+                target=placement.target,
+                address=placement.address,
+                end=result.end.value,
+                detail=result.detail,
+                events=self._progress.passed.events,
+            )
+
+    def _conclude(
+        self, placement: Placement, result: AttemptResult
+    ) -> Refused | Unknown | None:
+        """Return what the caller would be told now; None where there is an answer."""
+        self._progress.excluded.add(placement.target)
+        match result.end:
+            case End.ANSWERED:
+                return None
+            case End.NOT_SENT | End.NOT_RUN:
+                if self._progress.maybe_run:
+                    return Unknown(Reason.ANSWER_LOST, "an earlier answer was lost")
+                return Refused(Reason.OVERLOADED, f"not run: {result.detail}", 0.2)
+            case End.LOST:
+                return Unknown(Reason.ANSWER_LOST, result.detail)
+
+    def _wants_better(self, answer: WholeAnswer) -> bool:
+        """Return whether another target may do better than a failed answer."""
+        failed = answer.head.status >= _SERVER_ERROR
+        return failed and self._admitted.route.kind is RouteKind.REPEATABLE
+
+    def _may_send_again(self, result: AttemptResult) -> bool:
+        """Return whether another target may be asked.
+
+        After a proof that nothing ran, always within the route's bound; after a
+        lost answer only where the request may run twice.
+        """
+        route = self._admitted.route
+        if result.end is End.NOT_SENT and self._progress.sent < route.most_targets:
+            return True
+        if self._progress.sent >= route.most_targets:
+            return False
+        if result.end in (End.LOST, End.ANSWERED) and not route.kind.may_repeat:
+            return False
+        return self._context.retries.may_retry(self._context.clock()) is True
+
+    async def _pass_on(self, answer: WholeAnswer) -> str:
+        if self._answerer.begun:
+            return "cut"
+        head = answer.head
+        await self._answerer.whole(head.status, head.fields, answer.body)
+        return "answered"
+
+    async def _pass_head(self, head: TargetHead, data: bytes) -> None:
+        await self._answerer.start(head.status, head.fields, data)
+
+    def _note_first(self) -> None:
+        if self._progress.first_s is None:
+            now_s = self._context.clock()
+            self._progress.first_s = now_s
+            self._context.queue.dispatcher.first_token(self._admitted.request_id, now_s)
+
+    def _expired(self) -> Refused | Unknown:
+        """Return what a caller is told whose time is over."""
+        if self._progress.maybe_run:
+            return Unknown(Reason.TIMEOUT, "no answer within the request's time")
+        return Refused(Reason.DEADLINE, "no target took it within its time", 0.2)
+
+    async def _end(self, end: Refused | Unknown) -> None:
+        """Answer without a target's answer; one that has begun can only be cut."""
+        if self._answerer.begun:
+            return
+        answer = own_answer(end)
+        fields = self._context.wire.own_answer(self._admitted.marks.request_id)
+        await self._answerer.whole(
+            answer.status, fields + answer.fields(), answer.body()
+        )
+
+    def _output_tokens(self) -> int:
+        """Return the tokens that the caller was sent, at the most."""
+        table = self._context.table
+        per_event = table.configuration.tokens_per_event if table else 1
+        sent = self._progress.passed.events * per_event
+        return min(sent, self._admitted.marks.most_output_tokens)
+
+    def _settle(self, outcome: str) -> None:
+        """Charge what was consumed, and write the request's one line."""
+        charged = 0
+        if self._reservation is not None:
+            if self._progress.maybe_run:
+                charged = (self._admitted.marks.prompt_tokens or 0) + (
+                    self._output_tokens()
+                )
+            self._context.keeper.settle(self._reservation, charged)
+        self._log_end(outcome, charged)
+
+    def _log_end(self, outcome: str, charged: int) -> None:
+        admitted = self._admitted
+        progress = self._progress
+        arrived_s = admitted.request.arrived_s
+        now_s = self._context.clock()
+        first_s = progress.first_s
+        self._context.log.emit(
+            events.REQUEST_ENDED,
+            request_id=admitted.request_id,
+            client_account=admitted.account.name if admitted.account else None,
+            route=admitted.route.name,
+            service=admitted.service,
+            outcome=outcome,
+            target=progress.target,
+            sends=progress.sent,
+            events=progress.passed.events,
+            first_s=None if first_s is None else round(first_s - arrived_s, 4),
+            took_s=round(now_s - arrived_s, 4),
+            reserved_tokens=self._reservation.tokens if self._reservation else 0,
+            charged_tokens=charged,
+            cut=self._answerer.cut,
+        )
+
+
+def _kind(result: AttemptResult, done: bool) -> AttemptKind:
+    if not done:
+        return AttemptKind.CANCELLED
+    match result.end:
+        case End.ANSWERED:
+            answer = result.answer
+            failed = answer is not None and (
+                answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            )
+            return AttemptKind.FAILED if failed else AttemptKind.OK
+        case End.NOT_RUN:
+            return AttemptKind.REFUSED
+        case _:
+            return AttemptKind.FAILED
--- a/src/endivegw/requests/claim_rows.py
+++ b/src/endivegw/requests/claim_rows.py
@@ -5,9 +5,9 @@
 import json
 from typing import Iterable
 
-from endivegw.platform import Check, Put, Row, RowKey, RowValue, Transaction
 from endivegw.requests.claims import Claim, Commit
 from endivegw.requests.slots import Beat, Slot, SlotMap, Take
+from endivegw.services import Check, Put, Row, RowKey, RowValue, Transaction
 from endivegw.types import AttemptId, InstanceId, TargetName
 
 __all__ = [
--- /dev/null
+++ b/src/endivegw/routing/__init__.py
@@ -0,0 +1,27 @@
+"""Routes, client accounts and targets that routers call themselves."""
+
+from endivegw.routing.fleet import FleetView
+from endivegw.routing.model import (
+    CallerLimits,
+    ClientAccount,
+    DirectTarget,
+    FleetConfiguration,
+    Route,
+    RouteKind,
+    ServiceKind,
+    WeightedService,
+)
+from endivegw.routing.table import RoutingTable
+
+__all__ = [
+    "CallerLimits",
+    "ClientAccount",
+    "DirectTarget",
+    "FleetConfiguration",
+    "FleetView",
+    "Route",
+    "RouteKind",
+    "RoutingTable",
+    "ServiceKind",
+    "WeightedService",
+]
--- /dev/null
+++ b/src/endivegw/services/__init__.py
@@ -0,0 +1,43 @@
+"""The platform's services: typed ports, and one adapter module for each."""
+
+from endivegw.services.ports import (
+    MAX_TRANSACTION_ITEMS,
+    Add,
+    Check,
+    Delete,
+    ListedVm,
+    ObjectStorePort,
+    Page,
+    Put,
+    Row,
+    RowKey,
+    RowValue,
+    StoredObject,
+    TablePort,
+    Transaction,
+    VmListPort,
+    VmState,
+    WeightStorePort,
+    Write,
+)
+
+__all__ = [
+    "Add",
+    "Check",
+    "Delete",
+    "ListedVm",
+    "MAX_TRANSACTION_ITEMS",
+    "ObjectStorePort",
+    "Page",
+    "Put",
+    "Row",
+    "RowKey",
+    "RowValue",
+    "StoredObject",
+    "TablePort",
+    "Transaction",
+    "VmListPort",
+    "VmState",
+    "WeightStorePort",
+    "Write",
+]
--- a/src/endivegw/platform/dynamo_items.py
+++ b/src/endivegw/services/dynamo_items.py
@@ -9,7 +9,7 @@
 
 from typing import Any, Mapping
 
-from endivegw.platform.ports import (
+from endivegw.services.ports import (
     Add,
     Check,
     Delete,
--- a/src/endivegw/platform/dynamo_table.py
+++ b/src/endivegw/services/dynamo_table.py
@@ -8,13 +8,14 @@
 
 import anyio
 
-from endivegw.platform.dynamo_items import (
+from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services.dynamo_items import (
     encode_key,
     encode_write,
     parse_key,
     parse_row,
 )
-from endivegw.platform.http_calls import (
+from endivegw.services.http_calls import (
     Answer,
     CallFailure,
     HttpCaller,
@@ -23,15 +24,14 @@
     failed_read,
     failed_write,
 )
-from endivegw.platform.ports import (
+from endivegw.services.ports import (
     MAX_TRANSACTION_ITEMS,
     Page,
     Row,
     RowKey,
     Transaction,
 )
-from endivegw.platform.signing import Credentials, signed_fields
-from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services.signing import Credentials, signed_fields
 
 __all__ = ["DynamoTable"]
 
@@ -71,7 +71,7 @@
     async def transact(
         self, transaction: Transaction, *, timeout_s: float
     ) -> Result[None]:
-        """Write all or nothing; see :class:`endivegw.platform.TablePort`."""
+        """Write all or nothing; see :class:`endivegw.services.TablePort`."""
         if not 0 < len(transaction.writes) <= MAX_TRANSACTION_ITEMS:
             detail = f"a transaction holds 1 to {MAX_TRANSACTION_ITEMS} items"
             return Refused(Reason.BAD_REQUEST, detail)
--- a/src/endivegw/platform/guard.py
+++ b/src/endivegw/services/guard.py
@@ -8,9 +8,9 @@
 import anyio
 from attrs import define, field, frozen
 
-from endivegw.platform.circuit import Circuit, Held
-from endivegw.platform.rate_cap import RateCap
 from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services.circuit import Circuit, Held
+from endivegw.services.rate_cap import RateCap
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue.platform import CIRCUIT_CLOSED, CIRCUIT_OPENED
 
--- a/src/endivegw/platform/guarded.py
+++ b/src/endivegw/services/guarded.py
@@ -8,9 +8,10 @@
 import anyio
 from attrs import define, field
 
-from endivegw.platform.circuit import Circuit
-from endivegw.platform.guard import Guard
-from endivegw.platform.ports import (
+from endivegw.results import Reason, Refused, Result
+from endivegw.services.circuit import Circuit
+from endivegw.services.guard import Guard
+from endivegw.services.ports import (
     ListedVm,
     ObjectStorePort,
     Page,
@@ -22,8 +23,7 @@
     VmListPort,
     WeightStorePort,
 )
-from endivegw.platform.rate_cap import RateCap, TableShares
-from endivegw.results import Reason, Refused, Result
+from endivegw.services.rate_cap import RateCap, TableShares
 
 __all__ = ["GuardedObjects", "GuardedTable", "GuardedVmList", "GuardedWeightStore"]
 
@@ -89,7 +89,7 @@
 
 
 class GuardedTable:
-    """Guard a table; see :class:`endivegw.platform.guard.Guard`.
+    """Guard a table; see :class:`endivegw.services.guard.Guard`.
 
     Reads and writes have one circuit, since one service answers both, and
     each its own rate cap.
--- a/src/endivegw/platform/http_vm_list.py
+++ b/src/endivegw/services/http_vm_list.py
@@ -4,9 +4,9 @@
 
 import json
 
-from endivegw.platform.http_calls import Answer, HttpCaller, failed_read
-from endivegw.platform.ports import ListedVm, VmState
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services.http_calls import Answer, HttpCaller, failed_read
+from endivegw.services.ports import ListedVm, VmState
 from endivegw.types import AvailabilityZone
 
 __all__ = ["HttpVmList"]
--- a/src/endivegw/platform/s3_objects.py
+++ b/src/endivegw/services/s3_objects.py
@@ -5,7 +5,8 @@
 from datetime import datetime, timezone
 from urllib.parse import quote
 
-from endivegw.platform.http_calls import (
+from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services.http_calls import (
     Answer,
     CallFailure,
     HttpCaller,
@@ -14,9 +15,8 @@
     failed_read,
     failed_write,
 )
-from endivegw.platform.ports import StoredObject
-from endivegw.platform.signing import Credentials, signed_fields
-from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services.ports import StoredObject
+from endivegw.services.signing import Credentials, signed_fields
 
 __all__ = ["S3Objects"]
 
--- a/src/endivegw/platform/weight_store.py
+++ b/src/endivegw/services/weight_store.py
@@ -4,8 +4,8 @@
 
 from urllib.parse import quote
 
-from endivegw.platform.http_calls import Answer, HttpCaller, failed_read
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services.http_calls import Answer, HttpCaller, failed_read
 
 __all__ = ["HttpWeightStore"]
 
--- a/src/endivegw/targets/order_desk.py
+++ b/src/endivegw/targets/order_desk.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from endivegw.platform import TablePort
 from endivegw.results import Done, Reason, Refused, Result, Unknown
+from endivegw.services import TablePort
 from endivegw.targets.order_rows import (
     desk_from_row,
     desk_key,
--- a/src/endivegw/targets/order_keeper.py
+++ b/src/endivegw/targets/order_keeper.py
@@ -10,8 +10,8 @@
 from attrs import evolve, field, frozen
 
 from endivegw.exceptions import InvariantError
-from endivegw.platform import TablePort, Transaction, WeightStorePort
 from endivegw.results import Done, Refused, Unknown
+from endivegw.services import TablePort, Transaction, WeightStorePort
 from endivegw.targets.order_rows import (
     claim_transaction,
     desk_from_row,
--- a/src/endivegw/targets/order_rows.py
+++ b/src/endivegw/targets/order_rows.py
@@ -4,7 +4,7 @@
 
 import json
 
-from endivegw.platform import Put, Row, RowKey, RowValue, Transaction
+from endivegw.services import Put, Row, RowKey, RowValue, Transaction
 from endivegw.targets.orders import Claim, DesiredState, Desk, Order, OrderState
 from endivegw.types import InstanceId, TargetName
 
--- a/src/endivegw/targets/weight_desk.py
+++ b/src/endivegw/targets/weight_desk.py
@@ -4,8 +4,8 @@
 
 from typing import Callable
 
-from endivegw.platform import RowKey, TablePort, WeightStorePort
 from endivegw.results import Done, Unknown
+from endivegw.services import RowKey, TablePort, WeightStorePort
 from endivegw.targets.weight_slots import (
     SLOT_PARTITION,
     SlotClaim,
--- a/src/endivegw/targets/weight_slots.py
+++ b/src/endivegw/targets/weight_slots.py
@@ -12,7 +12,7 @@
 
 from attrs import define, field, frozen
 
-from endivegw.platform import Put, Row, RowKey, RowValue, Transaction
+from endivegw.services import Put, Row, RowKey, RowValue, Transaction
 from endivegw.types import InstanceId, TargetName
 
 __all__ = [
--- a/src/endivegw/telemetry/catalogue/__init__.py
+++ b/src/endivegw/telemetry/catalogue/__init__.py
@@ -1,16 +1,19 @@
 """All numbered events, one module per part, each with its own thousand.
 
 1000 router, 2000 sidecar, 3000 budgets, 4000 configuration, 5000 membership
-and orders, 6000 platform, 7000 operators, 8000 daemons.
+and orders, 6000 platform, 7000 operators, 8000 daemons,
+9000 allowances, 9100 relay.
 """
 
 from endivegw.telemetry.catalogue import (
+    allowances,
     budgets,
     configuration,
     daemons,
     membership,
     operators,
     platform,
+    relay,
     router,
     sidecar,
 )
@@ -27,6 +30,8 @@
     platform,
     operators,
     daemons,
+    allowances,
+    relay,
 )
 
 #: Every event of the product, by number.
--- /dev/null
+++ b/src/endivegw/telemetry/catalogue/allowances.py
@@ -0,0 +1,86 @@
+"""Events of the part named allowances, 9000 to 9099."""
+
+from endivegw.telemetry.event import Event, Level
+
+__all__ = [
+    "ROW_UNREADABLE",
+    "STORE_AWAY",
+    "STORE_BACK",
+    "TOKENS_BORROWED",
+    "TOKENS_DRAWN",
+    "TOKENS_LENT",
+    "TOKENS_REFUSED",
+    "TOKENS_SUCCEEDED",
+    "TOKENS_TAKEN_OVER",
+]
+
+TOKENS_DRAWN = Event(
+    9001,
+    "tokens-drawn",
+    Level.INFO,
+    "A router drew tokens from budgets or gave some back.",
+    ("totals", "revision"),
+)
+TOKENS_SUCCEEDED = Event(
+    9002,
+    "tokens-succeeded",
+    Level.INFO,
+    "A process took over its predecessor's tokens, with the most it may have used.",
+    ("predecessor", "revision", "accounts"),
+)
+TOKENS_TAKEN_OVER = Event(
+    9003,
+    "tokens-taken-over",
+    Level.WARNING,
+    "Another process settled this router's row; it starts without tokens.",
+    ("instance",),
+)
+TOKENS_REFUSED = Event(
+    9004,
+    "tokens-refused",
+    Level.INFO,
+    "A request got no tokens, with the figures that decided it; it did not run.",
+    (
+        "client_account",
+        "tokens",
+        "shortage",
+        "hand_tokens",
+        "reserved_tokens",
+        "spare_tokens",
+        "left_tokens",
+        "exhausted",
+        "store_age_s",
+        "waited_s",
+    ),
+)
+TOKENS_BORROWED = Event(
+    9005,
+    "peer-tokens-received",
+    Level.INFO,
+    "Peers debited tokens for this router.",
+    ("client_account", "tokens", "least"),
+)
+TOKENS_LENT = Event(
+    9006,
+    "peer-tokens-given",
+    Level.INFO,
+    "This router debited tokens for a peer that asked.",
+    ("client_account", "tokens", "least", "peer"),
+)
+STORE_AWAY = Event(
+    9007,
+    "store-away",
+    Level.WARNING,
+    "The store does not answer; the router lives on what it holds.",
+    ("reason",),
+)
+STORE_BACK = Event(
+    9008, "store-back", Level.INFO, "The store answers again.", ("away_s",)
+)
+ROW_UNREADABLE = Event(
+    9009,
+    "row-unreadable",
+    Level.ERROR,
+    "A row of the store does not decode; the last good state stays in force.",
+    ("table", "key", "revision", "detail"),
+)
--- /dev/null
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -0,0 +1,125 @@
+"""Events of the part named relay, 9100 to 9199."""
+
+from endivegw.telemetry.event import Event, Level
+
+__all__ = [
+    "ATTEMPT_FAILED",
+    "CONFIGURATION_IN_FORCE",
+    "CONFIGURATION_UNREADABLE",
+    "DRAINING_BEGUN",
+    "FEED_LOST",
+    "FEED_REGAINED",
+    "PROCESS_STARTED",
+    "PROCESS_STOPPED",
+    "REQUEST_ENDED",
+    "REQUEST_PLACED",
+    "REQUEST_REFUSED",
+    "TARGET_CHANGED",
+]
+
+REQUEST_REFUSED = Event(
+    9101,
+    "relay-request-refused",
+    Level.INFO,
+    "A request is not allowed by the configuration in force; it did not run.",
+    ("request_id", "reason", "detail", "status", "version"),
+)
+REQUEST_PLACED = Event(
+    9102,
+    "relay-request-placed",
+    Level.INFO,
+    "A request goes to a target, with the figures that decided it.",
+    (
+        "request_id",
+        "target",
+        "why",
+        "load",
+        "cached_tokens",
+        "queued_s",
+        "finish_s",
+    ),
+)
+ATTEMPT_FAILED = Event(
+    9103,
+    "relay-attempt-failed",
+    Level.WARNING,
+    "A send to a target ended without an answer to pass on.",
+    ("request_id", "target", "address", "end", "detail", "events"),
+)
+REQUEST_ENDED = Event(
+    9104,
+    "relay-request-ended",
+    Level.INFO,
+    "An admitted request ended, with what it took and what was charged.",
+    (
+        "request_id",
+        "client_account",
+        "route",
+        "service",
+        "outcome",
+        "target",
+        "sends",
+        "events",
+        "first_s",
+        "took_s",
+        "reserved_tokens",
+        "charged_tokens",
+        "cut",
+    ),
+)
+CONFIGURATION_IN_FORCE = Event(
+    9110,
+    "relay-configuration-in-force",
+    Level.INFO,
+    "The router goes by another version of the configuration from now on.",
+    ("version", "before", "revision", "routes", "client_accounts"),
+)
+CONFIGURATION_UNREADABLE = Event(
+    9111,
+    "relay-configuration-unreadable",
+    Level.ERROR,
+    "A row does not decode; the last good state stays in force.",
+    ("table", "key", "revision", "detail"),
+)
+TARGET_CHANGED = Event(
+    9112,
+    "relay-target-changed",
+    Level.INFO,
+    "The router believes something else of a target.",
+    ("target", "service", "address", "change", "revision"),
+)
+FEED_LOST = Event(
+    9113,
+    "relay-feed-lost",
+    Level.WARNING,
+    "The feed of a table does not answer.",
+    ("table", "reason"),
+)
+FEED_REGAINED = Event(
+    9114,
+    "relay-feed-regained",
+    Level.INFO,
+    "The feed of a table answers again.",
+    ("table", "away_s", "revision"),
+)
+PROCESS_STARTED = Event(
+    9120,
+    "relay-started",
+    Level.INFO,
+    "The process serves.",
+    ("vm", "instance", "address"),
+)
+DRAINING_BEGUN = Event(
+    9121,
+    "relay-draining",
+    Level.INFO,
+    "The process was told to stop; it ends what it has.",
+    ("connections",),
+)
+PROCESS_STOPPED = Event(
+    9122,
+    "relay-stopped",
+    Level.INFO,
+    "The process ends.",
+    ("connections",),
+)
--- a/src/endivegw/telemetry/log.py
+++ b/src/endivegw/telemetry/log.py
@@ -11,7 +11,7 @@
 
 from endivegw.telemetry.event import Event, Level
 
-__all__ = ["EventLog", "json_line_handler"]
+__all__ = ["EventLog", "format_line", "json_line_handler"]
 
 _LEVELS = {
     Level.DEBUG: logbook.DEBUG,
@@ -21,7 +21,8 @@
 }
 
 
-def _format(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+def format_line(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    """Return a record as one line of JSON."""
     line = {
         "time": datetime.now(timezone.utc).isoformat(timespec="milliseconds"),
         "level": record.level_name.lower(),
@@ -41,7 +42,7 @@
         stays free for a command's result.
     """
     handler = logbook.StreamHandler(stream or sys.stderr, level=_LEVELS[level])
-    handler.formatter = _format
+    handler.formatter = format_line
     return handler
 
 
--- a/src/endivegw_standins/dynamo_server.py
+++ b/src/endivegw_standins/dynamo_server.py
@@ -10,7 +10,8 @@
 import re
 from typing import Any
 
-from endivegw.platform import (
+from endivegw.results import Done, Reason, Refused
+from endivegw.services import (
     MAX_TRANSACTION_ITEMS,
     Add,
     Check,
@@ -19,7 +20,7 @@
     Transaction,
     Write,
 )
-from endivegw.platform.dynamo_items import (
+from endivegw.services.dynamo_items import (
     ABSENT,
     AT_VERSION,
     PRESENT,
@@ -28,7 +29,6 @@
     parse_fields,
     parse_key,
 )
-from endivegw.results import Done, Reason, Refused
 from endivegw_standins.http_exchange import Reply, json_reply
 from endivegw_standins.memory_table import MemoryTable
 
--- a/src/endivegw_standins/faulty_table.py
+++ b/src/endivegw_standins/faulty_table.py
@@ -8,8 +8,8 @@
 from anyio.abc import TaskGroup
 from attrs import define
 
-from endivegw.platform import Page, Row, RowKey, Transaction
 from endivegw.results import Done, Reason, Result, Unknown
+from endivegw.services import Page, Row, RowKey, Transaction
 from endivegw_standins.memory_table import MemoryTable
 
 __all__ = ["FaultyTable", "TableFaults"]
--- a/src/endivegw_standins/memory_table.py
+++ b/src/endivegw_standins/memory_table.py
@@ -4,7 +4,8 @@
 
 import bisect
 
-from endivegw.platform import (
+from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import (
     MAX_TRANSACTION_ITEMS,
     Add,
     Check,
@@ -17,7 +18,6 @@
     Transaction,
     Write,
 )
-from endivegw.results import Done, Reason, Refused, Result
 
 __all__ = ["MemoryTable"]
 
--- a/src/endivegw_standins/object_server.py
+++ b/src/endivegw_standins/object_server.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from endivegw.platform import StoredObject
+from endivegw.services import StoredObject
 from endivegw_standins.http_exchange import Reply
 
 __all__ = ["MemoryObjects"]
--- a/src/endivegw_standins/platform_app.py
+++ b/src/endivegw_standins/platform_app.py
@@ -13,7 +13,7 @@
 import anyio
 from attrs import define, field
 
-from endivegw.platform import ListedVm
+from endivegw.services import ListedVm
 from endivegw_standins.dynamo_server import WRITE_ACTIONS, answer_action
 from endivegw_standins.faults import Faults, PlatformFaults
 from endivegw_standins.http_exchange import (
--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -26,13 +26,13 @@
 from endivegw.decisions.retry import RetryBudget, RetryPolicy
 from endivegw.exceptions import PeerError
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import ListedVm, VmState
 from endivegw.requests.attempts import AttemptLimits, RequestMachine
 from endivegw.requests.claims import ClaimAnswer, ClaimAsk
 from endivegw.requests.slots import TakeRule
 from endivegw.requests.starts import StartRegistry
 from endivegw.requests.steps import Ending, HandOver, RequestFacts
 from endivegw.results import Done, Reason, Refused, Result
+from endivegw.services import ListedVm, VmState
 from endivegw.targets.ports import ServiceAnswerHead, ServiceRequest
 from endivegw.telemetry import EventLog, NoMetrics
 from endivegw.types import (
--- a/tests/test_configuration_agent.py
+++ b/tests/test_configuration_agent.py
@@ -12,10 +12,10 @@
 from endivegw.configuration.parameters import Parameters
 from endivegw.configuration.reports import daemon_revisions, load_reports
 from endivegw.configuration.spread import SpreadSettings
-from endivegw.platform.dynamo_table import DynamoTable
-from endivegw.platform.guarded import GuardedObjects, GuardedTable
-from endivegw.platform.s3_objects import S3Objects
 from endivegw.results import Done, Reason, Refused
+from endivegw.services.dynamo_table import DynamoTable
+from endivegw.services.guarded import GuardedObjects, GuardedTable
+from endivegw.services.s3_objects import S3Objects
 from endivegw_standins.platform_app import StandinPlatform
 from endivegw_standins.serving import served
 
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -21,8 +21,8 @@
 from endivegw.configuration import TargetKind, TargetParameters
 from endivegw.configuration.parameters import Parameters
 from endivegw.configuration.store import load_changes, load_documents, load_snapshot
-from endivegw.platform import Put, RowKey, Transaction
 from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw.services import Put, RowKey, Transaction
 from endivegw.types import Priority
 from endivegw_standins.memory_table import MemoryTable
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,8 +17,8 @@
     Use,
 )
 from endivegw.membership.agent import MembershipAgent
-from endivegw.platform import ListedVm, VmState
 from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw.services import ListedVm, VmState
 from endivegw.telemetry import EventLog
 from endivegw.types import AvailabilityZone, ConfigRevision, InstanceId
 
--- a/tests/test_memory_table.py
+++ b/tests/test_memory_table.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from endivegw.platform import Add, Put, RowKey, Transaction
 from endivegw.results import Done, Reason
+from endivegw.services import Add, Put, RowKey, Transaction
 from endivegw_standins.memory_table import MemoryTable
 
 KEY = RowKey("budget", "lobby/main")
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -13,7 +13,7 @@
 from endivegw.commands.account import create_account, hash_of_key
 from endivegw.commands.changes import Operation
 from endivegw.configuration.reports import AdoptionReport, write_report
-from endivegw.platform import ListedVm, VmState
+from endivegw.services import ListedVm, VmState
 from endivegw_standins.platform_app import StandinPlatform
 from endivegw_standins.serving import served
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -8,8 +8,8 @@
 from hypothesis import given, seed, settings, strategies as st
 
 from endivegw.exceptions import InvariantError
-from endivegw.platform import Row, RowKey
 from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw.services import Row, RowKey
 from endivegw.targets import EngineOrder, OrderKind
 from endivegw.targets.order_desk import issue_order, list_orders
 from endivegw.targets.order_keeper import KeeperPolicy, KeeperStep, OrderKeeper
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -5,7 +5,8 @@
 
 import anyio
 
-from endivegw.platform import (
+from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw.services import (
     Add,
     Check,
     Delete,
@@ -15,12 +16,11 @@
     Transaction,
     VmState,
 )
-from endivegw.platform.dynamo_table import DynamoTable
-from endivegw.platform.http_vm_list import HttpVmList
-from endivegw.platform.s3_objects import S3Objects
-from endivegw.platform.signing import Credentials
-from endivegw.platform.weight_store import HttpWeightStore
-from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw.services.dynamo_table import DynamoTable
+from endivegw.services.http_vm_list import HttpVmList
+from endivegw.services.s3_objects import S3Objects
+from endivegw.services.signing import Credentials
+from endivegw.services.weight_store import HttpWeightStore
 from endivegw_standins.http_exchange import Reply, send_reply
 from endivegw_standins.platform_app import StandinPlatform
 from endivegw_standins.serving import served
--- a/tests/test_platform_guard.py
+++ b/tests/test_platform_guard.py
@@ -5,11 +5,11 @@
 
 import anyio
 
-from endivegw.platform import Put, RowKey, Transaction
-from endivegw.platform.circuit import Admitted, Circuit, CircuitSettings, Held
-from endivegw.platform.guarded import GuardedTable, GuardedWeightStore
-from endivegw.platform.rate_cap import RateCap, TableShares
 from endivegw.results import Done, Reason, Refused, Unknown
+from endivegw.services import Put, RowKey, Transaction
+from endivegw.services.circuit import Admitted, Circuit, CircuitSettings, Held
+from endivegw.services.guarded import GuardedTable, GuardedWeightStore
+from endivegw.services.rate_cap import RateCap, TableShares
 from endivegw_standins.memory_table import MemoryTable
 
 KEY = RowKey("config", "revision")
--- a/tests/test_sidecar_claims.py
+++ b/tests/test_sidecar_claims.py
@@ -13,12 +13,12 @@
 from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.decisions.retry import RetryBudget, RetryPolicy
 from endivegw.peers import SidecarClient
-from endivegw.platform import ListedVm, VmState
 from endivegw.requests.attempts import AttemptLimits, RequestMachine
 from endivegw.requests.claims import ClaimLimits
 from endivegw.requests.slots import TakeRule
 from endivegw.requests.steps import RequestFacts
 from endivegw.results import Done, Reason
+from endivegw.services import ListedVm, VmState
 from endivegw.telemetry import EventLog
 from endivegw.types import (
     AttemptId,
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -9,7 +9,7 @@
     MembershipView,
     TargetSubset,
 )
-from endivegw.platform import ListedVm, VmState
+from endivegw.services import ListedVm, VmState
 from endivegw.targets import EngineLoad
 from endivegw.types import ConfigRevision, InstanceId, TargetName
 
--- a/tests/test_target_watch.py
+++ b/tests/test_target_watch.py
@@ -11,8 +11,8 @@
 from endivegw.membership import MembershipPolicy
 from endivegw.peers import NotDelivered
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.platform import ListedVm, VmState
 from endivegw.results import Done
+from endivegw.services import ListedVm, VmState
 from endivegw.telemetry import EventLog
 
 POLICY = MembershipPolicy(
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -55,8 +55,8 @@
     "configuration/spread_actions.py",
     "configuration/spread_settings.py",
     "configuration/view.py",
-    "platform/circuit.py",
-    "platform/rate_cap.py",
+    "services/circuit.py",
+    "services/rate_cap.py",
 )
 
 #: What a pure module must not import.
