--- a/src/endivegw/allowances/book.py
+++ b/src/endivegw/allowances/book.py
@@ -130,7 +130,8 @@
     def plan_write(self, store_ms: float, now_s: float, routers: int) -> PlannedWrite:
         """Return the next write, and count it as pending.
 
-        :param routers: how many routers share the budgets now.
+        :param routers: how many routers share the budgets now; 0 where that is
+            not known yet, and nothing is drawn unasked.
         """
         terms: dict[ClientAccountName, Terms] = {}
         budgets: dict[ClientAccountName, int] = {}
@@ -196,8 +197,8 @@
         left = self.left_tokens(account)
         if left < 0:
             return -max(0, min(-left, funds.hand_tokens))
-        wanted = self.wanted_tokens.get(account, 0)
-        share = -(-left // max(1, routers))
+        wanted = self.wanted_tokens.get(account, 0) - max(0, funds.hand_tokens)
+        share = -(-left // routers) if routers else 0
         if wanted <= 0 and share < self.options.least_draw_tokens:
             return 0
         return min(left, max(wanted, share))
--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -108,15 +108,26 @@
         """End a reservation with what was consumed."""
         self.book.settle(reservation, used_tokens)
 
-    def lend(
+    async def lend(
         self, account: ClientAccountName, least_tokens: int, wanted_tokens: int
     ) -> int:
-        """Debit tokens for a peer that asks."""
+        """Debit tokens for a peer that asks; return how many.
+
+        What is lent counts as used, so that the recorded limit must cover it;
+        where it does not, it is moved on first.
+        """
+        now_s = self._clock()
+        funds = self.book.of(account)
+        funds.note_demand(
+            min(least_tokens, funds.hand_tokens), now_s, self.options.demand_s
+        )
+        room = funds.room_tokens(
+            self.store_clock.now_ms(now_s), self.options.pace_most_s
+        )
+        if room < least_tokens and funds.hand_tokens > room:
+            await self._write_for(account, min(wanted_tokens, funds.hand_tokens))
         store_ms = self.store_clock.now_ms(self._clock())
-        tokens = self.book.lend(account, least_tokens, wanted_tokens, store_ms)
-        if tokens < least_tokens:
-            self._writer.wake()
-        return tokens
+        return self.book.lend(account, least_tokens, wanted_tokens, store_ms)
 
     def spare_tokens(self) -> dict[ClientAccountName, int]:
         """Return what is free of each account, for the peers."""
@@ -179,18 +190,19 @@
         return self._refuse(account, tokens, held, started_s)
 
     async def _write_for(self, account: ClientAccountName, tokens: int) -> None:
-        self.book.wanted_tokens[account] = tokens
+        wanted = self.book.wanted_tokens
+        wanted[account] = wanted.get(account, 0) + tokens
         try:
             await self._writer.write_now(self.options.wait_s)
         finally:
-            self.book.wanted_tokens.pop(account, None)
+            wanted[account] -= tokens
 
     async def _borrow(self, account: ClientAccountName, tokens: int) -> None:
         funds = self.book.of(account)
         store_ms = self.store_clock.now_ms(self._clock())
         room = funds.room_tokens(store_ms, self.options.pace_most_s)
         least = tokens - max(0, room) if room > 0 else tokens - room
-        wanted = least + int(funds.demand_tokens_per_s)
+        wanted = least + int(funds.demand_tokens_per_s * self.options.borrow_ahead_s)
         got = await self._lending.ask(
             account, least, wanted, timeout_s=self.options.borrow_s
         )
--- a/src/endivegw/allowances/options.py
+++ b/src/endivegw/allowances/options.py
@@ -31,6 +31,10 @@
     :param clock_margin: factor on the own clock between two readings of the
         store's. A clock that runs fast by less than this stays harmless.
     :param pools_every_s: how often the budgets' rows are read.
+    :param borrow_ahead_s: seconds of demand that are borrowed on top of what a
+        request lacks, so that not each request asks.
+    :param settle_s: a router that just started draws nothing unasked for this
+        long: it does not know yet how many others there are.
     :param borrow_s: how long one request asks its peers for tokens.
     """
 
@@ -45,3 +49,5 @@
     clock_margin: float = 0.99
     pools_every_s: float = 1.0
     borrow_s: float = 0.12
+    borrow_ahead_s: float = 3.0
+    settle_s: float = 1.5
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -65,6 +65,7 @@
         self._routers = routers
         self._clock = clock
         self._log = log
+        self._started_s = clock()
         self.registered = False
         self._written = False
         self._revision = 0
@@ -185,7 +186,9 @@
         """Make one write, repeating it until its outcome is known."""
         now_s = self._clock()
         store_ms = self._store_clock.now_ms(now_s)
-        write = self._book.plan_write(store_ms, now_s, self._routers(now_s))
+        settled = now_s - self._started_s >= self._options.settle_s
+        routers = self._routers(now_s) if settled else 0
+        write = self._book.plan_write(store_ms, now_s, routers)
         while True:
             outcome = await self._try(write)
             if outcome is not None:
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from traceback import format_exception
 from typing import Any, Callable
 
 import anyio
@@ -148,6 +149,12 @@
             self._connections.add(connection)
             try:
                 await connection.serve()
+            except Exception as error:
+                # An error in a task group cancels the whole group, and the group
+                # is the router: one request must not end all others.
+                self._parts.log.emit(
+                    events.CONNECTION_FAILED, detail="".join(format_exception(error))
+                )
             finally:
                 self._connections.discard(connection)
 
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Callable
+from typing import Awaitable, Callable
 
 import anyio
-from anyio.abc import UDPSocket
+from anyio.abc import TaskGroup, UDPSocket
 from attrs import define, field
 
 from endivegw.allowances.keeper import PeerSpare
@@ -57,7 +57,7 @@
         self,
         entry: PeerEntry,
         peers: PeerTable,
-        lend: Callable[[ClientAccountName, int, int], int],
+        lend: Callable[[ClientAccountName, int, int], Awaitable[int]],
         spare: Callable[[], dict[ClientAccountName, int]],
         outstanding: Callable[[], dict[TargetName, int]],
         on_offer: Callable[[ClientAccountName, int], None],
@@ -73,10 +73,15 @@
         self._clock = clock
         self._log = log
         self._socket: UDPSocket | None = None
+        #: Offers and statements are sent by tasks of their own; the socket takes
+        #: one datagram at a time.
+        self._sending = anyio.Lock()
         self._sequence = 0
         self._asked = 0
         self._waits: dict[TransferId, _Wait] = {}
         self._offers: dict[TransferId, tuple[Offer, float]] = {}
+        #: Asks that are being decided on.
+        self._lending: set[TransferId] = set()
 
     async def run(self, state_every_s: float) -> None:
         """Listen, and state the own figures at intervals, until cancelled."""
@@ -85,7 +90,7 @@
             local_host=host, local_port=port
         ) as self._socket:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._listen)
+                tasks.start_soon(self._listen, tasks)
                 while True:
                     await self._state()
                     await anyio.sleep(state_every_s)
@@ -144,7 +149,7 @@
                     await wait.answered.wait()
         return wait.offer.tokens if wait.offer is not None else 0
 
-    async def _listen(self) -> None:
+    async def _listen(self, tasks: TaskGroup) -> None:
         assert self._socket is not None
         async for data, (host, port) in self._socket:
             message = decode(data)
@@ -152,29 +157,40 @@
                 case PeerState():
                     self.peers.hear(message, self._clock())
                 case Ask():
-                    await self._answer(message, host, port)
+                    tasks.start_soon(self._answer, message, host, port)
                 case Offer():
                     self._take(message)
 
     async def _answer(self, ask: Ask, host: str, port: int) -> None:
         """Debit once for an id; a repeated ask gets the same answer."""
         now_s = self._clock()
-        known = self._offers.get(ask.transfer_id)
-        if known is None:
-            tokens = self._lend(ask.client_account, ask.least_tokens, ask.wanted_tokens)
-            left = self._spare().get(ask.client_account, 0)
-            offer = Offer(self.entry.instance_id, ask.transfer_id, tokens, left)
-            self._offers[ask.transfer_id] = known = (offer, now_s)
-            if tokens:
-                self._log.emit(
-                    events.TOKENS_LENT,
-                    client_account=ask.client_account,
-                    tokens=tokens,
-                    least=ask.least_tokens,
-                    peer=ask.sender,
-                )
         self._forget(now_s)
-        await self._send_to(encode(known[0]), host, port)
+        if ask.transfer_id in self._lending:
+            return
+        known = self._offers.get(ask.transfer_id)
+        offer = known[0] if known is not None else await self._offer(ask, now_s)
+        await self._send_to(encode(offer), host, port)
+
+    async def _offer(self, ask: Ask, now_s: float) -> Offer:
+        self._lending.add(ask.transfer_id)
+        try:
+            tokens = await self._lend(
+                ask.client_account, ask.least_tokens, ask.wanted_tokens
+            )
+        finally:
+            self._lending.discard(ask.transfer_id)
+        left = self._spare().get(ask.client_account, 0)
+        offer = Offer(self.entry.instance_id, ask.transfer_id, tokens, left)
+        self._offers[ask.transfer_id] = (offer, now_s)
+        if tokens:
+            self._log.emit(
+                events.TOKENS_LENT,
+                client_account=ask.client_account,
+                tokens=tokens,
+                least=ask.least_tokens,
+                peer=ask.sender,
+            )
+        return offer
 
     def _take(self, offer: Offer) -> None:
         wait = self._waits.get(offer.transfer_id)
@@ -212,7 +228,8 @@
     async def _send_to(self, data: bytes, host: str, port: int) -> None:
         assert self._socket is not None
         try:
-            await self._socket.sendto(data, host, port)
+            async with self._sending:
+                await self._socket.sendto(data, host, port)
         except (OSError, anyio.BrokenResourceError):
             # A peer that is gone shows as silence, which is judged elsewhere.
             return
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import socket
+import select
 from typing import Callable
 
 import anyio
@@ -73,14 +73,9 @@
         Bytes that came are part of no answer to come; an end means that the
         target has closed it, and what is sent now would be lost.
         """
-        raw: socket.socket = self._stream.extra(SocketAttribute.raw_socket)
-        try:
-            raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
-        return False
+        poll = select.poll()
+        poll.register(self._stream.extra(SocketAttribute.raw_socket), select.POLLIN)
+        return not poll.poll(0)
 
     async def ask(
         self, outgoing: Outgoing, is_own: Callable[[int, HeaderFields], bool]
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -4,11 +4,13 @@
 
 __all__ = [
     "ATTEMPT_FAILED",
+    "CONNECTION_FAILED",
     "CONFIGURATION_IN_FORCE",
     "CONFIGURATION_UNREADABLE",
     "DRAINING_BEGUN",
     "FEED_LOST",
     "FEED_REGAINED",
+    "LINES_LEFT_OUT",
     "PROCESS_STARTED",
     "PROCESS_STOPPED",
     "REQUEST_ENDED",
@@ -123,3 +125,17 @@
     "The process ends.",
     ("connections",),
 )
+CONNECTION_FAILED = Event(
+    9123,
+    "relay-connection-failed",
+    Level.ERROR,
+    "A fault of the program ended one caller's connection.",
+    ("detail",),
+)
+LINES_LEFT_OUT = Event(
+    9130,
+    "log-lines-left-out",
+    Level.WARNING,
+    "Lines were left out since the one before, because nobody read them in time.",
+    ("left_out",),
+)
