--- a/src/endivegw/allowances/book.py
+++ b/src/endivegw/allowances/book.py
@@ -119,6 +119,17 @@
         """Credit tokens that a peer has debited."""
         self.of(account).borrowed_tokens += tokens
 
+    def low_accounts(self, now_s: float) -> list[tuple[ClientAccountName, int]]:
+        """Return the accounts of which too little is held, with what to borrow."""
+        options = self.options
+        found = []
+        for account, funds in self.funds.items():
+            demand = funds.demand_tokens_per_s(now_s, options.demand_s)
+            wanted = int(demand * options.hold_s)
+            if funds.hand_tokens < wanted * options.low_share:
+                found.append((account, wanted - funds.hand_tokens))
+        return found
+
     # The store.
 
     def left_tokens(self, account: ClientAccountName) -> int:
@@ -138,14 +149,13 @@
         expected: dict[ClientAccountName, int] = {}
         for account in sorted(set(self.prepaid_tokens) | set(self.funds)):
             funds = self.of(account)
-            funds.fade(now_s, self.options.demand_s)
             change = self._draw(account, funds, routers)
             if change:
                 total = self.totals.get(account, BudgetTotal())
                 budgets[account] = total.drawn_tokens + change
                 expected[account] = total.revision
             drawn = funds.confirmed.drawn_tokens + change
-            funds.pending = self._terms(account, funds, drawn, store_ms)
+            funds.pending = self._terms(account, funds, drawn, store_ms, now_s)
             terms[account] = funds.pending
         self._sequence += 1
         row = HolderRow(self.instance_id, self._sequence, terms)
@@ -209,13 +219,15 @@
         funds: Funds,
         drawn_tokens: int,
         store_ms: float,
+        now_s: float,
     ) -> Terms:
         """Return the promise of the next write."""
         options = self.options
         if self.prepaid_tokens.get(account, 0) < 0:
             return Terms(drawn_tokens, funds.used_tokens, 0, int(store_ms))
-        demand = funds.demand_tokens_per_s
-        lead = int(demand * options.lead_s) + funds.largest_tokens
+        demand = funds.demand_tokens_per_s(now_s, options.demand_s)
+        lead = int(demand * options.lead_s)
         lead = max(lead, self.wanted_tokens.get(account, 0))
-        pace = int(demand * options.pace_factor)
+        held = max(0, drawn_tokens - funds.used_tokens)
+        pace = int(max(demand * options.pace_factor, held * options.pace_share_per_s))
         return Terms(drawn_tokens, funds.used_tokens + lead, pace, int(store_ms))
--- a/src/endivegw/allowances/funds.py
+++ b/src/endivegw/allowances/funds.py
@@ -10,10 +10,16 @@
 
 from __future__ import annotations
 
+import math
+
 from attrs import define, field, frozen
 
 __all__ = ["Funds", "Terms"]
 
+#: A demand that began less than this ago is taken as if it had lasted so long: a
+#: single large request says little about a rate.
+_LEAST_SEEN_S = 3.0
+
 
 @frozen
 class Terms:
@@ -57,9 +63,9 @@
     reserved_tokens: int = 0
     lent_tokens: int = 0
     borrowed_tokens: int = 0
-    demand_tokens_per_s: float = 0.0
-    largest_tokens: int = 0
+    _asked_tokens: float = 0.0
     _noted_s: float | None = None
+    _since_s: float | None = None
 
     @property
     def used_tokens(self) -> int:
@@ -84,13 +90,27 @@
 
     def note_demand(self, tokens: int, now_s: float, demand_s: float) -> None:
         """Count tokens asked for into the measured demand."""
-        self.largest_tokens = max(self.largest_tokens, tokens)
-        self.fade(now_s, demand_s)
-        self.demand_tokens_per_s += tokens / demand_s
-
-    def fade(self, now_s: float, demand_s: float) -> None:
-        """Let the measured demand fade with time."""
+        self._fade(now_s, demand_s)
+        self._asked_tokens += tokens
+        if self._since_s is None:
+            self._since_s = now_s
+
+    def demand_tokens_per_s(self, now_s: float, demand_s: float) -> float:
+        """Return the demand, weighted by its age.
+
+        A measure that began lately has not seen ``demand_s`` yet and would say
+        too little; it is divided by what it has seen.
+
+        :param demand_s: the age at which demand counts a third.
+        """
+        if self._since_s is None:
+            return 0.0
+        self._fade(now_s, demand_s)
+        seen = max(_LEAST_SEEN_S, now_s - self._since_s) / demand_s
+        return self._asked_tokens / (demand_s * (1.0 - math.exp(-seen)))
+
+    def _fade(self, now_s: float, demand_s: float) -> None:
         if self._noted_s is not None:
             elapsed_s = max(0.0, now_s - self._noted_s)
-            self.demand_tokens_per_s *= max(0.0, 1.0 - elapsed_s / demand_s)
+            self._asked_tokens *= math.exp(-elapsed_s / demand_s)
         self._noted_s = now_s
--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -24,6 +24,9 @@
 #: had several more tries.
 _RETRY_S = 0.4
 
+#: A store that was not heard for this long is away: several writes lack answers.
+_AWAY_S = 0.5
+
 #: Rounds of one reservation; each ends in tokens or in one thing less to try.
 _ROUNDS = 4
 
@@ -97,7 +100,10 @@
 
     async def run(self) -> None:
         """Keep the row until cancelled."""
-        await self._writer.run()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._balance)
+            await self._writer.run()
+            tasks.cancel_scope.cancel()
 
     def set_prepaid(self, prepaid: dict[ClientAccountName, int]) -> None:
         """Take over budgets of a configuration, and draw at once on a top-up."""
@@ -118,13 +124,11 @@
         """
         now_s = self._clock()
         funds = self.book.of(account)
-        funds.note_demand(
-            min(least_tokens, funds.hand_tokens), now_s, self.options.demand_s
-        )
         room = funds.room_tokens(
             self.store_clock.now_ms(now_s), self.options.pace_most_s
         )
-        if room < least_tokens and funds.hand_tokens > room:
+        can_write = self._writer.store_age_s(now_s) < _AWAY_S
+        if room < wanted_tokens and funds.hand_tokens > room and can_write:
             await self._write_for(account, min(wanted_tokens, funds.hand_tokens))
         store_ms = self.store_clock.now_ms(self._clock())
         return self.book.lend(account, least_tokens, wanted_tokens, store_ms)
@@ -176,7 +180,8 @@
             if isinstance(held, Reservation):
                 return held
             in_store = self.book.left_tokens(account) > 0
-            if not written and (held is Shortage.LIMIT or in_store):
+            away = self._writer.store_age_s(self._clock()) >= _AWAY_S
+            if not (written or away) and (held is Shortage.LIMIT or in_store):
                 written = True
                 await self._write_for(account, tokens)
             elif not borrowed:
@@ -189,6 +194,20 @@
             return held
         return self._refuse(account, tokens, held, started_s)
 
+    async def _balance(self) -> None:
+        """Borrow ahead while the store answers, so that a cut finds enough here."""
+        while True:
+            await anyio.sleep(self.options.balance_every_s)
+            now_s = self._clock()
+            if not self.ready or self._writer.store_age_s(now_s) >= _AWAY_S:
+                continue
+            for account, tokens in self.book.low_accounts(now_s):
+                if self._lending.spare(account, now_s).spare_tokens < tokens:
+                    continue
+                await self._lending.ask(
+                    account, 0, tokens, timeout_s=self.options.borrow_s
+                )
+
     async def _write_for(self, account: ClientAccountName, tokens: int) -> None:
         wanted = self.book.wanted_tokens
         wanted[account] = wanted.get(account, 0) + tokens
@@ -202,7 +221,8 @@
         store_ms = self.store_clock.now_ms(self._clock())
         room = funds.room_tokens(store_ms, self.options.pace_most_s)
         least = tokens - max(0, room) if room > 0 else tokens - room
-        wanted = least + int(funds.demand_tokens_per_s * self.options.borrow_ahead_s)
+        demand = funds.demand_tokens_per_s(self._clock(), self.options.demand_s)
+        wanted = least + int(demand * self.options.hold_s)
         got = await self._lending.ask(
             account, least, wanted, timeout_s=self.options.borrow_s
         )
--- a/src/endivegw/allowances/options.py
+++ b/src/endivegw/allowances/options.py
@@ -11,18 +11,20 @@
 class AllowanceOptions:
     """Hold the limits.
 
-    :param write_every_s: how often a router moves its recorded limits on. Ten
-        writes a second for a small fleet is a hundredth of the store's rate.
+    :param write_every_s: how often a router moves its recorded limits on. Four
+        routers then make 27 writes a second, a thirtieth of the store's rate.
     :param write_timeout_s: a write without an answer is repeated as it is. It
         is longer than the answer of a store that is a hundred times slower than
         usual, so that a slow store still takes writes.
     :param wait_s: how long one request waits for a write. A store that is well
         answers within a tenth of it; the request then turns to peers.
     :param lead_s: seconds of demand that the limit is ahead of the use. What is
-        ahead is lost for the budget if the router is killed.
+        ahead is lost for the budget if the router is killed; a request that finds
+        too little waits for one write.
     :param pace_factor: how much faster than its demand a router that is cut off
-        may spend. Twice covers an account that suddenly sends twice as much;
-        more would strand more when a router is killed.
+        may spend. What it may spend in the time from its last write to its
+        successor's start is lost when it is killed, about two seconds' worth;
+        peers lend where one account's callers press on one router.
     :param pace_most_s: the longest cut through which the limit grows. Cuts of up
         to 9 s were seen; a longer one is lived through on what peers can spare.
     :param demand_s: time constant of the measured demand.
@@ -31,23 +33,32 @@
     :param clock_margin: factor on the own clock between two readings of the
         store's. A clock that runs fast by less than this stays harmless.
     :param pools_every_s: how often the budgets' rows are read.
-    :param borrow_ahead_s: seconds of demand that are borrowed on top of what a
-        request lacks, so that not each request asks.
+    :param pace_share_per_s: how fast a router that is cut off may spend or lend
+        of what it holds, where its own demand is lower. In a cut the callers of
+        an account may need what another router holds.
+    :param hold_s: seconds of its demand that a router holds of each account, by
+        borrowing ahead while the store answers. Cuts of up to 9 s were seen; in
+        a cut, peers can lend only as much as their limits grow.
+    :param low_share: share of ``hold_s`` below which it borrows ahead.
+    :param balance_every_s: how often it looks.
     :param settle_s: a router that just started draws nothing unasked for this
         long: it does not know yet how many others there are.
     :param borrow_s: how long one request asks its peers for tokens.
     """
 
-    write_every_s: float = 0.3
+    write_every_s: float = 0.15
     write_timeout_s: float = 1.0
     wait_s: float = 0.06
-    lead_s: float = 0.5
-    pace_factor: float = 2.0
+    lead_s: float = 0.3
+    pace_factor: float = 1.4
     pace_most_s: float = 15.0
-    demand_s: float = 4.0
+    demand_s: float = 8.0
     least_draw_tokens: int = 500
     clock_margin: float = 0.99
     pools_every_s: float = 1.0
     borrow_s: float = 0.12
-    borrow_ahead_s: float = 3.0
+    pace_share_per_s: float = 0.005
+    hold_s: float = 12.0
+    low_share: float = 0.6
+    balance_every_s: float = 0.5
     settle_s: float = 1.5
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -149,11 +149,16 @@
         """Take over a row; a late write of the predecessor brings another one."""
         self._book.funds.clear()
         store_ms = self._store_clock.now_ms(self._clock())
+        used = self._book.succeed(holder, store_ms)
+        as_of_ms = max((terms.as_of_ms for terms in holder.terms.values()), default=0)
         self._log.emit(
             events.TOKENS_SUCCEEDED,
             predecessor=holder.instance_id,
             revision=revision,
-            accounts=self._book.succeed(holder, store_ms),
+            silent_s=round((store_ms - as_of_ms) / 1000.0, 3),
+            drawn={name: terms.drawn_tokens for name, terms in holder.terms.items()},
+            limits={name: terms.limit_tokens for name, terms in holder.terms.items()},
+            used=used,
         )
 
     async def _read_budgets(self) -> None:
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -6,7 +6,7 @@
 from typing import Any, Callable
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 from attrs import frozen
 
 from endivegw.allowances import AllowanceKeeper
@@ -85,6 +85,8 @@
         self._options = options
         self._connections: set[CallerConnection] = set()
         self._stopped = anyio.Event()
+        #: Cancelled when no more callers are taken.
+        self._accepting: anyio.CancelScope | None = None
 
     @property
     def ready(self) -> bool:
@@ -96,6 +98,7 @@
     async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until stopped."""
         parts = self._parts
+        self._accepting = anyio.CancelScope()
         async with anyio.create_task_group() as tasks:
             for feed in parts.feeds:
                 tasks.start_soon(feed.run)
@@ -104,8 +107,16 @@
             tasks.start_soon(parts.link.run, self._options.state_every_s)
             tasks.start_soon(self._keep_own_address)
             tasks.start_soon(self._tell_load)
-            tasks.start_soon(self._listen, parts.ready_address, self._say_ready)
-            tasks.start_soon(self._listen, parts.callers_address, parts.handler)
+            tasks.start_soon(
+                self._listen, parts.ready_address, self._say_ready, tasks, None
+            )
+            tasks.start_soon(
+                self._listen,
+                parts.callers_address,
+                parts.handler,
+                tasks,
+                self._accepting,
+            )
             parts.log.emit(
                 events.PROCESS_STARTED,
                 vm=parts.link.entry.vm,
@@ -124,13 +135,27 @@
         self._parts.log.emit(events.DRAINING_BEGUN, connections=len(self._connections))
         with anyio.move_on_after(options.stop_within_s):
             await anyio.sleep(options.stop_after_s)
+            # A balancer with too few other routers goes on sending callers here.
+            # One that is taken late is cut off by the end; one that finds no
+            # listener goes to another router at once.
+            if self._accepting is not None:
+                self._accepting.cancel()
+            for connection in list(self._connections):
+                connection.close_when_idle()
             while any(connection.busy for connection in self._connections):
                 await anyio.sleep(0.05)
             await self._remove_own_address()
             await self._parts.keeper.stop()
         self._stopped.set()
 
-    async def _listen(self, address: Address, handler: Handler) -> None:
+    async def _listen(
+        self,
+        address: Address,
+        handler: Handler,
+        tasks: TaskGroup,
+        accepting: anyio.CancelScope | None,
+    ) -> None:
+        """Serve connections in ``tasks``, so that they outlive the listener."""
         listener = await anyio.create_tcp_listener(
             local_host=address.ip,
             local_port=address.port,
@@ -139,26 +164,31 @@
         )
 
         async def serve(stream: SocketStream) -> None:
-            connection = CallerConnection(
-                stream,
-                handler,
-                self._limits,
-                lambda: self._parts.context.draining,
-                self._parts.clock,
+            await self._serve_connection(stream, handler)
+
+        with accepting or anyio.CancelScope():
+            async with listener:
+                await listener.serve(serve, tasks)
+
+    async def _serve_connection(self, stream: SocketStream, handler: Handler) -> None:
+        connection = CallerConnection(
+            stream,
+            handler,
+            self._limits,
+            lambda: self._parts.context.draining,
+            self._parts.clock,
+        )
+        self._connections.add(connection)
+        try:
+            await connection.serve()
+        except Exception as error:
+            # An error in a task group cancels the whole group, and the group
+            # is the router: one request must not end all others.
+            self._parts.log.emit(
+                events.CONNECTION_FAILED, detail="".join(format_exception(error))
             )
-            self._connections.add(connection)
-            try:
-                await connection.serve()
-            except Exception as error:
-                # An error in a task group cancels the whole group, and the group
-                # is the router: one request must not end all others.
-                self._parts.log.emit(
-                    events.CONNECTION_FAILED, detail="".join(format_exception(error))
-                )
-            finally:
-                self._connections.discard(connection)
-
-        await listener.serve(serve)
+        finally:
+            self._connections.discard(connection)
 
     def _limits(self) -> CallerLimits:
         table = self._parts.context.table
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -110,10 +110,10 @@
         ends_s = self._clock() + timeout_s
         for peer in self.peers.lenders(account, self._clock()):
             left_s = ends_s - self._clock()
-            if got >= least_tokens or left_s <= 0:
+            if got >= max(least_tokens, 1) or left_s <= 0:
                 break
             got += await self._ask_one(
-                peer, account, least_tokens - got, wanted_tokens - got, left_s
+                peer, account, max(0, least_tokens - got), wanted_tokens - got, left_s
             )
         return got
 
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -108,6 +108,7 @@
         self._news = anyio.Event()
         self._room = anyio.Event()
         self._left = False
+        self._closing = False
         self._scope: anyio.CancelScope | None = None
         #: Whether a request is being read or answered.
         self.busy = False
@@ -123,6 +124,11 @@
             with anyio.CancelScope(shield=True), anyio.move_on_after(_LINGER_S):
                 await self._stream.aclose()
 
+    def close_when_idle(self) -> None:
+        """Close now, or after the request that is being read or answered."""
+        self._closing = True
+        self._news.set()
+
     async def _pump(self) -> None:
         """Read all the time, so that a caller that leaves is noticed at once.
 
@@ -167,7 +173,7 @@
             if request is not None:
                 self.busy = True
                 return request
-            if self._left:
+            if self._left or (self._closing and self._parser.idle):
                 return None
             if self._parser.wants_continue:
                 self._parser.wants_continue = False
--- a/src/endivegw/telemetry/catalogue/allowances.py
+++ b/src/endivegw/telemetry/catalogue/allowances.py
@@ -26,7 +26,7 @@
     "tokens-succeeded",
     Level.INFO,
     "A process took over its predecessor's tokens, with the most it may have used.",
-    ("predecessor", "revision", "accounts"),
+    ("predecessor", "revision", "silent_s", "drawn", "limits", "used"),
 )
 TOKENS_TAKEN_OVER = Event(
     9003,
