Let other routers witness until when a killed router lived

Cause: a killed router's successor counted all that the limit grew until it read the row, 3.8 s of pace at a kill with a restart, 158,000 of a budget of 2.97 million tokens.

--- a/src/endivegw/allowances/book.py
+++ b/src/endivegw/allowances/book.py
@@ -13,6 +13,7 @@
 from endivegw.allowances.options import AllowanceOptions
 from endivegw.allowances.reservation import Reservation
 from endivegw.allowances.rows import BudgetTotal, HolderRow
+from endivegw.allowances.witnesses import Witnesses
 from endivegw.types import ClientAccountName, InstanceId
 
 __all__ = ["AllowanceBook", "PlannedWrite", "Shortage"]
@@ -56,6 +57,7 @@
     prepaid_tokens: dict[ClientAccountName, int] = field(factory=dict)
     totals: dict[ClientAccountName, BudgetTotal] = field(factory=dict)
     wanted_tokens: dict[ClientAccountName, int] = field(factory=dict)
+    witnesses: Witnesses = field(factory=Witnesses)
     _sequence: int = 0
 
     def set_prepaid(self, prepaid: dict[ClientAccountName, int]) -> None:
@@ -68,16 +70,20 @@
 
     # Requests.
 
+    def room_tokens(self, account: ClientAccountName, store_ms: float) -> int:
+        """Return what may be used of an account now."""
+        reach_ms = self.witnesses.reach_ms(store_ms)
+        return self.of(account).room_tokens(reach_ms, self.options.pace_most_s)
+
     def reserve(
         self,
         account: ClientAccountName,
         tokens: int,
         store_ms: float,
-        now_s: float,
     ) -> Reservation | Shortage:
         """Hold tokens for a request, or say what is short."""
         funds = self.of(account)
-        if funds.room_tokens(store_ms, self.options.pace_most_s) >= tokens:
+        if self.room_tokens(account, store_ms) >= tokens:
             funds.reserved_tokens += tokens
             return Reservation(account, tokens)
         if funds.hand_tokens >= tokens:
@@ -108,7 +114,7 @@
         that an account whose callers moved to the peer does not ask each time.
         """
         funds = self.of(account)
-        room = funds.room_tokens(store_ms, self.options.pace_most_s)
+        room = self.room_tokens(account, store_ms)
         tokens = min(wanted_tokens, max(min(least_tokens, room), room // 2))
         if tokens <= 0:
             return 0
@@ -138,11 +144,18 @@
         total = self.totals.get(account, BudgetTotal())
         return prepaid - total.drawn_tokens
 
-    def plan_write(self, store_ms: float, now_s: float, routers: int) -> PlannedWrite:
+    def plan_write(
+        self,
+        store_ms: float,
+        now_s: float,
+        routers: int,
+        witnesses: tuple[InstanceId, ...] = (),
+    ) -> PlannedWrite:
         """Return the next write, and count it as pending.
 
         :param routers: how many routers share the budgets now; 0 where that is
             not known yet, and nothing is drawn unasked.
+        :param witnesses: routers that hear from this one now.
         """
         terms: dict[ClientAccountName, Terms] = {}
         budgets: dict[ClientAccountName, int] = {}
@@ -158,11 +171,13 @@
             funds.pending = self._terms(account, funds, drawn, store_ms, now_s)
             terms[account] = funds.pending
         self._sequence += 1
-        row = HolderRow(self.instance_id, self._sequence, terms)
+        self.witnesses.plan(witnesses)
+        row = HolderRow(self.instance_id, self._sequence, terms, witnesses)
         return PlannedWrite(row, budgets, expected)
 
     def commit(self, write: PlannedWrite, revision: int) -> None:
         """Take in that a write took effect."""
+        self.witnesses.commit()
         for account, terms in write.row.terms.items():
             funds = self.of(account)
             funds.confirmed = terms
@@ -172,6 +187,7 @@
 
     def void(self) -> None:
         """Take in that a write did not take effect and never will."""
+        self.witnesses.void()
         for funds in self.funds.values():
             funds.pending = None
 
--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Callable, Protocol
+from typing import Callable
 
 import anyio
-from attrs import frozen
 
 from endivegw.allowances.book import AllowanceBook, Shortage
+from endivegw.allowances.lending import LendingPort
 from endivegw.allowances.options import AllowanceOptions
 from endivegw.allowances.reservation import Reservation
 from endivegw.allowances.row_writer import RowWriter
@@ -18,7 +18,7 @@
 from endivegw.telemetry.catalogue import allowances as events
 from endivegw.types import ClientAccountName, InstanceId
 
-__all__ = ["AllowanceKeeper", "LendingPort", "PeerSpare"]
+__all__ = ["AllowanceKeeper"]
 
 #: When a caller without tokens should come back: by then writes and peers have
 #: had several more tries.
@@ -31,38 +31,6 @@
 _ROUNDS = 4
 
 
-@frozen
-class PeerSpare:
-    """Hold what peers said last about one account.
-
-    :param spare_tokens: what they had free together.
-    :param all_heard: whether each router was heard within the last second.
-    """
-
-    spare_tokens: int
-    all_heard: bool
-
-
-class LendingPort(Protocol):
-    """The other routers, asked for tokens."""
-
-    async def ask(
-        self,
-        account: ClientAccountName,
-        least_tokens: int,
-        wanted_tokens: int,
-        *,
-        timeout_s: float,
-    ) -> int:
-        """Have peers debit tokens; return how many were credited to the keeper."""
-
-    def spare(self, account: ClientAccountName, now_s: float) -> PeerSpare:
-        """Return what peers said last."""
-
-    def routers(self, now_s: float) -> int:
-        """Return how many routers there are, this one included."""
-
-
 class AllowanceKeeper:
     """Hold the budgets of one router and keep its row in the store.
 
@@ -87,7 +55,7 @@
         self._log = log
         self.store_clock = StoreClock(options.clock_margin)
         self._writer = RowWriter(
-            store, vm, self.book, self.store_clock, lending.routers, clock, log
+            store, vm, self.book, self.store_clock, lending, clock, log
         )
         #: One slow reservation an account at a time: others of the account then
         #: find what it fetched.
@@ -124,9 +92,7 @@
         """
         now_s = self._clock()
         funds = self.book.of(account)
-        room = funds.room_tokens(
-            self.store_clock.now_ms(now_s), self.options.pace_most_s
-        )
+        room = self.book.room_tokens(account, self.store_clock.now_ms(now_s))
         can_write = self._writer.store_age_s(now_s) < _AWAY_S
         if room < wanted_tokens and funds.hand_tokens > room and can_write:
             await self._write_for(account, min(wanted_tokens, funds.hand_tokens))
@@ -167,7 +133,7 @@
 
     def _try(self, account: ClientAccountName, tokens: int) -> Reservation | Shortage:
         now_s = self._clock()
-        return self.book.reserve(account, tokens, self.store_clock.now_ms(now_s), now_s)
+        return self.book.reserve(account, tokens, self.store_clock.now_ms(now_s))
 
     async def _fetch(
         self, account: ClientAccountName, tokens: int
@@ -219,7 +185,7 @@
     async def _borrow(self, account: ClientAccountName, tokens: int) -> None:
         funds = self.book.of(account)
         store_ms = self.store_clock.now_ms(self._clock())
-        room = funds.room_tokens(store_ms, self.options.pace_most_s)
+        room = self.book.room_tokens(account, store_ms)
         least = tokens - max(0, room) if room > 0 else tokens - room
         demand = funds.demand_tokens_per_s(self._clock(), self.options.demand_s)
         wanted = least + int(demand * self.options.hold_s)
--- /dev/null
+++ b/src/endivegw/allowances/lending.py
@@ -0,0 +1,55 @@
+"""The other routers, as the keeping of budgets sees them."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from attrs import frozen
+
+from endivegw.types import ClientAccountName, InstanceId
+
+__all__ = ["LendingPort", "PeerSpare"]
+
+
+@frozen
+class PeerSpare:
+    """Hold what peers said last about one account.
+
+    :param spare_tokens: what they had free together.
+    :param all_heard: whether each router was heard within the last second.
+    """
+
+    spare_tokens: int
+    all_heard: bool
+
+
+class LendingPort(Protocol):
+    """The other routers, asked for tokens."""
+
+    async def ask(
+        self,
+        account: ClientAccountName,
+        least_tokens: int,
+        wanted_tokens: int,
+        *,
+        timeout_s: float,
+    ) -> int:
+        """Have peers debit tokens; return how many were credited to the keeper."""
+
+    def spare(self, account: ClientAccountName, now_s: float) -> PeerSpare:
+        """Return what peers said last."""
+
+    def routers(self, now_s: float) -> int:
+        """Return how many routers there are, this one included."""
+
+    def witnesses(self, now_s: float) -> tuple[InstanceId, ...]:
+        """Return routers that acknowledge this one's statements."""
+
+    async def testify(
+        self,
+        witnesses: tuple[InstanceId, ...],
+        about: InstanceId,
+        *,
+        timeout_s: float,
+    ) -> dict[InstanceId, float]:
+        """Return when each witness heard last from a dead router's process."""
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -12,6 +12,7 @@
 import anyio
 
 from endivegw.allowances.book import AllowanceBook, PlannedWrite
+from endivegw.allowances.lending import LendingPort
 from endivegw.allowances.rows import (
     BUDGETS_TABLE,
     HOLDERS_TABLE,
@@ -23,6 +24,7 @@
     encode_holder,
 )
 from endivegw.allowances.store_clock import StoreClock
+from endivegw.allowances.witnesses import lived_until_ms
 from endivegw.results import Done
 from endivegw.services.row_store import (
     Conflict,
@@ -37,6 +39,10 @@
 
 __all__ = ["RowWriter"]
 
+#: How long witnesses of an earlier process are asked. It counts from the start, in
+#: which the addresses of the other routers are still being read.
+_TESTIMONY_S = 0.5
+
 #: Pause after a call that failed at once, such as one to a store that resets.
 _PAUSE_S = 0.1
 
@@ -44,7 +50,7 @@
 class RowWriter:
     """Write a router's row, and read what is left of the budgets.
 
-    :param routers: returns how many routers share the budgets now.
+    :param peers: the other routers.
     """
 
     def __init__(
@@ -53,7 +59,7 @@
         vm: str,
         book: AllowanceBook,
         store_clock: StoreClock,
-        routers: Callable[[float], int],
+        peers: LendingPort,
         clock: Callable[[], float],
         log: EventLog,
     ) -> None:
@@ -62,7 +68,7 @@
         self._book = book
         self._options = book.options
         self._store_clock = store_clock
-        self._routers = routers
+        self._peers = peers
         self._clock = clock
         self._log = log
         self._started_s = clock()
@@ -141,21 +147,28 @@
             # The clock is read at the answer: the earlier process has ended, so
             # that its use grew no further than until now.
             self._revision = own.revision
-            self._succeed(decode_holder(own.value), own.revision)
+            await self._succeed(decode_holder(own.value), own.revision)
         self.registered = True
         return True
 
-    def _succeed(self, holder: HolderRow, revision: int) -> None:
+    async def _succeed(self, holder: HolderRow, revision: int) -> None:
         """Take over a row; a late write of the predecessor brings another one."""
         self._book.funds.clear()
         store_ms = self._store_clock.now_ms(self._clock())
-        used = self._book.succeed(holder, store_ms)
+        heard_ms = await self._peers.testify(
+            holder.witnesses, holder.instance_id, timeout_s=_TESTIMONY_S
+        )
+        lived_ms = lived_until_ms(holder.witnesses, heard_ms, store_ms)
+        used = self._book.succeed(holder, lived_ms)
         as_of_ms = max((terms.as_of_ms for terms in holder.terms.values()), default=0)
         self._log.emit(
             events.TOKENS_SUCCEEDED,
             predecessor=holder.instance_id,
             revision=revision,
             silent_s=round((store_ms - as_of_ms) / 1000.0, 3),
+            lived_s=round((lived_ms - as_of_ms) / 1000.0, 3),
+            witnesses=len(holder.witnesses),
+            answered=len(heard_ms),
             drawn={name: terms.drawn_tokens for name, terms in holder.terms.items()},
             limits={name: terms.limit_tokens for name, terms in holder.terms.items()},
             used=used,
@@ -192,8 +205,10 @@
         now_s = self._clock()
         store_ms = self._store_clock.now_ms(now_s)
         settled = now_s - self._started_s >= self._options.settle_s
-        routers = self._routers(now_s) if settled else 0
-        write = self._book.plan_write(store_ms, now_s, routers)
+        routers = self._peers.routers(now_s) if settled else 0
+        write = self._book.plan_write(
+            store_ms, now_s, routers, self._peers.witnesses(now_s)
+        )
         while True:
             outcome = await self._try(write)
             if outcome is not None:
@@ -221,7 +236,7 @@
                 return True
             case Conflict(rows, moment):
                 self._heard(moment.now_ms, now_s)
-                return self._resolve(write, rows)
+                return await self._resolve(write, rows)
         self._lost(now_s, result.reason.value)
         return None
 
@@ -232,7 +247,7 @@
         if write.budgets:
             self._log.emit(events.TOKENS_DRAWN, totals=write.budgets, revision=revision)
 
-    def _resolve(self, write: PlannedWrite, rows: tuple[StoredRow, ...]) -> bool:
+    async def _resolve(self, write: PlannedWrite, rows: tuple[StoredRow, ...]) -> bool:
         """Find out what a conflict means: an earlier copy landed, or none will.
 
         A copy of the write that is still on its way finds the same rows moved
@@ -254,7 +269,7 @@
             if self._written:
                 self._taken_over(holder)
             else:
-                self._succeed(holder, own.revision)
+                await self._succeed(holder, own.revision)
             return False
         if holder.sequence == write.row.sequence:
             self._commit(write, own.revision)
--- a/src/endivegw/allowances/rows.py
+++ b/src/endivegw/allowances/rows.py
@@ -40,11 +40,13 @@
     :param instance_id: the process that wrote it.
     :param sequence: grows with each of its writes, so that a write without an
         answer is recognised when it is read back.
+    :param witnesses: routers that know until when this one lived.
     """
 
     instance_id: InstanceId
     sequence: int
     terms: Mapping[ClientAccountName, Terms] = field(factory=dict)
+    witnesses: tuple[InstanceId, ...] = ()
 
 
 @frozen
@@ -66,6 +68,7 @@
         "instance": row.instance_id,
         "sequence": row.sequence,
         "as_of_ms": as_of_ms,
+        "witnesses": row.witnesses,
         "accounts": accounts,
     }
     return json.dumps(document, separators=(",", ":")).encode()
@@ -83,7 +86,8 @@
             for account, (drawn, limit, pace) in document["accounts"].items()
         }
         instance_id = InstanceId(str(document["instance"]))
-        return HolderRow(instance_id, int(document["sequence"]), terms)
+        witnesses = tuple(InstanceId(str(name)) for name in document["witnesses"])
+        return HolderRow(instance_id, int(document["sequence"]), terms, witnesses)
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise RowError(f"not a holder's row: {error!r}") from error
 
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -71,6 +71,9 @@
         spare=lambda: keeper.spare_tokens(),
         outstanding=dispatcher.outstanding,
         on_offer=lambda account, tokens: keeper.credit(account, tokens),
+        on_acknowledgement=lambda peer, ms: keeper.book.witnesses.acknowledge(peer, ms),
+        store_ms=lambda: keeper.store_clock.now_ms(clock()),
+        named_witnesses=lambda: keeper.book.witnesses.named(),
         clock=clock,
         log=log,
     )
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -6,22 +6,25 @@
 
 import anyio
 from anyio.abc import TaskGroup, UDPSocket
-from attrs import define, field
+from attrs import define, evolve, field
 
-from endivegw.allowances.keeper import PeerSpare
+from endivegw.allowances.lending import PeerSpare
 from endivegw.gossip.messages import (
     MOST_BYTES,
+    Acknowledgement,
     Ask,
+    Inquiry,
     Message,
     Offer,
     PeerState,
+    Testimony,
     decode,
     encode,
 )
 from endivegw.gossip.peers import PeerEntry, PeerTable
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import allowances as events
-from endivegw.types import ClientAccountName, TargetName, TransferId
+from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
 
 __all__ = ["PeerLink"]
 
@@ -29,6 +32,11 @@
 #: and back, with a busy peer in between.
 _REPEAT_S = 0.02
 
+#: Routers that are named as witnesses. A successor needs the word of each, so that
+#: more would make it likelier that one is missing; with one, its end would stop the
+#: growth of limits in a cut.
+_MOST_WITNESSES = 2
+
 #: How long an answer is remembered. An ask is repeated for far less.
 _MEMORY_S = 30.0
 
@@ -49,6 +57,8 @@
     :param lend: debits tokens for a peer; returns how many.
     :param spare: returns what is free by account.
     :param outstanding: returns the own requests by target.
+    :param store_ms: returns the store's clock as it is known here.
+    :param named_witnesses: returns the routers whose acknowledgement counts.
     :param on_offer: credits tokens that a peer debited, once for each ask, also
         where the ask was given up meanwhile: they exist nowhere else.
     """
@@ -61,6 +71,9 @@
         spare: Callable[[], dict[ClientAccountName, int]],
         outstanding: Callable[[], dict[TargetName, int]],
         on_offer: Callable[[ClientAccountName, int], None],
+        on_acknowledgement: Callable[[InstanceId, float], None],
+        store_ms: Callable[[], float],
+        named_witnesses: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], float],
         log: EventLog,
     ) -> None:
@@ -70,6 +83,11 @@
         self._spare = spare
         self._outstanding = outstanding
         self._on_offer = on_offer
+        self._on_acknowledgement = on_acknowledgement
+        self._store_ms = store_ms
+        self._named_witnesses = named_witnesses
+        self._witnesses: tuple[InstanceId, ...] = ()
+        self._testimonies: tuple[InstanceId, dict[InstanceId, float]] | None = None
         self._clock = clock
         self._log = log
         self._socket: UDPSocket | None = None
@@ -126,6 +144,42 @@
         """Return how many routers there are, this one included."""
         return len(self.peers.live(now_s)) + 1
 
+    def witnesses(self, now_s: float) -> tuple[InstanceId, ...]:
+        """Return routers that acknowledge this one's statements.
+
+        The same ones for as long as they are heard: what counts is the word of
+        all that a row names.
+        """
+        live = [entry.instance_id for entry in self.peers.live(now_s)]
+        kept = [name for name in self._witnesses if name in live]
+        for name in sorted(live):
+            if len(kept) >= _MOST_WITNESSES:
+                break
+            if name not in kept:
+                kept.append(name)
+        self._witnesses = tuple(kept)
+        return self._witnesses
+
+    async def testify(
+        self,
+        witnesses: tuple[InstanceId, ...],
+        about: InstanceId,
+        *,
+        timeout_s: float,
+    ) -> dict[InstanceId, float]:
+        """Ask routers when they heard last from a process that ended."""
+        found: dict[InstanceId, float] = {}
+        self._testimonies = (about, found)
+        question = Inquiry(self.entry.instance_id, about)
+        ends_s = self._clock() + timeout_s
+        while len(found) < len(witnesses) and self._clock() < ends_s:
+            for entry in self.peers.entries():
+                if entry.instance_id in witnesses and entry.instance_id not in found:
+                    await self._send(entry, question)
+            await anyio.sleep(_REPEAT_S)
+        self._testimonies = None
+        return {name: found[name] for name in witnesses if name in found}
+
     # Inside.
 
     async def _ask_one(
@@ -156,10 +210,24 @@
             match message:
                 case PeerState():
                     self.peers.hear(message, self._clock())
+                    if self.entry.instance_id in message.witnesses:
+                        reply = Acknowledgement(
+                            self.entry.instance_id, message.clock_ms
+                        )
+                        await self._send_to(encode(reply), host, port)
                 case Ask():
                     tasks.start_soon(self._answer, message, host, port)
                 case Offer():
                     self._take(message)
+                case Acknowledgement():
+                    self._on_acknowledgement(message.sender, message.clock_ms)
+                case Inquiry(sender, about):
+                    heard_ms = self.peers.last_clock_ms(about)
+                    answer = Testimony(self.entry.instance_id, about, heard_ms)
+                    await self._send_to(encode(answer), host, port)
+                case Testimony(sender, about, heard_ms):
+                    if self._testimonies and self._testimonies[0] == about:
+                        self._testimonies[1][sender] = heard_ms
 
     async def _answer(self, ask: Ask, host: str, port: int) -> None:
         """Debit once for an id; a repeated ask gets the same answer."""
@@ -214,7 +282,12 @@
     async def _state(self) -> None:
         self._sequence += 1
         state = PeerState(
-            self.entry.instance_id, self._sequence, self._spare(), self._outstanding()
+            self.entry.instance_id,
+            self._sequence,
+            self._spare(),
+            self._outstanding(),
+            self._store_ms(),
+            self._named_witnesses(),
         )
         data = encode(state)
         if len(data) > MOST_BYTES:
@@ -244,4 +317,4 @@
     most = 20
     spare = sorted(state.spare_tokens.items(), key=lambda item: -item[1])[:most]
     load = sorted(state.outstanding.items(), key=lambda item: -item[1])[:most]
-    return PeerState(state.sender, state.sequence, dict(spare), dict(load))
+    return evolve(state, spare_tokens=dict(spare), outstanding=dict(load))
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -29,12 +29,41 @@
     :param spare_tokens: what it has free by account; the most needed ones where
         not all fit.
     :param outstanding: its own requests at targets.
+    :param clock_ms: the store's clock as the sender knew it.
+    :param witnesses: routers that should acknowledge the statement.
     """
 
     sender: InstanceId
     sequence: int
     spare_tokens: dict[ClientAccountName, int] = field(factory=dict)
     outstanding: dict[TargetName, int] = field(factory=dict)
+    clock_ms: float = 0.0
+    witnesses: tuple[InstanceId, ...] = ()
+
+
+@frozen
+class Acknowledgement:
+    """Say that a statement made at a time was heard."""
+
+    sender: InstanceId
+    clock_ms: float
+
+
+@frozen
+class Inquiry:
+    """Ask when a process that ended was heard last."""
+
+    sender: InstanceId
+    about: InstanceId
+
+
+@frozen
+class Testimony:
+    """Answer an inquiry; the time is that of the last statement heard, or 0."""
+
+    sender: InstanceId
+    about: InstanceId
+    heard_ms: float
 
 
 @frozen
@@ -61,7 +90,7 @@
     left_tokens: int
 
 
-Message = PeerState | Ask | Offer
+Message = PeerState | Acknowledgement | Inquiry | Testimony | Ask | Offer
 
 
 def encode(message: Message) -> bytes:
@@ -74,7 +103,15 @@
                 message.sequence,
                 message.spare_tokens,
                 message.outstanding,
+                int(message.clock_ms),
+                message.witnesses,
             ]
+        case Acknowledgement(sender, clock_ms):
+            document = ["heard", sender, clock_ms]
+        case Inquiry(sender, about):
+            document = ["inquiry", sender, about]
+        case Testimony(sender, about, heard_ms):
+            document = ["testimony", sender, about, heard_ms]
         case Ask():
             document = [
                 "ask",
@@ -101,13 +138,21 @@
         kind, sender, *rest = json.loads(data)
         name = InstanceId(str(sender))
         match kind, rest:
-            case "state", [sequence, spare, outstanding]:
+            case "state", [sequence, spare, outstanding, clock_ms, witnesses]:
                 return PeerState(
                     name,
                     int(sequence),
                     {ClientAccountName(key): int(spare[key]) for key in spare},
                     {TargetName(key): int(outstanding[key]) for key in outstanding},
+                    float(clock_ms),
+                    tuple(InstanceId(str(witness)) for witness in witnesses),
                 )
+            case "heard", [clock_ms]:
+                return Acknowledgement(name, float(clock_ms))
+            case "inquiry", [about]:
+                return Inquiry(name, InstanceId(str(about)))
+            case "testimony", [about, heard_ms]:
+                return Testimony(name, InstanceId(str(about)), float(heard_ms))
             case "ask", [transfer_id, account, least, wanted]:
                 return Ask(
                     name,
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import OrderedDict
 
 from attrs import define, field, frozen
 
@@ -18,6 +19,9 @@
 #: statements in a row are missing.
 HEARD_S = 1.0
 
+#: Processes whose last time is kept: ten starts of each router of a large fleet.
+_MOST_CLOCKS = 4000
+
 
 @frozen
 class PeerEntry:
@@ -57,6 +61,9 @@
 
     own_vm: str
     _peers: dict[str, _Peer] = field(factory=dict)
+    #: When each process was heard last, by the store's clock as it knew it; kept
+    #: for those that ended, whose successors ask.
+    _clocks_ms: OrderedDict[InstanceId, float] = field(factory=OrderedDict)
 
     def put(self, entry: PeerEntry) -> None:
         """Take in a router's row."""
@@ -72,6 +79,11 @@
 
     def hear(self, state: PeerState, now_s: float) -> None:
         """Take in what a router says; older statements are dropped."""
+        clocks = self._clocks_ms
+        clocks[state.sender] = max(clocks.get(state.sender, 0.0), state.clock_ms)
+        clocks.move_to_end(state.sender)
+        if len(clocks) > _MOST_CLOCKS:
+            clocks.popitem(last=False)
         for peer in self._peers.values():
             if peer.entry.instance_id != state.sender:
                 continue
@@ -79,6 +91,10 @@
                 peer.state = state
                 peer.heard_s = now_s
 
+    def last_clock_ms(self, instance_id: InstanceId) -> float:
+        """Return when a process was heard last, 0 where it never was."""
+        return self._clocks_ms.get(instance_id, 0.0)
+
     def entries(self) -> list[PeerEntry]:
         """Return all known routers but this one."""
         return [peer.entry for peer in self._peers.values()]
--- a/src/endivegw/telemetry/catalogue/allowances.py
+++ b/src/endivegw/telemetry/catalogue/allowances.py
@@ -26,7 +26,17 @@
     "tokens-succeeded",
     Level.INFO,
     "A process took over its predecessor's tokens, with the most it may have used.",
-    ("predecessor", "revision", "silent_s", "drawn", "limits", "used"),
+    (
+        "predecessor",
+        "revision",
+        "silent_s",
+        "lived_s",
+        "witnesses",
+        "answered",
+        "drawn",
+        "limits",
+        "used",
+    ),
 )
 TOKENS_TAKEN_OVER = Event(
     9003,
