Tell other routers which prompts are still being read

Cause of late first events: a router placed short requests behind long prompts that other routers had sent a moment before.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -69,7 +69,7 @@
         peers,
         lend=lambda account, least, wanted: keeper.lend(account, least, wanted),
         spare=lambda: keeper.spare_tokens(),
-        outstanding=dispatcher.outstanding,
+        load=dispatcher.own_load,
         on_offer=lambda account, tokens: keeper.credit(account, tokens),
         on_acknowledgement=lambda peer, ms: keeper.book.witnesses.acknowledge(peer, ms),
         store_ms=lambda: keeper.store_clock.now_ms(clock()),
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -12,7 +12,7 @@
 from endivegw.allowances import AllowanceKeeper
 from endivegw.daemons.direct_beliefs import PeerReader, TargetReader
 from endivegw.daemons.row_feed import RowFeed
-from endivegw.decisions import LoadFigures
+from endivegw.decisions import LoadFigures, OwnLoad
 from endivegw.gossip import PeerLink
 from endivegw.gossip.peers import PEERS_TABLE
 from endivegw.relay.caller_connection import Answerer, CallerConnection, Handler
@@ -34,6 +34,8 @@
 #: Pause between two tries to write the own address.
 _PAUSE_S = 0.2
 
+_NO_LOAD = OwnLoad(0, 0)
+
 _OK, _UNAVAILABLE, _NOT_FOUND = 200, 503, 404
 
 
@@ -41,15 +43,12 @@
 class DirectRouterOptions:
     """Hold intervals and the times of an orderly stop.
 
-    :param state_every_s: how often peers are told load and spare tokens. Work
-        that takes a second is then seen while it runs.
     :param stop_after_s: how long a stopping router takes new connections: the
         balancer asks once a second and needs two bad answers.
     :param stop_within_s: when it ends at the latest.
     :param write_timeout_s: for writes of the own address.
     """
 
-    state_every_s: float = 0.2
     stop_after_s: float = 2.6
     stop_within_s: float = 7.4
     write_timeout_s: float = 1.0
@@ -104,7 +103,7 @@
                 tasks.start_soon(feed.run)
             tasks.start_soon(parts.keeper.run)
             tasks.start_soon(parts.context.queue.run)
-            tasks.start_soon(parts.link.run, self._options.state_every_s)
+            tasks.start_soon(parts.link.run)
             tasks.start_soon(self._keep_own_address)
             tasks.start_soon(self._tell_load)
             tasks.start_soon(
@@ -205,15 +204,23 @@
         parts = self._parts
         dispatcher = parts.context.queue.dispatcher
         while True:
-            await anyio.sleep(self._options.state_every_s)
+            await anyio.sleep(parts.link.interval_s())
             parts.targets.settle()
             now_s = parts.clock()
-            others = parts.link.peers.outstanding(now_s)
-            own = dispatcher.outstanding()
+            others = parts.link.peers.load(now_s)
+            own = dispatcher.own_load()
             for target in parts.targets.view.targets.values():
                 name = TargetName(target.instance_id)
-                running = own.get(name, 0) + others.get(name, 0)
-                figures = LoadFigures(running, 0, target.slots, 0.0, 0.0)
+                other = others.get(name, _NO_LOAD)
+                running = own.get(name, _NO_LOAD).running + other.running
+                figures = LoadFigures(
+                    running,
+                    0,
+                    target.slots,
+                    0.0,
+                    0.0,
+                    unread_tokens=other.unread_tokens,
+                )
                 dispatcher.report(name, figures, now_s)
             parts.context.queue.kick()
 
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -22,6 +22,7 @@
     AttemptKind,
     Expired,
     LoadFigures,
+    OwnLoad,
     Placement,
     PlacementFigures,
     Queued,
@@ -171,9 +172,12 @@
         meter = self._demand
         return {model: meter.slots(model, now_s) for model in meter.models()}
 
-    def outstanding(self) -> dict[TargetName, int]:
-        """Return this router's own running work by target."""
-        return {target: len(state.own) for target, state in self._targets.items()}
+    def own_load(self) -> dict[TargetName, OwnLoad]:
+        """Return what this router has at each target."""
+        return {
+            target: OwnLoad(len(state.own), state.pending_tokens)
+            for target, state in self._targets.items()
+        }
 
     def started(self, request_id: str, now_s: float) -> None:
         """Note that the target took the work."""
@@ -327,7 +331,7 @@
         )
         uncached = item.prompt_tokens - choice.cached_tokens
         speed = self._estimates.speed(item.model)
-        expected_s = speed.first.at(state.pending_tokens + uncached)
+        expected_s = speed.first.at(state.unread_tokens() + uncached)
         attempt = Outstanding(item, now_s, load, uncached, expected_s, choice.finish_s)
         state.place(item.request_id, attempt)
         pool.queue.shares.running += 1
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -185,7 +185,7 @@
         load = (occupied + 1.0) / slots
         if load > 1.0:
             load = 1.0
-        finish_s = speed.first.at(state.pending_tokens + uncached)
+        finish_s = speed.first.at(state.unread_tokens() + uncached)
         finish_s += need.output_tokens * (step.base + step.slope * load)
         if occupied >= slots:
             finish_s += (occupied + 1.0 - slots) * speed.held_s.mean / slots
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -48,6 +48,7 @@
     :param slowness: time it takes as a multiple of its peers' time.
     :param errors: moving share of attempts that failed.
     :param pending_tokens: prompt tokens sent there that are still being read.
+    :param others_pending_tokens: the same of other routers, as last reported.
     """
 
     view: TargetView
@@ -61,6 +62,7 @@
     slowness: float = 1.0
     errors: float = 0.0
     pending_tokens: int = 0
+    others_pending_tokens: int = 0
     next_probe_s: float = 0.0
     same_reports: int = 0
     moved: bool = False
@@ -84,6 +86,10 @@
         """Return the work believed to be there, running or waiting."""
         return self.others + len(self.own)
 
+    def unread_tokens(self) -> int:
+        """Return the prompt tokens that are being read there, of all routers."""
+        return self.pending_tokens + self.others_pending_tokens
+
     def load(self) -> float:
         """Return the work per slot."""
         return self.occupied() / self.slots
@@ -137,6 +143,7 @@
         are not believed.
         """
         self.draining = figures.draining
+        self.others_pending_tokens = figures.unread_tokens
         self.loaded = frozenset(figures.models)
         if figures.slots > 0:
             self.slots = figures.slots
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -20,6 +20,7 @@
     "AttemptKind",
     "Expired",
     "LoadFigures",
+    "OwnLoad",
     "Placement",
     "PlacementFigures",
     "Queued",
@@ -89,6 +90,8 @@
     :param age_s: how old the figures are at the time of the report.
     :param models: what is loaded now; empty where the report does not say.
     :param sequence: the target's last cache event; a gap means lost events.
+    :param unread_tokens: prompt tokens that other routers sent there and that
+        are still being read, where they say so.
     """
 
     running: int
@@ -100,6 +103,19 @@
     sequence: int = 0
     cache_changes: tuple[CacheChange, ...] = ()
     draining: bool = False
+    unread_tokens: int = 0
+
+
+@frozen
+class OwnLoad:
+    """Hold what one router has at one target.
+
+    :param running: its requests there.
+    :param unread_tokens: prompt tokens of those whose answer has not begun.
+    """
+
+    running: int
+    unread_tokens: int
 
 
 @frozen
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -9,6 +9,7 @@
 from attrs import define, evolve, field
 
 from endivegw.allowances.lending import PeerSpare
+from endivegw.decisions import OwnLoad
 from endivegw.gossip.messages import (
     MOST_BYTES,
     Acknowledgement,
@@ -32,6 +33,9 @@
 #: and back, with a busy peer in between.
 _REPEAT_S = 0.02
 
+#: How often a router of a small fleet states its figures.
+_STATE_EVERY_S = 0.1
+
 #: Routers that are named as witnesses. A successor needs the word of each, so that
 #: more would make it likelier that one is missing; with one, its end would stop the
 #: growth of limits in a cut.
@@ -56,7 +60,7 @@
 
     :param lend: debits tokens for a peer; returns how many.
     :param spare: returns what is free by account.
-    :param outstanding: returns the own requests by target.
+    :param load: returns what this router has at targets.
     :param store_ms: returns the store's clock as it is known here.
     :param named_witnesses: returns the routers whose acknowledgement counts.
     :param on_offer: credits tokens that a peer debited, once for each ask, also
@@ -69,7 +73,7 @@
         peers: PeerTable,
         lend: Callable[[ClientAccountName, int, int], Awaitable[int]],
         spare: Callable[[], dict[ClientAccountName, int]],
-        outstanding: Callable[[], dict[TargetName, int]],
+        load: Callable[[], dict[TargetName, OwnLoad]],
         on_offer: Callable[[ClientAccountName, int], None],
         on_acknowledgement: Callable[[InstanceId, float], None],
         store_ms: Callable[[], float],
@@ -81,7 +85,7 @@
         self.peers = peers
         self._lend = lend
         self._spare = spare
-        self._outstanding = outstanding
+        self._load = load
         self._on_offer = on_offer
         self._on_acknowledgement = on_acknowledgement
         self._store_ms = store_ms
@@ -101,7 +105,16 @@
         #: Asks that are being decided on.
         self._lending: set[TransferId] = set()
 
-    async def run(self, state_every_s: float) -> None:
+    def interval_s(self) -> float:
+        """Return how often the own figures are stated.
+
+        Prompts are read within tenths of a second, so that load is old soon. In a
+        large fleet each statement goes to many, and a tenth of the processor would
+        go into them; there they are rarer.
+        """
+        return max(_STATE_EVERY_S, _STATE_EVERY_S / 5 * len(self.peers.entries()))
+
+    async def run(self) -> None:
         """Listen, and state the own figures at intervals, until cancelled."""
         host, port = self.entry.host, self.entry.port
         async with await anyio.create_udp_socket(
@@ -111,7 +124,7 @@
                 tasks.start_soon(self._listen, tasks)
                 while True:
                     await self._state()
-                    await anyio.sleep(state_every_s)
+                    await anyio.sleep(self.interval_s())
 
     # What the keeper asks for.
 
@@ -285,7 +298,7 @@
             self.entry.instance_id,
             self._sequence,
             self._spare(),
-            self._outstanding(),
+            self._own_load(),
             self._store_ms(),
             self._named_witnesses(),
         )
@@ -295,6 +308,9 @@
         for peer in self.peers.entries():
             await self._send_to(data, peer.host, peer.port)
 
+    def _own_load(self) -> dict[TargetName, OwnLoad]:
+        return {name: load for name, load in self._load().items() if load.running}
+
     async def _send(self, peer: PeerEntry, message: Message) -> None:
         await self._send_to(encode(message), peer.host, peer.port)
 
@@ -316,5 +332,5 @@
     """
     most = 20
     spare = sorted(state.spare_tokens.items(), key=lambda item: -item[1])[:most]
-    load = sorted(state.outstanding.items(), key=lambda item: -item[1])[:most]
-    return evolve(state, spare_tokens=dict(spare), outstanding=dict(load))
+    load = sorted(state.load.items(), key=lambda item: -item[1].running)[:most]
+    return evolve(state, spare_tokens=dict(spare), load=dict(load))
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -12,6 +12,7 @@
 
 from attrs import field, frozen
 
+from endivegw.decisions import OwnLoad
 from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
 
 __all__ = ["Ask", "Message", "Offer", "PeerState", "decode", "encode"]
@@ -28,7 +29,7 @@
     :param sequence: grows with each statement of one instance.
     :param spare_tokens: what it has free by account; the most needed ones where
         not all fit.
-    :param outstanding: its own requests at targets.
+    :param load: what it has at targets.
     :param clock_ms: the store's clock as the sender knew it.
     :param witnesses: routers that should acknowledge the statement.
     """
@@ -36,7 +37,7 @@
     sender: InstanceId
     sequence: int
     spare_tokens: dict[ClientAccountName, int] = field(factory=dict)
-    outstanding: dict[TargetName, int] = field(factory=dict)
+    load: dict[TargetName, OwnLoad] = field(factory=dict)
     clock_ms: float = 0.0
     witnesses: tuple[InstanceId, ...] = ()
 
@@ -102,7 +103,10 @@
                 message.sender,
                 message.sequence,
                 message.spare_tokens,
-                message.outstanding,
+                {
+                    target: [load.running, load.unread_tokens]
+                    for target, load in message.load.items()
+                },
                 int(message.clock_ms),
                 message.witnesses,
             ]
@@ -138,12 +142,15 @@
         kind, sender, *rest = json.loads(data)
         name = InstanceId(str(sender))
         match kind, rest:
-            case "state", [sequence, spare, outstanding, clock_ms, witnesses]:
+            case "state", [sequence, spare, load, clock_ms, witnesses]:
                 return PeerState(
                     name,
                     int(sequence),
                     {ClientAccountName(key): int(spare[key]) for key in spare},
-                    {TargetName(key): int(outstanding[key]) for key in outstanding},
+                    {
+                        TargetName(key): OwnLoad(int(running), int(unread))
+                        for key, (running, unread) in load.items()
+                    },
                     float(clock_ms),
                     tuple(InstanceId(str(witness)) for witness in witnesses),
                 )
@@ -163,6 +170,6 @@
                 )
             case "offer", [transfer_id, tokens, left]:
                 return Offer(name, TransferId(str(transfer_id)), int(tokens), int(left))
-    except (ValueError, TypeError):
+    except (ValueError, TypeError, AttributeError):
         return None
     return None
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field, frozen
 
+from endivegw.decisions import OwnLoad
 from endivegw.gossip.messages import PeerState
 from endivegw.types import ClientAccountName, InstanceId, TargetName
 
@@ -19,6 +20,8 @@
 #: statements in a row are missing.
 HEARD_S = 1.0
 
+_NO_LOAD = OwnLoad(0, 0)
+
 #: Processes whose last time is kept: ten starts of each router of a large fleet.
 _MOST_CLOCKS = 4000
 
@@ -121,13 +124,18 @@
         heard = sorted(self._heard(now_s), key=spare, reverse=True)
         return [peer.entry for peer in heard]
 
-    def outstanding(self, now_s: float) -> dict[TargetName, int]:
-        """Return the requests of the other routers by target."""
-        found: dict[TargetName, int] = {}
+    def load(self, now_s: float) -> dict[TargetName, OwnLoad]:
+        """Return what the other routers have at each target together."""
+        found: dict[TargetName, OwnLoad] = {}
         for peer in self._heard(now_s):
-            if peer.state is not None:
-                for target, count in peer.state.outstanding.items():
-                    found[target] = found.get(target, 0) + count
+            if peer.state is None:
+                continue
+            for target, load in peer.state.load.items():
+                known = found.get(target, _NO_LOAD)
+                found[target] = OwnLoad(
+                    known.running + load.running,
+                    known.unread_tokens + load.unread_tokens,
+                )
         return found
 
     def _heard(self, now_s: float) -> list[_Peer]:
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -73,6 +73,7 @@
 
     :ivar sent: targets that the request went to.
     :ivar maybe_run: whether some target may have run it.
+    :ivar last_s: when events were passed on last.
     """
 
     passed: StreamPassed
@@ -80,6 +81,8 @@
     maybe_run: bool = False
     excluded: set[TargetName] = field(factory=set)
     first_s: float | None = None
+    last_s: float | None = None
+    longest_gap_s: float = 0.0
     target: str = ""
 
 
@@ -228,7 +231,7 @@
             admitted.request_id,
             progress.passed,
             self._pass_head,
-            self._answerer.piece,
+            self._pass_events,
             self._note_first,
         )
         progress.target = placement.target
@@ -326,8 +329,19 @@
         return "answered"
 
     async def _pass_head(self, head: TargetHead, data: bytes) -> None:
+        self._progress.last_s = self._context.clock()
         await self._answerer.start(head.status, head.fields, data)
 
+    async def _pass_events(self, data: bytes) -> None:
+        progress = self._progress
+        now_s = self._context.clock()
+        if progress.last_s is not None:
+            progress.longest_gap_s = max(
+                progress.longest_gap_s, now_s - progress.last_s
+            )
+        progress.last_s = now_s
+        await self._answerer.piece(data)
+
     def _note_first(self) -> None:
         if self._progress.first_s is None:
             now_s = self._context.clock()
@@ -385,6 +399,7 @@
             sends=progress.sent,
             events=progress.passed.events,
             first_s=None if first_s is None else round(first_s - arrived_s, 4),
+            longest_gap_s=round(progress.longest_gap_s, 4),
             took_s=round(now_s - arrived_s, 4),
             reserved_tokens=self._reservation.tokens if self._reservation else 0,
             charged_tokens=charged,
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -63,6 +63,7 @@
         "sends",
         "events",
         "first_s",
+        "longest_gap_s",
         "took_s",
         "reserved_tokens",
         "charged_tokens",
