--- a/src/endivegw/relay/request_parser.py
+++ b/src/endivegw/relay/request_parser.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import re
+
 import h11
 from attrs import define, field, frozen
 
@@ -22,6 +24,7 @@
 _HEAD_TOO_LARGE = 431
 
 _HEAD_END = b"\r\n\r\n"
+_LENGTH_FIELD = re.compile(rb"\r\ncontent-length[ \t]*:", re.IGNORECASE)
 
 
 @frozen
@@ -92,6 +95,10 @@
             return Malformed(_BAD_REQUEST, "a bare line feed in the head")
         if end < 0:
             return None
+        if len(_LENGTH_FIELD.findall(head)) > 1:
+            # The parser makes one of equal lengths; a target may take the second
+            # for part of something else.
+            return Malformed(_BAD_REQUEST, "more than one length of the body")
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
         )
--- /dev/null
+++ b/tests/test_allowances.py
@@ -0,0 +1,247 @@
+"""Prepaid budgets of routers: what is held, what may be used, what a kill costs."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from endivegw.allowances import AllowanceBook, Reservation, Shortage, Terms
+from endivegw.allowances.rows import (
+    BudgetTotal,
+    HolderRow,
+    RowError,
+    decode_holder,
+    encode_holder,
+)
+from endivegw.allowances.store_clock import StoreClock
+from endivegw.allowances.witnesses import GRACE_MS, Witnesses, lived_until_ms
+from endivegw.types import ClientAccountName, InstanceId
+
+ACCOUNT = ClientAccountName("airline")
+PREPAID = 100_000
+
+
+def book(name: str, prepaid: int = PREPAID) -> AllowanceBook:
+    """Return a router's book with one account."""
+    made = AllowanceBook(InstanceId(name))
+    made.set_prepaid({ACCOUNT: prepaid})
+    return made
+
+
+def write(of: AllowanceBook, store_ms: float, routers: int = 1) -> HolderRow:
+    """Let a router write once, with the store answering."""
+    planned = of.plan_write(store_ms, store_ms / 1000.0, routers)
+    of.commit(planned, revision=1)
+    return planned.row
+
+
+class ReserveTests(unittest.TestCase):
+    """Reserve within what is held and what the row allows."""
+
+    def test_limit_comes_before_tokens(self) -> None:
+        """A router that holds tokens waits for one write before it uses them."""
+        router = book("a")
+        write(router, 1000.0)
+        self.assertIs(router.reserve(ACCOUNT, 900, 1000.0), Shortage.LIMIT)
+        router.wanted_tokens[ACCOUNT] = 900
+        write(router, 1010.0)
+        self.assertIsInstance(router.reserve(ACCOUNT, 900, 1010.0), Reservation)
+
+    def test_more_than_held_is_short_of_tokens(self) -> None:
+        """A request larger than the router's hand needs a peer or the budget."""
+        router = book("a")
+        write(router, 1000.0, routers=4)
+        self.assertIs(router.reserve(ACCOUNT, 30_000, 1000.0), Shortage.TOKENS)
+
+    def test_settling_twice_frees_once(self) -> None:
+        """A request that ends twice, by answer and by a leaving caller, counts once."""
+        router = book("a")
+        router.wanted_tokens[ACCOUNT] = 1000
+        write(router, 1000.0)
+        held = router.reserve(ACCOUNT, 1000, 1000.0)
+        assert isinstance(held, Reservation)
+        router.settle(held, 400)
+        router.settle(held, 400)
+        funds = router.of(ACCOUNT)
+        self.assertEqual((funds.reserved_tokens, funds.settled_tokens), (0, 400))
+
+    def test_a_write_without_an_answer_binds_both_ways(self) -> None:
+        """The store's answer to a write is lost.
+
+        Whether the lower limit or the higher one is in the row is not known, and a
+        successor may read either. Using more than both allow would be charged to
+        nobody.
+        """
+        router = book("a")
+        router.wanted_tokens[ACCOUNT] = 5000
+        write(router, 1000.0)
+        router.wanted_tokens[ACCOUNT] = 100
+        router.plan_write(1100.0, 1.1, 1)
+        self.assertIs(router.reserve(ACCOUNT, 3000, 1100.0), Shortage.LIMIT)
+        router.void()
+        self.assertIsInstance(router.reserve(ACCOUNT, 3000, 1100.0), Reservation)
+
+    def test_a_lowered_budget_is_given_back(self) -> None:
+        """An operator lowers a budget below what routers drew.
+
+        Tokens that stay in a router's hand would be spent although the account has
+        paid for fewer.
+        """
+        router = book("a")
+        write(router, 1000.0)
+        router.set_prepaid({ACCOUNT: 20_000})
+        planned = router.plan_write(1100.0, 1.1, 1)
+        self.assertEqual(planned.budgets[ACCOUNT], 20_000)
+        router.commit(planned, 2)
+        self.assertEqual(router.of(ACCOUNT).hand_tokens, 20_000)
+
+    def test_an_orderly_stop_gives_all_back(self) -> None:
+        """A router that stops leaves exactly what was consumed behind."""
+        router = book("a")
+        router.wanted_tokens[ACCOUNT] = 1000
+        write(router, 1000.0)
+        held = router.reserve(ACCOUNT, 1000, 1000.0)
+        assert isinstance(held, Reservation)
+        router.settle(held, 700)
+        router.give_back_all()
+        row = write(router, 1100.0)
+        self.assertEqual(row.terms[ACCOUNT], Terms(700, 700, 0, 1100))
+        self.assertEqual(router.totals[ACCOUNT].drawn_tokens, 700)
+
+
+class SuccessorTests(unittest.TestCase):
+    """Count what a dead process may have used, and no less."""
+
+    def test_a_killed_router_costs_no_overspend(self) -> None:
+        """A router is killed while it cannot reach the store.
+
+        It went on with what its row allowed. Its successor, which knows nothing of
+        that, must not hand the same tokens out again: the account would consume
+        more than it paid for.
+        """
+        rng = random.Random(7)
+        for _ in range(200):
+            router = book("old")
+            router.of(ACCOUNT).note_demand(rng.randrange(1, 20_000), 0.9, 8.0)
+            row = write(router, 1000.0)
+            now_ms = 1000.0
+            for _ in range(rng.randrange(1, 40)):
+                now_ms += rng.random() * 400
+                held = router.reserve(ACCOUNT, rng.randrange(1, 3000), now_ms)
+                if isinstance(held, Reservation) and rng.random() < 0.7:
+                    router.settle(held, rng.randrange(0, held.tokens + 1))
+            after = book("new")
+            charged = after.succeed(row, now_ms + rng.random() * 3000)
+            self.assertGreaterEqual(charged[ACCOUNT], router.of(ACCOUNT).used_tokens)
+
+    def test_an_unreadable_row_says_so(self) -> None:
+        """A row that another program wrote is refused, with what is wrong."""
+        row = HolderRow(InstanceId("a"), 3, {ACCOUNT: Terms(5, 4, 3, 2)}, ())
+        self.assertEqual(decode_holder(encode_holder(row)), row)
+        for value in (b"", b"[]", b"{}", b'{"as_of_ms": "x"}'):
+            with self.assertRaises(RowError):
+                decode_holder(value)
+
+
+class LoanTests(unittest.TestCase):
+    """Move tokens between routers; none appears from nowhere."""
+
+    def test_random_moves_kills_and_cuts_never_overspend(self) -> None:
+        """Routers lend, lose messages, are cut off and are killed, for long.
+
+        Whatever is lost, consumed tokens stay within the budget; a caller would
+        else use what its account did not pay for.
+        """
+        for seed in range(60):
+            self._play(random.Random(seed))
+
+    def _play(self, rng: random.Random) -> None:
+        totals = BudgetTotal()
+        names = ["a", "b", "c"]
+        books = {name: book(name) for name in names}
+        rows: dict[str, HolderRow] = {}
+        consumed = 0
+        now_ms = 1000.0
+        for step in range(300):
+            now_ms += rng.random() * 300
+            name = rng.choice(names)
+            router = books[name]
+            action = rng.random()
+            if action < 0.4:
+                held = router.reserve(ACCOUNT, rng.randrange(1, 2500), now_ms)
+                if isinstance(held, Reservation):
+                    used = rng.randrange(0, held.tokens + 1)
+                    consumed += used
+                    router.settle(held, used)
+            elif action < 0.6:
+                lost = rng.random() < 0.2
+                tokens = router.lend(ACCOUNT, 500, rng.randrange(500, 9000), now_ms)
+                if tokens and not lost:
+                    other = rng.choice([key for key in names if key != name])
+                    books[other].borrow(ACCOUNT, tokens)
+            elif action < 0.95:
+                router.totals[ACCOUNT] = totals
+                router.wanted_tokens[ACCOUNT] = rng.randrange(0, 4000)
+                planned = router.plan_write(now_ms, now_ms / 1000.0, 3)
+                if rng.random() < 0.85:
+                    router.commit(planned, step)
+                    rows[name] = planned.row
+                    if ACCOUNT in planned.budgets:
+                        totals = BudgetTotal(planned.budgets[ACCOUNT], step)
+                else:
+                    router.void()
+            elif name in rows:
+                books[name] = book(name)
+                books[name].succeed(rows[name], now_ms)
+            self.assertLessEqual(consumed, PREPAID)
+            self.assertLessEqual(totals.drawn_tokens, PREPAID)
+
+
+class WitnessTests(unittest.TestCase):
+    """Bound what a killed router may have used by what others heard of it."""
+
+    def test_limits_grow_only_while_a_witness_hears(self) -> None:
+        """A router reaches neither the store nor a peer.
+
+        Its limits stop to grow, so that a successor elsewhere in time can rely on
+        the last word of the witnesses.
+        """
+        witnesses = Witnesses(confirmed=(InstanceId("b"), InstanceId("c")))
+        witnesses.acknowledge(InstanceId("b"), 2000.0)
+        self.assertEqual(witnesses.reach_ms(2100.0), 2100.0)
+        self.assertEqual(witnesses.reach_ms(9000.0), 2000.0 + GRACE_MS)
+        witnesses.acknowledge(InstanceId("stranger"), 8000.0)
+        self.assertEqual(witnesses.reach_ms(9000.0), 2000.0 + GRACE_MS)
+
+    def test_a_pending_row_counts_as_well(self) -> None:
+        """A write without an answer may have named other witnesses."""
+        witnesses = Witnesses(confirmed=(InstanceId("b"),))
+        witnesses.acknowledge(InstanceId("b"), 5000.0)
+        witnesses.plan((InstanceId("c"),))
+        self.assertEqual(witnesses.reach_ms(5000.0), GRACE_MS)
+        witnesses.void()
+        self.assertEqual(witnesses.reach_ms(5000.0), 5000.0)
+
+    def test_a_missing_witness_leaves_the_whole_time(self) -> None:
+        """All routers are killed at once, and nobody remembers anything.
+
+        Then the successor must take the dead one to have lived until now.
+        """
+        both = (InstanceId("b"), InstanceId("c"))
+        heard = {InstanceId("b"): 1500.0, InstanceId("c"): 1400.0}
+        self.assertEqual(lived_until_ms(both, heard, 9000.0), 1500.0 + GRACE_MS)
+        del heard[InstanceId("c")]
+        self.assertEqual(lived_until_ms(both, heard, 9000.0), 9000.0)
+        self.assertEqual(lived_until_ms((), {}, 9000.0), 9000.0)
+
+
+class StoreClockTests(unittest.TestCase):
+    """Never run ahead of the store's clock."""
+
+    def test_the_estimate_stays_behind(self) -> None:
+        """A router whose clock runs half a percent fast would else spend too early."""
+        clock = StoreClock()
+        clock.heard(50_000, 10.0)
+        self.assertLess(clock.now_ms(11.005), 51_000)
+        clock.heard(50_100, 11.005)
+        self.assertGreater(clock.now_ms(11.005), 50_900)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,167 @@
+"""The adapter: rows and header fields decoded once into the product's types."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from endivegw.decisions import OwnLoad
+from endivegw.gossip import Ask, Offer, PeerEntry, PeerState, PeerTable, decode, encode
+from endivegw.gossip.messages import Acknowledgement, Inquiry, Testimony
+from endivegw.platform.configuration import (
+    DecodeError,
+    decode_configuration,
+    decode_target,
+)
+from endivegw.platform.wire import PlatformWire
+from endivegw.relay.wire import CallerMarks, SendMarks
+from endivegw.results import Refused
+from endivegw.routing import RouteKind, ServiceKind
+from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
+
+CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r",
+            "Host": "H.example",
+            "Prefix": "/p/",
+            "Kind": "streaming",
+            "TimeoutMs": 15000,
+            "TargetLatencyMs": 400,
+            "Priority": 0,
+            "TrafficSplit": [
+                {"Service": "a", "Weight": 90},
+                {"Service": "b", "Weight": 0},
+            ],
+            "MaxAttempts": 2,
+            "Resumable": True,
+            "GapTargetMs": 300,
+        }
+    ],
+    "Services": [{"Name": "a", "Engine": {"Stride": 4}}, {"Name": "b"}],
+    "Limits": {"MaxHeaderBytes": 100, "IdleTimeoutMs": 2500},
+    "Tenants": [{"Name": "t", "ApiKeys": ["k"], "Priority": 1, "Prepaid": 99}],
+}
+
+
+class ConfigurationTests(unittest.TestCase):
+    """Decode the operator's row."""
+
+    def test_everything_is_decoded(self) -> None:
+        """Times become seconds, kinds and splits the product's own."""
+        found = decode_configuration(json.dumps(CONFIGURATION).encode())
+        route = found.routes[0]
+        self.assertEqual((found.version, route.host), (7, "h.example"))
+        self.assertIs(route.kind, RouteKind.RESUMABLE_STREAM)
+        self.assertEqual([share.service for share in route.services], ["a"])
+        self.assertEqual((route.timeout_s, route.objective_s), (15.0, 0.4))
+        self.assertEqual(
+            found.services, {"a": ServiceKind.ENGINE, "b": ServiceKind.PLAIN}
+        )
+        self.assertEqual(found.accounts[0].prepaid_tokens, 99)
+        self.assertEqual(found.limits.idle_timeout_s, 2.5)
+        self.assertEqual(found.tokens_per_event, 4)
+
+    def test_a_malformed_row_is_refused_with_a_reason(self) -> None:
+        """A row that does not decode must leave the last good state in force."""
+        bad_route = {**CONFIGURATION, "Routes": [{"Name": "r"}]}
+        for value in (b"", b"{}", b"[]", b"null", json.dumps(bad_route).encode()):
+            with self.assertRaises(DecodeError):
+                decode_configuration(value)
+        with self.assertRaises(DecodeError):
+            decode_target("i", b'{"Service": "a"}')
+
+    def test_a_target_that_drains_leaves(self) -> None:
+        """Any state but ready means no new work."""
+        entry = {"Service": "a", "Address": "1.2.3.4:5", "Zone": "z", "Slots": 3}
+        for state, leaving in (("ready", False), ("draining", True)):
+            value = json.dumps({**entry, "State": state}).encode()
+            self.assertIs(decode_target("i-1", value).leaving, leaving)
+
+
+class WireTests(unittest.TestCase):
+    """Read and write header fields."""
+
+    def test_what_the_router_sets_never_comes_from_a_caller(self) -> None:
+        """A caller poses as another account, holds memory and jumps the queue."""
+        sent = PlatformWire().write_send(
+            [
+                (b"authorization", b"Bearer k"),
+                (b"endivegw-tenant", b"other"),
+                (b"endivegw-hold", b"1"),
+                (b"endivegw-pin-ms", b"1"),
+                (b"kv-from", b"x"),
+                (b"kv-fetch", b"x"),
+                (b"endivegw-kv-backup", b"x"),
+                (b"endivegw-request-priority", b"0"),
+                (b"endivegw-expect-instance", b"x"),
+                (b"endivegw-deadline-ms", b"90000"),
+                (b"endivegw-attempt-id", b"abc"),
+                (b"x-own", b"1"),
+            ],
+            SendMarks(InstanceId("i"), ClientAccountName("t"), 1.5),
+        )
+        self.assertEqual(
+            sorted(sent),
+            [
+                (b"endivegw-attempt-id", b"abc"),
+                (b"endivegw-deadline-ms", b"1500"),
+                (b"endivegw-expect-instance", b"i"),
+                (b"endivegw-tenant", b"t"),
+                (b"x-own", b"1"),
+            ],
+        )
+
+    def test_callers_fields(self) -> None:
+        """Counts, parts and deadline are read; malformed ones are refused."""
+        wire = PlatformWire()
+        marks = wire.read_caller(
+            [
+                (b"endivegw-token-counts", b"1460,80"),
+                (b"endivegw-prompt-prefix", b"5c:800,91:660"),
+                (b"endivegw-deadline-ms", b"5000"),
+                (b"authorization", b"Bearer k"),
+            ]
+        )
+        assert isinstance(marks, CallerMarks)
+        self.assertEqual((marks.prompt_tokens, marks.most_output_tokens), (1460, 80))
+        self.assertEqual((marks.deadline_s, marks.key), (5.0, "k"))
+        self.assertEqual([part.tokens for part in marks.parts], [800, 660])
+        for field in (
+            (b"endivegw-token-counts", b"x,1"),
+            (b"endivegw-token-counts", b"-5,1"),
+            (b"endivegw-prompt-prefix", b"5c"),
+            (b"endivegw-deadline-ms", b"soon"),
+        ):
+            self.assertIsInstance(wire.read_caller([field]), Refused, field)
+
+
+class DatagramTests(unittest.TestCase):
+    """Encode and decode what routers tell each other."""
+
+    def test_each_message_comes_back(self) -> None:
+        """What is sent is what is read; noise is nothing."""
+        name = InstanceId("a")
+        account = ClientAccountName("t")
+        for message in (
+            PeerState(name, 3, {account: 5}, {TargetName("i"): OwnLoad(2, 9)}, 7.0),
+            Acknowledgement(name, 7.0),
+            Inquiry(name, InstanceId("b")),
+            Testimony(name, InstanceId("b"), 4.5),
+            Ask(name, TransferId("x"), account, 5, 9),
+            Offer(name, TransferId("x"), 5, 1),
+        ):
+            self.assertEqual(decode(encode(message)), message)
+        for noise in (b"", b"[]", b"{}", b'["state","a"]', b"\xff\xfe", b'["ask",1,2]'):
+            self.assertIsNone(decode(noise))
+
+    def test_a_silent_router_is_not_asked(self) -> None:
+        """A router falls silent; what it said last no longer counts as reachable."""
+        peers = PeerTable("own")
+        entry = PeerEntry("v", InstanceId("a"), "10.0.0.1", 7)
+        peers.put(entry)
+        peers.hear(PeerState(InstanceId("a"), 1, {ClientAccountName("t"): 5}), 10.0)
+        self.assertEqual(peers.lenders(ClientAccountName("t"), 10.5), [entry])
+        self.assertEqual(peers.lenders(ClientAccountName("t"), 11.5), [])
+        self.assertFalse(peers.all_heard(11.5))
--- /dev/null
+++ b/tests/test_relay_parsing.py
@@ -0,0 +1,121 @@
+"""Cut callers' bytes into requests and targets' bytes into events."""
+
+from __future__ import annotations
+
+import unittest
+
+from endivegw.relay.admission import part_digests
+from endivegw.relay.events import EventCutter, EventOrder
+from endivegw.relay.messages import CallerRequest, end_to_end
+from endivegw.relay.request_parser import Malformed, RequestParser
+from endivegw.relay.wire import PromptPart
+from endivegw.routing import CallerLimits
+
+GOOD = b"POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
+CHUNKED = (
+    b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+)
+
+
+def parse(data: bytes, size: int = 1 << 20) -> list[object]:
+    """Return what a parser makes of bytes that come in pieces."""
+    parser = RequestParser(CallerLimits(head_bytes=400, body_bytes=50))
+    found: list[object] = []
+    for start in range(0, len(data), size):
+        parser.feed(data[start : start + size])
+        while (request := parser.next_request(0.0)) is not None:
+            found.append(request)
+            if isinstance(request, Malformed):
+                return found
+    return found
+
+
+class RequestParserTests(unittest.TestCase):
+    """Take proper requests however they are cut, refuse all others."""
+
+    def test_requests_cut_anywhere(self) -> None:
+        """Two requests in a row come out whole, whatever the pieces are."""
+        for size in (1, 2, 7, 1000):
+            requests = parse(GOOD + CHUNKED, size)
+            bodies = [r.body for r in requests if isinstance(r, CallerRequest)]
+            self.assertEqual(bodies, [b"abc", b"abc"], size)
+
+    def test_smuggling_is_refused(self) -> None:
+        """A caller hides a second request behind two readings of one length.
+
+        Passed on, the hidden one would run at a target under nobody's key.
+        """
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+        for name, fields in {
+            "two lengths": b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            "equal lengths": b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            "length and chunks": b"Content-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "bare line feed": b"X: y\nContent-Length: 3\r\n\r\nabc",
+            "only line feeds": b"X: y\n\nGET / HTTP/1.1\n\n",
+            "blank before colon": b"Content-Length : 3\r\n\r\nabc",
+            "two hosts": b"Host: y\r\n\r\n",
+            "odd length": b"Content-Length: +3\r\n\r\nabc",
+            "odd encoding": b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        }.items():
+            found = parse(head + fields)
+            self.assertEqual(len(found), 1, name)
+            self.assertIsInstance(found[0], Malformed, name)
+
+    def test_sizes_are_bounded(self) -> None:
+        """A head or a body beyond the limits gets its own status."""
+        head = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+        for data, status in (
+            (head + b"X: " + b"y" * 500, 431),
+            (head + b"Content-Length: 51\r\n\r\n", 413),
+            (head + b"Transfer-Encoding: chunked\r\n\r\n40\r\n" + b"z" * 64, 413),
+            (b"GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        ):
+            found = parse(data)
+            assert isinstance(found[-1], Malformed), data
+            self.assertEqual(found[-1].status, status)
+
+    def test_fields_of_one_connection_stay_there(self) -> None:
+        """Fields that a caller names in Connection are its own."""
+        fields = [(b"host", b"x"), (b"connection", b"close, x-a"), (b"x-a", b"1")]
+        self.assertEqual(end_to_end(fields), [(b"host", b"x")])
+
+
+class EventTests(unittest.TestCase):
+    """Pass each event on once, whole and in order."""
+
+    def test_a_part_of_an_event_is_held_back(self) -> None:
+        """A target dies in the middle of an event.
+
+        What another one sends would be glued to the half that the caller has.
+        """
+        cutter = EventCutter()
+        events = cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        self.assertEqual([event.event_id for event in events], [1])
+        self.assertTrue(cutter.has_rest)
+        events = cutter.feed(b"ta: b\n\n")
+        self.assertEqual(events[0].data, b"id: 2\ndata: b\n\n")
+
+    def test_a_resumed_stream_neither_repeats_nor_skips(self) -> None:
+        """A second target begins too early, or too late."""
+        order = EventOrder()
+        cutter = EventCutter()
+        first, second, fourth = cutter.feed(b"id: 1\n\nid: 2\n\nid: 4\n\n")
+        self.assertTrue(order.accept(first))
+        self.assertTrue(order.accept(second))
+        self.assertIs(order.accept(first), False)
+        self.assertIsNone(order.accept(fourth))
+
+
+class DigestTests(unittest.TestCase):
+    """Name the blocks of a prompt by its parts."""
+
+    def test_shared_parts_share_digests(self) -> None:
+        """Two prompts share the blocks of their common parts and no others."""
+        shared = PromptPart("s", 600)
+        one = part_digests((shared, PromptPart("a", 300)), 256)
+        two = part_digests((shared, PromptPart("b", 300)), 256)
+        self.assertEqual(len(one), 3)
+        self.assertEqual(one[:2], two[:2])
+        self.assertNotEqual(one[2], two[2])
