Foresee which answers would pause beside a long prompt, and place around it

How fast a target is shows in any answer's lower quartile of pauses, how long answers pause beside a long prompt on any target.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -143,6 +143,7 @@
         choices=_CHOICES,
         frozen_reports=_NEVER_FROZEN,
         zone_penalty_s=0.004,
+        pause_cost_s=0.6,
         prefix_ttl_s=30.0,
         prior_prefill_tokens_per_s=30_000.0,
         prior_step_s=0.01,
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -208,6 +208,7 @@
         pool = self._pools[attempt.item.model]
         pool.queue.shares.running -= 1
         health.judge_end(state, result.kind)
+        pool.pauses.learn(pool.members, state, attempt, result)
         if result.kind is AttemptKind.FAILED:
             # Judged at once: at this target's pace the next sweep is hundreds
             # of failed attempts away.
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -89,7 +89,7 @@
             if not self._has_room(state, need):
                 continue
             compared += 1
-            choice = self._weigh(state, need)
+            choice = self._weigh(pool, state, need)
             if best is None or choice.cost_s < best.cost_s:
                 best = choice
         if best is None:
@@ -135,7 +135,7 @@
         """Draw on until a target has room, a bounded number of times."""
         for state in pool.draw(self.policy.probes, self.rng):
             if self._has_room(state, need):
-                return self._weigh(state, need)
+                return self._weigh(pool, state, need)
         return None
 
     def _has_room(self, state: TargetState, need: _Need) -> bool:
@@ -160,7 +160,7 @@
             return False
         return need.plain or not state.loaded or item.model in state.loaded
 
-    def _weigh(self, state: TargetState, need: _Need) -> Choice:
+    def _weigh(self, pool: Pool, state: TargetState, need: _Need) -> Choice:
         """Return what the work costs on a target.
 
         The cost is the work's own time plus the time that it takes from the
@@ -191,10 +191,29 @@
             finish_s += (occupied + 1.0 - slots) * speed.held_s.mean / slots
         others_s = need.output_tokens * step.slope / slots * occupied
         others_s += speed.first.slope * uncached
+        others_s += self._pause_cost_s(pool, state, uncached, occupied)
         cost_s = (finish_s + others_s) * state.slowness + far_s
         why = "prefix-cache" if cached else "least-loaded"
         return Choice(state, cost_s, finish_s * state.slowness, cached, why)
 
+    def _pause_cost_s(
+        self, pool: Pool, state: TargetState, uncached: int, occupied: float
+    ) -> float:
+        """Return what pauses beside long prompts cost, of others and of its own.
+
+        Work that arrives while a long prompt is read pauses as well as the work
+        that was there before it.
+        """
+        each_s = self.policy.pause_cost_s
+        if not each_s:
+            return 0.0
+        cost_s = 0.0
+        if pool.pauses.too_long(pool.members, state, uncached):
+            cost_s += each_s * occupied
+        if pool.pauses.too_long(pool.members, state, state.unread_tokens()):
+            cost_s += each_s
+        return cost_s
+
     def _probe(self, pool: Pool, need: _Need, now_s: float) -> Choice | None:
         """Return a shed target whose turn it is to show whether it is well.
 
@@ -208,7 +227,7 @@
                 continue
             if state.occupied() >= state.limit(need.share):
                 continue
-            choice = self._weigh(state, need)
+            choice = self._weigh(pool, state, need)
             usual_s = choice.finish_s / state.slowness
             needed_s = max(choice.finish_s, usual_s * _PROBE_SLACK)
             if now_s + needed_s > item.deadline_s:
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -56,6 +56,8 @@
         bounds the cost of a placement at any size of the fleet.
     :param zone_penalty_s: what another availability zone must save to be worth
         the hop there.
+    :param pause_cost_s: what it costs to make one running answer pause for too
+        long, in seconds of the prompt's own answer that is read beside it.
     :param block_tokens: prompt tokens that each prefix digest covers.
     :param prefix_entries: bound of the prefix index.
     :param prefix_ttl_s: how long a prefix is believed cached without news.
@@ -112,6 +114,7 @@
     affinity_choices: int = 2
     probes: int = 16
     zone_penalty_s: float = 0.02
+    pause_cost_s: float = 0.0
     block_tokens: int = 256
     prefix_entries: int = 20_000
     prefix_ttl_s: float = 300.0
--- a/src/endivegw/decisions/pool.py
+++ b/src/endivegw/decisions/pool.py
@@ -9,6 +9,7 @@
 
 from endivegw.decisions.estimates import Average
 from endivegw.decisions.fair_queue import FairQueue
+from endivegw.decisions.pauses import PauseModel
 from endivegw.decisions.shares import Shares
 from endivegw.decisions.target_state import TargetState
 from endivegw.types import AvailabilityZone, TargetName
@@ -27,6 +28,7 @@
         whose own reports say nothing.
     :param peer_ratio: reported time per token as a multiple of the measured
         one, over all members; reports count streams that are still reading.
+    :param pauses: what long prompts do to the answers beside them.
     :param probe_due: shed members that should get one piece of work.
     """
 
@@ -38,6 +40,7 @@
     mean_others: float = 0.0
     peer_ratio: Average = field(factory=lambda: Average(1.0))
     probe_due: list[TargetState] = field(factory=list)
+    pauses: PauseModel = field(factory=PauseModel)
 
     def set_members(self, members: list[TargetState], zone: AvailabilityZone) -> None:
         """Replace the members."""
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -21,6 +21,7 @@
 
     :param expected_s: when its first token was expected, after the placement.
     :param finish_s: when its end was expected, after the placement.
+    :param beside_tokens: the most unread prompt tokens seen there while it ran.
     """
 
     item: WorkItem
@@ -30,6 +31,7 @@
     expected_s: float
     finish_s: float
     first_s: float | None = None
+    beside_tokens: int = 0
 
 
 @define(eq=False)
@@ -48,6 +50,7 @@
     :param slowness: time it takes as a multiple of its peers' time.
     :param errors: moving share of attempts that failed.
     :param pending_tokens: prompt tokens sent there that are still being read.
+    :param pace_s: usual time between two pieces of its answers; 0 before any.
     :param others_pending_tokens: the same of other routers, as last reported.
     """
 
@@ -63,6 +66,7 @@
     errors: float = 0.0
     pending_tokens: int = 0
     others_pending_tokens: int = 0
+    pace_s: float = 0.0
     next_probe_s: float = 0.0
     same_reports: int = 0
     moved: bool = False
@@ -104,6 +108,7 @@
         self.unread[request_id] = attempt
         self.pending_tokens += attempt.uncached_tokens
         self._note(attempt.placed_s)
+        self._note_beside()
 
     def read(self, request_id: str) -> Outstanding | None:
         """Note the first token; None where it is no news."""
@@ -126,6 +131,12 @@
         while self._history[0][0] < now_s - _HISTORY_S and len(self._history) > 1:
             self._history.popleft()
 
+    def _note_beside(self) -> None:
+        """Note on all own answers how much is being read beside them."""
+        unread = self.unread_tokens()
+        for attempt in self.own.values():
+            attempt.beside_tokens = max(attempt.beside_tokens, unread)
+
     def own_at(self, at_s: float) -> int:
         """Return how much own work was there at a moment of the near past."""
         for noted_s, count in reversed(self._history):
@@ -144,6 +155,7 @@
         """
         self.draining = figures.draining
         self.others_pending_tokens = figures.unread_tokens
+        self._note_beside()
         self.loaded = frozenset(figures.models)
         if figures.slots > 0:
             self.slots = figures.slots
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -47,6 +47,8 @@
     :param prefix_digests: digests of the prompt's leading blocks, the shortest
         prefix first.
     :param excluded: targets that this request must not go to again.
+    :param pause_objective_s: the longest pause within its answer that is still on
+        time; None where there is no such bound.
     """
 
     request_id: str
@@ -60,6 +62,7 @@
     arrived_s: float
     prefix_digests: tuple[bytes, ...] = ()
     excluded: frozenset[TargetName] = field(factory=frozenset)
+    pause_objective_s: float | None = None
 
 
 @frozen
@@ -193,8 +196,15 @@
 
 @frozen
 class AttemptEnd:
-    """Hold the end of an attempt, with what it consumed."""
+    """Hold the end of an attempt, with what it consumed.
+
+    :param longest_pause_s: between two pieces of its answer; None where unknown.
+    :param usual_pause_s: the lower quartile of its pauses, which what else the
+        target does hardly moves; None where it had too few.
+    """
 
     kind: AttemptKind
     prompt_tokens: int = 0
     output_tokens: int = 0
+    longest_pause_s: float | None = None
+    usual_pause_s: float | None = None
--- a/src/endivegw/platform/configuration.py
+++ b/src/endivegw/platform/configuration.py
@@ -90,6 +90,7 @@
         )
     else:
         services = (WeightedService(str(entry["Service"]), 1.0),)
+    pause_ms = entry.get("GapTargetMs")
     return Route(
         name=str(entry["Name"]),
         host=str(entry["Host"]).lower(),
@@ -102,6 +103,7 @@
         # The name speaks of attempts; it bounds the targets of one request.
         most_targets=max(1, int(entry.get("MaxAttempts", 1))),
         public=bool(entry.get("Public", False)),
+        pause_objective_s=None if pause_ms is None else float(pause_ms) / 1000.0,
     )
 
 
--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -115,6 +115,7 @@
         arrived_s=now_s,
         prefix_digests=part_digests(marks.parts, block_tokens),
         excluded=excluded,
+        pause_objective_s=admitted.route.pause_objective_s,
     )
 
 
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -43,6 +43,9 @@
 
 _SERVER_ERROR = 500
 
+#: Pauses of an answer from which on they say how fast its target is.
+_LEAST_PAUSES = 8
+
 
 @define
 class RelayContext:
@@ -82,7 +85,7 @@
     excluded: set[TargetName] = field(factory=set)
     first_s: float | None = None
     last_s: float | None = None
-    longest_gap_s: float = 0.0
+    pauses_s: list[float] = field(factory=list)
     target: str = ""
 
 
@@ -270,7 +273,13 @@
         if result.end in (End.ANSWERED, End.LOST):
             self._progress.maybe_run = True
         output = self._output_tokens()
-        end = AttemptEnd(_kind(result, done), output_tokens=output)
+        pauses_s = self._progress.pauses_s
+        end = AttemptEnd(
+            _kind(result, done),
+            output_tokens=output,
+            longest_pause_s=max(pauses_s, default=None),
+            usual_pause_s=_lower_quartile(pauses_s),
+        )
         context.queue.dispatcher.ended(
             self._admitted.request_id, placement.target, end, context.clock()
         )
@@ -336,9 +345,7 @@
         progress = self._progress
         now_s = self._context.clock()
         if progress.last_s is not None:
-            progress.longest_gap_s = max(
-                progress.longest_gap_s, now_s - progress.last_s
-            )
+            progress.pauses_s.append(now_s - progress.last_s)
         progress.last_s = now_s
         await self._answerer.piece(data)
 
@@ -399,7 +406,7 @@
             sends=progress.sent,
             events=progress.passed.events,
             first_s=None if first_s is None else round(first_s - arrived_s, 4),
-            longest_gap_s=round(progress.longest_gap_s, 4),
+            longest_gap_s=round(max(progress.pauses_s, default=0.0), 4),
             took_s=round(now_s - arrived_s, 4),
             reserved_tokens=self._reservation.tokens if self._reservation else 0,
             charged_tokens=charged,
@@ -407,6 +414,13 @@
         )
 
 
+def _lower_quartile(pauses_s: list[float]) -> float | None:
+    """Return the pause that a quarter is below, None where there are too few."""
+    if len(pauses_s) < _LEAST_PAUSES:
+        return None
+    return sorted(pauses_s)[len(pauses_s) // 4]
+
+
 def _kind(result: AttemptResult, done: bool) -> AttemptKind:
     if not done:
         return AttemptKind.CANCELLED
--- a/src/endivegw/routing/model.py
+++ b/src/endivegw/routing/model.py
@@ -66,6 +66,7 @@
     :param services: where the requests go, by weight; never empty.
     :param timeout_s: the longest that a request may take in all.
     :param objective_s: until when an answer is on time.
+    :param pause_objective_s: the longest pause within a stream that is on time.
     :param most_targets: to how many targets one request may be sent.
     :param public: whether no key is needed.
     """
@@ -80,6 +81,7 @@
     priority: int
     most_targets: int = 1
     public: bool = False
+    pause_objective_s: float | None = None
 
 
 @frozen
