--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -408,6 +408,8 @@
             first_s=None if first_s is None else round(first_s - arrived_s, 4),
             longest_gap_s=round(max(progress.pauses_s, default=0.0), 4),
             took_s=round(now_s - arrived_s, 4),
+            prompt_tokens=admitted.marks.prompt_tokens,
+            most_output_tokens=admitted.marks.most_output_tokens,
             reserved_tokens=self._reservation.tokens if self._reservation else 0,
             charged_tokens=charged,
             cut=self._answerer.cut,
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -65,6 +65,8 @@
         "first_s",
         "longest_gap_s",
         "took_s",
+        "prompt_tokens",
+        "most_output_tokens",
         "reserved_tokens",
         "charged_tokens",
         "cut",
