Let a router that is cut off lend a fiftieth of its hand a second; borrow in part

Cause: in a cut, an account whose callers press on one router was refused there while peers held 130,000 tokens of it and could lend a two-hundredth a second; ahead of the cut nothing was borrowed where the peers had less than was wanted.

--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -168,7 +168,11 @@
             if not self.ready or self._writer.store_age_s(now_s) >= _AWAY_S:
                 continue
             for account, tokens in self.book.low_accounts(now_s):
-                if self._lending.spare(account, now_s).spare_tokens < tokens:
+                spare = self._lending.spare(account, now_s).spare_tokens
+                # Half at most: the peers' own callers need the rest, and near a
+                # budget's end tokens would only go round.
+                tokens = min(tokens, spare // 2)
+                if tokens < self.options.least_balance_tokens:
                     continue
                 await self._lending.ask(
                     account, 0, tokens, timeout_s=self.options.borrow_s
--- a/src/endivegw/allowances/options.py
+++ b/src/endivegw/allowances/options.py
@@ -41,6 +41,8 @@
         a cut, peers can lend only as much as their limits grow.
     :param low_share: share of ``hold_s`` below which it borrows ahead.
     :param balance_every_s: how often it looks.
+    :param least_balance_tokens: less is not worth a datagram and a write at the
+        lender; it is a few requests' worth.
     :param settle_s: a router that just started draws nothing unasked for this
         long: it does not know yet how many others there are.
     :param borrow_s: how long one request asks its peers for tokens.
@@ -57,8 +59,9 @@
     clock_margin: float = 0.99
     pools_every_s: float = 1.0
     borrow_s: float = 0.12
-    pace_share_per_s: float = 0.005
+    pace_share_per_s: float = 0.02
     hold_s: float = 12.0
     low_share: float = 0.6
     balance_every_s: float = 0.5
+    least_balance_tokens: int = 4000
     settle_s: float = 1.5
