--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -193,16 +193,17 @@
         least = tokens - max(0, room) if room > 0 else tokens - room
         demand = funds.demand_tokens_per_s(self._clock(), self.options.demand_s)
         wanted = least + int(demand * self.options.hold_s)
-        got = await self._lending.ask(
-            account, least, wanted, timeout_s=self.options.borrow_s
-        )
-        self._log.emit(
-            events.TOKENS_BORROWED, client_account=account, tokens=got, least=least
-        )
+        await self._lending.ask(account, least, wanted, timeout_s=self.options.borrow_s)
 
     def credit(self, account: ClientAccountName, tokens: int) -> None:
         """Take tokens that a peer debited for this router."""
         self.book.borrow(account, tokens)
+        self._log.emit(
+            events.TOKENS_BORROWED,
+            client_account=account,
+            tokens=tokens,
+            hand_tokens=self.book.of(account).hand_tokens,
+        )
 
     def _refuse(
         self,
--- a/src/endivegw/cli/main.py
+++ b/src/endivegw/cli/main.py
@@ -16,6 +16,7 @@
     target,
     template,
 )
+from endivegw.platform.command import platform_router
 
 __all__ = ["main"]
 
@@ -39,4 +40,5 @@
 # Daemons.
 main.add_command(daemons.router)
 main.add_command(daemons.sidecar)
+main.add_command(platform_router)
 main.add_command(dev.dev)
--- a/src/endivegw/platform/command.py
+++ b/src/endivegw/platform/command.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import functools
 import os
 import pathlib
 import signal
 import sys
+from typing import Callable
 
 import anyio
 import click
@@ -24,8 +26,13 @@
 from endivegw.platform.store import PlatformStore
 from endivegw.platform.wire import PlatformWire
 from endivegw.routing import DirectTarget, FleetConfiguration
-from endivegw.settings.direct import load_direct_router_settings
+from endivegw.settings.direct import (
+    DirectRouterSettings,
+    load_direct_router_settings,
+)
+from endivegw.telemetry import EventLog
 from endivegw.telemetry.bounded import BoundedLines, bounded_handler
+from endivegw.telemetry.catalogue.relay import SETTINGS_READ
 
 __all__ = ["PlatformDecoder", "platform_router"]
 
@@ -79,26 +86,40 @@
     with handler.applicationbound():
         store = PlatformStore(str(settings.store))
         router = build_direct_router(settings, store, PlatformWire(), PlatformDecoder())
-        anyio.run(_run, router, lines)
+        reread = functools.partial(_reread, pathlib.Path(settings_path), settings)
+        anyio.run(_run, router, lines, reread)
     lines.flush()
 
 
-async def _run(router: DirectRouter, lines: BoundedLines) -> None:
+def _reread(path: pathlib.Path, in_force: DirectRouterSettings) -> None:
+    """Say whether changed settings are valid; addresses cannot change in flight."""
+    log = EventLog("router", vm=in_force.vm)
+    try:
+        found = load_direct_router_settings(path)
+    except EndivegwError as error:
+        log.emit(SETTINGS_READ, valid=False, changed=None, detail=error.message)
+        return
+    log.emit(SETTINGS_READ, valid=True, changed=found != in_force, detail="")
+
+
+async def _run(
+    router: DirectRouter, lines: BoundedLines, reread: Callable[[], None]
+) -> None:
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(lines.run)
-        tasks.start_soon(_watch_signals, router)
+        tasks.start_soon(_watch_signals, router, reread)
         await router.run()
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(router: DirectRouter) -> None:
-    """Stop on SIGTERM; the settings hold for the life of a process."""
+async def _watch_signals(router: DirectRouter, reread: Callable[[], None]) -> None:
+    """Stop on SIGTERM; on SIGHUP look at the settings, which hold until a restart."""
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
         async for number in signals:
             if number == signal.SIGHUP:
+                reread()
                 continue
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(router.drain)
+            await router.drain()
             return
--- a/src/endivegw/telemetry/catalogue/allowances.py
+++ b/src/endivegw/telemetry/catalogue/allowances.py
@@ -68,7 +68,7 @@
     "peer-tokens-received",
     Level.INFO,
     "Peers debited tokens for this router.",
-    ("client_account", "tokens", "least"),
+    ("client_account", "tokens", "hand_tokens"),
 )
 TOKENS_LENT = Event(
     9006,
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -16,6 +16,7 @@
     "REQUEST_ENDED",
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
+    "SETTINGS_READ",
     "TARGET_CHANGED",
 ]
 
@@ -128,6 +129,13 @@
     "The process ends.",
     ("connections",),
 )
+SETTINGS_READ = Event(
+    9124,
+    "relay-settings-read",
+    Level.INFO,
+    "The process was told that its settings changed; they hold from its next start.",
+    ("valid", "changed", "detail"),
+)
 CONNECTION_FAILED = Event(
     9123,
     "relay-connection-failed",
