--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -30,12 +30,16 @@
     :ivar instance_id: requests meant for another one are refused.
     :ivar sheds: how many requests from now on are refused without running.
     :ivar breaks_after: events after which the next stream breaks off midway.
+    :ivar pause_s: between two events.
+    :ivar misdirected: requests that were meant for another instance.
     """
 
     instance_id: str
     events: int = 5
     sheds: int = 0
     breaks_after: int | None = None
+    pause_s: float = 0.0
+    misdirected: int = 0
     runs: list[WorkerRun] = field(factory=list)
 
     async def serve(self, stream: SocketStream) -> None:
@@ -73,6 +77,7 @@
     ) -> bool:
         attempt = fields.get("endivegw-attempt-id", "")
         if fields.get("endivegw-expect-instance") != self.instance_id:
+            self.misdirected += 1
             await stream.send(_head(421, attempt, "content-length: 0\r\n"))
             return True
         if self.sheds:
@@ -104,6 +109,7 @@
                 return False
             await stream.send(b"%x\r\n%b\r\n" % (len(event), event))
             run.events += 1
+            await anyio.sleep(self.pause_s)
         await stream.send(b"0\r\n\r\n")
         return True
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -80,6 +80,7 @@
         tokens: tuple[int, int] | None = None,
         key: str = "key-1",
         body: bytes = b"hello",
+        deadline_ms: int = 3000,
     ) -> Answer:
         """Send one request on a connection of its own."""
         self.asked += 1
@@ -87,7 +88,7 @@
             ("host", "h.example"),
             ("content-length", str(len(body))),
             ("endivegw-attempt-id", f"a-{self.asked}"),
-            ("endivegw-deadline-ms", "3000"),
+            ("endivegw-deadline-ms", str(deadline_ms)),
             ("authorization", f"Bearer {key}"),
         ]
         if tokens is not None:
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -155,6 +155,20 @@
         for seed in range(60):
             self._play(random.Random(seed))
 
+    def test_a_router_that_is_cut_off_can_lend_what_it_does_not_need(self) -> None:
+        """All routers lose the store, and an account's callers press on one of them.
+
+        Its peers hold most of the account's tokens and have no callers for them. If
+        their limits stood still, these callers would be refused.
+        """
+        router = book("a")
+        write(router, 1000.0)
+        write(router, 1150.0)
+        self.assertEqual(router.lend(ACCOUNT, 500, 50_000, 1150.0), 0)
+        lent = router.lend(ACCOUNT, 4000, 50_000, 4150.0)
+        self.assertGreaterEqual(lent, 4000)
+        self.assertLessEqual(lent, PREPAID * 0.1)
+
     def _play(self, rng: random.Random) -> None:
         totals = BudgetTotal()
         names = ["a", "b", "c"]
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -59,18 +59,28 @@
                 for worker in fleet.workers.values():
                     worker.breaks_after = None
                 fleet.workers["e-1"].breaks_after = 2
-                for _ in range(8):
+                resumed: list[str] = []
+
+                async def watch() -> None:
                     stream = await fleet.ask("resumable", tokens=(100, 40))
                     ids = [f"id: {number}\n".encode() for number in range(1, 6)]
                     self.assertEqual(
                         [stream.body.count(event) for event in ids], [1] * 5
                     )
                     self.assertTrue(stream.whole)
-                resumed = [
-                    run.fields["last-event-id"]
-                    for run in fleet.workers["e-2"].runs
-                    if "last-event-id" in run.fields
-                ]
+
+                # Several at a time, so that both targets are asked.
+                for _ in range(20):
+                    async with anyio.create_task_group() as tasks:
+                        for _ in range(4):
+                            tasks.start_soon(watch)
+                    resumed = [
+                        run.fields["last-event-id"]
+                        for run in fleet.workers["e-2"].runs
+                        if "last-event-id" in run.fields
+                    ]
+                    if resumed:
+                        break
                 self.assertEqual(resumed, ["2"])
 
         anyio.run(play)
@@ -184,3 +194,55 @@
                 self.assertEqual(drawn, fleet.consumed_tokens())
 
         anyio.run(play)
+
+    def test_a_stopping_router_takes_no_callers_that_it_would_cut_off(self) -> None:
+        """A balancer with too few other routers goes on sending callers to one that
+        is about to end.
+
+        Taken, they would be cut off by its end; turned away, they find another one.
+        The stream that it has goes on to its end.
+        """
+
+        async def play() -> None:
+            async with platform_fleet() as fleet:
+                for worker in fleet.workers.values():
+                    worker.pause_s = 0.7
+                streams = []
+
+                async def watch() -> None:
+                    answer = await fleet.ask("chat", tokens=(100, 40), deadline_ms=3900)
+                    streams.append(answer)
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(watch)
+                    await anyio.sleep(0.2)
+                    tasks.start_soon(fleet.routers[0].drain)
+                    await anyio.sleep(2.9)
+                    with self.assertRaises(OSError):
+                        await fleet.ask("print")
+                self.assertTrue(streams[0].whole)
+                self.assertEqual(streams[0].body.count(b"id: "), 5)
+
+        anyio.run(play)
+
+    def test_a_replaced_target_is_asked_once(self) -> None:
+        """A target crashed, and another instance answers at its address.
+
+        Its entry stays in the registry for seconds; each request sent there would
+        be refused, although the router knows after the first.
+        """
+
+        async def play() -> None:
+            async with platform_fleet() as fleet:
+                worker = fleet.workers["p-1"]
+                worker.instance_id = "p-2"
+                for _ in range(3):
+                    self.assertEqual((await fleet.ask("print")).status, 503)
+                self.assertEqual(worker.misdirected, 1)
+                entry = fleet.store.documents("servers")["p-1"]
+                fleet.store.put("servers", "p-2", entry)
+                with anyio.fail_after(3):
+                    while (await fleet.ask("print")).status != 200:
+                        await anyio.sleep(0.05)
+
+        anyio.run(play)
