--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -190,7 +190,7 @@
         funds = self.book.of(account)
         store_ms = self.store_clock.now_ms(self._clock())
         room = self.book.room_tokens(account, store_ms)
-        least = tokens - max(0, room) if room > 0 else tokens - room
+        least = tokens - room
         demand = funds.demand_tokens_per_s(self._clock(), self.options.demand_s)
         wanted = least + int(demand * self.options.hold_s)
         await self._lending.ask(account, least, wanted, timeout_s=self.options.borrow_s)
--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -17,7 +17,6 @@
 _DEADLINE = b"endivegw-deadline-ms"
 _TOKEN_COUNTS = b"endivegw-token-counts"
 _PROMPT_PARTS = b"endivegw-prompt-prefix"
-_LENGTH_HINT = b"endivegw-length-hint"
 _EXPECTED_INSTANCE = b"endivegw-expect-instance"
 _ACCOUNT = b"endivegw-tenant"
 _PRIORITY = b"endivegw-request-priority"
@@ -64,7 +63,6 @@
                 deadline_s=_seconds(found.get(_DEADLINE)),
                 prompt_tokens=counts[0] if counts else None,
                 most_output_tokens=counts[1] if counts else 0,
-                likely_output_tokens=_hint(found.get(_LENGTH_HINT)),
                 parts=_parts(found.get(_PROMPT_PARTS)),
                 resume_after=_whole(found.get(_LAST_EVENT)),
             )
@@ -107,14 +105,6 @@
     return None if value is None else int(value)
 
 
-def _hint(value: bytes | None) -> int | None:
-    """Return an estimate; one that is no number says nothing and harms nobody."""
-    try:
-        return None if value is None else int(float(value))
-    except ValueError:
-        return None
-
-
 def _seconds(value: bytes | None) -> float | None:
     return None if value is None else int(value) / 1000.0
 
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -20,7 +20,6 @@
 
 __all__ = ["Attempt", "AttemptLimits", "AttemptResult", "End", "WholeAnswer"]
 
-_SERVER_ERROR = 500
 _OK = 200
 
 
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from http import HTTPStatus
 from typing import Callable
 
 import anyio
@@ -445,9 +444,7 @@
     match result.end:
         case End.ANSWERED:
             answer = result.answer
-            failed = answer is not None and (
-                answer.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-            )
+            failed = answer is not None and answer.head.status >= _SERVER_ERROR
             return AttemptKind.FAILED if failed else AttemptKind.OK
         case End.NOT_RUN:
             return AttemptKind.REFUSED
--- a/src/endivegw/relay/messages.py
+++ b/src/endivegw/relay/messages.py
@@ -60,14 +60,10 @@
 
 @frozen
 class TargetHead:
-    """Hold the head of a target's answer.
-
-    :param sized: whether the answer says where its body ends.
-    """
+    """Hold the head of a target's answer."""
 
     status: int
     fields: HeaderFields = field(factory=list)
-    sized: bool = True
 
 
 def end_to_end(fields: HeaderFields) -> HeaderFields:
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -196,10 +196,7 @@
             event = self._parser.next_event()
             match event:
                 case h11.Response():
-                    fields = list(event.headers)
-                    names = {name for name, _ in fields}
-                    sized = bool(names & {b"content-length", b"transfer-encoding"})
-                    return TargetHead(event.status_code, fields, sized)
+                    return TargetHead(event.status_code, list(event.headers))
                 case h11.InformationalResponse():
                     continue
                 case h11.ConnectionClosed() | h11.EndOfMessage():
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -13,8 +13,14 @@
 from endivegw.results import Refused
 from endivegw.types import ClientAccountName, InstanceId
 
-__all__ = ["AnswerMarks", "CallerMarks", "HeaderFields", "PromptPart", "SendMarks"]
-__all__ += ["WirePort"]
+__all__ = [
+    "AnswerMarks",
+    "CallerMarks",
+    "HeaderFields",
+    "PromptPart",
+    "SendMarks",
+    "WirePort",
+]
 
 #: Header fields in order; names in lower case.
 HeaderFields = list[tuple[bytes, bytes]]
@@ -37,7 +43,6 @@
     :param deadline_s: how long the caller waits from now; None where unsaid.
     :param prompt_tokens: None where the request is not for a model.
     :param most_output_tokens: the most that may be generated.
-    :param likely_output_tokens: the caller's estimate; None where it has none.
     :param parts: the prompt in order.
     :param resume_after: the last event that the caller has; None at the start.
     """
@@ -47,7 +52,6 @@
     deadline_s: float | None
     prompt_tokens: int | None = None
     most_output_tokens: int = 0
-    likely_output_tokens: int | None = None
     parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
 
--- a/src/endivegw/services/row_store.py
+++ b/src/endivegw/services/row_store.py
@@ -17,7 +17,6 @@
     "RowStorePort",
     "StoreMoment",
     "StoredRow",
-    "WrittenRow",
 ]
 
 
@@ -66,10 +65,6 @@
     value: bytes
 
 
-#: A row to be written, or the table and key of one to be deleted.
-WrittenRow = NewRow | tuple[str, str]
-
-
 @frozen
 class Conflict:
     """Say that a transaction did nothing, and hold the rows that it expected."""
