Settle a request where its tokens were reserved

Cause, found in reading: a router that starts over with another row (a late write of its predecessor, or a row that was taken over) cleared its funds while requests were in progress, and their reservations were then freed in the new funds: -600 tokens used in the test, which could have been spent twice. A reservation now keeps the funds it was taken from.

--- a/src/endivegw/allowances/book.py
+++ b/src/endivegw/allowances/book.py
@@ -85,7 +85,7 @@
         funds = self.of(account)
         if self.room_tokens(account, store_ms) >= tokens:
             funds.reserved_tokens += tokens
-            return Reservation(account, tokens)
+            return Reservation(funds, tokens)
         if funds.hand_tokens >= tokens:
             return Shortage.LIMIT
         return Shortage.TOKENS
@@ -95,7 +95,7 @@
         if not reservation.open:
             return
         reservation.open = False
-        funds = self.of(reservation.client_account)
+        funds = reservation.funds
         funds.reserved_tokens -= reservation.tokens
         funds.settled_tokens += min(used_tokens, reservation.tokens)
 
--- a/src/endivegw/allowances/reservation.py
+++ b/src/endivegw/allowances/reservation.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from endivegw.types import ClientAccountName
+from endivegw.allowances.funds import Funds
 
 __all__ = ["Reservation"]
 
@@ -13,9 +13,12 @@
 class Reservation:
     """Hold the most that one request may consume.
 
+    :ivar funds: where it is counted. Kept here because the router may start over
+        with other funds of the account; freed there, tokens that were counted in
+        the old ones would appear from nowhere and could be spent again.
     :ivar open: False once it was settled.
     """
 
-    client_account: ClientAccountName
+    funds: Funds
     tokens: int
     open: bool = True
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -65,6 +65,21 @@
         funds = router.of(ACCOUNT)
         self.assertEqual((funds.reserved_tokens, funds.settled_tokens), (0, 400))
 
+    def test_a_request_ends_after_its_tokens_were_taken_over(self) -> None:
+        """A router starts over with another row while requests are in progress.
+
+        Their tokens were counted under the row before. Freed under the new one, they
+        would count as tokens that were never drawn, and could be spent twice.
+        """
+        router = book("a")
+        router.wanted_tokens[ACCOUNT] = 1000
+        write(router, 1000.0)
+        held = router.reserve(ACCOUNT, 1000, 1000.0)
+        assert isinstance(held, Reservation)
+        router.funds.clear()
+        router.settle(held, 400)
+        self.assertEqual(router.of(ACCOUNT).used_tokens, 0)
+
     def test_a_write_without_an_answer_binds_both_ways(self) -> None:
         """The store's answer to a write is lost.
 
