--- a/src/endivegw/allowances/options.py
+++ b/src/endivegw/allowances/options.py
@@ -66,7 +66,7 @@
     clock_margin: float = 0.99
     pools_every_s: float = 1.0
     borrow_s: float = 0.12
-    pace_share_per_s: float = 0.03
+    pace_share_per_s: float = 0.02
     hold_s: float = 12.0
     low_share: float = 0.6
     balance_every_s: float = 0.5
