--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -26,9 +26,11 @@
 from endivegw.relay.handler import RelayContext, RequestHandler
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.wire import WirePort
+from endivegw.services.measured_rows import MeasuredRows
 from endivegw.services.row_store import RowStorePort
 from endivegw.settings.direct import DirectRouterSettings
 from endivegw.telemetry import EventLog
+from endivegw.telemetry.exposition import RouterMetrics
 from endivegw.types import InstanceId
 
 __all__ = ["build_direct_router"]
@@ -59,6 +61,8 @@
     :param started_s: when the process started, on :func:`steady_clock`; None for now.
     """
     clock = steady_clock
+    metrics = RouterMetrics()
+    store = MeasuredRows(store, metrics, clock)
     rng = random.Random()
     instance_id = InstanceId(f"{settings.vm}-{uuid.uuid4().hex[:8]}")
     log = EventLog("router", vm=settings.vm)
@@ -94,7 +98,9 @@
         clock=clock,
         log=log,
         block_tokens=policy.block_tokens,
+        metrics=metrics,
     )
+    _add_gauges(metrics, context)
     targets = TargetReader(context, decoder, clock, log)
     context.on_replaced = targets.replaced
 
@@ -124,6 +130,7 @@
         feeds=feeds,
         callers_address=settings.callers,
         ready_address=settings.ready,
+        metrics_address=settings.metrics,
         clock=clock,
         log=log,
     )
@@ -131,6 +138,34 @@
     return DirectRouter(parts, DirectRouterOptions(stop_within_s=within_s))
 
 
+def _add_gauges(metrics: RouterMetrics, context: RelayContext) -> None:
+    """Show what the router holds and believes when the page is asked for."""
+    book = context.keeper.book
+
+    def hand_tokens() -> int:
+        return sum(max(0, funds.hand_tokens) for funds in book.funds.values())
+
+    def reserved_tokens() -> int:
+        return sum(funds.reserved_tokens for funds in book.funds.values())
+
+    def version() -> int:
+        return context.table.version if context.table is not None else 0
+
+    metrics.gauge("hand_tokens", "Prepaid tokens held and not in use.", hand_tokens)
+    metrics.gauge("reserved_tokens", "Prepaid tokens in use.", reserved_tokens)
+    metrics.gauge("configuration_version", "Version in force; 0 for none.", version)
+    metrics.gauge(
+        "configuration_age_seconds",
+        "Time since the version came into force.",
+        lambda: context.clock() - context.table_since_s,
+    )
+    metrics.gauge(
+        "target_connections_opened",
+        "Connections opened to targets so far.",
+        lambda: context.pool.opened,
+    )
+
+
 def steady_clock() -> float:
     """Return seconds on a clock that goes on while the machine is suspended.
 
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -68,6 +68,7 @@
     feeds: tuple[RowFeed, ...]
     callers_address: Address
     ready_address: Address
+    metrics_address: Address | None
     clock: Callable[[], float]
     log: EventLog
 
@@ -86,6 +87,11 @@
         self._stopped = anyio.Event()
         #: Cancelled when no more callers are taken.
         self._accepting: anyio.CancelScope | None = None
+        parts.context.metrics.gauge(
+            "caller_connections",
+            "Open connections of callers.",
+            lambda: len(self._connections),
+        )
 
     @property
     def ready(self) -> bool:
@@ -116,6 +122,10 @@
                 tasks,
                 self._accepting,
             )
+            if parts.metrics_address is not None:
+                tasks.start_soon(
+                    self._listen, parts.metrics_address, self._show, tasks, None
+                )
             parts.log.emit(
                 events.PROCESS_STARTED,
                 vm=parts.link.entry.vm,
@@ -200,6 +210,14 @@
             return
         await answerer.whole(_OK if self.ready else _UNAVAILABLE, [], b"")
 
+    async def _show(self, request: CallerRequest, answerer: Answerer) -> None:
+        """Answer with the page of metrics."""
+        if request.path != "/metrics":
+            await answerer.whole(_NOT_FOUND, [], b"")
+            return
+        fields = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
+        await answerer.whole(_OK, fields, self._parts.context.metrics.page())
+
     async def _tell_load(self) -> None:
         """Show the dispatcher what the other routers have at the targets."""
         parts = self._parts
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -36,6 +36,7 @@
 from endivegw.routing import RouteKind, RoutingTable
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
+from endivegw.telemetry.exposition import RouterMetrics
 from endivegw.types import InstanceId, TargetName
 
 __all__ = ["RelayContext", "RequestHandler"]
@@ -59,6 +60,7 @@
 
     :ivar table: the configuration in force; None before the first.
     :ivar block_tokens: what one prefix digest covers, as placement counts.
+    :ivar table_since_s: when it came into force.
     :ivar draining: whether the router is about to stop.
     :ivar on_replaced: takes a target at whose address another instance answered.
     """
@@ -73,7 +75,9 @@
     log: EventLog
     block_tokens: int
     limits: AttemptLimits = field(factory=AttemptLimits)
+    metrics: RouterMetrics = field(factory=RouterMetrics)
     table: RoutingTable | None = None
+    table_since_s: float = 0.0
     draining: bool = False
     on_replaced: Callable[[InstanceId], None] = lambda instance_id: None
 
@@ -118,6 +122,7 @@
         self, request_id: str | None, end: Refused, answerer: Answerer
     ) -> None:
         answer = own_answer(end)
+        self._context.metrics.refused(end.reason.value)
         table = self._context.table
         self._context.log.emit(
             events.REQUEST_REFUSED,
@@ -219,6 +224,9 @@
         placement = await context.queue.place(item)
         if isinstance(placement, Placement):
             figures = placement.figures
+            context.metrics.queued(figures.queued_s)
+            if self._progress.sent:
+                context.metrics.sent_again()
             context.log.emit(
                 events.REQUEST_PLACED,
                 request_id=self._admitted.request_id,
@@ -410,6 +418,12 @@
         arrived_s = admitted.request.arrived_s
         now_s = self._context.clock()
         first_s = progress.first_s
+        self._context.metrics.ended(
+            admitted.route.kind.value,
+            outcome,
+            None if first_s is None else first_s - arrived_s,
+            now_s - arrived_s,
+        )
         self._context.log.emit(
             events.REQUEST_ENDED,
             request_id=admitted.request_id,
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -21,6 +21,7 @@
     :param ready: where the balancer asks whether the router is ready.
     :param peers: where the other routers send datagrams.
     :param store: the platform's store.
+    :param metrics: where the page of metrics is served; None for nowhere.
     :param stop_within_s: how long an orderly stop may take.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
@@ -35,6 +36,7 @@
     retry_share: float
     retry_burst: float
     log_level: str
+    metrics: Address | None = None
 
 
 def load_direct_router_settings(path: pathlib.Path) -> DirectRouterSettings:
@@ -50,6 +52,7 @@
         stop_within_s=reader.number("stop", "grace_s", 8.0, least=1.0, most=600.0),
         retry_share=reader.number("retries", "share", 0.1, most=1.0),
         retry_burst=reader.number("retries", "burst", 10.0),
+        metrics=reader.optional_address("metrics", "address"),
         log_level=reader.choice(
             "logs", "level", ("debug", "info", "warning", "error"), "info"
         ),
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -70,6 +70,7 @@
     routers: list[DirectRouter] = field(factory=list)
     ports: list[int] = field(factory=list)
     ready_ports: list[int] = field(factory=list)
+    metrics_ports: list[int] = field(factory=list)
     asked: int = 0
 
     async def ask(
@@ -101,6 +102,12 @@
         request = h11.Request(method="GET", target="/ready", headers=[("host", "r")])
         return (await exchange(self.ready_ports[router], request, b"")).status
 
+    async def metrics(self, router: int = 0) -> str:
+        """Return the page of metrics."""
+        request = h11.Request(method="GET", target="/metrics", headers=[("host", "r")])
+        answer = await exchange(self.metrics_ports[router], request, b"")
+        return answer.body.decode()
+
     def consumed_tokens(self) -> int:
         """Return what targets worked for, in tokens of prompt and answer."""
         total = 0
@@ -155,11 +162,13 @@
 def build_router(fleet: PlatformFleet, name: str, store_port: int) -> None:
     """Add a router whose settings come from a file, as in production."""
     port, ready = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM)
+    metrics = free_port(socket.SOCK_STREAM)
     peers = free_port(socket.SOCK_DGRAM)
     text = (
         f"[process]\nvm = {name}\navailability_zone = z\n"
         f"[listen]\ncallers = 127.0.0.1:{port}\nready = 127.0.0.1:{ready}\n"
         f"peers = 127.0.0.1:{peers}\n[store]\naddress = 127.0.0.1:{store_port}\n"
+        f"[metrics]\naddress = 127.0.0.1:{metrics}\n"
     )
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "router.ini"
@@ -170,6 +179,7 @@
     fleet.routers.append(router)
     fleet.ports.append(port)
     fleet.ready_ports.append(ready)
+    fleet.metrics_ports.append(metrics)
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -29,6 +29,28 @@
 
         anyio.run(play)
 
+    def test_the_page_of_metrics_counts_what_callers_got(self) -> None:
+        """An operator reads requests by outcome, store calls and tokens in hand."""
+
+        async def play() -> None:
+            async with platform_fleet() as fleet:
+                await fleet.ask("print")
+                await fleet.ask("chat", tokens=(100, 40))
+                await fleet.ask("nowhere")
+                page = await fleet.metrics()
+                for line in (
+                    'endivegw_requests_total{kind="at-most-once",outcome="answered"} 1',
+                    'endivegw_requests_total{kind="stream",outcome="answered"} 1',
+                    'endivegw_requests_refused_total{reason="service_not_found"} 1',
+                    "endivegw_configuration_version 1",
+                    'endivegw_store_call_seconds_count{call="write",outcome="done"}',
+                ):
+                    self.assertIn(line, page)
+                found = page.split("\nendivegw_hand_tokens ")[1].split()[0]
+                self.assertGreater(float(found), 0)
+
+        anyio.run(play)
+
     def test_what_is_not_allowed_is_refused_at_once(self) -> None:
         """A wrong key, a wrong path, a request larger than the budget."""
 
