--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -149,7 +149,7 @@
         if own is not None:
             self._revision = own.revision
             await self._succeed(
-                decode_holder(own.value), own.revision, moment.now_ms, asked_s
+                self._holder(own), own.revision, moment.now_ms, asked_s
             )
         self.registered = True
         return True
@@ -199,17 +199,32 @@
         for row in rows.value.rows:
             self._take_budget(row)
 
+    def _holder(self, row: StoredRow) -> HolderRow:
+        """Read this router's row.
+
+        One that does not decode counts as a row of nobody that holds nothing. Its
+        tokens stay drawn from the budgets, so that they are lost and not spent twice.
+        """
+        try:
+            return decode_holder(row.value)
+        except RowError as error:
+            self._unreadable(row, error)
+            return HolderRow(InstanceId(""), 0)
+
+    def _unreadable(self, row: StoredRow, error: RowError) -> None:
+        self._log.emit(
+            events.ROW_UNREADABLE,
+            table=row.table,
+            key=row.key,
+            revision=row.revision,
+            detail=str(error),
+        )
+
     def _take_budget(self, row: StoredRow) -> None:
         try:
             total = decode_budget(row.value, row.revision)
         except RowError as error:
-            self._log.emit(
-                events.ROW_UNREADABLE,
-                table=row.table,
-                key=row.key,
-                revision=row.revision,
-                detail=str(error),
-            )
+            self._unreadable(row, error)
             return
         self._book.totals[ClientAccountName(row.key)] = total
 
@@ -283,7 +298,7 @@
             else:
                 self._book.void()
             return False
-        holder = decode_holder(own.value)
+        holder = self._holder(own)
         if own.revision == self._revision:
             # The budgets' rows moved on, not this one.
             self._book.void()
--- a/tests/test_allowances_fleet.py
+++ b/tests/test_allowances_fleet.py
@@ -126,6 +126,32 @@
         run(play)
 
 
+class RowTests(unittest.TestCase):
+    """What a router makes of rows that it cannot read."""
+
+    def test_an_unreadable_row_of_its_own_costs_its_tokens_only(self) -> None:
+        """Another program wrote over a router's row before it started.
+
+        It cannot know what its predecessor used. It serves all the same, with what
+        the other routers lend it, and the lost tokens are never handed out again.
+        """
+
+        async def play(world: AllowanceWorld) -> None:
+            world.kill("a")
+            row = world.store.rows["token-holders", "a"]
+            world.store.revision += 1
+            world.store.rows["token-holders", "a"] = type(row)(
+                row.table, row.key, b"no row", world.store.revision
+            )
+            world.start("a")
+            await anyio.sleep(3.0)
+            held = await world.routers["a"].keeper.reserve(ACCOUNT, 5000)
+            self.assertIsInstance(held, Reservation)
+            self.assertLess(spendable_tokens(world), 800_000)
+
+        run(play)
+
+
 class CutTests(unittest.TestCase):
     """What callers get while all routers are cut off from the store."""
 
