Draw budgets in equal parts, and try again at once after a conflict

Cause: all routers write at the same moment when a budget is there to be drawn; one wins, and those that lost waited 0.15 s, in which the winner drew again. Now each first takes an equal part of the whole and a lost conflict is tried again within 10 ms.

--- a/src/endivegw/allowances/book.py
+++ b/src/endivegw/allowances/book.py
@@ -277,9 +277,10 @@
     def _draw(self, account: ClientAccountName, funds: Funds, routers: int) -> int:
         """Return what to draw now; below 0 to give back.
 
-        All of a budget is drawn as soon as it is there, in equal parts. What
-        counts in a cut is what the routers hold together: they lend to each
-        other within milliseconds, but nobody can draw.
+        All of a budget is drawn as soon as it is there. What counts in a cut is
+        what the routers hold together: they lend to each other within milliseconds,
+        but nobody can draw. Each first takes an equal part of the whole, so that one
+        whose writes lose every conflict is not left with nothing.
         """
         if account in self.prepaid_tokens and self.prepaid_tokens[account] < 0:
             return -max(0, funds.hand_tokens)
@@ -287,11 +288,23 @@
         if left < 0:
             return -max(0, min(-left, funds.hand_tokens))
         wanted = self.wanted_tokens.get(account, 0) - max(0, funds.hand_tokens)
-        share = -(-left // routers) if routers else 0
+        share = self._share(account, funds, left, routers)
         if wanted <= 0 and share < self.options.least_draw_tokens:
             return 0
         return min(left, max(wanted, share))
 
+    def _share(
+        self, account: ClientAccountName, funds: Funds, left: int, routers: int
+    ) -> int:
+        """Return what to draw unasked."""
+        if not routers:
+            return 0
+        equal = self.prepaid_tokens.get(account, 0) // routers
+        lacking = equal - funds.confirmed.drawn_tokens
+        if lacking >= self.options.least_draw_tokens:
+            return lacking
+        return -(-left // routers)
+
     def _terms(
         self,
         account: ClientAccountName,
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Callable
 
 import anyio
@@ -43,6 +44,10 @@
 #: which the addresses of the other routers are still being read.
 _TESTIMONY_S = 0.5
 
+#: The longest pause before a write that lost a conflict is made again: two answers of
+#: the store.
+_AGAIN_S = 0.01
+
 #: Pause after a call that failed at once, such as one to a store that resets.
 _PAUSE_S = 0.1
 
@@ -73,6 +78,7 @@
         self._peers = peers
         self._clock = clock
         self._log = log
+        self._rng = random.Random(book.instance_id)
         self._started_s = clock() if started_s is None else started_s
         self.registered = False
         self._written = False
@@ -121,9 +127,16 @@
         while not self.registered:
             if not await self._register():
                 await anyio.sleep(_PAUSE_S)
+        lost = False
         while not self.stopped.is_set():
-            with anyio.move_on_after(self._options.write_every_s):
-                await self._wake.wait()
+            if lost:
+                # All routers draw at the same moment when a budget is topped up. One
+                # that waited for its next turn would find that the others, who won,
+                # had drawn its part as well.
+                await anyio.sleep(_AGAIN_S * self._rng.random())
+            else:
+                with anyio.move_on_after(self._options.write_every_s):
+                    await self._wake.wait()
             self._wake = anyio.Event()
             stopping = self._stopping
             if stopping:
@@ -131,7 +144,9 @@
             age_s = self.budgets_age_s(self._clock())
             if age_s >= self._options.pools_every_s:
                 await self._read_budgets()
-            if await self._write() and stopping:
+            done = await self._write()
+            lost = not done
+            if done and stopping:
                 self.stopped.set()
             self._attempted.set()
             self._attempted = anyio.Event()
@@ -148,9 +163,7 @@
         own = next((row for row in rows.value.rows if row.key == self._vm), None)
         if own is not None:
             self._revision = own.revision
-            await self._succeed(
-                self._holder(own), own.revision, moment.now_ms, asked_s
-            )
+            await self._succeed(self._holder(own), own.revision, moment.now_ms, asked_s)
         self.registered = True
         return True
 
