--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import anyio
 import h11
 from anyio.abc import SocketStream
@@ -43,10 +45,12 @@
     runs: list[WorkerRun] = field(factory=list)
 
     async def serve(self, stream: SocketStream) -> None:
-        """Serve one connection."""
-        async with stream:
-            while await self._exchange(stream):
-                pass
+        """Serve one connection; what runs ends where the caller is gone."""
+        gone = (anyio.BrokenResourceError, anyio.ClosedResourceError)
+        with contextlib.suppress(*gone):
+            async with stream:
+                while await self._exchange(stream):
+                    pass
 
     async def _exchange(self, stream: SocketStream) -> bool:
         connection = h11.Connection(h11.SERVER)
