--- a/src/endivegw/cli/dev.py
+++ b/src/endivegw/cli/dev.py
@@ -45,9 +45,19 @@
     show_default=True,
     help="How the exercise reports.",
 )
+@click.option(
+    "--platform",
+    is_flag=True,
+    help="Run routers that call targets themselves, as on the users' platform.",
+)
 @reported
 def dev(
-    http_port: int, log_level: str, exercise_s: float | None, seed: int, report: str
+    http_port: int,
+    log_level: str,
+    exercise_s: float | None,
+    seed: int,
+    report: str,
+    platform: bool,
 ) -> None:
     """Run a small fleet on loopback, with stand-ins for all that is outside.
 
@@ -56,6 +66,11 @@
     drains it.
     """
     with json_line_handler(Level(log_level)).applicationbound():
+        if platform:
+            from endivegw.dev.platform import serve_platform
+
+            anyio.run(serve_platform)
+            return
         if exercise_s is None:
             anyio.run(_serve, http_port)
             return
--- /dev/null
+++ b/src/endivegw_standins/platform_fleet.py
@@ -0,0 +1,150 @@
+"""Routers, targets and a store on loopback, in one process.
+
+Tests play callers against it, and ``endivegw dev --platform`` lets a newcomer do so.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import socket
+import tempfile
+from typing import Any, AsyncIterator
+
+import anyio
+from attrs import define, field
+
+from endivegw.composition.direct_router import build_direct_router
+from endivegw.daemons.direct_router import DirectRouter
+from endivegw.http_server import serve_asgi
+from endivegw.platform.command import PlatformDecoder
+from endivegw.platform.store import PlatformStore
+from endivegw.platform.wire import PlatformWire
+from endivegw.settings.direct import load_direct_router_settings
+from endivegw_standins.platform_store_app import PlatformStoreApp
+from endivegw_standins.platform_worker import PlatformWorker
+
+__all__ = [
+    "CONFIGURATION",
+    "PREPAID",
+    "PlatformFleet",
+    "curl_line",
+    "free_port",
+    "run_platform_fleet",
+    "serve_asgi_on_loopback",
+]
+
+PREPAID = 100_000
+
+CONFIGURATION = {
+    "Version": 1,
+    "Routes": [
+        {
+            "Name": name,
+            "Host": "h.example",
+            "Prefix": f"/{name}/",
+            "Kind": kind,
+            "TimeoutMs": 4000,
+            "TargetLatencyMs": 400,
+            "Service": service,
+            "MaxAttempts": attempts,
+            "Resumable": name == "resumable",
+            "GapTargetMs": 300,
+        }
+        for name, kind, service, attempts in (
+            ("chat", "streaming", "engine", 1),
+            ("resumable", "streaming", "engine", 2),
+            ("print", "unsafe", "plain", 1),
+            ("notice", "safe", "plain", 2),
+        )
+    ],
+    "Services": [{"Name": "engine", "Engine": {"Stride": 4}}, {"Name": "plain"}],
+    "Tenants": [{"Name": "hotel", "ApiKeys": ["key-1"], "Prepaid": PREPAID}],
+}
+
+
+@define
+class PlatformFleet:
+    """Hold the parts of one fleet; ports are those of the routers, in order."""
+
+    store: PlatformStoreApp = field(factory=PlatformStoreApp)
+    workers: dict[str, PlatformWorker] = field(factory=dict)
+    routers: list[DirectRouter] = field(factory=list)
+    ports: list[int] = field(factory=list)
+    ready_ports: list[int] = field(factory=list)
+    metrics_ports: list[int] = field(factory=list)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether every router takes callers."""
+        return all(router.ready for router in self.routers)
+
+
+def curl_line(port: int) -> str:
+    """Return a command that asks a router for a stream."""
+    return (
+        "curl -N -H 'Host: h.example' -H 'Authorization: Bearer key-1' "
+        "-H 'Endivegw-Attempt-Id: try-1' -H 'Endivegw-Token-Counts: 100,40' "
+        f"-d 'A gate for ZX81, please.' http://127.0.0.1:{port}/chat/x"
+    )
+
+
+def free_port(kind: int) -> int:
+    """Return a port that nothing listens on."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def _build_router(fleet: PlatformFleet, name: str, store_port: int) -> None:
+    """Add a router whose settings come from a file, as in production."""
+    port, ready = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM)
+    metrics = free_port(socket.SOCK_STREAM)
+    peers = free_port(socket.SOCK_DGRAM)
+    text = (
+        f"[process]\nvm = {name}\navailability_zone = z\n"
+        f"[listen]\ncallers = 127.0.0.1:{port}\nready = 127.0.0.1:{ready}\n"
+        f"peers = 127.0.0.1:{peers}\n[store]\naddress = 127.0.0.1:{store_port}\n"
+        f"[metrics]\naddress = 127.0.0.1:{metrics}\n"
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "router.ini"
+        path.write_text(text)
+        settings = load_direct_router_settings(path)
+    store = PlatformStore(str(settings.store))
+    router = build_direct_router(settings, store, PlatformWire(), PlatformDecoder())
+    fleet.routers.append(router)
+    fleet.ports.append(port)
+    fleet.ready_ports.append(ready)
+    fleet.metrics_ports.append(metrics)
+
+
+@contextlib.asynccontextmanager
+async def run_platform_fleet(fleet: PlatformFleet, routers: int) -> AsyncIterator[None]:
+    """Run a fleet; entered once every router is ready."""
+    async with anyio.create_task_group() as tasks:
+        _, store_port = await tasks.start(serve_asgi_on_loopback, fleet.store)
+        for name, service in (("e-1", "engine"), ("e-2", "engine"), ("p-1", "plain")):
+            worker = fleet.workers[name] = PlatformWorker(name)
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            tasks.start_soon(listener.serve, worker.serve)
+            entry = {"Service": service, "Address": f"127.0.0.1:{port}", "Zone": "z"}
+            document = {**entry, "Slots": 8, "State": "ready"}
+            fleet.store.put("servers", name, document)
+        fleet.store.put("op", "config", CONFIGURATION)
+        for number in range(routers):
+            _build_router(fleet, f"vm-{number}", store_port)
+            tasks.start_soon(fleet.routers[-1].run)
+        with anyio.fail_after(10):
+            while not fleet.ready:
+                await anyio.sleep(0.05)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+async def serve_asgi_on_loopback(
+    app: PlatformStoreApp, *, task_status: anyio.abc.TaskStatus[Any]
+) -> None:
+    """Serve the store's stand-in on a free port."""
+    await serve_asgi(app, "127.0.0.1", 0, graceful_s=0, task_status=task_status)
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -214,7 +214,7 @@
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(fleet.routers[0].drain)
                     await anyio.sleep(0.1)
-                    self.assertEqual(await fleet.ready(), 503)
+                    self.assertEqual(await fleet.ready_status(), 503)
                     answer = await fleet.ask("print")
                     self.assertEqual(answer.status, 200)
                     self.assertEqual(answer.fields["connection"], "close")
