--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -23,7 +23,8 @@
 from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
 from endivegw.gossip.peers import PEERS_TABLE
-from endivegw.relay.handler import RelayContext, RequestHandler
+from endivegw.relay.context import RelayContext
+from endivegw.relay.handler import RequestHandler
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.wire import WirePort
 from endivegw.services.measured_rows import MeasuredRows
--- a/src/endivegw/daemons/direct_beliefs.py
+++ b/src/endivegw/daemons/direct_beliefs.py
@@ -7,7 +7,7 @@
 
 from endivegw.decisions import SERVICE_PREFIX, TargetView
 from endivegw.gossip import PeerEntry, PeerTable
-from endivegw.relay.handler import RelayContext
+from endivegw.relay.context import RelayContext
 from endivegw.routing import (
     DirectTarget,
     FleetConfiguration,
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -16,7 +16,7 @@
 from endivegw.gossip import PeerLink
 from endivegw.gossip.peers import PEERS_TABLE
 from endivegw.relay.caller_connection import Answerer, CallerConnection, Handler
-from endivegw.relay.handler import RelayContext
+from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
 from endivegw.routing import CallerLimits
 from endivegw.services.row_store import ExpectedRow, NewRow, RowStorePort
--- /dev/null
+++ b/src/endivegw/relay/context.py
@@ -0,0 +1,49 @@
+"""What all requests of one router share."""
+
+from __future__ import annotations
+
+import random
+from typing import Callable
+
+from attrs import define, field
+
+from endivegw.allowances import AllowanceKeeper
+from endivegw.daemons.placement_queue import PlacementQueue
+from endivegw.decisions import RetryBudget
+from endivegw.relay.attempt import AttemptLimits
+from endivegw.relay.target_pool import TargetPool
+from endivegw.relay.wire import WirePort
+from endivegw.routing import RoutingTable
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.exposition import RouterMetrics
+from endivegw.types import InstanceId
+
+__all__ = ["RelayContext"]
+
+
+@define
+class RelayContext:
+    """Hold what all requests of one router share.
+
+    :ivar table: the configuration in force; None before the first.
+    :ivar block_tokens: what one prefix digest covers, as placement counts.
+    :ivar table_since_s: when it came into force.
+    :ivar draining: whether the router is about to stop.
+    :ivar on_replaced: takes a target at whose address another instance answered.
+    """
+
+    wire: WirePort
+    keeper: AllowanceKeeper
+    queue: PlacementQueue
+    pool: TargetPool
+    retries: RetryBudget
+    rng: random.Random
+    clock: Callable[[], float]
+    log: EventLog
+    block_tokens: int
+    limits: AttemptLimits = field(factory=AttemptLimits)
+    metrics: RouterMetrics = field(factory=RouterMetrics)
+    table: RoutingTable | None = None
+    table_since_s: float = 0.0
+    draining: bool = False
+    on_replaced: Callable[[InstanceId], None] = lambda instance_id: None
