Give each router's row a partition of its own where the store writes several at once

Ruled out: cuts (most stood between them), peers out of tokens (a spare of 10 to 100 times the need). The setting follows what the platform says of transactions over several partitions; without them all rows stay in one.

--- a/src/endivegw/allowances/options.py
+++ b/src/endivegw/allowances/options.py
@@ -13,6 +13,10 @@
 class AllowanceOptions:
     """Hold the limits.
 
+    :param spread_rows: whether each router's row has a partition of its own. The
+        store writes a partition's rows one after another, some 300 a second; twenty
+        routers in one need 200 for their intervals alone, and a request that waits
+        for a write is then refused although its tokens are held.
     :param write_every_s: how often a router moves its recorded limits on. Four
         routers then make 27 writes a second, a thirtieth of the store's rate.
     :param write_timeout_s: a write without an answer is repeated as it is. It
@@ -53,6 +57,7 @@
     :param borrow_s: how long one request asks its peers for tokens.
     """
 
+    spread_rows: bool = False
     write_every_s: float = 0.15
     write_timeout_s: float = 1.0
     wait_s: float = 0.06
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -72,6 +72,7 @@
     ) -> None:
         self._store = store
         self._vm = vm
+        self._partition = vm if book.options.spread_rows else ""
         self._book = book
         self._options = book.options
         self._store_clock = store_clock
@@ -155,7 +156,9 @@
         """Take over what the earlier process on this machine left."""
         timeout_s = self._options.write_timeout_s
         asked_s = self._clock()
-        rows = await self._store.list_rows(HOLDERS_TABLE, timeout_s=timeout_s)
+        rows = await self._store.list_rows(
+            HOLDERS_TABLE, timeout_s=timeout_s, partition=self._partition
+        )
         if not isinstance(rows, Done):
             return False
         moment = rows.value.moment
@@ -260,8 +263,9 @@
 
     async def _try(self, write: PlannedWrite) -> bool | None:
         """Return whether a write took effect, None where that is not known."""
-        expected = [ExpectedRow(HOLDERS_TABLE, self._vm, self._revision)]
-        puts = [NewRow(HOLDERS_TABLE, self._vm, encode_holder(write.row))]
+        vm, partition = self._vm, self._partition
+        expected = [ExpectedRow(HOLDERS_TABLE, vm, self._revision, partition)]
+        puts = [NewRow(HOLDERS_TABLE, vm, encode_holder(write.row), partition)]
         for account, drawn_tokens in write.budgets.items():
             revision = write.expected[account]
             expected.append(ExpectedRow(BUDGETS_TABLE, account, revision))
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 
-from endivegw.allowances import AllowanceKeeper
+from endivegw.allowances import AllowanceKeeper, AllowanceOptions
 from endivegw.daemons.direct_beliefs import (
     ConfigurationReader,
     PeerReader,
@@ -87,7 +87,14 @@
         log=log,
     )
     keeper = AllowanceKeeper(
-        store, settings.vm, instance_id, link, clock, log, started_s=started_s
+        store,
+        settings.vm,
+        instance_id,
+        link,
+        clock,
+        log,
+        AllowanceOptions(spread_rows=settings.spread_rows),
+        started_s=started_s,
     )
     context = RelayContext(
         wire=wire,
--- a/src/endivegw/platform/store.py
+++ b/src/endivegw/platform/store.py
@@ -27,9 +27,6 @@
 
 __all__ = ["PlatformStore"]
 
-#: All our tables have one partition, so that any rows can change together.
-_PARTITION = ""
-
 #: Rows of one page of a listing; the store's own bound.
 _PAGE_ROWS = 500
 
@@ -53,17 +50,14 @@
         """Write all or nothing."""
         document = {
             "ExpectedRevision": [
-                {**_key(row.table, row.key), "ResourceVersion": row.revision}
+                {**_key(row), "ResourceVersion": row.revision}
                 for row in expected + deletes
             ],
             "SetKeys": [
-                {
-                    **_key(row.table, row.key),
-                    "Value": base64.b64encode(row.value).decode(),
-                }
+                {**_key(row), "Value": base64.b64encode(row.value).decode()}
                 for row in puts
             ],
-            "Remove": [_key(row.table, row.key) for row in deletes],
+            "Remove": [_key(row) for row in deletes],
         }
         body = json.dumps(document, separators=(",", ":")).encode()
         answer = await self._caller.call(
@@ -82,12 +76,12 @@
             return Unknown(Reason.ANSWER_LOST, f"not an answer of the store: {error}")
 
     async def list_rows(
-        self, table: str, *, timeout_s: float
+        self, table: str, *, timeout_s: float, partition: str = ""
     ) -> Done[Changes] | Refused | Unknown:
-        """Return all rows of a table; pages after the first may be newer."""
+        """Return all rows of a partition; pages after the first may be newer."""
         rows: list[StoredRow] = []
         moment: StoreMoment | None = None
-        query: dict[str, str] = {"Table": table, "part": _PARTITION}
+        query: dict[str, str] = {"Table": table, "part": partition}
         query["Limit"] = str(_PAGE_ROWS)
         while True:
             content = await self._read("/rows-get", query, timeout_s)
@@ -149,9 +143,9 @@
         return content
 
 
-def _key(table: str, key: str) -> dict[str, str]:
+def _key(row: ExpectedRow | NewRow) -> dict[str, str]:
     # "part" is the store's name of a partition.
-    return {"Table": table, "part": _PARTITION, "Key": key}
+    return {"Table": row.table, "part": row.partition, "Key": row.key}
 
 
 def _moment(content: Mapping[str, Any]) -> StoreMoment:
--- a/src/endivegw/services/measured_rows.py
+++ b/src/endivegw/services/measured_rows.py
@@ -52,11 +52,13 @@
         return result
 
     async def list_rows(
-        self, table: str, *, timeout_s: float
+        self, table: str, *, timeout_s: float, partition: str = ""
     ) -> Done[Changes] | Refused | Unknown:
-        """Return all rows of a table as of one moment."""
+        """Return all rows of a table's partition as of one moment."""
         begun_s = self.clock()
-        result = await self.store.list_rows(table, timeout_s=timeout_s)
+        result = await self.store.list_rows(
+            table, timeout_s=timeout_s, partition=partition
+        )
         self._note("list", result, begun_s)
         return result
 
--- a/src/endivegw/services/row_store.py
+++ b/src/endivegw/services/row_store.py
@@ -49,11 +49,15 @@
 
 @frozen
 class ExpectedRow:
-    """Name a row and the revision that it must have; 0: it must not exist."""
+    """Name a row and the revision that it must have; 0: it must not exist.
+
+    :param partition: rows of one partition are written one transaction after another.
+    """
 
     table: str
     key: str
     revision: int
+    partition: str = ""
 
 
 @frozen
@@ -63,6 +67,7 @@
     table: str
     key: str
     value: bytes
+    partition: str = ""
 
 
 @frozen
@@ -100,9 +105,9 @@
         """Write all or nothing."""
 
     async def list_rows(
-        self, table: str, *, timeout_s: float
+        self, table: str, *, timeout_s: float, partition: str = ""
     ) -> Done[Changes] | Refused | Unknown:
-        """Return all rows of a table as of one moment."""
+        """Return all rows of a table's partition as of one moment."""
 
     async def watch(
         self, table: str, after_revision: int, *, wait_s: float, timeout_s: float
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -22,6 +22,8 @@
     :param peers: where the other routers send datagrams.
     :param store: the platform's store.
     :param metrics: where the page of metrics is served; None for nowhere.
+    :param spread_rows: whether one transaction may write several of the store's
+        partitions; each router's row then has one of its own.
     :param stop_within_s: how long an orderly stop may take.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
@@ -37,6 +39,7 @@
     retry_burst: float
     log_level: str
     metrics: Address | None = None
+    spread_rows: bool = False
 
 
 def load_direct_router_settings(path: pathlib.Path) -> DirectRouterSettings:
@@ -52,6 +55,7 @@
         stop_within_s=reader.number("stop", "grace_s", 8.0, least=1.0, most=600.0),
         retry_share=reader.number("retries", "share", 0.1, most=1.0),
         retry_burst=reader.number("retries", "burst", 10.0),
+        spread_rows=reader.flag("store", "spread_rows", False),
         metrics=reader.optional_address("metrics", "address"),
         log_level=reader.choice(
             "logs", "level", ("debug", "info", "warning", "error"), "info"
--- a/src/endivegw_standins/platform_fleet.py
+++ b/src/endivegw_standins/platform_fleet.py
@@ -105,6 +105,7 @@
         f"[process]\nvm = {name}\navailability_zone = z\n"
         f"[listen]\ncallers = 127.0.0.1:{port}\nready = 127.0.0.1:{ready}\n"
         f"peers = 127.0.0.1:{peers}\n[store]\naddress = 127.0.0.1:{store_port}\n"
+        "spread_rows = yes\n"
         f"[metrics]\naddress = 127.0.0.1:{metrics}\n"
     )
     with tempfile.TemporaryDirectory() as folder:
--- a/src/endivegw_standins/platform_store_app.py
+++ b/src/endivegw_standins/platform_store_app.py
@@ -19,6 +19,7 @@
     value: str
     revision: int
     deleted: bool = False
+    part: str = ""
 
 
 @define
@@ -54,6 +55,14 @@
             if of == table and not row.deleted
         }
 
+    def partitions(self, table: str) -> dict[str, str]:
+        """Return the partition of each row of a table."""
+        return {
+            key: row.part
+            for (of, key), row in self._rows.items()
+            if of == table and not row.deleted
+        }
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one call."""
         body = b""
@@ -99,7 +108,8 @@
                 return 412, self._moment(found)
         self.revision += 1
         for row in call["SetKeys"]:
-            self._rows[row["Table"], row["Key"]] = _Row(row["Value"], self.revision)
+            key = (row["Table"], row["Key"])
+            self._rows[key] = _Row(row["Value"], self.revision, part=row["part"])
         for row in call["Remove"]:
             self._rows[row["Table"], row["Key"]] = _Row("", self.revision, True)
         self._wake()
@@ -110,6 +120,7 @@
             key
             for key, row in self._rows.items()
             if key[0] == query["Table"] and not row.deleted
+            if row.part == query.get("part", "")
         )
         return {**self._moment([self._row(key) for key in keys]), "MorePages": False}
 
@@ -135,7 +146,7 @@
 
     def _row(self, key: tuple[str, str]) -> dict[str, Any]:
         row = self._rows[key]
-        found = {"Table": key[0], "part": "", "Key": key[1]}
+        found = {"Table": key[0], "part": row.part, "Key": key[1]}
         if row.deleted:
             return {**found, "Tombstone": True, "ResourceVersion": row.revision}
         return {**found, "Value": row.value, "ResourceVersion": row.revision}
--- a/src/endivegw_standins/row_store.py
+++ b/src/endivegw_standins/row_store.py
@@ -95,9 +95,9 @@
         return result
 
     async def list_rows(
-        self, table: str, *, timeout_s: float
+        self, table: str, *, timeout_s: float, partition: str = ""
     ) -> Done[Changes] | Refused | Unknown:
-        """Return all rows of a table."""
+        """Return all rows of a table; partitions are not played."""
         if self.name in self.store.cut | self.store.deaf:
             return await self._silence(timeout_s)
         await anyio.sleep(self.store.answer_s / 2)
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -204,7 +204,7 @@
             f"[process]\nvm = vm-{number}\navailability_zone = z\n"
             f"[listen]\ncallers = 127.0.0.1:{self.ports[number]}\n"
             f"ready = 127.0.0.1:{ready}\npeers = 127.0.0.1:{peers}\n"
-            f"[store]\naddress = 127.0.0.1:{self.store_port}\n"
+            f"[store]\naddress = 127.0.0.1:{self.store_port}\nspread_rows = yes\n"
         )
 
     # The callers.
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -29,6 +29,22 @@
 
         anyio.run(play)
 
+    def test_each_router_writes_to_a_partition_of_its_own(self) -> None:
+        """Twenty routers write their rows several times a second.
+
+        In one partition the store would make them wait for each other, and callers
+        would be refused although their account's tokens are held.
+        """
+
+        async def play() -> None:
+            async with platform_fleet(routers=2) as fleet:
+                await fleet.ask("chat", tokens=(100, 40))
+                parts = fleet.store.partitions("token-holders")
+                self.assertEqual(parts, {"vm-0": "vm-0", "vm-1": "vm-1"})
+                self.assertEqual(set(fleet.store.partitions("op").values()), {""})
+
+        anyio.run(play)
+
     def test_the_page_of_metrics_counts_what_callers_got(self) -> None:
         """An operator reads requests by outcome, store calls and tokens in hand."""
 
