Tell two starts of a target under one id apart; use no target by another writer's row

Cause: instances were told apart by id alone. A target that came back under its id kept the health, the load, the prompt parts and the connections of its dead start, and one once found replaced was barred for good. Entries were read generously (a number as text, a boolean, any state), and one row whose value is not in the store's encoding hid the whole listing.

Now a start is (id, started_ms); all that was known goes with the earlier one. Entries are read strictly, field by field; an unusable row drops its target and no other, with one log line. Rows follow the store's order, not the target's clock, which may go back.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -11,7 +11,6 @@
     ConfigurationReader,
     PeerReader,
     RowDecoder,
-    TargetReader,
 )
 from endivegw.daemons.direct_router import (
     DirectRouter,
@@ -20,6 +19,7 @@
 )
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.row_feed import FeedReader, RowFeed
+from endivegw.daemons.target_reader import TargetReader
 from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
 from endivegw.gossip.peers import PEERS_TABLE
--- a/src/endivegw/daemons/direct_beliefs.py
+++ b/src/endivegw/daemons/direct_beliefs.py
@@ -1,26 +1,19 @@
-"""What a router that calls targets itself believes, kept up to date by feeds."""
+"""The configuration and the other routers, kept up to date by feeds."""
 
 from __future__ import annotations
 
 from itertools import islice
 from typing import Callable, Protocol
 
-from endivegw.decisions import SERVICE_PREFIX, TargetView
 from endivegw.gossip import PeerEntry, PeerTable
 from endivegw.relay.context import RelayContext
-from endivegw.routing import (
-    DirectTarget,
-    FleetConfiguration,
-    FleetView,
-    RoutingTable,
-    ServiceKind,
-)
+from endivegw.routing import DirectTarget, FleetConfiguration, RoutingTable
 from endivegw.services.row_store import StoredRow
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
-from endivegw.types import ClientAccountName, InstanceId, TargetName
+from endivegw.types import ClientAccountName
 
-__all__ = ["ConfigurationReader", "PeerReader", "RowDecoder", "TargetReader"]
+__all__ = ["ConfigurationReader", "PeerReader", "RowDecoder"]
 
 
 #: Budgets that one log line names; a first version may bring tens of thousands.
@@ -116,124 +109,6 @@
         """Do nothing: versions speak for themselves."""
 
 
-class TargetReader:
-    """Keep the dispatcher's targets as the registry has them."""
-
-    def __init__(
-        self,
-        context: RelayContext,
-        decoder: RowDecoder,
-        clock: Callable[[], float],
-        log: EventLog,
-    ) -> None:
-        self._context = context
-        self._decoder = decoder
-        self._clock = clock
-        self._log = log
-        self.view = FleetView()
-        self._revisions: dict[str, int] = {}
-        #: Instances that are gone for good, whatever the registry still says.
-        self._replaced: set[InstanceId] = set()
-
-    def listed(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take in the whole table."""
-        known = set(self.view.targets)
-        for row in rows:
-            known.discard(InstanceId(row.key))
-            self._take(row)
-        now_s = self._clock()
-        for instance_id in known:
-            self.view.remove(instance_id, now_s)
-        self.apply()
-
-    def changed(self, row: StoredRow) -> None:
-        """Take in one row."""
-        self._take(row)
-        self.apply()
-
-    def lost(self) -> None:
-        """Note that entries may lapse unseen."""
-        self.view.registry_lost()
-
-    def heard(self) -> None:
-        """Note that the registry answers."""
-        self.view.registry_heard(self._clock())
-
-    def replaced(self, instance_id: InstanceId) -> None:
-        """Drop a target at whose address another instance answered.
-
-        Its entry stays in the registry for a while, and every request sent there
-        meanwhile is refused.
-        """
-        target = self.view.targets.pop(instance_id, None)
-        self._replaced.add(instance_id)
-        if target is not None:
-            self._note(target, "replaced", 0)
-            self.apply()
-
-    def settle(self) -> None:
-        """Drop targets that stayed missing after the registry's return."""
-        if self.view.settle(self._clock()):
-            self.apply()
-
-    def apply(self) -> None:
-        """Hand the targets to the dispatcher."""
-        views = [self._view(target) for target in self.view.targets.values()]
-        self._context.queue.dispatcher.set_targets(views, self._clock())
-        self._context.queue.kick()
-
-    def _take(self, row: StoredRow) -> None:
-        if row.revision < self._revisions.get(row.key, 0):
-            # A listing may be older than what the feed said before it.
-            return
-        self._revisions[row.key] = row.revision
-        if row.deleted:
-            before = self.view.targets.get(InstanceId(row.key))
-            self.view.remove(InstanceId(row.key), self._clock())
-            if before is not None:
-                self._note(before, "removed", row.revision)
-            return
-        try:
-            target = self._decoder.target(row.key, row.value)
-        except ValueError as error:
-            _unreadable(self._log, row, error)
-            return
-        if target.instance_id in self._replaced:
-            return
-        before = self.view.targets.get(target.instance_id)
-        self.view.put(target)
-        if before is None:
-            self._note(target, "added", row.revision)
-        elif before.leaving != target.leaving:
-            self._note(target, "leaving", row.revision)
-
-    def _view(self, target: DirectTarget) -> TargetView:
-        table = self._context.table
-        kind = ServiceKind.PLAIN
-        if table is not None:
-            kind = table.service_kind(target.service)
-        prefix = "" if kind is ServiceKind.ENGINE else SERVICE_PREFIX
-        return TargetView(
-            target=TargetName(target.instance_id),
-            instance_id=target.instance_id,
-            address=target.address,
-            availability_zone=target.availability_zone,
-            models=frozenset({prefix + target.service}),
-            slots=target.slots,
-            draining=target.leaving,
-        )
-
-    def _note(self, target: DirectTarget, change: str, revision: int) -> None:
-        self._log.emit(
-            events.TARGET_CHANGED,
-            target=target.instance_id,
-            service=target.service,
-            address=target.address,
-            change=change,
-            revision=revision,
-        )
-
-
 class PeerReader:
     """Keep the table of the other routers, and this router's own row in it."""
 
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -10,8 +10,9 @@
 from attrs import frozen
 
 from endivegw.allowances import AllowanceKeeper
-from endivegw.daemons.direct_beliefs import PeerReader, TargetReader
+from endivegw.daemons.direct_beliefs import PeerReader
 from endivegw.daemons.row_feed import RowFeed
+from endivegw.daemons.target_reader import TargetReader
 from endivegw.decisions import LoadFigures, OwnLoad
 from endivegw.gossip import PeerLink
 from endivegw.gossip.peers import PEERS_TABLE
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -85,7 +85,7 @@
         members: dict[str, list[TargetState]] = {model: [] for model in self._pools}
         for view in views:
             state = known.get(view.target)
-            if state is None or state.view.instance_id != view.instance_id:
+            if state is None or not state.view.is_incarnation_of(view):
                 if state is not None:
                     self._prefixes.forget(view.target)
                 state = TargetState(view, max(1, view.slots))
@@ -346,5 +346,11 @@
         if item.prefix_digests:
             self._prefixes.learn(view.target, item.prefix_digests, now_s)
         return Placement(
-            item, view.target, view.instance_id, view.address, choice.why, figures
+            item,
+            view.target,
+            view.instance_id,
+            view.address,
+            choice.why,
+            figures,
+            view.started_ms,
         )
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -73,6 +73,8 @@
     :param models: names that the target serves, in the form of
         :attr:`WorkItem.model`.
     :param slots: how many pieces of work it runs at once.
+    :param started_ms: tells two starts under one ``instance_id`` apart; None where
+        ``instance_id`` alone does.
     """
 
     target: TargetName
@@ -82,6 +84,12 @@
     models: frozenset[str]
     slots: int
     draining: bool = False
+    started_ms: int | None = None
+
+    def is_incarnation_of(self, other: TargetView) -> bool:
+        """Return whether both are the same start of the same target."""
+        same_start = self.started_ms == other.started_ms
+        return self.instance_id == other.instance_id and same_start
 
 
 @frozen
@@ -149,6 +157,8 @@
 
     :param why: ``least-loaded``, ``prefix-cache``, ``probe`` or
         ``only-target``.
+    :param started_ms: the start of the target that is meant, as its
+        :class:`TargetView` says.
     """
 
     item: WorkItem
@@ -157,6 +167,7 @@
     address: str
     why: str
     figures: PlacementFigures
+    started_ms: int | None = None
 
 
 @frozen
--- a/src/endivegw/platform/configuration.py
+++ b/src/endivegw/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
 from typing import Any, Mapping
 
@@ -34,6 +35,25 @@
 TARGETS_TABLE = "servers"
 
 
+#: States that a target may be registered with.
+_STATES = frozenset({"ready", "draining"})
+
+#: The most slots of one target; an engine's batch has hundreds. A figure beyond it
+#: would be no count, and arithmetic with it could overflow.
+_MOST_SLOTS = 1_000_000
+
+#: What reading bytes of any content may raise, nested without end or with numbers
+#: that no type holds.
+_UNREADABLE = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 class DecodeError(ValueError):
     """Say that a row of the operator or of a target cannot be understood."""
 
@@ -57,7 +77,7 @@
                 default=1,
             ),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except _UNREADABLE as error:
         raise DecodeError(f"not a configuration: {error!r}") from error
 
 
@@ -67,19 +87,69 @@
     :param key: the row's key, which is the only place of the instance's id.
     """
     try:
-        entry = json.loads(value)
-        return DirectTarget(
-            instance_id=InstanceId(key),
-            service=str(entry["Service"]),
-            address=str(entry["Address"]),
-            availability_zone=AvailabilityZone(str(entry["Zone"])),
-            slots=max(1, int(entry["Slots"])),
-            leaving=entry.get("State") != "ready",
-        )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        return _target(InstanceId(key), json.loads(value))
+    except _UNREADABLE as error:
         raise DecodeError(f"not an entry of a target: {error!r}") from error
 
 
+def _target(instance_id: InstanceId, entry: Any) -> DirectTarget:
+    """Return a target; an error where a field is missing or of another type.
+
+    Others than targets may write entries. One that was read generously, a number as
+    text for a number, would send callers to an address where no target is.
+    """
+    _text(entry, "Version")
+    _whole(entry, "Sequence")
+    _number(entry, "ColdRemainingMs")
+    state = _text(entry, "State")
+    if state not in _STATES:
+        raise DecodeError(f"unknown state {state!r}")
+    slots = _whole(entry, "Slots")
+    if not 1 <= slots <= _MOST_SLOTS:
+        raise DecodeError(f"{slots} slots")
+    return DirectTarget(
+        instance_id=instance_id,
+        service=_text(entry, "Service"),
+        address=_address(_text(entry, "Address")),
+        availability_zone=AvailabilityZone(_text(entry, "Zone")),
+        slots=slots,
+        leaving=state == "draining",
+        # The name is that of a birth; it is the start of this incarnation.
+        started_ms=_whole(entry, "born") if "born" in entry else None,
+    )
+
+
+def _text(entry: Mapping[str, Any], name: str) -> str:
+    value = entry[name]
+    if not isinstance(value, str) or not value:
+        raise DecodeError(f"{name} is not a text: {value!r:.40}")
+    return value
+
+
+def _whole(entry: Mapping[str, Any], name: str) -> int:
+    value = entry[name]
+    # True and False are whole numbers for Python, and not for the writer.
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise DecodeError(f"{name} is not a whole number: {value!r:.40}")
+    return value
+
+
+def _number(entry: Mapping[str, Any], name: str) -> float:
+    value = entry[name]
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise DecodeError(f"{name} is not a number: {value!r:.40}")
+    return float(value)
+
+
+def _address(value: str) -> str:
+    """Return an address that a connection can be opened to."""
+    host, _, port = value.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise DecodeError(f"no port in {value!r:.60}")
+    return value
+
+
 def _route(entry: Mapping[str, Any]) -> Route:
     split = entry.get("TrafficSplit")
     if split:
--- a/src/endivegw/platform/store.py
+++ b/src/endivegw/platform/store.py
@@ -156,11 +156,7 @@
     found = []
     for row in content["Rows"]:
         deleted = bool(row.get("Tombstone"))
-        value = row.get("Value") or ""
-        try:
-            decoded = base64.b64decode(value, validate=True)
-        except binascii.Error as error:
-            raise ValueError(f"row {row['Key']!r}: {error}") from error
+        decoded = _decoded(row.get("Value") or "")
         # An absent row of a conflict has the revision 0.
         revision = int(row.get("ResourceVersion") or 0)
         deleted = deleted or revision == 0
@@ -168,6 +164,19 @@
     return tuple(found)
 
 
+def _decoded(value: Any) -> bytes:
+    """Return a row's bytes, none where they cannot be read.
+
+    Other writers' rows stand in the same tables. Their readers say of an empty row
+    that it does not decode; to fail the listing here would take all other rows away
+    with it, and a router that starts then would never know a target.
+    """
+    try:
+        return base64.b64decode(value, validate=True)
+    except (binascii.Error, ValueError, TypeError):
+        return b""
+
+
 def _refused(answer: Answer) -> Refused:
     reason = Reason.THROTTLED if answer.status == 429 else Reason.UNREACHABLE
     detail = f"the store answered {answer.status}"
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -29,7 +29,8 @@
     :ivar block_tokens: what one prefix digest covers, as placement counts.
     :ivar table_since_s: when it came into force.
     :ivar draining: whether the router is about to stop.
-    :ivar on_replaced: takes a target at whose address another instance answered.
+    :ivar on_replaced: takes the instance and the start of a target at whose address
+        another instance answered.
     """
 
     wire: WirePort
@@ -46,4 +47,4 @@
     table: RoutingTable | None = None
     table_since_s: float = 0.0
     draining: bool = False
-    on_replaced: Callable[[InstanceId], None] = lambda instance_id: None
+    on_replaced: Callable[[InstanceId, int | None], None] = lambda name, start: None
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -242,7 +242,7 @@
         """Return what the caller would be told now; None where there is an answer."""
         self._progress.excluded.add(placement.target)
         if result.replaced:
-            self._context.on_replaced(placement.instance_id)
+            self._context.on_replaced(placement.instance_id, placement.started_ms)
         match result.end:
             case End.ANSWERED:
                 return None
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Callable
 
 import anyio
@@ -77,6 +78,11 @@
         for connection in self._idle.pop(address, []):
             await connection.close()
 
+    def expire(self, address: str) -> None:
+        """Let no idle connection to an address be used again."""
+        for connection in self._idle.get(address, []):
+            connection.idle_since_s = -math.inf
+
     async def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
--- a/src/endivegw/routing/fleet.py
+++ b/src/endivegw/routing/fleet.py
@@ -58,6 +58,22 @@
             return
         del self.targets[instance_id]
 
+    def drop(self, instance_id: InstanceId) -> None:
+        """Forget a target at once: its entry is there and names none to use."""
+        self.targets.pop(instance_id, None)
+        self._missing.pop(instance_id, None)
+
+    def usable(self) -> list[DirectTarget]:
+        """Return the targets that may get requests.
+
+        Where most targets say when they started, an entry that doesn't is another
+        writer's: no target is known to stand behind its address, and each request
+        sent there costs its caller an attempt.
+        """
+        found = list(self.targets.values())
+        stating = [target for target in found if target.started_ms is not None]
+        return stating if 2 * len(stating) > len(found) else found
+
     def replace(self, targets: Iterable[DirectTarget], now_s: float) -> None:
         """Take in a full listing."""
         listed = {target.instance_id: target for target in targets}
--- a/src/endivegw/routing/model.py
+++ b/src/endivegw/routing/model.py
@@ -124,9 +124,12 @@
 class DirectTarget:
     """Hold one target as it registered itself.
 
-    :param instance_id: one start of the target; a restart has another.
+    :param instance_id: the name it is registered under; a restart may keep it.
     :param address: ``IP:PORT``.
     :param leaving: whether it must get no new work.
+    :param started_ms: Unix milliseconds of its start, which tell two incarnations of
+        one ``instance_id`` apart; None where it does not say. They are compared for
+        equality only: its clock may have gone back between two starts.
     """
 
     instance_id: InstanceId
@@ -135,3 +138,9 @@
     availability_zone: AvailabilityZone
     slots: int
     leaving: bool = False
+    started_ms: int | None = None
+
+    def is_incarnation_of(self, other: DirectTarget) -> bool:
+        """Return whether both are the same start of the same target."""
+        same_start = self.started_ms == other.started_ms
+        return self.instance_id == other.instance_id and same_start
