Copy cached prompt parts from the target that keeps them; tell the others what was read

A send to a target that lacks parts names a target that has read them; routers tell each other which parts targets read (one more datagram a statement). Prefixes are known by part, as engines keep them, in place of by block.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -77,6 +77,8 @@
         lend=lambda account, least, wanted: keeper.lend(account, least, wanted),
         spare=lambda: keeper.spare_tokens(),
         load=dispatcher.own_load,
+        take_read=dispatcher.take_read,
+        on_read=lambda prefixes: dispatcher.read_elsewhere(prefixes, clock()),
         on_offer=lambda account, tokens: keeper.credit(account, tokens),
         on_acknowledgement=lambda peer, number: (
             keeper.book.witnesses.acknowledge(peer, number)
@@ -105,7 +107,6 @@
         rng=rng,
         clock=clock,
         log=log,
-        block_tokens=policy.block_tokens,
         metrics=metrics,
     )
     _add_gauges(metrics, context)
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -144,8 +144,10 @@
     def _view(self, target: DirectTarget) -> TargetView:
         table = self._context.table
         kind = ServiceKind.PLAIN
+        copy_s_per_token = None
         if table is not None:
             kind = table.service_kind(target.service)
+            copy_s_per_token = table.copy_s_per_token(target.service)
         prefix = "" if kind is ServiceKind.ENGINE else SERVICE_PREFIX
         return TargetView(
             target=TargetName(target.instance_id),
@@ -156,6 +158,7 @@
             slots=target.slots,
             draining=target.leaving,
             started_ms=target.started_ms,
+            copy_s_per_token=copy_s_per_token,
         )
 
     def _note(self, target: DirectTarget, change: str, revision: int) -> None:
--- a/src/endivegw/decisions/affinity.py
+++ b/src/endivegw/decisions/affinity.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from typing import Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from endivegw.targets.ports import CacheChange
 from endivegw.types import TargetName
 
-__all__ = ["PrefixIndex"]
+__all__ = ["CachedPrefixes", "PrefixIndex"]
 
 #: Targets remembered per prefix; more would only be compared for nothing.
 _HOLDERS = 8
 
+#: Targets that have read a prefix and are looked up as sources of a copy. Some of
+#: them may be unwell or be the one that the prompt goes to.
+_SOURCES = 3
+
 #: An entry younger than this is not renewed: blocks that all prompts share
 #: would be renewed with each placement.
 _FRESH_S = 5.0
@@ -23,6 +28,34 @@
 _DOUBT = 0.5
 
 
+@frozen
+class _Holding:
+    """Hold since when a target is believed to have a prefix cached.
+
+    :param read: whether it had read it by then; until then others cannot copy it.
+    """
+
+    known_s: float
+    read: bool
+
+
+@frozen
+class CachedPrefixes:
+    """Hold expected cached tokens of one prompt, the most first and most recent.
+
+    :param expected: by target, also where the prefix is still being read.
+    :param read: by target that has read them.
+    """
+
+    expected: dict[TargetName, int] = field(factory=dict)
+    read: dict[TargetName, int] = field(factory=dict)
+
+
+_NOBODY: dict[TargetName, _Holding] = {}
+
+_UNKNOWN = _Holding(-math.inf, False)
+
+
 @define
 class PrefixIndex:
     """Learn from own placements and from cache events that come late and with gaps.
@@ -38,19 +71,37 @@
     entries: int
     ttl_s: float
     block_tokens: int
-    _holders: OrderedDict[bytes, dict[TargetName, float]] = field(factory=OrderedDict)
+    _holders: OrderedDict[bytes, dict[TargetName, _Holding]] = field(
+        factory=OrderedDict
+    )
     _sequence: dict[TargetName, int] = field(factory=dict)
     _doubt_before_s: dict[TargetName, float] = field(factory=dict)
 
-    def learn(self, target: TargetName, digests: Iterable[bytes], now_s: float) -> None:
-        """Note that a target has read, or is about to read, these prefixes."""
-        fresh_s = now_s - _FRESH_S
+    def learn(
+        self,
+        target: TargetName,
+        digests: Iterable[bytes],
+        now_s: float,
+        *,
+        read: bool = False,
+    ) -> list[bytes]:
+        """Note that a target has read, or is about to read, these prefixes.
+
+        :param read: whether it has read them, so that others may copy them.
+        :returns: those that are news.
+        """
+        news = []
         for digest in digests:
-            holders = self._holders.get(digest)
-            if holders is None or holders.get(target, 0.0) <= fresh_s:
-                self._add(digest, target, now_s)
+            known = self._holders.get(digest, _NOBODY).get(target, _UNKNOWN)
+            fresh = known.known_s > now_s - _FRESH_S
+            if fresh and known.read >= read:
+                continue
+            kept = known.read and known.known_s > now_s - self.ttl_s
+            self._add(digest, target, now_s, read or kept)
+            news.append(digest)
+        return news
 
-    def _add(self, digest: bytes, target: TargetName, now_s: float) -> None:
+    def _add(self, digest: bytes, target: TargetName, now_s: float, read: bool) -> None:
         holders = self._holders.get(digest)
         if holders is None:
             holders = self._holders[digest] = {}
@@ -59,7 +110,7 @@
         else:
             self._holders.move_to_end(digest)
             holders.pop(target, None)
-        holders[target] = now_s
+        holders[target] = _Holding(now_s, read)
         if len(holders) > _HOLDERS:
             del holders[next(iter(holders))]
 
@@ -86,13 +137,14 @@
         self._sequence[target] = max(sequence, last)
         for change in fresh:
             if not change.evicted:
-                self._add(change.prefix_digest, target, now_s)
+                self._add(change.prefix_digest, target, now_s, True)
                 continue
-            holders = self._holders.get(change.prefix_digest)
+            holders = self._holders.get(change.prefix_digest, _NOBODY)
+            known = holders.get(target)
             # An eviction from before a placement of our own says nothing about
             # the prefix that this placement brought back.
-            if holders is not None and holders.get(target, now_s) <= at_s:
-                holders.pop(target, None)
+            if known is not None and known.known_s <= at_s:
+                holders.pop(target)
 
     def forget(self, target: TargetName) -> None:
         """Drop what was known of a target that restarted."""
@@ -102,27 +154,39 @@
             holders.pop(target, None)
 
     def lookup(
-        self, digests: tuple[bytes, ...], limit: int, now_s: float
-    ) -> dict[TargetName, int]:
+        self,
+        digests: tuple[bytes, ...],
+        limit: int,
+        now_s: float,
+        covered_tokens: tuple[int, ...] = (),
+    ) -> CachedPrefixes:
         """Return the targets that should have most of a prompt cached.
 
         :param limit: how many targets are looked for.
-        :returns: expected cached prompt tokens by target, the most first and
-            there the most recent.
+        :param covered_tokens: what each digest covers; empty where each covers a
+            block more than the one before it.
         """
         found: dict[TargetName, int] = {}
+        read: dict[TargetName, int] = {}
         eldest_s = now_s - self.ttl_s
         doubts = self._doubt_before_s
-        for blocks in range(len(digests), 0, -1):
-            holders = self._holders.get(digests[blocks - 1])
+        for number in range(len(digests) - 1, -1, -1):
+            holders = self._holders.get(digests[number])
             if holders is None:
                 continue
-            tokens = blocks * self.block_tokens
+            tokens = (number + 1) * self.block_tokens
+            if covered_tokens:
+                tokens = covered_tokens[number]
             for target in reversed(holders):
-                if target in found or holders[target] < eldest_s:
+                holding = holders[target]
+                if holding.known_s < eldest_s:
                     continue
-                doubtful = holders[target] < doubts.get(target, 0.0)
-                found[target] = int(tokens * _DOUBT) if doubtful else tokens
-                if len(found) >= limit:
-                    return found
-        return found
+                doubtful = holding.known_s < doubts.get(target, 0.0)
+                expected = int(tokens * _DOUBT) if doubtful else tokens
+                if target not in found and len(found) < limit:
+                    found[target] = expected
+                if holding.read and target not in read:
+                    read[target] = expected
+            if len(found) >= limit and len(read) >= _SOURCES:
+                break
+        return CachedPrefixes(found, read)
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from typing import Iterable
+from collections import deque
+from typing import Iterable, Mapping
 
 from endivegw.decisions import admission, health
 from endivegw.decisions.affinity import PrefixIndex
@@ -36,6 +37,10 @@
 __all__ = ["Dispatcher"]
 
 
+#: News of prompts read that wait to be told; some seconds of a busy router's.
+_MOST_READ = 256
+
+
 class Dispatcher:
     """Admit, queue, refuse and place the work of one router.
 
@@ -57,6 +62,8 @@
         self._placed: dict[str, TargetState] = {}
         self._groups: dict[str, int] = {}
         self._next_sweep_s = 0.0
+        #: What targets read and no other router was told yet; the latest count.
+        self._read: deque[tuple[TargetName, bytes]] = deque(maxlen=_MOST_READ)
         self._demand = DemandMeter(policy.demand_window_s)
         self._estimates = Estimates(policy)
         self._backlog = Backlog(policy, self._estimates, self._pools)
@@ -195,12 +202,27 @@
         if state is None or attempt is None:
             return
         attempt.first_s = now_s
+        self._note_read(state, attempt.item, now_s)
         taken_s = now_s - attempt.placed_s
         # Times of a sick or overfull target would teach wrong speeds.
         if state.weight >= 0.5 and attempt.load <= 1.0:
             model = attempt.item.model
             self._estimates.learn_first(model, attempt.uncached_tokens, taken_s)
 
+    def read_elsewhere(
+        self, prefixes: Mapping[TargetName, Iterable[bytes]], now_s: float
+    ) -> None:
+        """Take in which prompt prefixes targets read for other routers' callers."""
+        for target, digests in prefixes.items():
+            if target in self._targets:
+                self._prefixes.learn(target, digests, now_s, read=True)
+
+    def take_read(self) -> list[tuple[TargetName, bytes]]:
+        """Return what targets read since the last call, for the other routers."""
+        news = list(self._read)
+        self._read.clear()
+        return news
+
     def ended(
         self, request_id: str, target: TargetName, result: AttemptEnd, now_s: float
     ) -> None:
@@ -232,6 +254,17 @@
 
     # Inside.
 
+    def _note_read(self, state: TargetState, item: WorkItem, now_s: float) -> None:
+        """Note that a prompt was read: others may copy it from there.
+
+        The whole prompt is this request's own, and hardly another router's caller
+        sends it again; what is shared comes before it.
+        """
+        target = state.view.target
+        news = self._prefixes.learn(target, item.prefix_digests, now_s, read=True)
+        shared = set(item.prefix_digests[:-1])
+        self._read.extend((target, digest) for digest in news if digest in shared)
+
     def _pool(self, model: str) -> Pool:
         pool = self._pools.get(model)
         if pool is None:
@@ -335,8 +368,9 @@
             finish_s=choice.finish_s,
             slack_s=item.deadline_s - now_s - choice.finish_s,
             candidates=choice.candidates,
+            copied_tokens=choice.copy.tokens,
         )
-        uncached = item.prompt_tokens - choice.cached_tokens
+        uncached = item.prompt_tokens - choice.known_tokens
         speed = self._estimates.speed(item.model)
         expected_s = speed.first.at(state.unread_tokens() + uncached)
         attempt = Outstanding(item, now_s, load, uncached, expected_s, choice.finish_s)
@@ -353,4 +387,5 @@
             choice.why,
             figures,
             view.started_ms,
+            choice.copy.address,
         )
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -7,8 +7,9 @@
 
 from attrs import define
 
-from endivegw.decisions.affinity import PrefixIndex
+from endivegw.decisions.affinity import CachedPrefixes, PrefixIndex
 from endivegw.decisions.estimates import Estimates, ModelSpeed
+from endivegw.decisions.fetch import NO_COPY, Copy, CopySources
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.pool import Pool
 from endivegw.decisions.target_state import TargetState
@@ -31,6 +32,7 @@
 
     :param cost_s: seconds the work takes there, plus what it costs the others.
     :param finish_s: seconds until it is expected to end there.
+    :param copy: what it gets from another target's cache first.
     """
 
     state: TargetState
@@ -39,6 +41,12 @@
     cached_tokens: int
     why: str
     candidates: int = 1
+    copy: Copy = NO_COPY
+
+    @property
+    def known_tokens(self) -> int:
+        """Return the prompt tokens that the target need not read."""
+        return self.cached_tokens + self.copy.tokens
 
 
 @define
@@ -47,6 +55,7 @@
 
     :param share: the share of a target's slots that its priority may fill.
     :param cached: expected cached prompt tokens by target, the most first.
+    :param sources: targets that have read some of the prompt.
     :param plain: whether it is for a plain service.
     """
 
@@ -55,6 +64,7 @@
     share: float
     output_tokens: float
     cached: dict[TargetName, int]
+    sources: CopySources
     plain: bool
 
 
@@ -99,16 +109,22 @@
         return best
 
     def _need(self, item: WorkItem, now_s: float) -> _Need:
-        cached: dict[TargetName, int] = {}
+        cached = CachedPrefixes()
+        sources = CopySources()
         if item.prefix_digests:
-            cached = self.prefixes.lookup(item.prefix_digests, _HOLDERS, now_s)
+            cached = self.prefixes.lookup(
+                item.prefix_digests, _HOLDERS, now_s, item.prefix_tokens
+            )
+        if cached.read and self.policy.copies:
+            sources = CopySources.among(self.targets, cached.read, item.model)
         plain = item.model.startswith(SERVICE_PREFIX)
         return _Need(
             item,
             self.estimates.speed(item.model),
             self.policy.slots_share(item.priority),
             0.0 if plain else self.estimates.output_tokens(item),
-            cached,
+            cached.expected,
+            sources,
             plain,
         )
 
@@ -180,12 +196,13 @@
             cost_s = held_s * (1.0 + occupied / slots) + far_s
             return Choice(state, cost_s, held_s, 0, "least-loaded")
         cached = need.cached.get(view.target, 0)
-        uncached = need.item.prompt_tokens - cached
+        copy = need.sources.copy_to(state, cached, speed.first.slope)
+        uncached = need.item.prompt_tokens - cached - copy.tokens
         step = speed.step
         load = (occupied + 1.0) / slots
         if load > 1.0:
             load = 1.0
-        finish_s = speed.first.at(state.unread_tokens() + uncached)
+        finish_s = speed.first.at(state.unread_tokens() + uncached) + copy.takes_s
         finish_s += need.output_tokens * (step.base + step.slope * load)
         if occupied >= slots:
             finish_s += (occupied + 1.0 - slots) * speed.held_s.mean / slots
@@ -194,7 +211,9 @@
         others_s += self._pause_cost_s(pool, state, uncached, occupied)
         cost_s = (finish_s + others_s) * state.slowness + far_s
         why = "prefix-cache" if cached else "least-loaded"
-        return Choice(state, cost_s, finish_s * state.slowness, cached, why)
+        if copy.tokens:
+            why = "prefix-copy"
+        return Choice(state, cost_s, finish_s * state.slowness, cached, why, copy=copy)
 
     def _pause_cost_s(
         self, pool: Pool, state: TargetState, uncached: int, occupied: float
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -44,8 +44,9 @@
         ``now_s``.
     :param prompt_tokens: estimated or counted; 0 for plain services.
     :param output_tokens: the most that will be generated.
-    :param prefix_digests: digests of the prompt's leading blocks, the shortest
-        prefix first.
+    :param prefix_digests: digests of the prompt's beginnings, the shortest first.
+    :param prefix_tokens: how many tokens each of them covers; empty where each covers
+        ``Policy.block_tokens`` more than the one before it.
     :param excluded: targets that this request must not go to again.
     :param pause_objective_s: the longest pause within its answer that is still on
         time; None where there is no such bound.
@@ -63,6 +64,7 @@
     prefix_digests: tuple[bytes, ...] = ()
     excluded: frozenset[TargetName] = field(factory=frozenset)
     pause_objective_s: float | None = None
+    prefix_tokens: tuple[int, ...] = ()
 
 
 @frozen
@@ -75,6 +77,8 @@
     :param slots: how many pieces of work it runs at once.
     :param started_ms: tells two starts under one ``instance_id`` apart; None where
         ``instance_id`` alone does.
+    :param copy_s_per_token: how long it takes to copy a cached token from another
+        target; None where targets do not copy from each other.
     """
 
     target: TargetName
@@ -85,6 +89,7 @@
     slots: int
     draining: bool = False
     started_ms: int | None = None
+    copy_s_per_token: float | None = None
 
     def is_incarnation_of(self, other: TargetView) -> bool:
         """Return whether both are the same start of the same target."""
@@ -136,6 +141,7 @@
     :param load: expected work per slot of the target, before this placement.
     :param own_outstanding: this router's own work on the target.
     :param cached_tokens: prompt tokens expected in the target's cache.
+    :param copied_tokens: prompt tokens that it copies from another target.
     :param queued_s: how long the work waited in this router.
     :param finish_s: how long it is expected to take from now.
     :param slack_s: what is then left until its deadline.
@@ -149,6 +155,7 @@
     finish_s: float
     slack_s: float
     candidates: int
+    copied_tokens: int = 0
 
 
 @frozen
@@ -159,6 +166,8 @@
         ``only-target``.
     :param started_ms: the start of the target that is meant, as its
         :class:`TargetView` says.
+    :param copy_from: address of a target that has more of the prompt cached; None
+        where the target needs nothing from others.
     """
 
     item: WorkItem
@@ -168,6 +177,7 @@
     why: str
     figures: PlacementFigures
     started_ms: int | None = None
+    copy_from: str | None = None
 
 
 @frozen
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -20,9 +20,11 @@
     Message,
     Offer,
     PeerState,
+    PrefixesRead,
     Testimony,
     decode,
     encode,
+    prefix_datagrams,
 )
 from endivegw.gossip.peers import PeerEntry, PeerTable
 from endivegw.telemetry import EventLog
@@ -62,6 +64,8 @@
     :param lend: debits tokens for a peer; returns how many.
     :param spare: returns what is free by account.
     :param load: returns what this router has at targets.
+    :param take_read: returns prompt prefixes that targets read since the last call.
+    :param on_read: takes the prefixes that targets read for a peer's callers.
     :param state_limits: returns the statement of a sequence for the witnesses.
     :param named_witnesses: returns the routers whose acknowledgement counts.
     :param on_offer: credits tokens that a peer debited, once for each ask, also
@@ -75,6 +79,8 @@
         lend: Callable[[ClientAccountName, int, int], Awaitable[int]],
         spare: Callable[[], dict[ClientAccountName, int]],
         load: Callable[[], dict[TargetName, OwnLoad]],
+        take_read: Callable[[], list[tuple[TargetName, bytes]]],
+        on_read: Callable[[dict[TargetName, list[bytes]]], None],
         on_offer: Callable[[ClientAccountName, int], None],
         on_acknowledgement: Callable[[InstanceId, int], None],
         state_limits: Callable[[int], Statement],
@@ -87,6 +93,8 @@
         self._lend = lend
         self._spare = spare
         self._load = load
+        self._take_read = take_read
+        self._on_read = on_read
         self._on_offer = on_offer
         self._on_acknowledgement = on_acknowledgement
         self._state_limits = state_limits
@@ -255,6 +263,8 @@
             match message:
                 case PeerState():
                     self.peers.hear(message, self._clock())
+                case PrefixesRead(_, prefixes):
+                    self._on_read(prefixes)
                 case Limits(sender, statement):
                     self.peers.hear_limits(sender, statement)
                     reply = Acknowledgement(self.entry.instance_id, statement.sequence)
@@ -336,8 +346,11 @@
         data = encode(state)
         if len(data) > MOST_BYTES:
             data = encode(_shortened(state))
+        prefixes = prefix_datagrams(self.entry.instance_id, self._take_read())
         for peer in self.peers.entries():
             await self._send_to(data, peer.host, peer.port)
+            for datagram in prefixes:
+                await self._send_to(datagram, peer.host, peer.port)
         await self._tell_limits()
 
     def _own_load(self) -> dict[TargetName, OwnLoad]:
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import Any, Iterable
 
 from attrs import field, frozen
 
@@ -16,12 +16,24 @@
 from endivegw.decisions import OwnLoad
 from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
 
-__all__ = ["Ask", "Message", "Offer", "PeerState", "decode", "encode"]
+__all__ = [
+    "Ask",
+    "Message",
+    "Offer",
+    "PeerState",
+    "PrefixesRead",
+    "decode",
+    "encode",
+    "prefix_datagrams",
+]
 
 #: The largest datagram that is sent; larger ones would be cut into packets, of
 #: which the loss of one loses all.
 MOST_BYTES = 1400
 
+#: What JSON adds to one prefix and its target, at the most, with a part of the head.
+_FRAME_BYTES = 16
+
 
 @frozen
 class PeerState:
@@ -96,7 +108,27 @@
     left_tokens: int
 
 
-Message = PeerState | Limits | Acknowledgement | Inquiry | Testimony | Ask | Offer
+@frozen
+class PrefixesRead:
+    """Say which prompt prefixes targets have read for the sender's callers.
+
+    :param prefixes: digests by target.
+    """
+
+    sender: InstanceId
+    prefixes: dict[TargetName, list[bytes]]
+
+
+Message = (
+    PeerState
+    | PrefixesRead
+    | Limits
+    | Acknowledgement
+    | Inquiry
+    | Testimony
+    | Ask
+    | Offer
+)
 
 
 def encode(message: Message) -> bytes:
@@ -113,6 +145,12 @@
                     for target, load in message.load.items()
                 },
             ]
+        case PrefixesRead(sender, prefixes):
+            texts = {
+                target: [digest.decode("latin-1") for digest in digests]
+                for target, digests in prefixes.items()
+            }
+            document = ["read", sender, texts]
         case Limits(sender, statement):
             document = ["limits", sender, *_statement_fields(statement)]
         case Acknowledgement(sender, sequence):
@@ -157,6 +195,8 @@
                         for key, (running, unread) in load.items()
                     },
                 )
+            case "read", [prefixes]:
+                return PrefixesRead(name, _prefixes(prefixes))
             case "limits", [sequence, clock_ms, limits, final]:
                 return Limits(name, _statement(sequence, clock_ms, limits, final))
             case "heard", [sequence]:
@@ -181,6 +221,33 @@
     return None
 
 
+def prefix_datagrams(
+    sender: InstanceId, news: Iterable[tuple[TargetName, bytes]]
+) -> list[bytes]:
+    """Return news of prefixes as datagrams that are not cut into packets."""
+    datagrams = []
+    prefixes: dict[TargetName, list[bytes]] = {}
+    size = 0
+    for target, digest in news:
+        # With quotes, commas and brackets; a target may be new to the datagram.
+        grows = len(target) + len(digest) + _FRAME_BYTES
+        if size + grows > MOST_BYTES:
+            datagrams.append(encode(PrefixesRead(sender, prefixes)))
+            prefixes, size = {}, 0
+        size += grows
+        prefixes.setdefault(target, []).append(digest)
+    if prefixes:
+        datagrams.append(encode(PrefixesRead(sender, prefixes)))
+    return datagrams
+
+
+def _prefixes(found: Any) -> dict[TargetName, list[bytes]]:
+    return {
+        TargetName(target): [str(digest).encode("latin-1") for digest in digests]
+        for target, digests in found.items()
+    }
+
+
 def _statement_fields(statement: Statement) -> list[Any]:
     return [
         statement.sequence,
--- a/src/endivegw/platform/configuration.py
+++ b/src/endivegw/platform/configuration.py
@@ -4,7 +4,7 @@
 
 import ipaddress
 import json
-from typing import Any, Mapping
+from typing import Any, Iterable, Mapping
 
 from endivegw.routing import (
     CallerLimits,
@@ -76,6 +76,7 @@
                 ),
                 default=1,
             ),
+            copy_s_per_token=_copy_times(services),
         )
     except _UNREADABLE as error:
         raise DecodeError(f"not a configuration: {error!r}") from error
@@ -195,6 +196,18 @@
     return ServiceKind.ENGINE if entry.get("Engine") else ServiceKind.PLAIN
 
 
+def _copy_times(services: Iterable[Mapping[str, Any]]) -> dict[str, float]:
+    """Return how long targets copy a cached token, by service of engines."""
+    found = {}
+    for service in services:
+        engine = service.get("Engine") or {}
+        token_bytes = float(engine.get("KvTokenBytes") or 0)
+        link_mbps = float(engine.get("LinkMbps") or 0)
+        if token_bytes > 0 and link_mbps > 0:
+            found[str(service["Name"])] = token_bytes * 8 / (link_mbps * 1e6)
+    return found
+
+
 def _account(entry: Mapping[str, Any]) -> ClientAccount:
     prepaid = entry.get("Prepaid")
     priority = entry.get("Priority")
--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -20,6 +20,8 @@
 _EXPECTED_INSTANCE = b"endivegw-expect-instance"
 _ACCOUNT = b"endivegw-tenant"
 _PRIORITY = b"endivegw-request-priority"
+#: Engines call the cached tokens of a prompt its keys and values.
+_COPY_FROM = b"kv-fetch"
 _NOT_RUN = b"endivegw-not-executed"
 _LAST_EVENT = b"last-event-id"
 _AUTHORIZATION = b"authorization"
@@ -37,7 +39,7 @@
         b"endivegw-pin-ms",
         b"endivegw-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        _COPY_FROM,
         b"endivegw-kv-from",
         b"endivegw-kv-fetch",
         _LAST_EVENT,
@@ -79,6 +81,8 @@
             sent.append((_ACCOUNT, marks.client_account.encode()))
         if marks.priority is not None:
             sent.append((_PRIORITY, str(marks.priority).encode()))
+        if marks.copy_from is not None:
+            sent.append((_COPY_FROM, marks.copy_from.encode()))
         if marks.resume_after is not None:
             sent.append((_LAST_EVENT, str(marks.resume_after).encode()))
         return sent
--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from itertools import accumulate
 
 from attrs import frozen
 
@@ -18,11 +19,6 @@
 #: What a caller waits at most where it does not say.
 _USUAL_DEADLINE_S = 60.0
 
-#: Prompt tokens that one digest stands for, and the most digests of a prompt.
-#: Half of the blocks of the decisions' policy would double their cost and find
-#: no more: shared parts are thousands of tokens long.
-_MOST_DIGESTS = 64
-
 
 @frozen
 class Admitted:
@@ -93,7 +89,6 @@
 
 def work_item(
     admitted: Admitted,
-    block_tokens: int,
     excluded: frozenset[TargetName],
     now_s: float,
 ) -> WorkItem:
@@ -111,7 +106,8 @@
         prompt_tokens=marks.prompt_tokens or 0,
         output_tokens=marks.most_output_tokens,
         arrived_s=now_s,
-        prefix_digests=part_digests(marks.parts, block_tokens),
+        prefix_digests=part_digests(marks.parts),
+        prefix_tokens=tuple(accumulate(part.tokens for part in marks.parts)),
         excluded=excluded,
         pause_objective_s=admitted.route.pause_objective_s,
     )
@@ -123,22 +119,13 @@
     return admitted.service if engine else SERVICE_PREFIX + admitted.service
 
 
-def part_digests(parts: tuple[PromptPart, ...], block_tokens: int) -> tuple[bytes, ...]:
-    """Return one digest for each block of a prompt, the shortest prefix first.
+def part_digests(parts: tuple[PromptPart, ...]) -> tuple[bytes, ...]:
+    """Return one digest for each part of a prompt, the shortest prefix first.
 
-    A part's id stands for its text and for all parts before it, so that a block
-    is named by the part that its end lies in and its number.
+    Engines keep and drop whole parts. A part's id stands for its text and for all
+    parts before it.
     """
-    digests: list[bytes] = []
-    end = 0
-    for part in parts:
-        start, end = end, end + part.tokens
-        first = start // block_tokens + 1
-        for number in range(first, end // block_tokens + 1):
-            if len(digests) >= _MOST_DIGESTS:
-                return tuple(digests)
-            digests.append(f"{part.part_id}/{number}".encode())
-    return tuple(digests)
+    return tuple(part.part_id.encode() for part in parts)
 
 
 def _priority(admitted: Admitted) -> Priority:
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -26,7 +26,6 @@
     """Hold what all requests of one router share.
 
     :ivar table: the configuration in force; None before the first.
-    :ivar block_tokens: what one prefix digest covers, as placement counts.
     :ivar table_since_s: when it came into force.
     :ivar draining: whether the router is about to stop.
     :ivar on_replaced: takes the instance and the start of a target at whose address
@@ -41,7 +40,6 @@
     rng: random.Random
     clock: Callable[[], float]
     log: EventLog
-    block_tokens: int
     limits: AttemptLimits = field(factory=AttemptLimits)
     metrics: RouterMetrics = field(factory=RouterMetrics)
     table: RoutingTable | None = None
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -142,7 +142,6 @@
         context = self._context
         item = work_item(
             self._admitted,
-            context.block_tokens,
             frozenset(self._progress.excluded),
             context.clock(),
         )
@@ -159,6 +158,7 @@
                 why=placement.why,
                 load=round(figures.load, 3),
                 cached_tokens=figures.cached_tokens,
+                copied_tokens=figures.copied_tokens,
                 queued_s=round(figures.queued_s, 4),
                 finish_s=round(figures.finish_s, 3),
             )
@@ -202,6 +202,7 @@
             client_account=admitted.account.name if admitted.account else None,
             deadline_s=admitted.deadline_s - self._context.clock(),
             resume_after=self._progress.passed.order.last_id,
+            copy_from=placement.copy_from,
         )
         fields = self._context.wire.write_send(end_to_end(request.fields), marks)
         return Outgoing(request.method, request.target, fields, request.body)
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -62,6 +62,7 @@
 
     :param priority: 0 goes first; None for the engine's usual.
     :param resume_after: the last event that the caller has; None at the start.
+    :param copy_from: address of a target whose cached tokens are copied first.
     """
 
     instance_id: InstanceId
@@ -69,6 +70,7 @@
     deadline_s: float
     priority: int | None = None
     resume_after: int | None = None
+    copy_from: str | None = None
 
 
 @frozen
--- a/src/endivegw/routing/model.py
+++ b/src/endivegw/routing/model.py
@@ -110,7 +110,11 @@
 
 @frozen
 class FleetConfiguration:
-    """Hold one version of the configuration in full."""
+    """Hold one version of the configuration in full.
+
+    :param copy_s_per_token: by service, how long targets take to copy one cached
+        token from each other; those that cannot are not named.
+    """
 
     version: int
     routes: tuple[Route, ...]
@@ -118,6 +122,7 @@
     accounts: tuple[ClientAccount, ...]
     limits: CallerLimits = field(factory=CallerLimits)
     tokens_per_event: int = 1
+    copy_s_per_token: dict[str, float] = field(factory=dict)
 
 
 @frozen
--- a/src/endivegw/routing/table.py
+++ b/src/endivegw/routing/table.py
@@ -72,6 +72,10 @@
         """Return what the service's targets are."""
         return self.configuration.services.get(service, ServiceKind.PLAIN)
 
+    def copy_s_per_token(self, service: str) -> float | None:
+        """Return what copying a cached token takes, None where targets cannot."""
+        return self.configuration.copy_s_per_token.get(service)
+
     def prepaid_tokens(self) -> dict[ClientAccountName, int]:
         """Return the budgets by account."""
         return {
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -38,6 +38,7 @@
         "why",
         "load",
         "cached_tokens",
+        "copied_tokens",
         "queued_s",
         "finish_s",
     ),
--- a/tests/test_relay_parsing.py
+++ b/tests/test_relay_parsing.py
@@ -109,13 +109,14 @@
 
 
 class DigestTests(unittest.TestCase):
-    """Name the blocks of a prompt by its parts."""
+    """Name the beginnings of a prompt by its parts."""
 
     def test_shared_parts_share_digests(self) -> None:
-        """Two prompts share the blocks of their common parts and no others."""
-        shared = PromptPart("s", 600)
-        one = part_digests((shared, PromptPart("a", 300)), 256)
-        two = part_digests((shared, PromptPart("b", 300)), 256)
+        """Two prompts share the digests of their common parts and no others."""
+        shared = (PromptPart("s", 600), PromptPart("t", 10))
+        one = part_digests((*shared, PromptPart("a", 300)))
+        two = part_digests((*shared, PromptPart("b", 300)))
         self.assertEqual(len(one), 3)
         self.assertEqual(one[:2], two[:2])
+        self.assertNotEqual(one[0], one[1])
         self.assertNotEqual(one[2], two[2])
