List a table again after a feed's answer stayed out

Cause, by reading: a watch from an old revision brings all versions since then. In a storm of configurations of 60 KB, at a link of 5 Mbit/s, that is more than one answer can bring in its time; asked for again it only grows, and the router stays with the old version. A listing has the newest of each row.

--- a/src/endivegw/daemons/row_feed.py
+++ b/src/endivegw/daemons/row_feed.py
@@ -116,6 +116,10 @@
         self._reader.heard()
 
     def _lost(self, result: Refused | Unknown) -> None:
+        # What has changed may be more than an answer can bring in its time: versions
+        # that follow each other at once, over a slow link. Asked for again from the
+        # same revision it only grows; a listing has the newest of each row.
+        self._revision = None
         if self._away_since_s is None:
             self._away_since_s = self._clock()
             self._log.emit(
