Switch single mechanisms off in a router's settings, for measuring what each is worth

A section [mechanisms] with affinity, copies, tell_prefixes, pauses, ejection, loans, loans_ahead and witnesses, all in use by default. Bad input is named in one line.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -6,6 +6,8 @@
 import time
 import uuid
 
+from attrs import evolve
+
 from endivegw.allowances import AllowanceKeeper, AllowanceOptions
 from endivegw.daemons.direct_beliefs import (
     ConfigurationReader,
@@ -22,6 +24,7 @@
 from endivegw.daemons.target_reader import TargetReader
 from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
+from endivegw.gossip.link import MOST_WITNESSES
 from endivegw.gossip.peers import PEERS_TABLE
 from endivegw.relay.context import RelayContext
 from endivegw.relay.handler import RequestHandler
@@ -30,6 +33,7 @@
 from endivegw.services.measured_rows import MeasuredRows
 from endivegw.services.row_store import RowStorePort
 from endivegw.settings.direct import DirectRouterSettings
+from endivegw.settings.mechanisms import Mechanisms
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.exposition import RouterMetrics
 from endivegw.types import InstanceId
@@ -69,15 +73,18 @@
     log = EventLog("router", vm=settings.vm)
     entry = PeerEntry(settings.vm, instance_id, settings.peers.ip, settings.peers.port)
     peers = PeerTable(settings.vm)
-    policy = _policy()
+    mechanisms = settings.mechanisms
+    policy = _policy(mechanisms)
     dispatcher = Dispatcher(policy, settings.availability_zone, rng)
     link = PeerLink(
         entry,
         peers,
-        lend=lambda account, least, wanted: keeper.lend(account, least, wanted),
+        lend=lambda account, least, wanted: (
+            keeper.lend(account, least, wanted if mechanisms.loans else 0)
+        ),
         spare=lambda: keeper.spare_tokens(),
         load=dispatcher.own_load,
-        take_read=dispatcher.take_read,
+        take_read=lambda: dispatcher.take_read() if mechanisms.tell_prefixes else [],
         on_read=lambda prefixes: dispatcher.read_elsewhere(prefixes, clock()),
         on_offer=lambda account, tokens: keeper.credit(account, tokens),
         on_acknowledgement=lambda peer, number: (
@@ -87,6 +94,7 @@
         named_witnesses=lambda: keeper.book.witnesses.named(),
         clock=clock,
         log=log,
+        most_witnesses=MOST_WITNESSES if mechanisms.witnesses else 0,
     )
     keeper = AllowanceKeeper(
         store,
@@ -95,7 +103,7 @@
         link,
         clock,
         log,
-        AllowanceOptions(spread_rows=settings.spread_rows),
+        _allowance_options(settings),
         started_s=started_s,
     )
     context = RelayContext(
@@ -184,17 +192,28 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def _policy() -> Policy:
+def _allowance_options(settings: DirectRouterSettings) -> AllowanceOptions:
+    options = AllowanceOptions(spread_rows=settings.spread_rows)
+    if not settings.mechanisms.loans_ahead:
+        return evolve(options, hold_s=0.0)
+    return options
+
+
+def _policy(mechanisms: Mechanisms) -> Policy:
     """Return the decisions' limits for targets that are called directly.
 
     The priors are those of the engines that are usual there; measured speeds
     take their place within the first dozens of answers.
     """
+    usual = Policy()
     return Policy(
         choices=_CHOICES,
+        affinity=mechanisms.affinity,
+        copies=mechanisms.copies,
+        max_shed_share=usual.max_shed_share if mechanisms.ejection else 0.0,
         frozen_reports=_NEVER_FROZEN,
         zone_penalty_s=0.004,
-        pause_cost_s=0.6,
+        pause_cost_s=0.6 if mechanisms.pauses else 0.0,
         prefix_ttl_s=30.0,
         prior_prefill_tokens_per_s=30_000.0,
         prior_step_s=0.01,
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -123,7 +123,7 @@
             self.estimates.speed(item.model),
             self.policy.slots_share(item.priority),
             0.0 if plain else self.estimates.output_tokens(item),
-            cached.expected,
+            cached.expected if self.policy.affinity else {},
             sources,
             plain,
         )
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -50,6 +50,7 @@
     :param choices: targets drawn for one placement. Two take the peak off the
         load of the fullest target; many would all pick the same emptiest one
         while reports lag.
+    :param affinity: whether targets that keep parts of a prompt are preferred.
     :param copies: whether a target is told to copy cached tokens from another one.
     :param affinity_choices: targets compared because their cache is expected
         to hold a prefix of the prompt.
@@ -112,6 +113,7 @@
     overfill: float = 0.0
 
     choices: int = 2
+    affinity: bool = True
     copies: bool = True
     affinity_choices: int = 2
     probes: int = 16
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -31,7 +31,7 @@
 from endivegw.telemetry.catalogue import allowances as events
 from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
 
-__all__ = ["PeerLink"]
+__all__ = ["MOST_WITNESSES", "PeerLink"]
 
 #: An ask is repeated after this long; twice the way to another availability zone
 #: and back, with a busy peer in between.
@@ -42,7 +42,7 @@
 
 #: Routers that are named as witnesses. With three, limits go on growing in a cut in
 #: which one of them dies, and a successor learns all from any two.
-_MOST_WITNESSES = 3
+MOST_WITNESSES = 3
 
 #: How long an answer is remembered. An ask is repeated for far less.
 _MEMORY_S = 30.0
@@ -87,8 +87,10 @@
         named_witnesses: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], float],
         log: EventLog,
+        most_witnesses: int = MOST_WITNESSES,
     ) -> None:
         self.entry = entry
+        self._most_witnesses = most_witnesses
         self.peers = peers
         self._lend = lend
         self._spare = spare
@@ -179,7 +181,7 @@
         live = [entry.instance_id for entry in self.peers.live(now_s)]
         kept = [name for name in self._witnesses if name in live]
         for name in sorted(live):
-            if len(kept) >= _MOST_WITNESSES:
+            if len(kept) >= self._most_witnesses:
                 break
             if name not in kept:
                 kept.append(name)
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from endivegw.settings.mechanisms import Mechanisms, read_mechanisms
 from endivegw.settings.reader import Address, SettingsReader
 from endivegw.types import AvailabilityZone
 
@@ -24,6 +25,7 @@
     :param metrics: where the page of metrics is served; None for nowhere.
     :param spread_rows: whether one transaction may write several of the store's
         partitions; each router's row then has one of its own.
+    :param mechanisms: what is in use of what can be switched off.
     :param stop_within_s: how long an orderly stop may take.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
@@ -40,6 +42,7 @@
     log_level: str
     metrics: Address | None = None
     spread_rows: bool = False
+    mechanisms: Mechanisms = Mechanisms()
 
 
 def load_direct_router_settings(path: pathlib.Path) -> DirectRouterSettings:
@@ -56,6 +59,7 @@
         retry_share=reader.number("retries", "share", 0.1, most=1.0),
         retry_burst=reader.number("retries", "burst", 10.0),
         spread_rows=reader.flag("store", "spread_rows", False),
+        mechanisms=read_mechanisms(reader),
         metrics=reader.optional_address("metrics", "address"),
         log_level=reader.choice(
             "logs", "level", ("debug", "info", "warning", "error"), "info"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,8 @@
 
 from endivegw.exceptions import EXIT_USAGE, SettingsError
 from endivegw.settings import load_router_settings, load_sidecar_settings
+from endivegw.settings.direct import load_direct_router_settings
+from endivegw.settings.mechanisms import Mechanisms
 
 ROUTER = """
 [process]
@@ -90,3 +92,47 @@
         with self.assertRaises(SettingsError) as caught:
             load_sidecar_settings(self.path)
         self.assertIn("[target] name", caught.exception.message)
+
+
+DIRECT = """
+[process]
+vm = entry-1
+availability_zone = Erie
+[listen]
+callers = 127.0.0.1:8080
+ready = 127.0.0.1:8081
+peers = 127.0.0.1:7401
+[store]
+address = 127.0.0.1:9000
+"""
+
+
+class MechanismTests(unittest.TestCase):
+    """Switch single mechanisms off, to measure what they are worth."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "router.ini"
+
+    def load(self, section):
+        self.path.write_text(DIRECT + section)
+        return load_direct_router_settings(self.path)
+
+    def test_all_are_in_use_unless_switched_off(self):
+        """A file that names none uses all; one that names one loses just that."""
+        self.assertEqual(self.load("").mechanisms, Mechanisms())
+        found = self.load("[mechanisms]\ncopies = no\n").mechanisms
+        self.assertEqual(found, Mechanisms(copies=False))
+
+    def test_bad_switches_are_named_in_one_line(self):
+        """A misspelt switch would else leave its mechanism on, unnoticed."""
+        for section, part in (
+            ("[mechanisms]\ncopys = no\n", "[mechanisms] copys: is not a known"),
+            ("[mechanisms]\ncopies = off-ish\n", "[mechanisms] copies: expected yes"),
+        ):
+            with self.assertRaises(SettingsError) as caught:
+                self.load(section)
+            self.assertIn(f"{self.path}: {part}", caught.exception.message)
+            self.assertNotIn("\n", caught.exception.message)
+            self.assertEqual(caught.exception.exit_code, EXIT_USAGE)
