Compare all targets from a place that varies, so that idle routers do not herd

Hypothesis: placements that cost the same all go to the first target of the list, in all routers. The new test fails without the change.

--- a/src/endivegw/decisions/pool.py
+++ b/src/endivegw/decisions/pool.py
@@ -59,7 +59,10 @@
         """
         members = self.members
         if len(members) <= count:
-            return list(members)
+            # All are compared, and the first of equals is taken: from a fixed order
+            # all routers would send the work of an idle moment to the same target.
+            first = int(rng.random() * len(members))
+            return members[first:] + members[:first]
         near = self.near or members
         drawn = []
         for number in range(count):
--- a/tests/test_decisions_copies.py
+++ b/tests/test_decisions_copies.py
@@ -233,3 +233,23 @@
         self.dispatcher.set_targets([view("t-1", None), view("t-2", None)], 0.0)
         self.dispatcher.read_elsewhere({TargetName("t-1"): [b"b"]}, 1.0)
         self.assertIsNone(self.place("t-1").copy_from)
+
+
+class IdleTests(unittest.TestCase):
+    """Pattern: several routers place at the same moment on idle targets."""
+
+    def test_routers_do_not_all_pick_the_same_idle_target(self) -> None:
+        """Thirty routers each get one prompt before they hear of each other's.
+
+        If equal targets were compared in a fixed order, all prompts would go to the
+        first, and short ones would wait half a second beside empty targets.
+        """
+        placed = []
+        for number in range(30):
+            router = Dispatcher(Policy(choices=32), ZONE, random.Random(number))
+            router.set_targets([view(target) for target in TARGETS], 0.0)
+            found = router.submit(item(number, number, 1.0), 1.0)
+            assert isinstance(found, Placement)
+            placed.append(found.target)
+        most = max(placed.count(target) for target in TARGETS)
+        self.assertLessEqual(most, 10)
