Ask several routers at once for a long prompt's tokens; write limits while draws wait

Now the portions are asked for at the same time, and after a lost draw a router writes its limits alone and draws again after a moment that varies with the number of routers.

Ruled out: that the store was away (it had answered 0.01 to 0.05 s before).

--- a/src/endivegw/allowances/book.py
+++ b/src/endivegw/allowances/book.py
@@ -235,12 +235,16 @@
         now_s: float,
         routers: int,
         witnesses: tuple[InstanceId, ...] = (),
+        *,
+        draws: bool = True,
     ) -> PlannedWrite:
         """Return the next write, and count it as pending.
 
         :param routers: how many routers share the budgets now; 0 where that is
             not known yet, and nothing is drawn unasked.
         :param witnesses: routers that hear from this one now.
+        :param draws: whether budgets are drawn on; without, the write can only lose
+            against another one of this router's own row.
         """
         terms: dict[ClientAccountName, Terms] = {}
         budgets: dict[ClientAccountName, int] = {}
@@ -248,6 +252,8 @@
         for account in sorted(set(self.prepaid_tokens) | set(self.funds)):
             funds = self.of(account)
             change = self._draw(account, funds, routers)
+            if change > 0 and not draws:
+                change = 0
             if change:
                 total = self.totals.get(account, BudgetTotal())
                 budgets[account] = total.drawn_tokens + change
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -89,6 +89,8 @@
         self._read_at_s: float | None = None
         self._heard_at_s: float | None = None
         self._away_since_s: float | None = None
+        #: Until when nothing is drawn, after a draw that another router was faster in.
+        self._draw_from_s = 0.0
         self._stopping = False
         self.stopped = anyio.Event()
 
@@ -131,12 +133,10 @@
         lost = False
         while not self.stopped.is_set():
             if lost:
-                # All routers draw at the same moment when a budget is topped up. One
-                # that waited for its next turn would find that the others, who won,
-                # had drawn its part as well.
+                # Requests may wait for the limits of a write that lost a conflict.
                 await anyio.sleep(_AGAIN_S * self._rng.random())
             else:
-                with anyio.move_on_after(self._options.write_every_s):
+                with anyio.move_on_after(self._pause_s()):
                     await self._wake.wait()
             self._wake = anyio.Event()
             stopping = self._stopping
@@ -152,6 +152,25 @@
             self._attempted.set()
             self._attempted = anyio.Event()
 
+    def _pause_s(self) -> float:
+        """Return how long to wait for a reason to write."""
+        until_draw_s = self._draw_from_s - self._clock()
+        usual_s = self._options.write_every_s
+        return min(usual_s, until_draw_s) if until_draw_s > 0.0 else usual_s
+
+    def _hold_draws(self) -> None:
+        """Draw nothing for a moment: another router moved a budget's row on.
+
+        When a budget is topped up, all routers draw at once, and each that is faster
+        makes the others' writes fail. Their limits stand in the same writes: in a
+        fleet of thirty, callers whose tokens were held were refused for seconds. The
+        moment varies, so that each comes in once about as many writes have been made
+        as there are routers.
+        """
+        now_s = self._clock()
+        routers = max(1, self._peers.routers(now_s))
+        self._draw_from_s = now_s + _AGAIN_S * routers * self._rng.random()
+
     async def _register(self) -> bool:
         """Take over what the earlier process on this machine left."""
         timeout_s = self._options.write_timeout_s
@@ -251,7 +270,11 @@
         settled = now_s - self._started_s >= self._options.settle_s
         routers = self._peers.routers(now_s) if settled else 0
         write = self._book.plan_write(
-            store_ms, now_s, routers, self._peers.witnesses(now_s)
+            store_ms,
+            now_s,
+            routers,
+            self._peers.witnesses(now_s),
+            draws=now_s >= self._draw_from_s,
         )
         while True:
             outcome = await self._try(write)
@@ -319,6 +342,7 @@
         if own.revision == self._revision:
             # The budgets' rows moved on, not this one.
             self._book.void()
+            self._hold_draws()
             return False
         if holder.instance_id != self._book.instance_id:
             self._revision = own.revision
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -151,15 +151,22 @@
         *,
         timeout_s: float,
     ) -> int:
-        """Ask peers in turn until the least is there; return what was received."""
+        """Ask peers until the least is there; return what was received."""
         got = 0
         ends_s = self._clock() + timeout_s
+        portions = self.peers.portions(account, least_tokens, self._clock())
+        if len(portions) > 1:
+            got = await self._ask_several(portions, account, timeout_s)
         for peer in self.peers.lenders(account, self._clock()):
             left_s = ends_s - self._clock()
             if got >= max(least_tokens, 1) or left_s <= 0:
                 break
             got += await self._ask_one(
-                peer, account, max(0, least_tokens - got), wanted_tokens - got, left_s
+                peer,
+                account,
+                max(0, least_tokens - got),
+                wanted_tokens - got,
+                min(left_s, _REPEAT_S * 3),
             )
         return got
 
@@ -237,6 +244,24 @@
             if peer.instance_id in names:
                 await self._send_to(data, peer.host, peer.port)
 
+    async def _ask_several(
+        self,
+        portions: list[tuple[PeerEntry, int]],
+        account: ClientAccountName,
+        timeout_s: float,
+    ) -> int:
+        """Ask each of several peers for its part, at the same time."""
+        received: list[int] = []
+
+        async def ask(peer: PeerEntry, tokens: int) -> None:
+            got = await self._ask_one(peer, account, tokens, tokens, timeout_s)
+            received.append(got)
+
+        async with anyio.create_task_group() as tasks:
+            for peer, tokens in portions:
+                tasks.start_soon(ask, peer, tokens)
+        return sum(received)
+
     async def _ask_one(
         self,
         peer: PeerEntry,
@@ -251,7 +276,7 @@
             self.entry.instance_id, transfer_id, account, least_tokens, wanted_tokens
         )
         wait = self._waits[transfer_id] = _Wait(account, self._clock())
-        with anyio.move_on_after(min(timeout_s, _REPEAT_S * 3)):
+        with anyio.move_on_after(timeout_s):
             while wait.offer is None:
                 await self._send(peer, ask)
                 with anyio.move_on_after(_REPEAT_S):
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -131,6 +131,32 @@
         heard = sorted(self._heard(now_s), key=spare, reverse=True)
         return [peer.entry for peer in heard]
 
+    def portions(
+        self, account: ClientAccountName, tokens: int, now_s: float
+    ) -> list[tuple[PeerEntry, int]]:
+        """Return which routers to ask at once for tokens, and each for how many.
+
+        The load it is made for is a long prompt in a large fleet: thirty routers hold
+        a thirtieth of a budget each, and the prompt needs what ten of them hold. Asked
+        one after the other, they answer later than the prompt can wait.
+
+        :returns: one router where one has enough by what it said last.
+        """
+        found = []
+        missing = tokens
+        for entry in self.lenders(account, now_s):
+            spare = self._spare_of(entry, account)
+            if missing <= 0 or spare <= 0:
+                break
+            part = min(missing, spare)
+            found.append((entry, part))
+            missing -= part
+        return found
+
+    def _spare_of(self, entry: PeerEntry, account: ClientAccountName) -> int:
+        state = self._peers[entry.vm].state
+        return state.spare_tokens.get(account, 0) if state is not None else 0
+
     def load(self, now_s: float) -> dict[TargetName, OwnLoad]:
         """Return what the other routers have at each target together."""
         found: dict[TargetName, OwnLoad] = {}
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -136,6 +136,34 @@
         self.assertEqual(router.totals[ACCOUNT].drawn_tokens, 700)
 
 
+class DrawTests(unittest.TestCase):
+    """Pattern: a budget is topped up, and thirty routers draw on it at once."""
+
+    def test_limits_move_on_while_draws_are_held_back(self) -> None:
+        """Each router's write fails as often as another one draws first.
+
+        Limits stand in the same write. Until it gets through, callers are refused
+        although their tokens are held; a write without draws cannot lose.
+        """
+        router = book("a", prepaid=10_000)
+        write(router, 1000.0)
+        router.set_prepaid({ACCOUNT: 50_000})
+        router.wanted_tokens[ACCOUNT] = 900
+        held_back = router.plan_write(1010.0, 1.01, 1, draws=False)
+        self.assertEqual(held_back.budgets, {})
+        self.assertGreaterEqual(held_back.row.terms[ACCOUNT].limit_tokens, 900)
+        router.commit(held_back, revision=2)
+        self.assertEqual(write(router, 1100.0).terms[ACCOUNT].drawn_tokens, 50_000)
+
+    def test_what_is_too_much_is_given_back_all_the_same(self) -> None:
+        """An operator lowers a budget while a router holds its draws back."""
+        router = book("a")
+        write(router, 1000.0)
+        router.set_prepaid({ACCOUNT: 20_000})
+        planned = router.plan_write(1100.0, 1.1, 1, draws=False)
+        self.assertEqual(planned.budgets[ACCOUNT], 20_000)
+
+
 class ScarcityTests(unittest.TestCase):
     """Pattern: callers of an account that is nearly spent ask for more than is left."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -169,6 +169,25 @@
         for noise in (b"", b"[]", b"{}", b'["state","a"]', b"\xff\xfe", b'["ask",1,2]'):
             self.assertIsNone(decode(noise))
 
+    def test_a_long_prompt_is_covered_by_several_routers_at_once(self) -> None:
+        """Thirty routers hold 3,000 tokens each, and a prompt lacks 20,000.
+
+        Asked one after the other, they answer later than the prompt can wait. Where
+        one router has enough, no other is asked.
+        """
+        peers = PeerTable("vm-0")
+        account = ClientAccountName("hotel")
+        for number in range(1, 30):
+            name = InstanceId(f"i-{number}")
+            peers.put(PeerEntry(f"vm-{number}", name, "10.0.0.1", 7000))
+            peers.hear(PeerState(name, 1, {account: 3000}), 1.0)
+        portions = peers.portions(account, 20_000, 1.1)
+        self.assertEqual(len(portions), 7)
+        self.assertEqual(sum(tokens for _, tokens in portions), 20_000)
+        self.assertLessEqual(max(tokens for _, tokens in portions), 3000)
+        self.assertEqual(len(peers.portions(account, 2000, 1.1)), 1)
+        self.assertEqual(peers.portions(account, 2000, 9.0), [])
+
     def test_a_silent_router_is_not_asked(self) -> None:
         """A router falls silent; what it said last no longer counts as reachable."""
         peers = PeerTable("own")
