Name account and reserved tokens when a request is placed

After a loss of all routers the log could not tell what was in progress from what limits had promised beyond it: only ended requests bore their tokens.

--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -111,6 +111,10 @@
         self._reservation = held
         return None
 
+    @property
+    def _reserved_tokens(self) -> int:
+        return self._reservation.tokens if self._reservation else 0
+
     async def _attempts(self) -> str | Refused | Unknown:
         """Send until an answer is there or nothing more may be sent."""
         self._context.retries.first_attempt(self._context.clock())
@@ -154,6 +158,7 @@
             context.log.emit(
                 events.REQUEST_PLACED,
                 request_id=self._admitted.request_id,
+                client_account=item.client_account or None,
                 target=placement.target,
                 why=placement.why,
                 load=round(figures.load, 3),
@@ -161,6 +166,7 @@
                 copied_tokens=figures.copied_tokens,
                 queued_s=round(figures.queued_s, 4),
                 finish_s=round(figures.finish_s, 3),
+                reserved_tokens=self._reserved_tokens,
             )
         return placement
 
@@ -365,7 +371,7 @@
             took_s=round(now_s - arrived_s, 4),
             prompt_tokens=admitted.marks.prompt_tokens,
             most_output_tokens=admitted.marks.most_output_tokens,
-            reserved_tokens=self._reservation.tokens if self._reservation else 0,
+            reserved_tokens=self._reserved_tokens,
             charged_tokens=charged,
             cut=self._answerer.cut,
         )
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -34,6 +34,7 @@
     "A request goes to a target, with the figures that decided it.",
     (
         "request_id",
+        "client_account",
         "target",
         "why",
         "load",
@@ -41,6 +42,7 @@
         "copied_tokens",
         "queued_s",
         "finish_s",
+        "reserved_tokens",
     ),
 )
 ATTEMPT_FAILED = Event(
