Send nothing on for callers that have left

A request and the end of its caller's connection lay unread together; the loop read the request, sent it in the same turn, and read the end one turn later.

Right before a send the kernel is asked whether the caller's side has closed; nothing is awaited between the answer and the send, so that no close that has arrived is missed.

Ruled out: late time-outs, a close that had not arrived.

--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -87,6 +87,9 @@
     :param pass_head: called with the head and the first whole event.
     :param pass_events: called with whole events.
     :param on_first: called when the answer has begun.
+    :param cancel_if_left: called right before the request is sent; cancels it where
+        its caller has left.
+    :ivar sent: whether any byte of the request may have reached the target.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         pass_head: Callable[[TargetHead, bytes], Awaitable[None]],
         pass_events: Callable[[bytes], Awaitable[None]],
         on_first: Callable[[], None],
+        cancel_if_left: Callable[[], None],
     ) -> None:
         self._pool = pool
         self._wire = wire
@@ -106,6 +110,8 @@
         self._pass_head = pass_head
         self._pass_events = pass_events
         self._on_first = on_first
+        self._cancel_if_left = cancel_if_left
+        self.sent = False
 
     async def run(
         self,
@@ -125,8 +131,13 @@
             connection = await self._pool.acquire(address, fresh)
         except ConnectFailed as error:
             return AttemptResult(End.NOT_SENT, str(error))
-        clean = False
+        # A connection that carried nothing of this request is as good as before.
+        clean = True
         try:
+            self._cancel_if_left()
+            await anyio.lowlevel.checkpoint_if_cancelled()
+            clean = False
+            self.sent = True
             result = await self._exchange(connection, outgoing, stream, silence_s)
             clean = result.end in (End.ANSWERED, End.NOT_RUN)
             return result
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -10,6 +10,7 @@
 
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_parser import Malformed, RequestParser
+from endivegw.relay.sockets import has_hung_up
 from endivegw.relay.wire import HeaderFields
 from endivegw.routing import CallerLimits
 
@@ -29,13 +30,21 @@
 class Answerer:
     """Write one answer to a caller.
 
+    :param cancel_if_left: what :meth:`CallerConnection.cancel_if_left` says.
     :ivar begun: whether any byte of the answer may have left.
     :ivar cut: whether the answer ended before its end; the connection then
         closes without looking complete.
     """
 
-    def __init__(self, stream: ByteStream, request: CallerRequest, last: bool) -> None:
+    def __init__(
+        self,
+        stream: ByteStream,
+        request: CallerRequest,
+        last: bool,
+        cancel_if_left: Callable[[], None],
+    ) -> None:
         self._stream = stream
+        self.cancel_if_left = cancel_if_left
         self._chunked = request.http_version >= b"1.1"
         self._bodyless = request.method == b"HEAD"
         self.last = last or request.last
@@ -129,6 +138,24 @@
         self._closing = True
         self._news.set()
 
+    def cancel_if_left(self) -> None:
+        """Cancel the request that is answered where its caller has closed.
+
+        After the process stood still, a request and the end of its connection lie
+        unread together. The loop reads the request in one turn and the end in the
+        next, and a request that needs nothing more is on its way to a target by then:
+        targets work for nobody, seconds after the callers left. Asked right before
+        the send, the kernel knows of the end already.
+        """
+        if not self._left and has_hung_up(self._stream):
+            self._leave()
+
+    def _leave(self) -> None:
+        self._left = True
+        self._news.set()
+        if self._scope is not None:
+            self._scope.cancel()
+
     async def _pump(self) -> None:
         """Read all the time, so that a caller that leaves is noticed at once.
 
@@ -142,10 +169,7 @@
                 self._parser.feed(await self._stream.receive())
                 self._news.set()
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
-            self._left = True
-            self._news.set()
-            if self._scope is not None:
-                self._scope.cancel()
+            self._leave()
 
     async def _converse(self) -> None:
         while True:
@@ -195,7 +219,9 @@
 
     async def _answer(self, request: CallerRequest) -> bool:
         """Answer one request; return whether the connection goes on."""
-        answerer = Answerer(self._stream, request, self._draining())
+        answerer = Answerer(
+            self._stream, request, self._draining(), self.cancel_if_left
+        )
         try:
             with anyio.CancelScope() as scope:
                 self._scope = scope
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -183,10 +183,10 @@
             self._pass_head,
             self._pass_events,
             self._note_first,
+            self._answerer.cancel_if_left,
         )
         progress.target = placement.target
-        result = AttemptResult(End.LOST, "the caller left")
-        done = False
+        result: AttemptResult | None = None
         try:
             result = await attempt.run(
                 placement.address,
@@ -195,9 +195,12 @@
                 stream=kind.is_stream,
                 silence_s=context.limits.silence_s if kind.may_repeat else None,
             )
-            done = True
         finally:
-            self._report(placement, result, done)
+            if result is None:
+                # Cancelled: what never left for the target is not charged.
+                end = End.LOST if attempt.sent else End.NOT_SENT
+                self._report(placement, AttemptResult(end, "cancelled"), False)
+        self._report(placement, result, True)
         return result
 
     def _outgoing(self, placement: Placement) -> Outgoing:
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import select
 from typing import Callable
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 from attrs import frozen
 
 from endivegw.relay.messages import TargetHead
+from endivegw.relay.sockets import is_quiet
 from endivegw.relay.wire import HeaderFields
 
 __all__ = ["AnswerBroken", "Outgoing", "TargetConnection"]
@@ -73,9 +73,7 @@
         Bytes that came are part of no answer to come; an end means that the
         target has closed it, and what is sent now would be lost.
         """
-        poll = select.poll()
-        poll.register(self._stream.extra(SocketAttribute.raw_socket), select.POLLIN)
-        return not poll.poll(0)
+        return is_quiet(self._stream)
 
     async def ask(
         self, outgoing: Outgoing, is_own: Callable[[int, HeaderFields], bool]
--- a/tests/test_caller_departures.py
+++ b/tests/test_caller_departures.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import unittest
-from typing import Callable
+from typing import Callable, Iterator
 
 import anyio
 import h11
 
+from endivegw_standins.platform_fleet import TARGET_ENTRY
 from endivegw_standins.platform_worker import WorkerRun
-from tests.platform_fleet import AskedFleet, platform_fleet
+from tests.platform_fleet import PREPAID, AskedFleet, platform_fleet
 
 #: Longer than everything that a caller does in these tests.
 _PATIENCE_S = 10.0
@@ -65,6 +67,33 @@
             tasks.start_soon(lambda r=route, t=tokens: fleet.ask(r, tokens=t))
 
 
+@contextlib.contextmanager
+def _nobody_accepts() -> Iterator[str]:
+    """Yield an address at which connections are neither accepted nor refused."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        # The kernel takes one more than the length of the queue.
+        for _ in range(2):
+            waiting = stack.enter_context(socket.socket())
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+async def _hand_tokens(fleet: AskedFleet) -> float:
+    """Return what the router holds and has not used."""
+    page = await fleet.metrics()
+    return float(page.split("\nendivegw_hand_tokens ")[1].split()[0])
+
+
+async def _placed(fleet: AskedFleet) -> bool:
+    """Return whether a target was chosen for any request."""
+    page = await fleet.metrics()
+    return float(page.split("\nendivegw_queue_seconds_count ")[1].split()[0]) > 0
+
+
 class DepartureTests(unittest.TestCase):
     """
     A router stands still for a moment: its machine is frozen, or its processor is
@@ -106,6 +135,37 @@
 
         anyio.run(play)
 
+    def test_what_never_left_the_router_is_not_charged(self) -> None:
+        """
+        A caller leaves while a connection to its target is still being made. Its
+        request was sent nowhere, and its whole prompt was charged all the same: the
+        account was spent before its time.
+        """
+
+        async def play() -> None:
+            async with platform_fleet() as fleet:
+                with _nobody_accepts() as address:
+                    for name in ("e-1", "e-2"):
+                        entry = {"Service": "engine", "Address": address, "Zone": "z"}
+                        fleet.store.put("servers", name, {**TARGET_ENTRY, **entry})
+                    # Until then draws move what is in hand as well; the new
+                    # addresses are known much sooner.
+                    with anyio.fail_after(_PATIENCE_S):
+                        while await _hand_tokens(fleet) < PREPAID * 0.9:
+                            await anyio.sleep(0.05)
+                    before = await _hand_tokens(fleet)
+                    with _connect(fleet.ports[0]) as connection:
+                        connection.sendall(_request("chat", "left"))
+                        with anyio.fail_after(_PATIENCE_S):
+                            while not await _placed(fleet):
+                                await anyio.sleep(0)
+                    with anyio.fail_after(_PATIENCE_S):
+                        while 'outcome="caller-left"' not in await fleet.metrics():
+                            await anyio.sleep(0.01)
+                    self.assertEqual(await _hand_tokens(fleet), before)
+
+        anyio.run(play)
+
     def test_who_waits_through_a_stall_is_answered(self) -> None:
         """A caller that is still there after the stall gets its answer."""
 
