Report what each try of a lost call met

The exercise said only how many calls were lost. It now names each with its tries, their moments and ends, so that resets, time-outs and answers without an end can be told apart.

--- a/src/endivegw/dev/calls.py
+++ b/src/endivegw/dev/calls.py
@@ -9,7 +9,7 @@
 
 import anyio
 import httpcore
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from endivegw.daemons.http_messages import (
     DEADLINE_HEADER,
@@ -21,7 +21,7 @@
 from endivegw.dev.sample import SampleAccount
 from endivegw.types import Outcome
 
-__all__ = ["Call", "CallEnd", "CallKind", "Caller", "new_call"]
+__all__ = ["Call", "CallEnd", "CallKind", "Caller", "Try", "new_call"]
 
 _DEADLINE_S = 20.0
 _TRIES = 6
@@ -72,12 +72,34 @@
     first_data_s: float | None
 
 
+@frozen
+class Try:
+    """Hold what one send of a call met.
+
+    :param url: the router that was asked.
+    :param sent_s: how long after the call began.
+    :param took_s: until its end was known.
+    :param met: the status and what was said of the outcome, or the error that broke
+        the connection.
+    """
+
+    url: str
+    sent_s: float
+    took_s: float
+    met: str
+
+    def __str__(self) -> str:
+        """Return one clause for a report."""
+        return f"{self.url} at {self.sent_s:.2f} s for {self.took_s:.2f} s: {self.met}"
+
+
 @define
 class Call:
     """Hold one request of a caller.
 
     :ivar name: stands in the prompt or body, so that engines can be asked what
         they ran for it.
+    :ivar tried: what each send met, in order; one that has not ended is missing.
     """
 
     name: str
@@ -86,6 +108,7 @@
     max_tokens: int
     end: CallEnd | None = None
     tries: int = 0
+    tried: list[Try] = field(factory=list)
     began_at_s: float = 0.0
     ended_at_s: float = 0.0
 
@@ -122,6 +145,17 @@
     text: str = ""
     whole: bool = False
     first_data_s: float | None = None
+    broken: str = ""
+
+    @property
+    def met(self) -> str:
+        """Return what the caller met, in a few words."""
+        if self.broken:
+            return self.broken if not self.status else f"{self.status}, {self.broken}"
+        if self.outcome is not None:
+            return f"{self.status} {self.outcome.value} {self.code}".rstrip()
+        end = "" if self.whole else " without its end"
+        return f"{self.status}{end}, nothing said of the outcome"
 
 
 class Caller:
@@ -184,7 +218,9 @@
             fields[IDEMPOTENCY_HEADER] = call.name
         if call.kind is CallKind.ONCE:
             fields[REPEATABLE_HEADER] = "no"
-        url = self._rng.choice(self._urls()) + path
+        router_url = self._rng.choice(self._urls())
+        url = router_url + path
+        sent_s = self._clock()
         try:
             with anyio.fail_after(left_s + 3.0):
                 async with self._pool.stream(
@@ -196,9 +232,12 @@
             httpcore.ProtocolError,
             httpcore.TimeoutException,
             OSError,
-        ):
+        ) as error:
             # A broken connection: the caller knows nothing.
             reply.outcome = None
+            reply.broken = repr(error)
+        took_s = self._clock() - sent_s
+        call.tried.append(Try(router_url, sent_s - began_s, took_s, reply.met))
         return reply
 
     async def _read(
--- a/src/endivegw/dev/oracle.py
+++ b/src/endivegw/dev/oracle.py
@@ -100,6 +100,7 @@
         end = call.end
         if end is None or end.outcome is None:
             figures.lost += 1
+            figures.violations.append(_told_lost(call))
             return
         match end.outcome:
             case Outcome.ANSWERED:
@@ -193,6 +194,14 @@
     return call.end is not None and call.end.outcome is Outcome.ANSWERED
 
 
+def _told_lost(call: Call) -> str:
+    """Return how a call was lost: what each of its tries met."""
+    tried = "; ".join(str(one) for one in call.tried)
+    running = "" if call.end else ", still under way at the end"
+    kind = call.kind.value
+    return f"{call.name} ({kind}) lost in {call.tries} tries{running}: {tried}"
+
+
 def _expected_text(call: Call) -> str:
     if call.is_service:
         return call.name
