Measure an account's demand by what its requests consume

Limits run ahead of the use and grow with the measured demand. Demand was what requests hold at their largest, so that accounts with long bounds got limits two to three times as far ahead as they consume (3.3 times in the test), and a loss of all routers wrote that off: callers were refused with 402 though their accounts had money.

What a request did not consume is taken back from the measure when it ends.

--- a/src/endivegw/allowances/funds.py
+++ b/src/endivegw/allowances/funds.py
@@ -142,12 +142,28 @@
         return [self.confirmed, self.pending]
 
     def note_demand(self, tokens: int, now_s: float, demand_s: float) -> None:
-        """Count tokens asked for into the measured demand."""
+        """Count what a request may consume at the most into the measured demand."""
         self._fade(now_s, demand_s)
         self._asked_tokens += tokens
         if self._since_s is None:
             self._since_s = now_s
 
+    def note_unused(
+        self, tokens: int, noted_s: float, now_s: float, demand_s: float
+    ) -> None:
+        """Take back from the measured demand what a request did not consume.
+
+        Answers end long before their bound. Counted at their bound, an account was
+        measured at two to three times what it consumes, its limits ran as far ahead,
+        and a kill of all routers wrote that off.
+
+        :param noted_s: when it was counted; what is taken back has faded since.
+        """
+        self._fade(now_s, demand_s)
+        age_s = max(0.0, now_s - noted_s)
+        faded = tokens * math.exp(-age_s / demand_s)
+        self._asked_tokens = max(0.0, self._asked_tokens - faded)
+
     def demand_tokens_per_s(self, now_s: float, demand_s: float) -> float:
         """Return the demand, weighted by its age.
 
--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -93,6 +93,11 @@
 
     def settle(self, reservation: Reservation, used_tokens: int) -> None:
         """End a reservation with what was consumed."""
+        if reservation.open and reservation.noted_s is not None:
+            unused_tokens = max(0, reservation.tokens - used_tokens)
+            reservation.funds.note_unused(
+                unused_tokens, reservation.noted_s, self._clock(), self.options.demand_s
+            )
         self.book.settle(reservation, used_tokens)
 
     async def lend(
@@ -146,8 +151,8 @@
         if isinstance(held, Reservation):
             # Callers who are refused ask again and again; counted, they would raise
             # what the limits promise just where a budget is nearly spent.
-            funds = self.book.of(account)
-            funds.note_demand(tokens, self._clock(), self.options.demand_s)
+            held.noted_s = self._clock()
+            held.funds.note_demand(tokens, held.noted_s, self.options.demand_s)
         return held
 
     async def stop(self) -> None:
--- a/src/endivegw/allowances/reservation.py
+++ b/src/endivegw/allowances/reservation.py
@@ -17,8 +17,10 @@
         with other funds of the account; freed there, tokens that were counted in
         the old ones would appear from nowhere and could be spent again.
     :ivar open: False once it was settled.
+    :ivar noted_s: when it was counted into the measured demand.
     """
 
     funds: Funds
     tokens: int
     open: bool = True
+    noted_s: float | None = None
