Read answers of the store to their end as long as they go on coming

Its row of 1,810 routes over 10 Mbit/s takes longer than the one second that an answer had in all: the listing timed out while its pieces came, and was made again from its start.

A time-out stands for silence now: it starts anew with each piece, up to six seconds in all; a connection that falls silent within an answer is noticed as before. Ruled out: the store, a lost history, a row that does not decode.

--- a/src/endivegw/platform/store.py
+++ b/src/endivegw/platform/store.py
@@ -30,6 +30,10 @@
 #: Rows of one page of a listing; the store's own bound.
 _PAGE_ROWS = 500
 
+#: How long one answer may take while it goes on coming. The largest, a page of 1 MB,
+#: takes 3 s over a link of 5 Mbit/s that carries as much again for callers.
+_LONGEST_ANSWER_S = 6.0
+
 _JSON = {"content-type": "application/json"}
 
 
@@ -126,7 +130,10 @@
         self, path: str, query: Mapping[str, str], timeout_s: float
     ) -> dict[str, Any] | Refused | Unknown:
         answer = await self._caller.call(
-            "GET", f"{path}?{urlencode(query)}", timeout_s=timeout_s
+            "GET",
+            f"{path}?{urlencode(query)}",
+            timeout_s=timeout_s,
+            longest_s=_LONGEST_ANSWER_S,
         )
         if not isinstance(answer, Answer):
             return failed_read(answer)
--- a/src/endivegw/services/http_calls.py
+++ b/src/endivegw/services/http_calls.py
@@ -86,10 +86,33 @@
 
 
 class _Progress:
-    """Record whether the request began to leave this process."""
+    """Record how far a call got, and put its end off while its answer comes.
+
+    :ivar sent: whether the request began to leave this process.
+    :ivar answer_begun: whether a piece of the answer's body came.
+    """
 
     def __init__(self) -> None:
         self.sent = False
+        self.answer_begun = False
+        self._scope: anyio.CancelScope | None = None
+        self._silence_s = 0.0
+        self._ends_s = 0.0
+
+    def keep_alive(
+        self, scope: anyio.CancelScope, silence_s: float, longest_s: float
+    ) -> None:
+        """Let each piece put the scope's deadline off, up to a bound."""
+        self._scope = scope
+        self._silence_s = silence_s
+        self._ends_s = anyio.current_time() + longest_s
+
+    def note_piece(self) -> None:
+        """Take in that a piece of the answer came."""
+        self.answer_begun = True
+        if self._scope is not None:
+            next_s = anyio.current_time() + self._silence_s
+            self._scope.deadline = min(next_s, self._ends_s)
 
     async def note(self, event: str, info: Mapping[str, Any]) -> None:
         if event.endswith("send_request_headers.started"):
@@ -125,16 +148,30 @@
         fields: Mapping[str, str] | None = None,
         body: bytes = b"",
         timeout_s: float,
+        longest_s: float | None = None,
     ) -> Answer | NotSent | Lost:
-        """Make one call and read its whole answer within ``timeout_s``."""
+        """Make one call and read its whole answer.
+
+        :param timeout_s: how long the service may be silent: until the answer begins,
+            and between two pieces of it.
+        :param longest_s: how long the whole call may take while pieces keep coming;
+            None where ``timeout_s`` bounds the whole. A large answer over a slow link
+            takes longer than a silent connection may go unnoticed. Given up and made
+            again from its start, it would never be there.
+        """
         progress = _Progress()
         sent_fields = {"host": self._host, "user-agent": self._client_name}
         sent_fields.update(fields or {})
         try:
-            with anyio.fail_after(timeout_s):
+            with anyio.fail_after(timeout_s) as scope:
+                if longest_s is not None:
+                    progress.keep_alive(scope, timeout_s, longest_s)
                 return await self._exchange(method, path, sent_fields, body, progress)
         except (TimeoutError, httpcore.TimeoutException):
-            return _failure(progress, Reason.TIMEOUT, f"no answer in {timeout_s:g} s")
+            detail = f"no answer in {timeout_s:g} s"
+            if longest_s is not None and progress.answer_begun:
+                detail = f"the answer did not go on for {timeout_s:g} s"
+            return _failure(progress, Reason.TIMEOUT, detail)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -164,6 +201,7 @@
             received = bytearray()
             async for chunk in response.aiter_stream():
                 received += chunk
+                progress.note_piece()
                 if len(received) > MAX_ANSWER_BYTES:
                     return Lost(Reason.BODY_TOO_LARGE, "the answer is too large")
             names = {
--- a/src/endivegw/services/row_store.py
+++ b/src/endivegw/services/row_store.py
@@ -92,7 +92,11 @@
 
 
 class RowStorePort(Protocol):
-    """The platform's store. Each call ends within ``timeout_s``."""
+    """The platform's store.
+
+    Each write ends within ``timeout_s``. A read may go on for longer while its answer
+    keeps coming; ``timeout_s`` then bounds each silence.
+    """
 
     async def transact(
         self,
