Take a peer's word of what it has left when it lends

A request that its budget no longer covered was told 503 and to come back, again and again, where 402 is the truth: the tokens that a peer had just lent counted in the borrower's hand and, by the peer's last statement, as that peer's own. Event 9004 showed spare_tokens 28,291 of a peer that had lent its last 11,680.

The offer says what its sender has left; that replaces the statement until the next one.

--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -349,6 +349,7 @@
             return
         wait.offer = offer
         wait.answered.set()
+        self.peers.hear_left(offer.sender, wait.client_account, offer.left_tokens)
         if offer.tokens:
             self._on_offer(wait.client_account, offer.tokens)
 
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -5,7 +5,7 @@
 import json
 from collections import OrderedDict
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from endivegw.allowances.witnesses import Statement
 from endivegw.decisions import OwnLoad
@@ -93,6 +93,20 @@
                 peer.state = state
                 peer.heard_s = now_s
 
+    def hear_left(
+        self, sender: InstanceId, account: ClientAccountName, left_tokens: int
+    ) -> None:
+        """Take in what a router has left of an account after it lent some.
+
+        Its statement may be as old as the interval between two. Until the next one the
+        lent tokens would count twice, here and there: an account that is spent would
+        seem to have some out of reach, and its callers would be told to come back.
+        """
+        for peer in self._peers.values():
+            if peer.entry.instance_id == sender and peer.state is not None:
+                spare = {**peer.state.spare_tokens, account: left_tokens}
+                peer.state = evolve(peer.state, spare_tokens=spare)
+
     def hear_limits(self, sender: InstanceId, statement: Statement) -> None:
         """Keep a router's statement of its limits, unless a later one is known."""
         if statement.sequence >= self.last_statement(sender).sequence:
