Make a draw again that lost a conflict, and draw ahead while routers start

Callers of routers that had just started got 503 within a hundredth of a second although the store had nearly the whole budget: a request had one write, and one that conflicts with another router's draw is void. Four fresh routers that are pressed at once gave tokens to 22 to 32 of 80 requests.

The budget test of two routers over sockets, five at a time on a busy machine: 44 of 48 runs passed before, 48 of 48 after.

--- a/src/endivegw/allowances/book.py
+++ b/src/endivegw/allowances/book.py
@@ -323,6 +323,10 @@
         share = self._share(account, funds, left, routers)
         if wanted <= 0 and share < self.options.least_draw_tokens:
             return 0
+        if not routers:
+            # Each draw may lose against another router's, so that it brings more
+            # than the one request needs that waits for it.
+            wanted *= self.options.draw_ahead
         return min(left, max(wanted, share))
 
     def _share(
--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -246,13 +246,30 @@
             wanted[account] -= tokens
 
     async def _write_for(self, account: ClientAccountName, tokens: int) -> None:
+        """Write until the row covers tokens, as long as a further write may help.
+
+        Routers that draw on one budget at once conflict, and a write that lost says
+        nothing of what is left: refused after it, callers of routers that had just
+        started got tokens for one request in three, with the whole budget there.
+        """
         wanted = self.book.wanted_tokens
         wanted[account] = wanted.get(account, 0) + tokens
+        ends_s = self._clock() + self.options.wait_s
         try:
-            await self._writer.write_now(self.options.wait_s)
+            while (left_s := ends_s - self._clock()) > 0.0:
+                await self._writer.write_now(left_s)
+                if self._row_room(account) >= tokens or not self._may_get(
+                    account, tokens
+                ):
+                    return
         finally:
             wanted[account] -= tokens
 
+    def _may_get(self, account: ClientAccountName, tokens: int) -> bool:
+        """Return whether a write can give a request what it lacks."""
+        left_tokens = max(0, self.book.left_tokens(account))
+        return self.book.of(account).hand_tokens + left_tokens >= tokens
+
     async def _borrow(self, account: ClientAccountName, tokens: int) -> None:
         funds = self.book.of(account)
         least = tokens - self._room(account)
--- a/src/endivegw/allowances/options.py
+++ b/src/endivegw/allowances/options.py
@@ -40,6 +40,10 @@
     :param demand_s: time constant of the measured demand.
     :param least_draw_tokens: less than this is left in the budget unless a
         request needs it: each draw is a write.
+    :param draw_ahead: how many times what its requests lack a router draws that does
+        not know yet how many others there are. Four routers that start together and
+        are pressed from then on serve all of 80 requests; with 1 they conflict over
+        each request's draw and serve 57.
     :param clock_margin: factor on the own clock between two readings of the
         store's. A clock that runs fast by less than this stays harmless.
     :param pools_every_s: how often the budgets' rows are read.
@@ -69,6 +73,7 @@
     restate_s: float = 0.02
     demand_s: float = 8.0
     least_draw_tokens: int = 500
+    draw_ahead: int = 8
     clock_margin: float = 0.99
     pools_every_s: float = 1.0
     borrow_s: float = 0.12
