--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
-from typing import Callable
+from typing import Callable, Iterator
 
 import anyio
 
@@ -235,15 +236,10 @@
 
     async def _restate(self, account: ClientAccountName, tokens: int) -> None:
         """Tell the witnesses a limit that covers a request, or a loan."""
-        wanted = self.book.wanted_tokens
-        wanted[account] = wanted.get(account, 0) + tokens
-
-        try:
+        with self._wanting(account, tokens):
             await self._lending.restate(
                 lambda: self._room(account) >= tokens, timeout_s=self.options.restate_s
             )
-        finally:
-            wanted[account] -= tokens
 
     async def _write_for(self, account: ClientAccountName, tokens: int) -> None:
         """Write until the row covers tokens, as long as a further write may help.
@@ -252,16 +248,21 @@
         nothing of what is left: refused after it, callers of routers that had just
         started got tokens for one request in three, with the whole budget there.
         """
-        wanted = self.book.wanted_tokens
-        wanted[account] = wanted.get(account, 0) + tokens
         ends_s = self._clock() + self.options.wait_s
-        try:
+        with self._wanting(account, tokens):
             while (left_s := ends_s - self._clock()) > 0.0:
                 await self._writer.write_now(left_s)
-                if self._row_room(account) >= tokens or not self._may_get(
-                    account, tokens
-                ):
+                covered = self._row_room(account) >= tokens
+                if covered or not self._may_get(account, tokens):
                     return
+
+    @contextlib.contextmanager
+    def _wanting(self, account: ClientAccountName, tokens: int) -> Iterator[None]:
+        """Have statements and writes cover tokens that a request waits for."""
+        wanted = self.book.wanted_tokens
+        wanted[account] = wanted.get(account, 0) + tokens
+        try:
+            yield
         finally:
             wanted[account] -= tokens
 
