--- a/src/endivegw/allowances/keeper.py
+++ b/src/endivegw/allowances/keeper.py
@@ -28,7 +28,7 @@
 _RETRY_S = 0.4
 
 #: The longest that a caller is told to wait for a limit to grow. Few callers wait
-#: longer than this, and the store may be back before.
+#: longer than this, and the store may be back before. The spread comes on top of it.
 _LONGEST_RETRY_S = 3.0
 
 #: How far apart, as a share of the wait, callers come back who were refused together.
--- a/src/endivegw/daemons/direct_beliefs.py
+++ b/src/endivegw/daemons/direct_beliefs.py
@@ -13,7 +13,7 @@
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import ClientAccountName
 
-__all__ = ["ConfigurationReader", "PeerReader", "RowDecoder"]
+__all__ = ["ConfigurationReader", "PeerReader", "RowDecoder", "log_unreadable"]
 
 
 #: Budgets that one log line names; a first version may bring tens of thousands.
@@ -34,7 +34,8 @@
         """Return a target's entry."""
 
 
-def _unreadable(log: EventLog, row: StoredRow, error: ValueError) -> None:
+def log_unreadable(log: EventLog, row: StoredRow, error: ValueError) -> None:
+    """Say that a row does not decode; the last good state stays in force."""
     log.emit(
         events.CONFIGURATION_UNREADABLE,
         table=row.table,
@@ -84,7 +85,7 @@
         try:
             configuration = self._decoder.configuration(row.value)
         except ValueError as error:
-            _unreadable(self._log, row, error)
+            log_unreadable(self._log, row, error)
             return
         table = self._context.table
         if table is not None and configuration.version <= table.version:
@@ -143,7 +144,7 @@
         try:
             self._peers.put(PeerEntry.decode(row.key, row.value))
         except ValueError as error:
-            _unreadable(self._log, row, error)
+            log_unreadable(self._log, row, error)
 
     def lost(self) -> None:
         """Go on with the routers that are known."""
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -4,7 +4,7 @@
 
 from typing import Callable
 
-from endivegw.daemons.direct_beliefs import RowDecoder
+from endivegw.daemons.direct_beliefs import RowDecoder, log_unreadable
 from endivegw.decisions import SERVICE_PREFIX, TargetView
 from endivegw.relay.context import RelayContext
 from endivegw.routing import DirectTarget, FleetView, ServiceKind
@@ -120,13 +120,7 @@
         if row.key in self._unusable:
             return
         self._unusable.add(row.key)
-        self._log.emit(
-            events.CONFIGURATION_UNREADABLE,
-            table=row.table,
-            key=row.key,
-            revision=row.revision,
-            detail=str(error),
-        )
+        log_unreadable(self._log, row, error)
 
     def _note_difference(
         self, before: DirectTarget | None, target: DirectTarget, revision: int
