--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,7 +12,7 @@
 
 
 def known_faults() -> list[str]:
-    """Return what is known to fail: tests by their ids, and plays that run elsewhere."""
+    """Return what is known to fail: ids of tests, and plays that run elsewhere."""
     if not KNOWN_RED.exists():
         return []
     lines = KNOWN_RED.read_text().splitlines()
