--- a/src/endivegw/dev/exercise.py
+++ b/src/endivegw/dev/exercise.py
@@ -9,7 +9,7 @@
 
 from endivegw.budgets.rows import HOLDER_PARTITION, HolderRow
 from endivegw.dev.calls import Caller, new_call
-from endivegw.dev.faults import FaultRunner
+from endivegw.dev.faults import FaultPlan, FaultRunner
 from endivegw.dev.figures import ExerciseFigures
 from endivegw.dev.fleet import DevFleet
 from endivegw.dev.layout import free_port
@@ -29,7 +29,9 @@
 _RECOVERY_END_S = 90.0
 
 
-async def run_exercise(exercise_s: float, seed: int) -> ExerciseFigures:
+async def run_exercise(
+    exercise_s: float, seed: int, plan: FaultPlan = FaultPlan()
+) -> ExerciseFigures:
     """Run the load and the faults for a bounded time and return the figures."""
     figures = ExerciseFigures(seed)
     ports = (free_port(), free_port())
@@ -41,7 +43,7 @@
             for account, tokens in zip(fleet.accounts, _BUDGET_TOKENS)
         ]
         oracle = Oracle(fleet, budgets)
-        faults = FaultRunner(fleet, oracle, tasks, exercise_s)
+        faults = FaultRunner(fleet, oracle, tasks, exercise_s, plan)
         caller = Caller(
             lambda: [router.url for router in fleet.routers],
             time.monotonic,
--- a/src/endivegw/dev/oracle.py
+++ b/src/endivegw/dev/oracle.py
@@ -125,7 +125,8 @@
         # can be held against it.
         if run.starts and (call.is_keyed or call.tries == 1):
             figures.wrong_not_run += 1
-            figures.violations.append(f"{call.name} ran and was told not run")
+            told = f"{call.name} ({call.kind.value}) ran and was told not run"
+            figures.violations.append(f"{told}: {_told_tries(call)}")
         if call.end.code != Reason.BUDGET_EXHAUSTED.value:
             # The engines have room for several times this load.
             figures.false_refusals += 1
@@ -196,10 +197,15 @@
 
 def _told_lost(call: Call) -> str:
     """Return how a call was lost: what each of its tries met."""
-    tried = "; ".join(str(one) for one in call.tried)
     running = "" if call.end else ", still under way at the end"
     kind = call.kind.value
-    return f"{call.name} ({kind}) lost in {call.tries} tries{running}: {tried}"
+    return (
+        f"{call.name} ({kind}) lost in {call.tries} tries{running}: {_told_tries(call)}"
+    )
+
+
+def _told_tries(call: Call) -> str:
+    return "; ".join(str(one) for one in call.tried)
 
 
 def _expected_text(call: Call) -> str:
