--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -359,3 +359,56 @@
         self.assertEqual(call(runner, "/readyz", healthy=False).status, 503)
         reply = call(runner, "/v1/chat/completions", chat(), healthy=False)
         self.assertEqual(reply.status, 200)
+
+
+class RetryTests(unittest.TestCase):
+    """What a caller's next try under its key is told before the key is looked up.
+
+    A router dies while a badge is being printed, and the caller tries again under
+    its key. The router that it comes to has just started and knows no
+    configuration yet, or is about to stop, or no longer knows the caller's API key.
+    It refuses without asking whether the key has run. A caller that was told "not
+    run" there would send the request under another key, and a second badge would be
+    printed.
+    """
+
+    def test_a_router_that_takes_no_work_cannot_say_that_a_key_did_not_run(self):
+        """The refusal is told, with when to come back, and as unknown."""
+        reply = call(
+            FakeRunner(ANSWERED),
+            "/v1/chat/completions",
+            chat(),
+            ready=False,
+            idempotency_key="badge-7",
+            endivegw_repeatable="no",
+        )
+        self.assertEqual((reply.status, reply.code), (503, "not_ready"))
+        self.assertEqual(reply.headers["endivegw-outcome"], "unknown")
+        self.assertEqual(json.loads(reply.body)["error"]["outcome"], "unknown")
+        self.assertEqual(reply.headers["x-should-retry"], "true")
+        self.assertEqual(reply.headers["retry-after"], "1")
+
+    def test_refusals_before_the_key_is_looked_up_are_unknown(self):
+        """An API key, a model or a service may have been there at the first try."""
+        generation = "/v1/chat/completions"
+        notices = "/services/lobby-app/notices"
+        piece = b"x" * 200_000
+        for path, chunks, headers, code in (
+            (generation, [chat()], {"authorization": "Bearer x"}, "invalid_api_key"),
+            (generation, [chat()], {"endivegw_budget": "other"}, "budget_not_found"),
+            (generation, [chat(model="other")], {}, "model_not_found"),
+            (generation, [b"{"], {}, "bad_request"),
+            (generation, [chat(pad="x" * 3000)], {}, "body_too_large"),
+            ("/services/other/notices", [b"x"], {}, "service_not_found"),
+            ("/services/lobby-app/../x", [b"x"], {}, "bad_request"),
+            (notices, [piece, piece], {}, "body_too_large"),
+        ):
+            with self.subTest(code=code, path=path):
+                runner = FakeRunner(ANSWERED)
+                reply = call(
+                    runner, path, chunks=chunks, idempotency_key="badge-7", **headers
+                )
+                self.assertEqual(reply.code, code)
+                self.assertEqual(reply.headers["endivegw-outcome"], "unknown")
+                self.assertEqual(reply.headers["x-should-retry"], "false")
+                self.assertEqual(runner.requests, [])
