Say unknown, not 'not run', while an idempotency key is not looked up

Cause: routers refuse before the claim when they take no work or do not know the API key, the budget, the model or the service, and said 'not-run' for all tries with the key.

The refusal keeps its status, code and Retry-After, its outcome is 'unknown' where there is a key. The rule depends on the key alone, since a router that knows no configuration cannot tell what may be repeated. The exercise judges each try's word by when the call began at its engine or service.

--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -140,13 +140,14 @@
         headers = {
             k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]
         }
+        key_open = IDEMPOTENCY_HEADER in headers
         if not self._takes_work():
             refused = Refused(Reason.NOT_READY, "this router takes no new work", 1.0)
-            await send_error(send, http_error(refused))
+            await _refuse(send, refused, key_open)
             return
         caller = identify(headers, self._snapshot(), self._limits, self._clock())
         if isinstance(caller, Refused):
-            await send_error(send, http_error(caller))
+            await _refuse(send, caller, key_open)
             return
         if path == _MODELS_PATH or path.startswith(_MODEL_PREFIX):
             await self._models(scope["method"], path, caller, send)
@@ -158,12 +159,12 @@
             await self._service(scope, headers, caller, receive, send)
         else:
             refused = Refused(Reason.NOT_FOUND, f"there is nothing at {path}")
-            await send_error(send, http_error(refused))
+            await _refuse(send, refused, key_open)
 
     async def _models(self, method: str, path: str, caller: Caller, send: Send) -> None:
         if method != "GET":
             refused = Refused(Reason.BAD_REQUEST, "models are listed with GET")
-            await send_error(send, http_error(refused))
+            await _refuse(send, refused)
             return
         models = [
             {"id": name, "object": "model", "created": 0, "owned_by": "endivegw"}
@@ -178,26 +179,26 @@
                 await send_json(send, 200, model)
                 return
         refused = Refused(Reason.UNKNOWN_MODEL, f"there is no model {wanted!r}")
-        await send_error(send, http_error(refused))
+        await _refuse(send, refused)
 
     async def _completion(
         self, method: str, chat: bool, caller: Caller, receive: Receive, send: Send
     ) -> None:
         body = await read_body(receive, self._limits.max_body_bytes)
         if isinstance(body, Refused):
-            await send_error(send, http_error(body))
+            await _refuse(send, body, caller.keyed)
             return
         completion = parse_completion(body, chat=chat)
         if method != "POST":
             completion = Refused(Reason.BAD_REQUEST, "completions are sent with POST")
         if isinstance(completion, Refused):
-            await send_error(send, http_error(completion))
+            await _refuse(send, completion, caller.keyed)
             return
         if completion.model not in caller.account.models:
             refused = Refused(
                 Reason.UNKNOWN_MODEL, f"there is no model {completion.model!r}"
             )
-            await send_error(send, http_error(refused))
+            await _refuse(send, refused, caller.keyed)
             return
         sink: _EndingSink
         if completion.stream:
@@ -223,11 +224,11 @@
         name, _, rest = scope["path"].removeprefix(_SERVICE_PREFIX).partition("/")
         if name not in caller.account.services:
             refused = Refused(Reason.UNKNOWN_SERVICE, f"there is no service {name!r}")
-            await send_error(send, http_error(refused))
+            await _refuse(send, refused, caller.keyed)
             return
         if not is_plain_path(rest):
             refused = Refused(Reason.BAD_REQUEST, "'.' and '..' are no path segments")
-            await send_error(send, http_error(refused))
+            await _refuse(send, refused, caller.keyed)
             return
         # The raw path keeps the escapes that the service is meant to see.
         raw = scope.get("raw_path") or scope["path"].encode()
@@ -242,7 +243,7 @@
                 f"with {IDEMPOTENCY_HEADER} a body is at most "
                 f"{_MAX_HELD_BODY_BYTES} bytes",
             )
-            await send_error(send, http_error(refused))
+            await _refuse(send, refused, caller.keyed)
             return
         fields = tuple((k, v) for k, v in headers.items() if k not in _DROPPED_FIELDS)
         call = ServiceCall(name, scope["method"], path, fields, body, more)
@@ -308,6 +309,15 @@
             return Unknown(Reason.TARGET_FAILED, "an internal check failed")
 
 
+async def _refuse(send: Send, refused: Refused, key_open: bool = False) -> None:
+    """Refuse a request before its idempotency key, if any, was looked up.
+
+    :param key_open: whether there is a key. An earlier try with it may have run
+        at another router, so the refusal says nothing of the request.
+    """
+    await send_error(send, http_error(refused, key_open=key_open))
+
+
 def _engine_call(completion: CompletionRequest) -> EngineCall:
     model, _, adapter = completion.model.partition("+")
     return EngineCall(
--- a/src/endivegw/daemons/http_messages.py
+++ b/src/endivegw/daemons/http_messages.py
@@ -84,20 +84,27 @@
     body: bytes
 
 
-def http_error(problem: Refused | Unknown, *, keyed: bool = False) -> HttpError:
+def http_error(
+    problem: Refused | Unknown, *, keyed: bool = False, key_open: bool = False
+) -> HttpError:
     """Return the answer for a request that did not run or may have run.
 
     :param keyed: whether the request carried an idempotency key.
+    :param key_open: whether it carried one that was not looked up, so that an
+        earlier try with the key may have run although this one did not.
 
     The outcome stands in a header of its own, so that a client can tell "did
     not run" from "may have run" without knowing the codes.
     """
-    fields = [("content-type", "application/json")]
+    outcome = _outcome(problem, key_open)
+    fields = [
+        ("content-type", "application/json"),
+        (OUTCOME_HEADER, outcome.value),
+    ]
     match problem:
         case Refused():
             status = _STATUS.get(problem.reason, _UNAVAILABLE)
             final = problem.reason in _FINAL
-            fields.append((OUTCOME_HEADER, Outcome.NOT_RUN.value))
             fields.append(("x-should-retry", "false" if final else "true"))
             if problem.retry_after_s is not None and not final:
                 seconds = max(1, math.ceil(problem.retry_after_s))
@@ -105,19 +112,21 @@
         case Unknown():
             timed_out = problem.reason in (Reason.DEADLINE, Reason.TIMEOUT)
             status = _TIMEOUT if timed_out else _BAD_GATEWAY
-            fields.append((OUTCOME_HEADER, Outcome.UNKNOWN.value))
             # A retry under the same key joins the attempt or replays its
             # answer. Without a key it would be another request, so that the
             # client must decide, and the header does not invite one.
             fields.append(("x-should-retry", "true" if keyed else "false"))
             if keyed:
                 fields.append(("retry-after", str(_UNKNOWN_RETRY_S)))
-    return HttpError(status, tuple(fields), error_body(problem))
+    return HttpError(status, tuple(fields), error_body(problem, key_open=key_open))
 
 
-def error_body(problem: Refused | Unknown) -> bytes:
-    """Return the error object in the shape that the ecosystem's clients read."""
-    outcome = Outcome.NOT_RUN if isinstance(problem, Refused) else Outcome.UNKNOWN
+def error_body(problem: Refused | Unknown, *, key_open: bool = False) -> bytes:
+    """Return the error object in the shape that the ecosystem's clients read.
+
+    The parameters are those of :func:`http_error`.
+    """
+    outcome = _outcome(problem, key_open)
     status = _STATUS.get(problem.reason, _UNAVAILABLE)
     kind = "invalid_request_error" if status < 500 else "server_error"
     if problem.reason is Reason.BUDGET_EXHAUSTED:
@@ -132,6 +141,14 @@
     return json.dumps({"error": error}).encode()
 
 
+def _outcome(problem: Refused | Unknown, key_open: bool) -> Outcome:
+    # A caller that is told "not run" sends the request anew under another key.
+    # Where an earlier try had run, a second badge would be printed.
+    if isinstance(problem, Refused) and not key_open:
+        return Outcome.NOT_RUN
+    return Outcome.UNKNOWN
+
+
 def header_bound(max_bytes: int) -> HeaderBound:
     """Return the bound on a request's head, with the answer beyond it."""
     detail = f"the request line and header fields are over {max_bytes} bytes"
--- a/src/endivegw/dev/calls.py
+++ b/src/endivegw/dev/calls.py
@@ -81,12 +81,19 @@
     :param took_s: until its end was known.
     :param met: the status and what was said of the outcome, or the error that broke
         the connection.
+    :param outcome: what was said of the outcome, None where nothing was.
     """
 
     url: str
     sent_s: float
     took_s: float
     met: str
+    outcome: Outcome | None = None
+
+    @property
+    def ended_s(self) -> float:
+        """Return how long after the call began its end was known."""
+        return self.sent_s + self.took_s
 
     def __str__(self) -> str:
         """Return one clause for a report."""
@@ -237,7 +244,8 @@
             reply.outcome = None
             reply.broken = repr(error)
         took_s = self._clock() - sent_s
-        call.tried.append(Try(router_url, sent_s - began_s, took_s, reply.met))
+        one = Try(router_url, sent_s - began_s, took_s, reply.met, reply.outcome)
+        call.tried.append(one)
         return reply
 
     async def _read(
--- a/src/endivegw/dev/figures.py
+++ b/src/endivegw/dev/figures.py
@@ -29,7 +29,7 @@
     :ivar lost: requests that got neither an answer nor an honest refusal or
         "unknown", their retries included.
     :ivar doubled: requests that may not be repeated and ran more than once.
-    :ivar wrong_not_run: requests told "not run" at the end that had run.
+    :ivar wrong_not_run: requests told "not run" that had run.
     :ivar unknown_outcomes: requests that ended with "unknown".
     :ivar unreconciled_tokens: settled more or less than billed; must be 0.
     :ivar unsettled_tokens: still escrowed after the planned stop.
--- a/src/endivegw/dev/oracle.py
+++ b/src/endivegw/dev/oracle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import Iterable
 
@@ -36,10 +37,14 @@
 
 @define
 class _Runs:
-    """Hold what engines and services did for one call."""
+    """Hold what engines and services did for one call.
+
+    :ivar began_s: when it first started, on the clock of the calls.
+    """
 
     starts: int = 0
     tokens: int = 0
+    began_s: float = math.inf
 
 
 @define
@@ -84,10 +89,13 @@
                 name = engine.generations[attempt_id].prompt.text.split()[0]
                 run = runs.setdefault(name, _Runs())
                 run.starts += count.starts
+                run.began_s = min(run.began_s, count.began_s)
                 run.tokens += count.prompt_tokens + count.completion_tokens
         for service in self.fleet.services.values():
             for body, calls in Counter(service.bodies).items():
-                runs.setdefault(body.decode(), _Runs()).starts += calls
+                run = runs.setdefault(body.decode(), _Runs())
+                run.starts += calls
+                run.began_s = min(run.began_s, service.began_s[body])
         return runs
 
     def _judge_call(
@@ -97,6 +105,10 @@
         if call.kind in RUN_ONCE and run.starts > 1:
             figures.doubled += 1
             figures.violations.append(f"{call.name} ran {run.starts} times")
+        if call.kind in RUN_ONCE and _told_not_run_too_late(call, run):
+            figures.wrong_not_run += 1
+            told = f"{call.name} ({call.kind.value}) was told not run after its start"
+            figures.violations.append(f"{told}: {_told_tries(call)}")
         end = call.end
         if end is None or end.outcome is None:
             figures.lost += 1
@@ -191,6 +203,18 @@
         raise PlatformError(f"the stand-in table gave no rows: {result}")
 
 
+def _told_not_run_too_late(call: Call, run: _Runs) -> bool:
+    """Return whether a try said "not run" when the call had already started.
+
+    For what runs once, the word is about every try with its key.
+    """
+    ran_after_s = run.began_s - call.began_at_s
+    return any(
+        one.outcome is Outcome.NOT_RUN and one.ended_s > ran_after_s
+        for one in call.tried
+    )
+
+
 def _was_answered(call: Call) -> bool:
     return call.end is not None and call.end.outcome is Outcome.ANSWERED
 
--- a/src/endivegw_standins/engine_model.py
+++ b/src/endivegw_standins/engine_model.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import time
 from collections import deque
 
 import anyio
@@ -63,8 +64,12 @@
 
 @define
 class Consumed:
-    """Count what one attempt caused, as the engine saw it."""
+    """Count what one attempt caused, as the engine saw it.
 
+    :ivar began_s: when it first started, on the monotonic clock.
+    """
+
+    began_s: float = 0.0
     starts: int = 0
     prompt_tokens: int = 0
     completion_tokens: int = 0
@@ -146,7 +151,8 @@
         """Register a generation before it runs."""
         generation = Generation(attempt_id, prompt)
         self.generations[attempt_id] = generation
-        self.consumed.setdefault(attempt_id, Consumed()).starts += 1
+        count = self.consumed.setdefault(attempt_id, Consumed(time.monotonic()))
+        count.starts += 1
         return generation
 
     async def run(self, generation: Generation) -> None:
--- a/src/endivegw_standins/service_app.py
+++ b/src/endivegw_standins/service_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 
 import anyio
@@ -38,12 +39,14 @@
 
     :ivar calls_by_key: calls whose body came whole, by ``Idempotency-Key``.
     :ivar calls_by_attempt: the same by attempt id.
+    :ivar began_s: when each body first came, on the monotonic clock.
     """
 
     knobs: ServiceKnobs = field(factory=ServiceKnobs)
     calls_by_key: Counter[str] = field(factory=Counter)
     calls_by_attempt: Counter[str] = field(factory=Counter)
     bodies: list[bytes] = field(factory=list)
+    began_s: dict[bytes, float] = field(factory=dict)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call; lifespan events are refused."""
@@ -52,7 +55,9 @@
         chunks = await _read_chunks(receive)
         self.calls_by_key[header(scope, IDEMPOTENCY_HEADER)] += 1
         self.calls_by_attempt[header(scope, ATTEMPT_HEADER)] += 1
-        self.bodies.append(b"".join(chunks))
+        body = b"".join(chunks)
+        self.bodies.append(body)
+        self.began_s.setdefault(body, time.monotonic())
         await anyio.sleep(self.knobs.delay_s)
         fields = [
             (b"content-type", b"application/octet-stream"),
