--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -124,6 +124,31 @@
 
         anyio.run(scenario)
 
+    def test_a_retry_of_a_failed_service_call_is_told_what_is_known(self):
+        """A service hangs on a call that may not be repeated, and the call is given
+        up at its deadline before the service has answered. The caller tries again
+        under its key and joins the call that failed. It must be told that the
+        outcome is not known; a connection that closes without a word, at this and
+        each later try, would leave it with nothing."""
+
+        async def scenario():
+            async with running_fleet() as fleet:
+                (service,) = fleet.services.values()
+                service.knobs.delay_s = 5.0
+                for deadline_s in ("0.5", "10"):
+                    reply = await post(
+                        fleet,
+                        f"/services/{SERVICE}/notices",
+                        b"Ana has arrived",
+                        idempotency_key="notice-1",
+                        endivegw_deadline_s=deadline_s,
+                    )
+                    self.assertEqual(field(reply, "endivegw-outcome"), "unknown")
+                    self.assertGreaterEqual(reply.status, 500)
+                self.assertEqual(service.calls_by_key["notice-1"], 1)
+
+        anyio.run(scenario)
+
     def test_order_reaches_the_engine_through_table_and_sidecar(self):
         """An operator orders a model onto an engine. The sidecar finds it in the
         table, the engine loads it, and the order is written down as done."""
