--- a/src/endivegw/dev/calls.py
+++ b/src/endivegw/dev/calls.py
@@ -18,6 +18,7 @@
     REPEATABLE_HEADER,
 )
 from endivegw.dev.layout import MODEL, SERVICE
+from endivegw.dev.patience import Patience
 from endivegw.dev.sample import SampleAccount
 from endivegw.types import Outcome
 
@@ -25,6 +26,10 @@
 
 _DEADLINE_S = 20.0
 _TRIES = 6
+
+#: How long a caller listens on after its deadline.
+_PATIENCE_S = 3.0
+
 _OK = 200
 _TOO_MANY = 429
 
@@ -169,6 +174,7 @@
     """Send calls to the routers, as a client behind a balancer would.
 
     :param urls: returns the routers that the balancer would choose from.
+    :param patience: bounds each try; it runs beside.
     """
 
     def __init__(
@@ -176,10 +182,12 @@
         urls: Callable[[], list[str]],
         clock: Callable[[], float],
         rng: random.Random,
+        patience: Patience,
     ) -> None:
         self._urls = urls
         self._clock = clock
         self._rng = rng
+        self._patience = patience
         self._pool = httpcore.AsyncConnectionPool(max_connections=256)
 
     async def close(self) -> None:
@@ -229,7 +237,7 @@
         url = router_url + path
         sent_s = self._clock()
         try:
-            with anyio.fail_after(left_s + 3.0):
+            with self._patience.fail_after(left_s + _PATIENCE_S):
                 async with self._pool.stream(
                     method, url, headers=list(fields.items()), content=body
                 ) as response:
--- a/src/endivegw/dev/exercise.py
+++ b/src/endivegw/dev/exercise.py
@@ -14,6 +14,7 @@
 from endivegw.dev.fleet import DevFleet
 from endivegw.dev.layout import free_port
 from endivegw.dev.oracle import Oracle, SeenTopUp
+from endivegw.dev.patience import Patience
 
 __all__ = ["run_exercise"]
 
@@ -44,14 +45,18 @@
         ]
         oracle = Oracle(fleet, budgets)
         faults = FaultRunner(fleet, oracle, tasks, exercise_s, plan)
+        patience = Patience()
+        tasks.start_soon(patience.run)
         caller = Caller(
             lambda: [router.url for router in fleet.routers],
             time.monotonic,
             random.Random(seed),
+            patience,
         )
         async with anyio.create_task_group() as work:
             work.start_soon(faults.run)
-            work.start_soon(_load, caller, oracle, exercise_s, seed)
+            with patience.move_on_after(exercise_s + _LOAD_END_S):
+                await _load(caller, oracle, exercise_s, seed)
         await caller.close()
         await _wait_for_recovery(fleet)
         with anyio.move_on_after(30):
@@ -67,15 +72,14 @@
     rng = random.Random(seed)
     ends_s = time.monotonic() + exercise_s
     number = 0
-    with anyio.move_on_after(exercise_s + _LOAD_END_S):
-        async with anyio.create_task_group() as calls:
-            while time.monotonic() < ends_s:
-                number += 1
-                account = rng.choices(oracle.fleet.accounts, (3, 2))[0]
-                call = new_call(number, account, rng)
-                oracle.calls.append(call)
-                calls.start_soon(caller.send, call)
-                await anyio.sleep(rng.expovariate(_RATE_PER_S))
+    async with anyio.create_task_group() as calls:
+        while time.monotonic() < ends_s:
+            number += 1
+            account = rng.choices(oracle.fleet.accounts, (3, 2))[0]
+            call = new_call(number, account, rng)
+            oracle.calls.append(call)
+            calls.start_soon(caller.send, call)
+            await anyio.sleep(rng.expovariate(_RATE_PER_S))
 
 
 async def _wait_for_recovery(fleet: DevFleet) -> None:
