--- a/benchmarks/capacity/small_fleet.py
+++ b/benchmarks/capacity/small_fleet.py
@@ -20,7 +20,6 @@
     MODEL,
     ZONES,
     DevTarget,
-    free_port,
     router_address,
     router_settings,
     sidecar_settings,
@@ -33,6 +32,7 @@
 from endivegw.types import TargetName
 from endivegw_standins.engine_app import EngineApp, EngineKnobs, FakeEngine
 from endivegw_standins.platform_app import StandinPlatform
+from endivegw_standins.ports import reserve_port
 from endivegw_standins.serving import serve_in
 
 __all__ = ["Daemon", "SmallFleet"]
@@ -109,7 +109,7 @@
         return reads, writes
 
     def _start(self) -> None:
-        peer_port = free_port()
+        peer_port = reserve_port()
         names = self.routers, self.sidecars
         self.platform = self._spawn(_run_platform, *names)
         url = self.platform.answer[0]
--- a/src/endivegw/dev/exercise.py
+++ b/src/endivegw/dev/exercise.py
@@ -12,9 +12,9 @@
 from endivegw.dev.faults import FaultPlan, FaultRunner
 from endivegw.dev.figures import ExerciseFigures
 from endivegw.dev.fleet import DevFleet
-from endivegw.dev.layout import free_port
 from endivegw.dev.oracle import Oracle, SeenTopUp
 from endivegw.dev.patience import Patience
+from endivegw_standins.ports import reserve_port
 
 __all__ = ["run_exercise"]
 
@@ -35,7 +35,7 @@
 ) -> ExerciseFigures:
     """Run the load and the faults for a bounded time and return the figures."""
     figures = ExerciseFigures(seed)
-    ports = (free_port(), free_port())
+    ports = (reserve_port(), reserve_port())
     fleet = DevFleet(http_ports=ports, budget_tokens=_BUDGET_TOKENS)
     async with anyio.create_task_group() as tasks:
         await fleet.start(tasks)
--- a/src/endivegw/dev/fleet.py
+++ b/src/endivegw/dev/fleet.py
@@ -17,7 +17,7 @@
     TARGETS,
     ZONES,
     DevTarget,
-    free_port,
+    check_addresses,
     router_address,
     router_settings,
     sidecar_settings,
@@ -27,6 +27,7 @@
 from endivegw.services import ListedVm, VmState
 from endivegw_standins.engine_app import EngineApp, EngineKnobs, FakeEngine
 from endivegw_standins.platform_app import StandinPlatform
+from endivegw_standins.ports import reserve_port
 from endivegw_standins.service_app import ServiceApp
 from endivegw_standins.serving import serve_in
 
@@ -83,7 +84,8 @@
 
     async def start(self, tasks: TaskGroup) -> None:
         """Start everything; return when the routers are ready."""
-        self.peer_port = free_port()
+        self.peer_port = reserve_port()
+        check_addresses(self.peer_port)
         self.platform_url = await serve_in(tasks, self.platform, lifespan=False)
         self.accounts = await load_sample(self.platform.table, self.budget_tokens)
         for number, target in enumerate(TARGETS, 1):
--- a/src/endivegw/dev/layout.py
+++ b/src/endivegw/dev/layout.py
@@ -28,7 +28,7 @@
     "SERVICE",
     "TARGETS",
     "ZONES",
-    "free_port",
+    "check_addresses",
     "router_address",
     "router_settings",
     "sidecar_settings",
@@ -72,16 +72,11 @@
     return f"127.0.1.{number}"
 
 
-def free_port() -> int:
-    """Return a TCP port that was free a moment ago on all loopback addresses."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-    _check_addresses(port)
-    return port
-
+def check_addresses(port: int) -> None:
+    """Check that daemons can listen on other loopback addresses than the first.
 
-def _check_addresses(port: int) -> None:
+    :raises EndivegwError: where the system has none of them.
+    """
     with socket.socket() as probe:
         try:
             probe.bind((target_address(1), port))
--- a/src/endivegw_standins/platform_fleet.py
+++ b/src/endivegw_standins/platform_fleet.py
@@ -7,7 +7,6 @@
 
 import contextlib
 import pathlib
-import socket
 import tempfile
 from typing import Any, AsyncIterator
 
@@ -23,6 +22,7 @@
 from endivegw.settings.direct import load_direct_router_settings
 from endivegw_standins.platform_store_app import PlatformStoreApp
 from endivegw_standins.platform_worker import PlatformWorker
+from endivegw_standins.ports import reserve_datagram_port, reserve_port
 
 __all__ = [
     "CONFIGURATION",
@@ -30,7 +30,6 @@
     "TARGET_ENTRY",
     "PlatformFleet",
     "curl_line",
-    "free_port",
     "run_platform_fleet",
     "serve_asgi_on_loopback",
 ]
@@ -100,18 +99,10 @@
     )
 
 
-def free_port(kind: int) -> int:
-    """Return a port that nothing listens on."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def _build_router(fleet: PlatformFleet, name: str, store_port: int) -> None:
     """Add a router whose settings come from a file, as in production."""
-    port, ready = free_port(socket.SOCK_STREAM), free_port(socket.SOCK_STREAM)
-    metrics = free_port(socket.SOCK_STREAM)
-    peers = free_port(socket.SOCK_DGRAM)
+    port, ready, metrics = (reserve_port() for _ in range(3))
+    peers = reserve_datagram_port()
     text = (
         f"[process]\nvm = {name}\navailability_zone = z\n"
         f"[listen]\ncallers = 127.0.0.1:{port}\nready = 127.0.0.1:{ready}\n"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -13,7 +13,6 @@
     CONFIGURATION,
     PREPAID,
     PlatformFleet,
-    free_port,
     run_platform_fleet,
     serve_asgi_on_loopback,
 )
@@ -23,7 +22,6 @@
     "PREPAID",
     "AskedFleet",
     "exchange",
-    "free_port",
     "platform_fleet",
     "serve_asgi_on_loopback",
 ]
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -32,7 +32,8 @@
 from endivegw_standins.platform_fleet import TARGET_ENTRY
 from endivegw_standins.platform_store_app import PlatformStoreApp
 from endivegw_standins.platform_worker import PlatformWorker
-from tests.platform_fleet import CONFIGURATION, free_port, serve_asgi_on_loopback
+from endivegw_standins.ports import reserve_datagram_port, reserve_port
+from tests.platform_fleet import CONFIGURATION, serve_asgi_on_loopback
 
 __all__ = ["SoakReport", "play_seed"]
 
@@ -198,9 +199,9 @@
         return int(listener.extra(SocketAttribute.local_port))
 
     def _write_settings(self, number: int) -> None:
-        self.ports[number] = free_port(socket.SOCK_STREAM)
-        ready = free_port(socket.SOCK_STREAM)
-        peers = free_port(socket.SOCK_DGRAM)
+        self.ports[number] = reserve_port()
+        ready = reserve_port()
+        peers = reserve_datagram_port()
         (self.folder / f"router-{number}.ini").write_text(
             f"[process]\nvm = vm-{number}\navailability_zone = z\n"
             f"[listen]\ncallers = 127.0.0.1:{self.ports[number]}\n"
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -20,7 +20,6 @@
     LOOPBACK,
     TARGETS,
     ZONES,
-    free_port,
     router_address,
     target_address,
 )
@@ -28,6 +27,7 @@
 from endivegw.services import ListedVm, VmState
 from endivegw_standins.engine_app import EngineApp, EngineKnobs, FakeEngine
 from endivegw_standins.platform_app import StandinPlatform
+from endivegw_standins.ports import reserve_port
 from endivegw_standins.service_app import ServiceApp
 from endivegw_standins.serving import serve_in
 
@@ -100,8 +100,8 @@
         self.accounts: tuple[Any, ...] = ()
         self.platform_url = ""
         self.engine_urls: dict[str, str] = {}
-        self.peer_port = free_port()
-        self.http_ports = {n: free_port() for n in range(1, routers + 1)}
+        self.peer_port = reserve_port()
+        self.http_ports = {n: reserve_port() for n in range(1, routers + 1)}
         self.key_file = folder / "peers.key"
         self.key_file.write_text("a-shared-key-of-thirty-two-chars-or-more\n")
 
--- a/tests/test_peer_spare.py
+++ b/tests/test_peer_spare.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import unittest
 from typing import Any
 
@@ -15,7 +14,7 @@
 from endivegw.gossip.peers import PeerEntry, PeerTable
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId
-from tests.platform_fleet import free_port
+from endivegw_standins.ports import reserve_datagram_port
 
 ACCOUNT = ClientAccountName("hotel")
 OWN, PEER = InstanceId("own"), InstanceId("peer")
@@ -71,7 +70,7 @@
         """Its offer says what it has left."""
 
         async def play() -> None:
-            own_port, peer_port = (free_port(socket.SOCK_DGRAM) for _ in range(2))
+            own_port, peer_port = (reserve_datagram_port() for _ in range(2))
             host = "127.0.0.1"
             peers = PeerTable("vm-0")
             peers.put(PeerEntry("vm-1", PEER, host, peer_port))
