--- a/src/endivegw_standins/allowance_world.py
+++ b/src/endivegw_standins/allowance_world.py
@@ -15,7 +15,7 @@
 from attrs import define, field, frozen
 
 from endivegw.allowances import AllowanceKeeper, AllowanceOptions, Reservation
-from endivegw.allowances.lending import PeerSpare
+from endivegw.allowances.lending import LendingPort, PeerSpare
 from endivegw.allowances.witnesses import Statement
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId
@@ -92,7 +92,7 @@
             RowStoreClient(self.vm, world.store),
             self.vm,
             self.instance_id,
-            self,
+            self.lending(),
             world.clock,
             EventLog("world"),
             world.options,
@@ -100,6 +100,10 @@
         )
         self.keeper.set_prepaid(world.prepaid)
 
+    def lending(self) -> LendingPort:
+        """Return the port through which the keeper sees its peers."""
+        return self
+
     async def run(self) -> None:
         """Keep the row and state the limits until killed."""
         with self.scope:
@@ -243,10 +247,14 @@
         """Start a router's process."""
         self._starts += 1
         name = InstanceId(f"{vm}-{self._starts}")
-        router = PlayedRouter(self, vm, name, self.clock())
+        router = self.new_router(vm, name)
         self.routers[vm] = router
         self.tasks.start_soon(router.run)
 
+    def new_router(self, vm: str, name: InstanceId) -> PlayedRouter:
+        """Return a router that knows all others."""
+        return PlayedRouter(self, vm, name, self.clock())
+
     def kill(self, vm: str) -> None:
         """End a router's process without a word."""
         router = self.routers.pop(vm, None)
