--- a/src/endivegw/daemons/request_runner.py
+++ b/src/endivegw/daemons/request_runner.py
@@ -19,7 +19,8 @@
 from endivegw.daemons.sidecar_links import SidecarDirectory
 from endivegw.decisions import RetryBudget, RetryPolicy
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.requests.attempts import AttemptLimits, RequestMachine
+from endivegw.requests.attempt_limits import AttemptLimits
+from endivegw.requests.attempts import RequestMachine
 from endivegw.telemetry import EventLog, Metrics
 from endivegw.types import AttemptId
 
--- a/src/endivegw/requests/attempts.py
+++ b/src/endivegw/requests/attempts.py
@@ -14,6 +14,12 @@
 from endivegw.decisions.retry import RetryBudget, RetryPolicy, backoff_s
 from endivegw.exceptions import InvariantError
 from endivegw.requests.assembly import Assembler, Cut, Piece, Whole
+from endivegw.requests.attempt_limits import (
+    ASK_ANEW,
+    HOPELESS,
+    NO_RETRY,
+    AttemptLimits,
+)
 from endivegw.requests.claims import (
     CannotTell,
     Claim,
@@ -39,50 +45,7 @@
 from endivegw.results import Reason, Refused
 from endivegw.types import AttemptId, Outcome, TargetName, Usage
 
-__all__ = ["AttemptLimits", "RequestMachine"]
-
-#: Refusals that another target would repeat.
-_HOPELESS = frozenset(
-    {
-        Reason.BAD_REQUEST,
-        Reason.BODY_TOO_LARGE,
-        Reason.BUDGET_EXHAUSTED,
-        Reason.DEADLINE,
-        Reason.KEY_CONFLICT,
-        Reason.UNKNOWN_MODEL,
-    }
-)
-
-#: Refusals by a target that takes the request once the router has caught up.
-_ASK_ANEW = frozenset(
-    {Reason.NOT_READY, Reason.STALE_CONFIGURATION, Reason.WRONG_INSTANCE}
-)
-
-#: Failures of a started attempt that another target would repeat.
-_NO_RETRY = frozenset({Reason.BUDGET_EXHAUSTED, Reason.CANCELLED, Reason.DEADLINE})
-
-
-@define(frozen=True)
-class AttemptLimits:
-    """Bound the tries of one request.
-
-    :param placements: targets tried at most. Each refusal costs a round trip;
-        a request that four targets refused is better told so.
-    :param waits: placements after a pause, where the target only needs to be
-        asked anew (its sidecar restarted, or has a newer configuration). Six
-        with backoff take some two seconds, in which a heartbeat brings what the
-        router lacks.
-    :param resumes: connections made anew for a broken answer whose bytes the
-        caller has in part; then it ends in an explicit error.
-    :param resumes_before_retry: the same where a repeatable request can be
-        tried elsewhere; a dead machine should not cost more than one try.
-    """
-
-    placements: int = 4
-    waits: int = 6
-    resumes: int = 6
-    resumes_before_retry: int = 1
-
+__all__ = ["RequestMachine"]
 
 #: A sidecar was replaced, and the engine knows that the attempt has ended: asking
 #: again would go round and round until the deadline.
@@ -433,9 +396,9 @@
         self, attempt: Attempt, refused: Refused, now_s: float
     ) -> Step:
         self._retry_after = refused
-        if refused.reason in _HOPELESS:
+        if refused.reason in HOPELESS:
             return self._finish_refused(refused)
-        if refused.reason in _ASK_ANEW and self._asked_anew < self.limits.waits:
+        if refused.reason in ASK_ANEW and self._asked_anew < self.limits.waits:
             self._asked_anew += 1
             self._placements -= 1
             return self._pause(self._moved(attempt, now_s), now_s)
@@ -456,23 +419,19 @@
         return self._place(now_s)
 
     def _cannot_finish(self, reason: Reason, detail: str, now_s: float) -> Step:
-        if reason in _NO_RETRY:
+        if reason in NO_RETRY:
             return self._finish_unknown(reason, detail)
         return self._elsewhere_after_loss(reason, detail, now_s)
 
     def _finish_refused(self, refused: Refused) -> Step:
-        if not self._record.nothing_ran:
-            return self._finish_unknown(refused.reason, refused.detail)
-        ending = Ending(Outcome.NOT_RUN, refused.reason, refused.detail, Usage())
-        return self._finish(ending)
+        return self._finish(self._record.refused(refused, cut=self.gave_out_bytes))
 
     def _finish_stopped(self, reason: Reason) -> Step:
         return self._finish_refused(Refused(reason, "stopped before an answer"))
 
     def _finish_unknown(self, reason: Reason, detail: str) -> Step:
-        usage = self._record.known_usage()
-        cut = self.gave_out_bytes
-        return self._finish(Ending(Outcome.UNKNOWN, reason, detail, usage, cut))
+        ending = self._record.unknown(reason, detail, cut=self.gave_out_bytes)
+        return self._finish(ending)
 
     def _finish(self, ending: Ending, *, answered: bool = False) -> Finish:
         if ending.outcome is Outcome.NOT_RUN and not self._record.nothing_ran:
--- a/src/endivegw/requests/run_record.py
+++ b/src/endivegw/requests/run_record.py
@@ -4,7 +4,9 @@
 
 from attrs import define, field
 
-from endivegw.types import AttemptId, TargetName, Usage
+from endivegw.requests.steps import Ending
+from endivegw.results import Reason, Refused
+from endivegw.types import AttemptId, Outcome, TargetName, Usage
 
 __all__ = ["Attempt", "RunRecord"]
 
@@ -79,6 +81,22 @@
         if attempt_id in self.charges:
             self.charges[attempt_id] = usage
 
+    def refused(self, refused: Refused, *, cut: bool) -> Ending:
+        """Return what may be said of a request that ends in a refusal.
+
+        :param cut: whether the caller has bytes of an answer.
+        """
+        if self.nothing_ran:
+            return Ending(Outcome.NOT_RUN, refused.reason, refused.detail, Usage())
+        return self.unknown(refused.reason, refused.detail, cut=cut)
+
+    def unknown(self, reason: Reason, detail: str, *, cut: bool) -> Ending:
+        """Return the ending of a request that may have run.
+
+        :param cut: whether the caller has bytes of an answer.
+        """
+        return Ending(Outcome.UNKNOWN, reason, detail, self.known_usage(), cut)
+
     def known_usage(self) -> Usage:
         """Return what is known to have been consumed."""
         prompt_tokens = completion_tokens = 0
--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -26,7 +26,8 @@
 from endivegw.decisions.retry import RetryBudget, RetryPolicy
 from endivegw.exceptions import PeerError
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
-from endivegw.requests.attempts import AttemptLimits, RequestMachine
+from endivegw.requests.attempt_limits import AttemptLimits
+from endivegw.requests.attempts import RequestMachine
 from endivegw.requests.claims import ClaimAnswer, ClaimAsk
 from endivegw.requests.slots import TakeRule
 from endivegw.requests.starts import StartRegistry
--- a/tests/test_requests_attempts.py
+++ b/tests/test_requests_attempts.py
@@ -7,7 +7,8 @@
 
 from endivegw.decisions.retry import RetryBudget, RetryPolicy
 from endivegw.exceptions import InvariantError
-from endivegw.requests.attempts import AttemptLimits, RequestMachine
+from endivegw.requests.attempt_limits import AttemptLimits
+from endivegw.requests.attempts import RequestMachine
 from endivegw.requests.claims import CannotTell, Claim, Existing, Granted
 from endivegw.requests.steps import (
     AskClaim,
--- a/tests/test_sidecar_claims.py
+++ b/tests/test_sidecar_claims.py
@@ -13,7 +13,8 @@
 from endivegw.daemons.slot_map_reader import SlotMapReader
 from endivegw.decisions.retry import RetryBudget, RetryPolicy
 from endivegw.peers import SidecarClient
-from endivegw.requests.attempts import AttemptLimits, RequestMachine
+from endivegw.requests.attempt_limits import AttemptLimits
+from endivegw.requests.attempts import RequestMachine
 from endivegw.requests.claims import ClaimLimits
 from endivegw.requests.slots import TakeRule
 from endivegw.requests.steps import RequestFacts
