--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -106,6 +106,26 @@
 
         anyio.run(scenario)
 
+    def test_a_spent_budget_ends_a_request_that_runs_once_at_its_first_try(self):
+        """The account is spent, and a generation that may not be repeated is refused
+        before its key is looked up. Told 502 and to try again, the caller would come
+        back in vain until its own deadline."""
+
+        async def scenario():
+            async with running_fleet(budget_tokens=(10, 10)) as fleet:
+                reply = await post(
+                    fleet,
+                    "/v1/chat/completions",
+                    chat("A badge for Ana", max_tokens=30),
+                    idempotency_key="badge-7",
+                    endivegw_repeatable="no",
+                )
+                self.assertEqual(reply.status, 429)
+                self.assertEqual(field(reply, "x-should-retry"), "false")
+                self.assertEqual(field(reply, "endivegw-outcome"), "unknown")
+
+        anyio.run(scenario)
+
     def test_plain_service_answers_through_the_fleet(self):
         """A call of a plain service reaches it once and its answer comes back."""
 
