Keep the status of a refusal whose key was not looked up

Callers saw: an account is spent, and a request that runs once is told 502 and to come back. Cause: without the claim's word the state machine may not say 'not run', and said 'unknown' as of a request that was lost. 'This try is refused, an earlier one may have run' is a message of its own now, for the refusals before the state machine too: status, code and Retry-After are the refusal's, the outcome is 'unknown'.

--- a/src/endivegw/daemons/http_answers.py
+++ b/src/endivegw/daemons/http_answers.py
@@ -18,7 +18,7 @@
     error_body,
     http_error,
 )
-from endivegw.daemons.routed import Answered, RequestEnd
+from endivegw.daemons.routed import Answered, RefusedTry, RequestEnd
 from endivegw.results import Refused, Unknown
 from endivegw.types import Outcome, Usage
 
@@ -102,10 +102,10 @@
                 await self._begin()
                 tail = self._usage_event(end.usage) + DONE_EVENT
                 await _body(self._send, tail, more=False)
-            case Refused() | Unknown() if not self._begun:
+            case Refused() | RefusedTry() | Unknown() if not self._begun:
                 error = http_error(end, keyed=self._keyed)
                 await send_error(self._send, error, self._fields)
-            case Refused() | Unknown():
+            case Refused() | RefusedTry() | Unknown():
                 failed = b"event: error\n" + event(error_body(end))
                 await _body(self._send, failed, more=False)
 
@@ -157,7 +157,7 @@
                 body = self._text.whole(end.usage)
                 await _start(self._send, _HTTP_OK, _JSON + _ANSWERED + self._fields)
                 await _body(self._send, body, more=False)
-            case Refused() | Unknown():
+            case Refused() | RefusedTry() | Unknown():
                 error = http_error(end, keyed=self._keyed)
                 await send_error(self._send, error, self._fields)
 
@@ -197,8 +197,8 @@
         match end:
             case Answered():
                 await _body(self._send, b"", more=False)
-            case Refused() | Unknown() if not self._begun:
+            case Refused() | RefusedTry() | Unknown() if not self._begun:
                 error = http_error(end, keyed=self._keyed)
                 await send_error(self._send, error, self._fields)
-            case Refused() | Unknown():
-                raise CutAnswer(end.detail or end.reason.value)
+            case Refused() | RefusedTry() | Unknown():
+                raise CutAnswer(repr(end))
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -29,6 +29,7 @@
 from endivegw.daemons.routed import (
     AnswerSink,
     EngineCall,
+    RefusedTry,
     RequestEnd,
     RoutedRequest,
     ServiceCall,
@@ -315,7 +316,8 @@
     :param key_open: whether there is a key. An earlier try with it may have run
         at another router, so the refusal says nothing of the request.
     """
-    await send_error(send, http_error(refused, key_open=key_open))
+    problem = RefusedTry(refused) if key_open else refused
+    await send_error(send, http_error(problem))
 
 
 def _engine_call(completion: CompletionRequest) -> EngineCall:
--- a/src/endivegw/daemons/http_messages.py
+++ b/src/endivegw/daemons/http_messages.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from endivegw.daemons.routed import RefusedTry
 from endivegw.http_protocol import HeaderBound
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.types import Outcome
@@ -85,29 +86,26 @@
 
 
 def http_error(
-    problem: Refused | Unknown, *, keyed: bool = False, key_open: bool = False
+    problem: Refused | RefusedTry | Unknown, *, keyed: bool = False
 ) -> HttpError:
     """Return the answer for a request that did not run or may have run.
 
     :param keyed: whether the request carried an idempotency key.
-    :param key_open: whether it carried one that was not looked up, so that an
-        earlier try with the key may have run although this one did not.
 
     The outcome stands in a header of its own, so that a client can tell "did
     not run" from "may have run" without knowing the codes.
     """
-    outcome = _outcome(problem, key_open)
     fields = [
         ("content-type", "application/json"),
-        (OUTCOME_HEADER, outcome.value),
+        (OUTCOME_HEADER, _outcome(problem).value),
     ]
     match problem:
-        case Refused():
-            status = _STATUS.get(problem.reason, _UNAVAILABLE)
-            final = problem.reason in _FINAL
+        case (Refused() as refused) | RefusedTry(refused=refused):
+            status = _STATUS.get(refused.reason, _UNAVAILABLE)
+            final = refused.reason in _FINAL
             fields.append(("x-should-retry", "false" if final else "true"))
-            if problem.retry_after_s is not None and not final:
-                seconds = max(1, math.ceil(problem.retry_after_s))
+            if refused.retry_after_s is not None and not final:
+                seconds = max(1, math.ceil(refused.retry_after_s))
                 fields.append(("retry-after", str(seconds)))
         case Unknown():
             timed_out = problem.reason in (Reason.DEADLINE, Reason.TIMEOUT)
@@ -118,35 +116,30 @@
             fields.append(("x-should-retry", "true" if keyed else "false"))
             if keyed:
                 fields.append(("retry-after", str(_UNKNOWN_RETRY_S)))
-    return HttpError(status, tuple(fields), error_body(problem, key_open=key_open))
+    return HttpError(status, tuple(fields), error_body(problem))
 
 
-def error_body(problem: Refused | Unknown, *, key_open: bool = False) -> bytes:
-    """Return the error object in the shape that the ecosystem's clients read.
-
-    The parameters are those of :func:`http_error`.
-    """
-    outcome = _outcome(problem, key_open)
-    status = _STATUS.get(problem.reason, _UNAVAILABLE)
+def error_body(problem: Refused | RefusedTry | Unknown) -> bytes:
+    """Return the error object in the shape that the ecosystem's clients read."""
+    said = problem.refused if isinstance(problem, RefusedTry) else problem
+    status = _STATUS.get(said.reason, _UNAVAILABLE)
     kind = "invalid_request_error" if status < 500 else "server_error"
-    if problem.reason is Reason.BUDGET_EXHAUSTED:
+    if said.reason is Reason.BUDGET_EXHAUSTED:
         kind = Reason.BUDGET_EXHAUSTED.value
     error = {
-        "message": problem.detail or problem.reason.value.replace("_", " "),
+        "message": said.detail or said.reason.value.replace("_", " "),
         "type": kind,
         "param": None,
-        "code": problem.reason.value,
-        "outcome": outcome.value,
+        "code": said.reason.value,
+        "outcome": _outcome(problem).value,
     }
     return json.dumps({"error": error}).encode()
 
 
-def _outcome(problem: Refused | Unknown, key_open: bool) -> Outcome:
+def _outcome(problem: Refused | RefusedTry | Unknown) -> Outcome:
     # A caller that is told "not run" sends the request anew under another key.
     # Where an earlier try had run, a second badge would be printed.
-    if isinstance(problem, Refused) and not key_open:
-        return Outcome.NOT_RUN
-    return Outcome.UNKNOWN
+    return Outcome.NOT_RUN if isinstance(problem, Refused) else Outcome.UNKNOWN
 
 
 def header_bound(max_bytes: int) -> HeaderBound:
--- a/src/endivegw/daemons/request_run.py
+++ b/src/endivegw/daemons/request_run.py
@@ -10,7 +10,13 @@
 from endivegw.daemons.request_messages import start_message
 from endivegw.daemons.request_money import RequestMoney
 from endivegw.daemons.request_plan import RequestPlan, work_item
-from endivegw.daemons.routed import Answered, AnswerSink, RequestEnd, ServiceCall
+from endivegw.daemons.routed import (
+    Answered,
+    AnswerSink,
+    RefusedTry,
+    RequestEnd,
+    ServiceCall,
+)
 from endivegw.decisions import AttemptEnd, AttemptKind, Placement
 from endivegw.peers import SidecarClient
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
@@ -252,7 +258,7 @@
         elapsed_s = self._parts.clock() - request.arrived_s
         self._parts.metrics.incr(f"request.{ending.outcome.value}")
         self._parts.metrics.timing("request.elapsed", elapsed_s * 1000.0)
-        if ending.outcome is Outcome.NOT_RUN:
+        if ending.outcome is Outcome.NOT_RUN or ending.refused_try:
             self._parts.log.emit(
                 events.REQUEST_REFUSED,
                 request_id=request.request_id,
@@ -278,5 +284,7 @@
             return Answered(ending.usage)
         case Outcome.NOT_RUN:
             return Refused(reason, ending.detail, retry_after_s)
+        case Outcome.UNKNOWN if ending.refused_try:
+            return RefusedTry(Refused(reason, ending.detail, retry_after_s))
         case Outcome.UNKNOWN:
             return Unknown(reason, ending.detail)
--- a/src/endivegw/daemons/routed.py
+++ b/src/endivegw/daemons/routed.py
@@ -14,6 +14,7 @@
     "AnswerSink",
     "Answered",
     "EngineCall",
+    "RefusedTry",
     "RequestEnd",
     "RoutedRequest",
     "ServiceCall",
@@ -79,7 +80,18 @@
     usage: Usage
 
 
-RequestEnd = Answered | Refused | Unknown
+@frozen
+class RefusedTry:
+    """Say that this try started nothing, and that an earlier one may have.
+
+    The request's idempotency key was not looked up, so that nobody can say whether
+    another router ran it.
+    """
+
+    refused: Refused
+
+
+RequestEnd = Answered | Refused | RefusedTry | Unknown
 
 
 class AnswerSink(Protocol):
--- a/src/endivegw/dev/calls.py
+++ b/src/endivegw/dev/calls.py
@@ -325,10 +325,10 @@
 
 def _sends_again(call: Call, reply: _Reply) -> bool:
     """Return whether a sensible client would send the call again."""
-    if reply.outcome is Outcome.ANSWERED:
+    if reply.outcome is Outcome.ANSWERED or reply.status == _TOO_MANY:
         return False
     if reply.outcome is Outcome.NOT_RUN:
-        return reply.status != _TOO_MANY and reply.status >= 500
+        return reply.status >= 500
     # Unknown or cut: under a key it is safe to ask again; without one it is
     # only where a second run does no harm.
     return call.is_keyed or call.kind not in RUN_ONCE
--- a/src/endivegw/requests/run_record.py
+++ b/src/endivegw/requests/run_record.py
@@ -86,9 +86,16 @@
 
         :param cut: whether the caller has bytes of an answer.
         """
-        if self.nothing_ran:
-            return Ending(Outcome.NOT_RUN, refused.reason, refused.detail, Usage())
-        return self.unknown(refused.reason, refused.detail, cut=cut)
+        if self._may_have_run:
+            return self.unknown(refused.reason, refused.detail, cut=cut)
+        outcome = Outcome.NOT_RUN if self.key_clear else Outcome.UNKNOWN
+        return Ending(
+            outcome,
+            refused.reason,
+            refused.detail,
+            Usage(),
+            refused_try=not self.key_clear,
+        )
 
     def unknown(self, reason: Reason, detail: str, *, cut: bool) -> Ending:
         """Return the ending of a request that may have run.
--- a/src/endivegw/requests/steps.py
+++ b/src/endivegw/requests/steps.py
@@ -96,6 +96,8 @@
 
     :param cut: whether bytes of an answer that will not become whole were given
         out; the caller must see an explicit error behind them.
+    :param refused_try: whether this try was refused and only an earlier one with
+        the same key may have run.
     """
 
     outcome: Outcome
@@ -103,6 +105,7 @@
     detail: str
     usage: Usage
     cut: bool = False
+    refused_try: bool = False
 
 
 @frozen
