--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -141,14 +141,14 @@
         headers = {
             k.decode("latin-1"): v.decode("latin-1") for k, v in scope["headers"]
         }
-        key_open = IDEMPOTENCY_HEADER in headers
+        keyed = IDEMPOTENCY_HEADER in headers
         if not self._takes_work():
             refused = Refused(Reason.NOT_READY, "this router takes no new work", 1.0)
-            await _refuse(send, refused, key_open)
+            await _refuse(send, refused, keyed)
             return
         caller = identify(headers, self._snapshot(), self._limits, self._clock())
         if isinstance(caller, Refused):
-            await _refuse(send, caller, key_open)
+            await _refuse(send, caller, keyed)
             return
         if path == _MODELS_PATH or path.startswith(_MODEL_PREFIX):
             await self._models(scope["method"], path, caller, send)
@@ -160,7 +160,7 @@
             await self._service(scope, headers, caller, receive, send)
         else:
             refused = Refused(Reason.NOT_FOUND, f"there is nothing at {path}")
-            await _refuse(send, refused, key_open)
+            await _refuse(send, refused, keyed)
 
     async def _models(self, method: str, path: str, caller: Caller, send: Send) -> None:
         if method != "GET":
@@ -310,13 +310,13 @@
             return Unknown(Reason.TARGET_FAILED, "an internal check failed")
 
 
-async def _refuse(send: Send, refused: Refused, key_open: bool = False) -> None:
+async def _refuse(send: Send, refused: Refused, keyed: bool = False) -> None:
     """Refuse a request before its idempotency key, if any, was looked up.
 
-    :param key_open: whether there is a key. An earlier try with it may have run
-        at another router, so the refusal says nothing of the request.
+    :param keyed: whether there is a key. An earlier try with it may have run at
+        another router, so that the refusal speaks of this try alone.
     """
-    problem = RefusedTry(refused) if key_open else refused
+    problem = RefusedTry(refused) if keyed else refused
     await send_error(send, http_error(problem))
 
 
--- a/src/endivegw/daemons/http_messages.py
+++ b/src/endivegw/daemons/http_messages.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from endivegw.daemons.routed import RefusedTry
+from endivegw.daemons.routed import NotAnswered, RefusedTry
 from endivegw.http_protocol import HeaderBound
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.types import Outcome
@@ -85,9 +85,7 @@
     body: bytes
 
 
-def http_error(
-    problem: Refused | RefusedTry | Unknown, *, keyed: bool = False
-) -> HttpError:
+def http_error(problem: NotAnswered, *, keyed: bool = False) -> HttpError:
     """Return the answer for a request that did not run or may have run.
 
     :param keyed: whether the request carried an idempotency key.
@@ -119,7 +117,7 @@
     return HttpError(status, tuple(fields), error_body(problem))
 
 
-def error_body(problem: Refused | RefusedTry | Unknown) -> bytes:
+def error_body(problem: NotAnswered) -> bytes:
     """Return the error object in the shape that the ecosystem's clients read."""
     said = problem.refused if isinstance(problem, RefusedTry) else problem
     status = _STATUS.get(said.reason, _UNAVAILABLE)
@@ -136,7 +134,7 @@
     return json.dumps({"error": error}).encode()
 
 
-def _outcome(problem: Refused | RefusedTry | Unknown) -> Outcome:
+def _outcome(problem: NotAnswered) -> Outcome:
     # A caller that is told "not run" sends the request anew under another key.
     # Where an earlier try had run, a second badge would be printed.
     return Outcome.NOT_RUN if isinstance(problem, Refused) else Outcome.UNKNOWN
--- a/src/endivegw/daemons/routed.py
+++ b/src/endivegw/daemons/routed.py
@@ -14,6 +14,7 @@
     "AnswerSink",
     "Answered",
     "EngineCall",
+    "NotAnswered",
     "RefusedTry",
     "RequestEnd",
     "RoutedRequest",
@@ -91,7 +92,10 @@
     refused: Refused
 
 
-RequestEnd = Answered | Refused | RefusedTry | Unknown
+#: Ends without an answer, each with a reason.
+NotAnswered = Refused | RefusedTry | Unknown
+
+RequestEnd = Answered | NotAnswered
 
 
 class AnswerSink(Protocol):
--- a/src/endivegw/dev/calls.py
+++ b/src/endivegw/dev/calls.py
@@ -174,7 +174,7 @@
     """Send calls to the routers, as a client behind a balancer would.
 
     :param urls: returns the routers that the balancer would choose from.
-    :param patience: bounds each try; it runs beside.
+    :param patience: bounds each try; its task runs beside the callers.
     """
 
     def __init__(
@@ -252,8 +252,9 @@
             reply.outcome = None
             reply.broken = repr(error)
         took_s = self._clock() - sent_s
-        one = Try(router_url, sent_s - began_s, took_s, reply.met, reply.outcome)
-        call.tried.append(one)
+        call.tried.append(
+            Try(router_url, sent_s - began_s, took_s, reply.met, reply.outcome)
+        )
         return reply
 
     async def _read(
