--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -28,6 +28,7 @@
 from endivegw.gossip.peers import PEERS_TABLE
 from endivegw.relay.context import RelayContext
 from endivegw.relay.handler import RequestHandler
+from endivegw.relay.target_ends import TargetEnds
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.wire import WirePort
 from endivegw.services.measured_rows import MeasuredRows
@@ -106,11 +107,13 @@
         _allowance_options(settings),
         started_s=started_s,
     )
+    pool = TargetPool(clock)
     context = RelayContext(
         wire=wire,
         keeper=keeper,
         queue=PlacementQueue(dispatcher, clock),
-        pool=TargetPool(clock),
+        pool=pool,
+        ends=TargetEnds(pool, clock, log),
         retries=RetryBudget(RetryPolicy(settings.retry_share, settings.retry_burst)),
         rng=rng,
         clock=clock,
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -6,6 +6,7 @@
 
 from endivegw.daemons.direct_beliefs import RowDecoder, log_unreadable
 from endivegw.decisions import SERVICE_PREFIX, TargetView
+from endivegw.quarantine import TargetStart
 from endivegw.relay.context import RelayContext
 from endivegw.routing import DirectTarget, FleetView, ServiceKind
 from endivegw.services.row_store import StoredRow
@@ -69,6 +70,7 @@
         meanwhile is refused. Where the id has started anew since the request was
         placed, the new start is left alone.
         """
+        self._context.ends.ended(TargetStart(instance_id, started_ms), "replaced")
         self._replaced.add((instance_id, started_ms))
         target = self.view.targets.get(instance_id)
         if target is not None and target.started_ms == started_ms:
@@ -127,14 +129,22 @@
     ) -> None:
         if before is None:
             self._note(target, "added", revision)
+            self._end_others_at(target)
         elif not before.is_incarnation_of(target):
             # Its sockets died with the earlier start, some without a word: what is
             # sent there would be lost, and nobody could say whether it ran.
             self._context.pool.expire(before.address)
             self._note(target, "restarted", revision)
+            self._context.ends.ended(_start_of(before), "restarted")
         elif before.leaving != target.leaving:
             self._note(target, "leaving", revision)
 
+    def _end_others_at(self, newcomer: DirectTarget) -> None:
+        """Take in that a target listens where another one did."""
+        for target in self.view.targets.values():
+            if target.address == newcomer.address and target is not newcomer:
+                self._context.ends.ended(_start_of(target), "address-taken")
+
     def _view(self, target: DirectTarget) -> TargetView:
         table = self._context.table
         kind = ServiceKind.PLAIN
@@ -166,6 +176,10 @@
         )
 
 
+def _start_of(target: DirectTarget) -> TargetStart:
+    return TargetStart(target.instance_id, target.started_ms)
+
+
 def _check_author(target: DirectTarget, before: DirectTarget | None) -> None:
     """Raise :exc:`ValueError` where an entry is not the target's own.
 
--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from endivegw.decisions import SERVICE_PREFIX, WorkItem
+from endivegw.quarantine import Fingerprint, fingerprint_of
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.wire import CallerMarks, PromptPart, WirePort
 from endivegw.results import Reason, Refused
@@ -36,6 +37,15 @@
     deadline_s: float
     request_id: str
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Return the name of its content, which its repeats share."""
+        request = self.request
+        account = self.account.name if self.account is not None else None
+        return fingerprint_of(
+            request.method, request.host, request.target, account, request.body
+        )
+
     @property
     def tokens(self) -> int:
         """Return the most tokens that it may consume; 0 where none count."""
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -49,12 +49,14 @@
     """Hold how an attempt ended, and its answer where that is not passed on yet.
 
     :param replaced: whether another instance answered at the target's address.
+    :param broken: whether the connection ended before the answer did.
     """
 
     end: End
     detail: str = ""
     answer: WholeAnswer | None = None
     replaced: bool = False
+    broken: bool = False
 
 
 @frozen
@@ -142,7 +144,7 @@
             clean = result.end in (End.ANSWERED, End.NOT_RUN)
             return result
         except AnswerBroken as error:
-            return AttemptResult(End.LOST, str(error))
+            return AttemptResult(End.LOST, str(error), broken=True)
         finally:
             # Also where the caller left: closing makes the target stop.
             if clean:
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -11,6 +11,7 @@
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.decisions import RetryBudget
 from endivegw.relay.attempt import AttemptLimits
+from endivegw.relay.target_ends import TargetEnds
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.wire import WirePort
 from endivegw.routing import RoutingTable
@@ -36,6 +37,7 @@
     keeper: AllowanceKeeper
     queue: PlacementQueue
     pool: TargetPool
+    ends: TargetEnds
     retries: RetryBudget
     rng: random.Random
     clock: Callable[[], float]
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import anyio
-from attrs import define, field
 
 from endivegw.allowances import Reservation
-from endivegw.decisions import AttemptEnd, AttemptKind, Placement
+from endivegw.decisions import AttemptEnd, Placement
+from endivegw.quarantine import Fingerprint, TargetStart
 from endivegw.relay.admission import Admitted, model_of, work_item
 from endivegw.relay.answers import own_answer
 from endivegw.relay.attempt import (
@@ -20,17 +20,20 @@
 from endivegw.relay.context import RelayContext
 from endivegw.relay.events import EventOrder
 from endivegw.relay.messages import TargetHead, end_to_end
+from endivegw.relay.request_progress import (
+    SERVER_ERROR,
+    RequestProgress,
+    attempt_kind,
+    lower_quartile,
+)
 from endivegw.relay.target_connection import Outgoing
 from endivegw.relay.wire import SendMarks
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.routing import RouteKind
 from endivegw.telemetry.catalogue import relay as events
-from endivegw.types import TargetName
 
 __all__ = ["RequestRun"]
 
-_SERVER_ERROR = 500
-
 #: When a caller should come back whose request a target refused to run: full
 #: targets have let several answers go by then.
 _REFUSED_RETRY_S = 0.2
@@ -38,28 +41,6 @@
 #: The same where the target was replaced: the router knows better at once.
 _REPLACED_RETRY_S = 0.05
 
-#: Pauses of an answer from which on they say how fast its target is.
-_LEAST_PAUSES = 8
-
-
-@define
-class _Progress:
-    """Count what became of one request.
-
-    :ivar sent: targets that the request went to.
-    :ivar maybe_run: whether some target may have run it.
-    :ivar last_s: when events were passed on last.
-    """
-
-    passed: StreamPassed
-    sent: int = 0
-    maybe_run: bool = False
-    excluded: set[TargetName] = field(factory=set)
-    first_s: float | None = None
-    last_s: float | None = None
-    pauses_s: list[float] = field(factory=list)
-    target: str = ""
-
 
 class RequestRun:
     """Carry one admitted request to its end."""
@@ -71,8 +52,9 @@
         self._admitted = admitted
         self._answerer = answerer
         after = admitted.marks.resume_after
-        self._progress = _Progress(StreamPassed(EventOrder(after)))
+        self._progress = RequestProgress(StreamPassed(EventOrder(after)))
         self._reservation: Reservation | None = None
+        self._named: Fingerprint | None = None
 
     async def run(self) -> None:
         """Answer the request, and settle what it consumed."""
@@ -201,8 +183,17 @@
                 end = End.LOST if attempt.sent else End.NOT_SENT
                 self._report(placement, AttemptResult(end, "cancelled"), False)
         self._report(placement, result, True)
+        if result.broken:
+            start = TargetStart(placement.instance_id, placement.started_ms)
+            await context.ends.lost(start, placement.address, self._fingerprint())
         return result
 
+    def _fingerprint(self) -> Fingerprint:
+        """Return the name of the request's content; its body is read once for it."""
+        if self._named is None:
+            self._named = self._admitted.fingerprint
+        return self._named
+
     def _outgoing(self, placement: Placement) -> Outgoing:
         admitted = self._admitted
         request = admitted.request
@@ -226,10 +217,10 @@
         output = self._output_tokens()
         pauses_s = self._progress.pauses_s
         end = AttemptEnd(
-            _kind(result, done),
+            attempt_kind(result, done),
             output_tokens=output,
             longest_pause_s=max(pauses_s, default=None),
-            usual_pause_s=_lower_quartile(pauses_s),
+            usual_pause_s=lower_quartile(pauses_s),
         )
         context.queue.dispatcher.ended(
             self._admitted.request_id, placement.target, end, context.clock()
@@ -244,6 +235,7 @@
                 end=result.end.value,
                 detail=result.detail,
                 events=self._progress.passed.events,
+                fingerprint=self._fingerprint() if result.broken else None,
             )
 
     def _conclude(
@@ -266,7 +258,7 @@
 
     def _wants_better(self, answer: WholeAnswer) -> bool:
         """Return whether another target may do better than a failed answer."""
-        failed = answer.head.status >= _SERVER_ERROR
+        failed = answer.head.status >= SERVER_ERROR
         return failed and self._admitted.route.kind is RouteKind.REPEATABLE
 
     def _may_send_again(self, result: AttemptResult) -> bool:
@@ -378,24 +370,3 @@
             charged_tokens=charged,
             cut=self._answerer.cut,
         )
-
-
-def _lower_quartile(pauses_s: list[float]) -> float | None:
-    """Return the pause that a quarter is below, None where there are too few."""
-    if len(pauses_s) < _LEAST_PAUSES:
-        return None
-    return sorted(pauses_s)[len(pauses_s) // 4]
-
-
-def _kind(result: AttemptResult, done: bool) -> AttemptKind:
-    if not done:
-        return AttemptKind.CANCELLED
-    match result.end:
-        case End.ANSWERED:
-            answer = result.answer
-            failed = answer is not None and answer.head.status >= _SERVER_ERROR
-            return AttemptKind.FAILED if failed else AttemptKind.OK
-        case End.NOT_RUN:
-            return AttemptKind.REFUSED
-        case _:
-            return AttemptKind.FAILED
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 from typing import Callable
 
@@ -24,6 +25,8 @@
     :param connect_s: how long a connection may take to come about. Twenty
         times what one between availability zones takes; a target without power
         answers nothing at all.
+    :param refuse_s: how long the answer of a host may take at whose address nobody
+        listens; it comes from the kernel.
     :param most_idle_s: an idle connection older than this is not used, where
         the target says nothing itself.
     :param idle_share: share of the target's own idle time-out after which its
@@ -34,6 +37,7 @@
     """
 
     connect_s: float = 0.25
+    refuse_s: float = 0.1
     most_idle_s: float = 4.0
     idle_share: float = 0.7
     fresh_s: float = 1.0
@@ -73,6 +77,19 @@
         connection.idle_since_s = self.clock()
         kept.append(connection)
 
+    async def refuses(self, address: str) -> bool:
+        """Return whether nobody listens at an address; False where it is not known."""
+        host, _, port = address.rpartition(":")
+        try:
+            with anyio.fail_after(self.limits.refuse_s):
+                stream = await anyio.connect_tcp(host, int(port))
+        except TimeoutError:
+            return False
+        except OSError as error:
+            return _is_refusal(error)
+        await anyio.aclose_forcefully(stream)
+        return False
+
     async def forget(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
@@ -109,3 +126,12 @@
             raise ConnectFailed(str(error)) from error
         self.opened += 1
         return TargetConnection(stream, address, self.clock())
+
+
+def _is_refusal(error: OSError) -> bool:
+    """Return whether an error says that no process listens.
+
+    The library raises an error of its own from the kernel's.
+    """
+    cause = error.__cause__ if error.__cause__ is not None else error
+    return isinstance(cause, OSError) and cause.errno == errno.ECONNREFUSED
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -18,6 +18,7 @@
     "REQUEST_REFUSED",
     "SETTINGS_READ",
     "TARGET_CHANGED",
+    "TARGET_ENDED",
 ]
 
 REQUEST_REFUSED = Event(
@@ -50,7 +51,7 @@
     "relay-attempt-failed",
     Level.WARNING,
     "A send to a target ended without an answer to pass on.",
-    ("request_id", "target", "address", "end", "detail", "events"),
+    ("request_id", "target", "address", "end", "detail", "events", "fingerprint"),
 )
 REQUEST_ENDED = Event(
     9104,
@@ -97,6 +98,13 @@
     "The router believes something else of a target.",
     ("target", "service", "address", "change", "revision"),
 )
+TARGET_ENDED = Event(
+    9115,
+    "relay-target-ended",
+    Level.WARNING,
+    "A target ended, and broke the requests that this router had there.",
+    ("target", "started_ms", "source", "lost", "fingerprints"),
+)
 FEED_LOST = Event(
     9113,
     "relay-feed-lost",
--- a/src/endivegw/telemetry/story.py
+++ b/src/endivegw/telemetry/story.py
@@ -242,6 +242,10 @@
     9102: _placed,
     9103: _failed,
     9104: _ended,
+    9115: lambda found: (
+        f"Target {found['target']} ended ({found['source']}), with {found['lost']} "
+        f"requests of this router."
+    ),
     9110: lambda found: f"Configuration {found['version']} came into force.",
     9112: lambda found: f"Target {found['target']} was {found['change']}.",
     9120: lambda found: "The router started.",
