Reproduce a request that ends each target that runs it; listed red

Stand-in workers now end when a marked request begins to run and are back after a while under another id; the soak's targets are built the same way. Three routers and four engines, nine tries of one request, each once the fleet serves again: it reached 18 targets (6 is the bound); with all routers killed and started anew in between, 16 in eight tries. Both tests fail on this code for that reason (python -m tests tests.test_crashing_requests).

--- a/src/endivegw_standins/platform_fleet.py
+++ b/src/endivegw_standins/platform_fleet.py
@@ -11,6 +11,7 @@
 from typing import Any, AsyncIterator
 
 import anyio
+from anyio.abc import TaskGroup
 from attrs import define, field
 
 from endivegw.composition.direct_router import build_direct_router
@@ -21,13 +22,13 @@
 from endivegw.platform.wire import PlatformWire
 from endivegw.settings.direct import load_direct_router_settings
 from endivegw_standins.platform_store_app import PlatformStoreApp
+from endivegw_standins.platform_target import PlatformTarget
 from endivegw_standins.platform_worker import PlatformWorker
 from endivegw_standins.ports import reserve_datagram_port, reserve_port
 
 __all__ = [
     "CONFIGURATION",
     "PREPAID",
-    "TARGET_ENTRY",
     "PlatformFleet",
     "curl_line",
     "run_platform_fleet",
@@ -63,16 +64,6 @@
 }
 
 
-#: What every target's entry says beside its service and address.
-TARGET_ENTRY = {
-    "Version": "v1",
-    "Slots": 8,
-    "State": "ready",
-    "ColdRemainingMs": 0,
-    "Sequence": 1,
-}
-
-
 @define
 class PlatformFleet:
     """Hold the parts of one fleet; ports are those of the routers, in order."""
@@ -83,6 +74,37 @@
     ports: list[int] = field(factory=list)
     ready_ports: list[int] = field(factory=list)
     metrics_ports: list[int] = field(factory=list)
+    store_port: int = 0
+    tasks: TaskGroup | None = None
+    _scopes: list[anyio.CancelScope] = field(factory=list)
+    _gone: int = 0
+
+    def start_router(self) -> None:
+        """Start one more router, on a vm of its own."""
+        assert self.tasks is not None
+        _build_router(self, f"vm-{self._gone + len(self.routers)}", self.store_port)
+        self._scopes.append(anyio.CancelScope())
+        self.tasks.start_soon(self._run_router, self.routers[-1], self._scopes[-1])
+
+    async def wait_ready(self) -> None:
+        """Wait until every router takes callers."""
+        with anyio.fail_after(10):
+            while not self.ready:
+                await anyio.sleep(0.05)
+
+    def kill_routers(self) -> None:
+        """End all routers at once, without a word; later ones get other ports."""
+        for scope in self._scopes:
+            scope.cancel()
+        for listed in (self.ports, self.ready_ports, self.metrics_ports):
+            listed.clear()
+        self._gone += len(self.routers)
+        self.routers.clear()
+        self._scopes.clear()
+
+    async def _run_router(self, router: DirectRouter, scope: anyio.CancelScope) -> None:
+        with scope:
+            await router.run()
 
     @property
     def ready(self) -> bool:
@@ -123,24 +145,23 @@
 
 
 @contextlib.asynccontextmanager
-async def run_platform_fleet(fleet: PlatformFleet, routers: int) -> AsyncIterator[None]:
+async def run_platform_fleet(
+    fleet: PlatformFleet, routers: int, engines: int = 2
+) -> AsyncIterator[None]:
     """Run a fleet; entered once every router is ready."""
     async with anyio.create_task_group() as tasks:
         _, store_port = await tasks.start(serve_asgi_on_loopback, fleet.store)
-        for name, service in (("e-1", "engine"), ("e-2", "engine"), ("p-1", "plain")):
+        named = [(f"e-{number + 1}", "engine") for number in range(engines)]
+        for name, service in [*named, ("p-1", "plain")]:
             worker = fleet.workers[name] = PlatformWorker(name)
-            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-            port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            tasks.start_soon(listener.serve, worker.serve)
-            entry = {"Service": service, "Address": f"127.0.0.1:{port}", "Zone": "z"}
-            fleet.store.put("servers", name, {**TARGET_ENTRY, **entry})
+            target = PlatformTarget(name, service, worker)
+            tasks.start_soon(target.run, fleet.store)
         fleet.store.put("op", "config", CONFIGURATION)
-        for number in range(routers):
-            _build_router(fleet, f"vm-{number}", store_port)
-            tasks.start_soon(fleet.routers[-1].run)
-        with anyio.fail_after(10):
-            while not fleet.ready:
-                await anyio.sleep(0.05)
+        fleet.store_port = store_port
+        fleet.tasks = tasks
+        for _ in range(routers):
+            fleet.start_router()
+        await fleet.wait_ready()
         yield
         tasks.cancel_scope.cancel()
 
--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -11,6 +11,9 @@
 
 __all__ = ["PlatformWorker", "WorkerRun"]
 
+#: How long a worker runs a request that ends it.
+_END_AFTER_S = 0.03
+
 
 @define
 class WorkerRun:
@@ -34,6 +37,10 @@
     :ivar breaks_after: events after which the next stream breaks off midway.
     :ivar pause_s: between two events.
     :ivar misdirected: requests that were meant for another instance.
+    :ivar ended_by: a request with these bytes in its body ends the worker soon after
+        it began to run; None where none does.
+    :ivar ends: requests that ended the worker, over all its starts.
+    :ivar ended: set when a request has ended this start.
     """
 
     instance_id: str
@@ -43,6 +50,9 @@
     pause_s: float = 0.0
     misdirected: int = 0
     runs: list[WorkerRun] = field(factory=list)
+    ended_by: bytes | None = None
+    ends: list[str] = field(factory=list)
+    ended: anyio.Event = field(factory=anyio.Event)
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection; what runs ends where the caller is gone."""
@@ -91,6 +101,13 @@
             return True
         run = WorkerRun(attempt, fields, body)
         self.runs.append(run)
+        if self.ended_by is not None and self.ended_by in body:
+            await anyio.sleep(_END_AFTER_S)
+            if not self.ended.is_set():
+                self.ends.append(attempt)
+            self.ended.set()
+            # Whoever runs the worker cancels it now.
+            await anyio.sleep_forever()
         if "endivegw-token-counts" not in fields:
             extra = f"endivegw-response-seal: s\r\ncontent-length: {len(body)}\r\n"
             await stream.send(_head(200, attempt, extra) + body)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -123,8 +123,10 @@
 
 
 @contextlib.asynccontextmanager
-async def platform_fleet(routers: int = 1) -> AsyncIterator[AskedFleet]:
+async def platform_fleet(
+    routers: int = 1, engines: int = 2
+) -> AsyncIterator[AskedFleet]:
     """Run a fleet; yields once every router is ready."""
     fleet = AskedFleet()
-    async with run_platform_fleet(fleet, routers):
+    async with run_platform_fleet(fleet, routers, engines):
         yield fleet
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import os
 import pathlib
 import random
@@ -29,8 +30,8 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from attrs import define, field
 
-from endivegw_standins.platform_fleet import TARGET_ENTRY
 from endivegw_standins.platform_store_app import PlatformStoreApp
+from endivegw_standins.platform_target import PlatformTarget
 from endivegw_standins.platform_worker import PlatformWorker
 from endivegw_standins.ports import reserve_datagram_port, reserve_port
 from tests.platform_fleet import CONFIGURATION, serve_asgi_on_loopback
@@ -152,11 +153,12 @@
         self.store_port = await self._serve(self.store_proxy.serve)
         for name, service in (("e-1", "engine"), ("e-2", "engine"), ("p-1", "plain")):
             worker = self.workers[name] = PlatformWorker(name, pause_s=0.02)
-            proxy = Proxy(await self._serve(worker.serve))
+            target = PlatformTarget(name, service, worker)
+            proxy = Proxy(target.port)
             self.proxies.append(proxy)
             address = f"127.0.0.1:{await self._serve(proxy.serve)}"
-            entry = {"Service": service, "Address": address, "Zone": "z"}
-            self.store.put("servers", name, {**TARGET_ENTRY, **entry, "Slots": 16})
+            run = functools.partial(target.run, address=address, slots=16)
+            self.tasks.start_soon(run, self.store)
         self.put_configuration(_PREPAID)
         for number in range(_ROUTERS):
             self._write_settings(number)
