Keep requests that end their targets from further targets, fleet-wide

Under a new id it began anew at every router and reached MaxAttempts targets each time.

Why this works: ends of targets are joined with the requests that were there, under a fingerprint of their content, and spread to all routers by rumour within a second and by a row that outlives them. After the third end that no other request explains the content is refused at once with 503.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -26,6 +26,7 @@
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
 from endivegw.gossip.link import MOST_WITNESSES
 from endivegw.gossip.peers import PEERS_TABLE
+from endivegw.quarantine import QuarantineKeeper
 from endivegw.relay.context import RelayContext
 from endivegw.relay.handler import RequestHandler
 from endivegw.relay.target_ends import TargetEnds
@@ -95,6 +96,8 @@
         named_witnesses=lambda: keeper.book.witnesses.named(),
         clock=clock,
         log=log,
+        on_evidence=lambda evidence: quarantine.hear(evidence),
+        rng=rng,
         most_witnesses=MOST_WITNESSES if mechanisms.witnesses else 0,
     )
     keeper = AllowanceKeeper(
@@ -107,13 +110,15 @@
         _allowance_options(settings),
         started_s=started_s,
     )
+    quarantine = QuarantineKeeper(store, link.spread, rng, clock, log)
     pool = TargetPool(clock)
     context = RelayContext(
         wire=wire,
         keeper=keeper,
         queue=PlacementQueue(dispatcher, clock),
         pool=pool,
-        ends=TargetEnds(pool, clock, log),
+        ends=TargetEnds(pool, quarantine.ended, clock, log),
+        quarantine=quarantine,
         retries=RetryBudget(RetryPolicy(settings.retry_share, settings.retry_burst)),
         rng=rng,
         clock=clock,
@@ -173,6 +178,11 @@
 
     metrics.gauge("hand_tokens", "Prepaid tokens held and not in use.", hand_tokens)
     metrics.gauge("reserved_tokens", "Prepaid tokens in use.", reserved_tokens)
+    metrics.gauge(
+        "quarantined_requests",
+        "Requests that no target gets any more.",
+        lambda: len(context.quarantine.ledger.quarantined(context.clock())),
+    )
     metrics.gauge("configuration_version", "Version in force; 0 for none.", version)
     metrics.gauge(
         "configuration_age_seconds",
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -99,7 +99,7 @@
         """Return whether the balancer should send callers here."""
         context = self._parts.context
         known = context.table is not None and self._parts.keeper.ready
-        return known and not context.draining
+        return known and context.quarantine.asked and not context.draining
 
     async def run(self, *, task_status: Any = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until stopped."""
@@ -111,6 +111,7 @@
             tasks.start_soon(parts.keeper.run)
             tasks.start_soon(parts.context.queue.run)
             tasks.start_soon(parts.link.run)
+            tasks.start_soon(parts.context.quarantine.run)
             tasks.start_soon(self._keep_own_address)
             tasks.start_soon(self._tell_load)
             tasks.start_soon(
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -129,22 +129,17 @@
     ) -> None:
         if before is None:
             self._note(target, "added", revision)
-            self._end_others_at(target)
+            self._context.ends.registered(_start_of(target), target.address)
         elif not before.is_incarnation_of(target):
             # Its sockets died with the earlier start, some without a word: what is
             # sent there would be lost, and nobody could say whether it ran.
             self._context.pool.expire(before.address)
             self._note(target, "restarted", revision)
             self._context.ends.ended(_start_of(before), "restarted")
+            self._context.ends.registered(_start_of(target), target.address)
         elif before.leaving != target.leaving:
             self._note(target, "leaving", revision)
 
-    def _end_others_at(self, newcomer: DirectTarget) -> None:
-        """Take in that a target listens where another one did."""
-        for target in self.view.targets.values():
-            if target.address == newcomer.address and target is not newcomer:
-                self._context.ends.ended(_start_of(target), "address-taken")
-
     def _view(self, target: DirectTarget) -> TargetView:
         table = self._context.table
         kind = ServiceKind.PLAIN
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from typing import Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup, UDPSocket
-from attrs import define, evolve, field
+from attrs import define, field
 
 from endivegw.allowances.lending import PeerSpare
 from endivegw.allowances.witnesses import Statement
@@ -18,6 +19,7 @@
     Inquiry,
     Limits,
     Message,
+    News,
     Offer,
     PeerState,
     PrefixesRead,
@@ -25,8 +27,11 @@
     decode,
     encode,
     prefix_datagrams,
+    shortened,
 )
 from endivegw.gossip.peers import PeerEntry, PeerTable
+from endivegw.gossip.rumours import Rumours
+from endivegw.quarantine import Evidence
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import allowances as events
 from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
@@ -68,6 +73,7 @@
     :param on_read: takes the prefixes that targets read for a peer's callers.
     :param state_limits: returns the statement of a sequence for the witnesses.
     :param named_witnesses: returns the routers whose acknowledgement counts.
+    :param on_evidence: takes what a peer knows of a request that ends targets.
     :param on_offer: credits tokens that a peer debited, once for each ask, also
         where the ask was given up meanwhile: they exist nowhere else.
     """
@@ -87,7 +93,9 @@
         named_witnesses: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], float],
         log: EventLog,
+        on_evidence: Callable[[Evidence], None] = lambda evidence: None,
         most_witnesses: int = MOST_WITNESSES,
+        rng: random.Random | None = None,
     ) -> None:
         self.entry = entry
         self._most_witnesses = most_witnesses
@@ -105,6 +113,8 @@
         self._testimonies: tuple[InstanceId, dict[InstanceId, Statement]] | None = None
         self._clock = clock
         self._log = log
+        self._on_evidence = on_evidence
+        self._rumours = Rumours(self._send_data, peers.entries, rng or random.Random())
         self._socket: UDPSocket | None = None
         #: Offers and statements are sent by tasks of their own; the socket takes
         #: one datagram at a time.
@@ -137,6 +147,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._listen, tasks)
                 tasks.start_soon(self._tell_when_asked)
+                tasks.start_soon(self._rumours.run)
                 while True:
                     await self._state()
                     await anyio.sleep(self.interval_s())
@@ -215,6 +226,10 @@
         self._testimonies = None
         return {name: found[name] for name in witnesses if name in found}
 
+    def spread(self, evidence: Evidence) -> None:
+        """Tell all routers, with the help of those that hear it."""
+        self._rumours.tell(encode(News(self.entry.instance_id, evidence)))
+
     def restate_soon(self) -> None:
         """State the limits without waiting: they fell."""
         self._restated.set()
@@ -308,6 +323,8 @@
                     heard = self.peers.last_statement(about)
                     answer = Testimony(self.entry.instance_id, about, heard)
                     await self._send_to(encode(answer), host, port)
+                case News(_, evidence):
+                    self._on_evidence(evidence)
                 case Testimony(sender, about, statement):
                     if self._testimonies and self._testimonies[0] == about:
                         self._testimonies[1][sender] = statement
@@ -373,7 +390,7 @@
         )
         data = encode(state)
         if len(data) > MOST_BYTES:
-            data = encode(_shortened(state))
+            data = encode(shortened(state))
         prefixes = prefix_datagrams(self.entry.instance_id, self._take_read())
         for peer in self.peers.entries():
             await self._send_to(data, peer.host, peer.port)
@@ -384,6 +401,9 @@
     def _own_load(self) -> dict[TargetName, OwnLoad]:
         return {name: load for name, load in self._load().items() if load.running}
 
+    async def _send_data(self, data: bytes, peer: PeerEntry) -> None:
+        await self._send_to(data, peer.host, peer.port)
+
     async def _send(self, peer: PeerEntry, message: Message) -> None:
         await self._send_to(encode(message), peer.host, peer.port)
 
@@ -395,15 +415,3 @@
         except (OSError, anyio.BrokenResourceError):
             # A peer that is gone shows as silence, which is judged elsewhere.
             return
-
-
-def _shortened(state: PeerState) -> PeerState:
-    """Return a statement that fits one datagram.
-
-    An account that is not named counts as spent here; peers then ask others
-    first. So the accounts with the most to spare are named.
-    """
-    most = 20
-    spare = sorted(state.spare_tokens.items(), key=lambda item: -item[1])[:most]
-    load = sorted(state.load.items(), key=lambda item: -item[1].running)[:most]
-    return evolve(state, spare_tokens=dict(spare), load=dict(load))
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -10,21 +10,31 @@
 import json
 from typing import Any, Iterable
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from endivegw.allowances.witnesses import Statement
 from endivegw.decisions import OwnLoad
+from endivegw.quarantine import (
+    Evidence,
+    Fingerprint,
+    RequestRecord,
+    TargetEnded,
+    read_starts,
+    write_starts,
+)
 from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
 
 __all__ = [
     "Ask",
     "Message",
+    "News",
     "Offer",
     "PeerState",
     "PrefixesRead",
     "decode",
     "encode",
     "prefix_datagrams",
+    "shortened",
 ]
 
 #: The largest datagram that is sent; larger ones would be cut into packets, of
@@ -119,6 +129,14 @@
     prefixes: dict[TargetName, list[bytes]]
 
 
+@frozen
+class News:
+    """Pass on what is known of a request that ends targets, whoever found it out."""
+
+    sender: InstanceId
+    evidence: Evidence
+
+
 Message = (
     PeerState
     | PrefixesRead
@@ -128,6 +146,7 @@
     | Testimony
     | Ask
     | Offer
+    | News
 )
 
 
@@ -176,6 +195,18 @@
                 message.tokens,
                 message.left_tokens,
             ]
+        case News(sender, TargetEnded(start, fingerprints)):
+            pair = [start.instance_id, start.started_ms]
+            document = ["ended", sender, pair, list(fingerprints)]
+        case News(sender, RequestRecord() as record):
+            starts = write_starts(record.ends), write_starts(record.void)
+            document = [
+                "record",
+                sender,
+                record.fingerprint,
+                *starts,
+                record.was_answered,
+            ]
     return json.dumps(document, separators=(",", ":")).encode()
 
 
@@ -216,6 +247,18 @@
                 )
             case "offer", [transfer_id, tokens, left]:
                 return Offer(name, TransferId(str(transfer_id)), int(tokens), int(left))
+            case "ended", [start, fingerprints]:
+                (ended,) = read_starts([start])
+                names = tuple(Fingerprint(str(text)) for text in fingerprints)
+                return News(name, TargetEnded(ended, names))
+            case "record", [fingerprint, ends, void, answered]:
+                record = RequestRecord(
+                    Fingerprint(str(fingerprint)),
+                    read_starts(ends),
+                    read_starts(void),
+                    bool(answered),
+                )
+                return News(name, record)
     except (ValueError, TypeError, AttributeError):
         return None
     return None
@@ -264,3 +307,15 @@
         {ClientAccountName(key): int(limits[key]) for key in limits},
         bool(final),
     )
+
+
+def shortened(state: PeerState) -> PeerState:
+    """Return a statement that fits one datagram.
+
+    An account that is not named counts as spent here; peers then ask others
+    first. So the accounts with the most to spare are named.
+    """
+    most = 20
+    spare = sorted(state.spare_tokens.items(), key=lambda item: -item[1])[:most]
+    load = sorted(state.load.items(), key=lambda item: -item[1].running)[:most]
+    return evolve(state, spare_tokens=dict(spare), load=dict(load))
--- a/src/endivegw/quarantine/lost_sends.py
+++ b/src/endivegw/quarantine/lost_sends.py
@@ -13,7 +13,7 @@
 
 #: How far apart a lost send and the proof that its target ended may be: a target that
 #: starts again at its address within it shows by its new name.
-_JOIN_S = 5.0
+_JOIN_S = 10.0
 
 #: Starts that are remembered; a fleet of 650 targets loses fewer at a time.
 _MOST_STARTS = 1024
@@ -33,6 +33,7 @@
 
 @define
 class _Losses:
+    address: str = ""
     ended_s: float | None = None
     lost: dict[Fingerprint, float] = field(factory=dict)
 
@@ -53,9 +54,12 @@
         losses = self._starts.get(start)
         return losses is not None and losses.ended_s is not None
 
-    def lose(self, start: TargetStart, fingerprint: Fingerprint, now_s: float) -> bool:
+    def lose(
+        self, start: TargetStart, address: str, fingerprint: Fingerprint, now_s: float
+    ) -> bool:
         """Note a lost send; return whether its target is known to have just ended."""
         losses = self._losses(start)
+        losses.address = address
         if losses.ended_s is not None:
             return now_s - losses.ended_s <= _JOIN_S
         losses.lost[fingerprint] = now_s
@@ -71,6 +75,14 @@
         losses.lost.clear()
         return found
 
+    def others_at(self, address: str, start: TargetStart) -> list[TargetStart]:
+        """Return the starts that lost sends at an address where another one is now."""
+        return [
+            known
+            for known, losses in self._starts.items()
+            if losses.address == address and known != start and losses.ended_s is None
+        ]
+
     def _losses(self, start: TargetStart) -> _Losses:
         losses = self._starts.setdefault(start, _Losses())
         self._starts.move_to_end(start)
--- a/src/endivegw/relay/answers.py
+++ b/src/endivegw/relay/answers.py
@@ -23,6 +23,7 @@
     Reason.DEADLINE: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NO_TARGET: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.QUARANTINED: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 #: When to come back where nothing better is known, in seconds.
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -10,6 +10,7 @@
 from endivegw.allowances import AllowanceKeeper
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.decisions import RetryBudget
+from endivegw.quarantine import QuarantineKeeper
 from endivegw.relay.attempt import AttemptLimits
 from endivegw.relay.target_ends import TargetEnds
 from endivegw.relay.target_pool import TargetPool
@@ -38,6 +39,7 @@
     queue: PlacementQueue
     pool: TargetPool
     ends: TargetEnds
+    quarantine: QuarantineKeeper
     retries: RetryBudget
     rng: random.Random
     clock: Callable[[], float]
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from endivegw.quarantine import Fingerprint
 from endivegw.relay.admission import admit
 from endivegw.relay.answers import own_answer
 from endivegw.relay.caller_connection import Answerer
@@ -29,10 +30,21 @@
         if isinstance(admitted, Refused):
             await self._answer_self(None, admitted, answerer)
             return
+        if len(context.quarantine.ledger):
+            fingerprint = admitted.fingerprint
+            refused = context.quarantine.refuse(fingerprint)
+            if refused is not None:
+                request_id = admitted.request_id
+                await self._answer_self(request_id, refused, answerer, fingerprint)
+                return
         await RequestRun(context, admitted, answerer).run()
 
     async def _answer_self(
-        self, request_id: str | None, end: Refused, answerer: Answerer
+        self,
+        request_id: str | None,
+        end: Refused,
+        answerer: Answerer,
+        fingerprint: Fingerprint | None = None,
     ) -> None:
         answer = own_answer(end)
         self._context.metrics.refused(end.reason.value)
@@ -44,6 +56,7 @@
             detail=end.detail,
             status=answer.status,
             version=table.version if table else None,
+            fingerprint=fingerprint,
         )
         fields = self._context.wire.own_answer(request_id) + answer.fields()
         await answerer.whole(answer.status, fields, answer.body())
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -34,6 +34,9 @@
 
 __all__ = ["RequestRun"]
 
+#: The smallest status that is no success.
+_REDIRECTION = 300
+
 #: When a caller should come back whose request a target refused to run: full
 #: targets have let several answers go by then.
 _REFUSED_RETRY_S = 0.2
@@ -133,6 +136,11 @@
         )
         placement = await context.queue.place(item)
         if isinstance(placement, Placement):
+            refused = self._quarantined()
+            if refused is not None:
+                unsent = AttemptResult(End.NOT_SENT, refused.detail)
+                self._report(placement, unsent, False)
+                return refused
             figures = placement.figures
             context.metrics.queued(figures.queued_s)
             if self._progress.sent:
@@ -186,8 +194,23 @@
         if result.broken:
             start = TargetStart(placement.instance_id, placement.started_ms)
             await context.ends.lost(start, placement.address, self._fingerprint())
+        elif result.end is End.ANSWERED:
+            self._note_answer(result)
         return result
 
+    def _quarantined(self) -> Refused | None:
+        """Return why no target may get the request any more."""
+        quarantine = self._context.quarantine
+        if not len(quarantine.ledger):
+            return None
+        return quarantine.refuse(self._fingerprint())
+
+    def _note_answer(self, result: AttemptResult) -> None:
+        """Note that a target ran the request to its end and goes on."""
+        if result.answer is not None and result.answer.head.status >= _REDIRECTION:
+            return
+        self._context.quarantine.answered(self._fingerprint())
+
     def _fingerprint(self) -> Fingerprint:
         """Return the name of the request's content; its body is read once for it."""
         if self._named is None:
@@ -278,6 +301,8 @@
             return False
         if result.end in (End.LOST, End.ANSWERED) and not route.kind.may_repeat:
             return False
+        if result.broken and self._context.quarantine.is_suspect(self._fingerprint()):
+            return False
         return self._context.retries.may_retry(self._context.clock()) is True
 
     async def _pass_on(self, answer: WholeAnswer) -> str:
--- a/src/endivegw/relay/target_ends.py
+++ b/src/endivegw/relay/target_ends.py
@@ -21,12 +21,18 @@
     """Join lost sends with the ends of targets.
 
     :param pool: asked whether anybody listens at a target's address.
+    :param on_ended: takes the requests that were in progress at a target as it ended.
     """
 
     def __init__(
-        self, pool: TargetPool, clock: Callable[[], float], log: EventLog
+        self,
+        pool: TargetPool,
+        on_ended: Callable[[TargetStart, list[Fingerprint]], None],
+        clock: Callable[[], float],
+        log: EventLog,
     ) -> None:
         self._pool = pool
+        self._on_ended = on_ended
         self._clock = clock
         self._log = log
         self._sends = LostSends()
@@ -40,7 +46,7 @@
 
         Returns once it is known whether anybody still listens at the address.
         """
-        if self._sends.lose(start, fingerprint, self._clock()):
+        if self._sends.lose(start, address, fingerprint, self._clock()):
             self._tell(start, "ended-before", [fingerprint])
             return
         asked = self._asking.get(start)
@@ -66,6 +72,11 @@
             return
         self._tell(start, source, self._sends.end(start, self._clock()))
 
+    def registered(self, start: TargetStart, address: str) -> None:
+        """Take in that a start of a target has an address now."""
+        for other in self._sends.others_at(address, start):
+            self.ended(other, "address-taken")
+
     def _tell(
         self, start: TargetStart, source: str, fingerprints: list[Fingerprint]
     ) -> None:
@@ -77,3 +88,4 @@
             lost=len(fingerprints),
             fingerprints=fingerprints[:_MOST_LOGGED],
         )
+        self._on_ended(start, fingerprints)
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -7,6 +7,7 @@
 from typing import Callable
 
 import anyio
+from anyio.abc import SocketStream
 from attrs import define, field, frozen
 
 from endivegw.relay.target_connection import TargetConnection
@@ -27,6 +28,7 @@
         answers nothing at all.
     :param refuse_s: how long the answer of a host may take at whose address nobody
         listens; it comes from the kernel.
+    :param drop_s: how long a new connection is watched for its end.
     :param most_idle_s: an idle connection older than this is not used, where
         the target says nothing itself.
     :param idle_share: share of the target's own idle time-out after which its
@@ -38,6 +40,7 @@
 
     connect_s: float = 0.25
     refuse_s: float = 0.1
+    drop_s: float = 0.02
     most_idle_s: float = 4.0
     idle_share: float = 0.7
     fresh_s: float = 1.0
@@ -78,16 +81,22 @@
         kept.append(connection)
 
     async def refuses(self, address: str) -> bool:
-        """Return whether nobody listens at an address; False where it is not known."""
+        """Return whether nobody listens at an address; False where it is not known.
+
+        A process that ends closes its sockets in any order: a connection that it
+        still took and drops at once is tried once more.
+        """
         host, _, port = address.rpartition(":")
-        try:
-            with anyio.fail_after(self.limits.refuse_s):
-                stream = await anyio.connect_tcp(host, int(port))
-        except TimeoutError:
-            return False
-        except OSError as error:
-            return _is_refusal(error)
-        await anyio.aclose_forcefully(stream)
+        for _ in range(2):
+            try:
+                with anyio.fail_after(self.limits.refuse_s):
+                    stream = await anyio.connect_tcp(host, int(port))
+            except TimeoutError:
+                return False
+            except OSError as error:
+                return _is_refusal(error)
+            if not await _is_dropped(stream, self.limits.drop_s):
+                return False
         return False
 
     async def forget(self, address: str) -> None:
@@ -128,6 +137,18 @@
         return TargetConnection(stream, address, self.clock())
 
 
+async def _is_dropped(stream: SocketStream, within_s: float) -> bool:
+    """Return whether the other end drops a new connection; close it."""
+    try:
+        with anyio.move_on_after(within_s):
+            await stream.receive(1)
+        return False
+    except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
+        return True
+    finally:
+        await anyio.aclose_forcefully(stream)
+
+
 def _is_refusal(error: OSError) -> bool:
     """Return whether an error says that no process listens.
 
--- a/src/endivegw/results.py
+++ b/src/endivegw/results.py
@@ -53,6 +53,7 @@
     CIRCUIT_OPEN = "circuit_open"
     THROTTLED = "throttled"
     TARGET_FAILED = "target_failed"
+    QUARANTINED = "quarantined"
     CANCELLED = "cancelled"
     ANSWER_LOST = "answer_lost"
     STALE_FENCE = "stale_fence"
--- a/src/endivegw/telemetry/catalogue/__init__.py
+++ b/src/endivegw/telemetry/catalogue/__init__.py
@@ -2,7 +2,7 @@
 
 1000 router, 2000 sidecar, 3000 budgets, 4000 configuration, 5000 membership
 and orders, 6000 platform, 7000 operators, 8000 daemons,
-9000 allowances, 9100 relay.
+9000 allowances, 9100 relay, 9200 quarantine.
 """
 
 from endivegw.telemetry.catalogue import (
@@ -13,6 +13,7 @@
     membership,
     operators,
     platform,
+    quarantine,
     relay,
     router,
     sidecar,
@@ -32,6 +33,7 @@
     daemons,
     allowances,
     relay,
+    quarantine,
 )
 
 #: Every event of the product, by number.
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -25,8 +25,8 @@
     9101,
     "relay-request-refused",
     Level.INFO,
-    "A request is not allowed by the configuration in force; it did not run.",
-    ("request_id", "reason", "detail", "status", "version"),
+    "A request was not admitted; it did not run.",
+    ("request_id", "reason", "detail", "status", "version", "fingerprint"),
 )
 REQUEST_PLACED = Event(
     9102,
--- a/src/endivegw/telemetry/story.py
+++ b/src/endivegw/telemetry/story.py
@@ -34,6 +34,9 @@
         "Refused (503): the tokens could not be reached in time. It did not run."
     ),
     "answer_lost": "The target's answer was lost; the request may have run (502).",
+    "quarantined": (
+        "Refused (503): targets ended while they ran it before. It did not run."
+    ),
     "overloaded": "Refused (503): no target could run it in time. It did not run.",
     "cut": "A better answer came too late: the one to the caller had begun.",
 }
@@ -145,6 +148,7 @@
     took_s = max(float(line.fields.get("took_s") or 0.0) for line in own)
     begin_s -= took_s
     vms = {line.vm for line in own}
+    names = {line.fields.get("fingerprint") for line in own} - {None}
     accounts = {line.fields.get("client_account") for line in own} - {None}
     targets = {line.fields.get("target") for line in own} - {None, ""}
     for line in ordered:
@@ -154,7 +158,8 @@
             continue
         of_account = line.fields.get("client_account") in accounts
         of_target = line.fields.get("target") in targets
-        if of_account or of_target or line.event in _OF_PROCESS:
+        of_content = line.fields.get("fingerprint") in names
+        if of_account or of_target or of_content or line.event in _OF_PROCESS:
             yield line
 
 
@@ -228,6 +233,11 @@
     )
 
 
+def _suspected(found: Mapping[str, Any]) -> str:
+    targets = ", ".join(found["targets"])
+    return f"{targets} ended with {found['fingerprint']} (known by {found['source']})"
+
+
 _TELLERS: dict[int, Callable[[Mapping[str, Any]], str]] = {
     9002: _succeeded,
     9004: _short_of_tokens,
@@ -246,6 +256,11 @@
         f"Target {found['target']} ended ({found['source']}), with {found['lost']} "
         f"requests of this router."
     ),
+    9201: lambda found: f"{_suspected(found)}: one target for each attempt.",
+    9202: lambda found: f"{_suspected(found)}: it goes to no target any more.",
+    9203: lambda found: (
+        f"{found['fingerprint']} may go to targets again ({found['source']})."
+    ),
     9110: lambda found: f"Configuration {found['version']} came into force.",
     9112: lambda found: f"Target {found['target']} was {found['change']}.",
     9120: lambda found: "The router started.",
--- a/tests/test_caller_departures.py
+++ b/tests/test_caller_departures.py
@@ -11,7 +11,7 @@
 import anyio
 import h11
 
-from endivegw_standins.platform_fleet import TARGET_ENTRY
+from endivegw_standins.platform_target import TARGET_ENTRY
 from endivegw_standins.platform_worker import WorkerRun
 from tests.platform_fleet import PREPAID, AskedFleet, platform_fleet
 
--- a/tests/test_quarantine_evidence.py
+++ b/tests/test_quarantine_evidence.py
@@ -8,6 +8,7 @@
 from endivegw.types import ClientAccountName, InstanceId
 
 START = TargetStart(InstanceId("e-1"), 5)
+ADDRESS = "10.0.0.1:80"
 ONE, TWO = Fingerprint("one"), Fingerprint("two")
 
 
@@ -39,31 +40,42 @@
     def test_a_cut_connection_alone_is_no_evidence(self) -> None:
         """Guards against blaming requests for connections that the network resets."""
         sends = LostSends()
-        self.assertFalse(sends.lose(START, ONE, 1.0))
+        self.assertFalse(sends.lose(START, ADDRESS, ONE, 1.0))
         self.assertFalse(sends.has_ended(START))
 
     def test_loss_and_end_are_joined_in_either_order(self) -> None:
         """Guards against lost evidence where one connection breaks a moment later."""
         sends = LostSends()
-        sends.lose(START, ONE, 1.0)
+        sends.lose(START, ADDRESS, ONE, 1.0)
         self.assertEqual(sends.end(START, 1.1), [ONE])
-        self.assertTrue(sends.lose(START, TWO, 1.2))
+        self.assertTrue(sends.lose(START, ADDRESS, TWO, 1.2))
         self.assertEqual(sends.end(START, 1.3), [])
 
     def test_a_loss_long_before_the_end_is_no_evidence(self) -> None:
         """Guards against blaming a request for a target that ended much later."""
         sends = LostSends()
-        sends.lose(START, ONE, 1.0)
+        sends.lose(START, ADDRESS, ONE, 1.0)
         self.assertEqual(sends.end(START, 60.0), [])
-        self.assertFalse(sends.lose(START, TWO, 120.0))
+        self.assertFalse(sends.lose(START, ADDRESS, TWO, 120.0))
 
     def test_starts_under_one_id_are_told_apart(self) -> None:
         """Guards against blaming a request for the end of an earlier start."""
         sends = LostSends()
-        sends.lose(START, ONE, 1.0)
+        sends.lose(START, ADDRESS, ONE, 1.0)
         self.assertEqual(sends.end(TargetStart(InstanceId("e-1"), 6), 1.1), [])
         self.assertEqual(sends.end(START, 1.2), [ONE])
 
+    def test_a_newcomer_at_the_address_shows_the_end(self) -> None:
+        """Guards against lost evidence of targets that are soon back."""
+        sends = LostSends()
+        sends.lose(START, ADDRESS, ONE, 1.0)
+        newcomer = TargetStart(InstanceId("e-9"), None)
+        self.assertEqual(sends.others_at(ADDRESS, START), [])
+        self.assertEqual(sends.others_at("10.0.0.2:80", newcomer), [])
+        self.assertEqual(sends.others_at(ADDRESS, newcomer), [START])
+        sends.end(START, 4.0)
+        self.assertEqual(sends.others_at(ADDRESS, newcomer), [])
+
 
 if __name__ == "__main__":
     unittest.main()
