--- a/src/endivegw_standins/engine_app.py
+++ b/src/endivegw_standins/engine_app.py
@@ -98,6 +98,11 @@
             await send_json(send, 404, _error(f"model {prompt.model} is not loaded"))
             return
         assert self._tasks is not None, "the application needs lifespan events"
+        ended_by = self.engine.knobs.ended_by
+        if ended_by is not None and ended_by in prompt.text:
+            self.engine.end()
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            raise _Broken("the process of the stand-in ended")
         generation = self.engine.open(header(scope, b"x-request-id"), prompt)
         self._tasks.start_soon(self.engine.run, generation)
         await self._stream(generation, 0, receive, send, may_break=True)
--- a/src/endivegw_standins/engine_model.py
+++ b/src/endivegw_standins/engine_model.py
@@ -42,6 +42,8 @@
     :ivar freeze_reports: report the load of the moment it was set, for good.
     :ivar break_after_pieces: cut the connection of each stream there; the
         generation itself runs on and can be resumed.
+    :ivar ended_by: a prompt with this text ends the engine's process as it begins to
+        run; the engine is back at once and remembers nothing of its generations.
     :ivar resume_grace_s: how long a generation runs without a reader.
     :ivar order_s: how long an order takes.
     """
@@ -54,6 +56,7 @@
     freeze_reports: bool = False
     report_lag_s: float = 0.2
     break_after_pieces: int | None = None
+    ended_by: str | None = None
     resume_grace_s: float = 1.0
     checks_fence: bool = True
     order_s: float = 0.0
@@ -122,6 +125,8 @@
     models: set[str] = field(factory=lambda: {"badge-1"})
     role: str = "both"
     knobs: EngineKnobs = field(factory=EngineKnobs)
+    #: How often a prompt ended it.
+    ends: int = 0
     seed: int = 1
     consumed: dict[str, Consumed] = field(factory=dict)
     orders: list[AppliedOrder] = field(factory=list)
@@ -147,6 +152,14 @@
         counts = self.consumed.values()
         return sum(one.prompt_tokens + one.completion_tokens for one in counts)
 
+    def end(self) -> None:
+        """End as a process does, with all that runs, and start again."""
+        self.ends += 1
+        for generation in self.generations.values():
+            generation.cancelled = True
+            generation.wake()
+        self.generations.clear()
+
     def open(self, attempt_id: str, prompt: Prompt) -> Generation:
         """Register a generation before it runs."""
         generation = Generation(attempt_id, prompt)
--- /dev/null
+++ b/tests/test_crashing_calls.py
@@ -0,0 +1,44 @@
+"""A generation that ends each engine that runs it, in the fleet with sidecars."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from endivegw.dev.fleet import DevFleet
+from tests.test_path import chat, post, running_fleet
+
+DEADLY = "a prompt that ends its engine"
+
+#: Engines that one content may end: three, and three more until all know.
+MOST_ENDS = 6
+
+
+async def ask_deadly(fleet: DevFleet, router: int) -> None:
+    """Ask one router for what ends engines."""
+    await post(fleet, "/v1/chat/completions", chat(DEADLY), router=router)
+
+
+class CrashingCallTests(unittest.TestCase):
+    """Play a caller that sends the same generation to both routers."""
+
+    def test_a_generation_that_ends_its_engines_is_kept_from_the_others(self) -> None:
+        """Guards against one generation that takes down engine after engine."""
+
+        async def play() -> None:
+            async with running_fleet() as fleet:
+                for engine in fleet.engines.values():
+                    engine.knobs.ended_by = DEADLY
+                for calls in (1, 3):
+                    async with anyio.create_task_group() as tasks:
+                        for number in range(calls):
+                            tasks.start_soon(ask_deadly, fleet, number % 2)
+                ends = sum(engine.ends for engine in fleet.engines.values())
+                self.assertLessEqual(ends, MOST_ENDS)
+
+        anyio.run(play)
+
+
+if __name__ == "__main__":
+    unittest.main()
