Read and log what an answer says of its target: that it leaves, that it wants a pause

The adapter reads Server-Leaving of every answer and Retry-After of a 503; event 9116 tells them with the request, and 9112 says where a belief about a target came from. Answers to earlier requests on a connection count as well, the word of another instance (421) does not. Nothing is decided by it yet. Stand-in workers can say both.

--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -168,6 +168,8 @@
             address=target.address,
             change=change,
             revision=revision,
+            source="row" if revision else "answer",
+            age_s=None,
         )
 
 
--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from endivegw.relay.wire import (
     AnswerMarks,
     CallerMarks,
@@ -23,6 +25,8 @@
 #: Engines call the cached tokens of a prompt its keys and values.
 _COPY_FROM = b"kv-fetch"
 _NOT_RUN = b"endivegw-not-executed"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _LAST_EVENT = b"last-event-id"
 _AUTHORIZATION = b"authorization"
 
@@ -50,6 +54,9 @@
 #: Status of a target at whose address another instance answers now.
 _MISDIRECTED = 421
 
+#: Status by which a target turns a request away; it may say for how long.
+_UNAVAILABLE = 503
+
 
 class PlatformWire:
     """Read and write the platform's header fields."""
@@ -92,7 +99,13 @@
         found = dict(fields)
         replaced = status == _MISDIRECTED
         not_run = _NOT_RUN in found or replaced
-        return AnswerMarks(_text(found.get(_ATTEMPT_ID)), not_run, replaced)
+        # Another instance speaks for itself, not for the one that was meant.
+        leaving = found.get(_LEAVING, b"").strip() == b"1" and not replaced
+        pause_s = None
+        if status == _UNAVAILABLE:
+            pause_s = _pause_s(found.get(_RETRY_AFTER))
+        request_id = _text(found.get(_ATTEMPT_ID))
+        return AnswerMarks(request_id, not_run, replaced, leaving, pause_s)
 
     def own_answer(self, request_id: str | None) -> HeaderFields:
         """Return the fields that an answer of the router itself carries."""
@@ -113,6 +126,15 @@
     return None if value is None else int(value) / 1000.0
 
 
+def _pause_s(value: bytes | None) -> float | None:
+    """Return the seconds of a field; None where it holds no time to wait."""
+    try:
+        found = float(value or b"")
+    except ValueError:
+        return None
+    return found if math.isfinite(found) and found > 0.0 else None
+
+
 def _key(value: bytes | None) -> str | None:
     scheme, _, key = (value or b"").partition(b" ")
     if scheme.lower() != b"bearer" or not key.strip():
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -16,7 +16,7 @@
     TargetConnection,
 )
 from endivegw.relay.target_pool import ConnectFailed, TargetPool
-from endivegw.relay.wire import HeaderFields, WirePort
+from endivegw.relay.wire import AnswerMarks, HeaderFields, WirePort
 
 __all__ = ["Attempt", "AttemptLimits", "AttemptResult", "End", "WholeAnswer"]
 
@@ -89,6 +89,8 @@
     :param pass_head: called with the head and the first whole event.
     :param pass_events: called with whole events.
     :param on_first: called when the answer has begun.
+    :param on_marks: takes what the head of an answer says, of an answer to an earlier
+        request on the connection too: the same target says it.
     :param cancel_if_left: called right before the request is sent; cancels it where
         its caller has left.
     :ivar sent: whether any byte of the request may have reached the target.
@@ -103,6 +105,7 @@
         pass_head: Callable[[TargetHead, bytes], Awaitable[None]],
         pass_events: Callable[[bytes], Awaitable[None]],
         on_first: Callable[[], None],
+        on_marks: Callable[[AnswerMarks], None],
         cancel_if_left: Callable[[], None],
     ) -> None:
         self._pool = pool
@@ -112,7 +115,9 @@
         self._pass_head = pass_head
         self._pass_events = pass_events
         self._on_first = on_first
+        self._on_marks = on_marks
         self._cancel_if_left = cancel_if_left
+        self._marks = AnswerMarks(None, False)
         self.sent = False
 
     async def run(
@@ -164,7 +169,7 @@
                 head = await connection.ask(outgoing, self._is_own)
         except TimeoutError:
             return AttemptResult(End.LOST, f"silent for {silence_s:g} s")
-        marks = self._wire.read_answer(head.status, head.fields)
+        marks = self._marks
         if stream and head.status == _OK:
             return await self._pass_stream(connection, head, silence_s)
         body = await self._read_whole(connection)
@@ -181,10 +186,11 @@
         Answers by which a target refuses before it read the request may bear no
         id; one that bears another request's id is that request's.
         """
-        found = self._wire.read_answer(status, fields).request_id
-        if found is None:
+        marks = self._marks = self._wire.read_answer(status, fields)
+        self._on_marks(marks)
+        if marks.request_id is None:
             return status >= 400
-        return found == self._request_id
+        return marks.request_id == self._request_id
 
     async def _read_whole(self, connection: TargetConnection) -> bytes:
         parts: list[bytes] = []
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -27,7 +27,7 @@
     lower_quartile,
 )
 from endivegw.relay.target_connection import Outgoing
-from endivegw.relay.wire import SendMarks
+from endivegw.relay.wire import AnswerMarks, SendMarks
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.routing import RouteKind
 from endivegw.telemetry.catalogue import relay as events
@@ -173,6 +173,7 @@
             self._pass_head,
             self._pass_events,
             self._note_first,
+            lambda marks: self._note_marks(placement, marks),
             self._answerer.cancel_if_left,
         )
         progress.target = placement.target
@@ -205,6 +206,18 @@
             return None
         return quarantine.refuse(self._fingerprint())
 
+    def _note_marks(self, placement: Placement, marks: AnswerMarks) -> None:
+        """Take in what a target says of itself beside its answer."""
+        if not marks.leaving and marks.pause_s is None:
+            return
+        self._context.log.emit(
+            events.TARGET_SAID,
+            request_id=self._admitted.request_id,
+            target=placement.target,
+            leaving=marks.leaving,
+            pause_s=marks.pause_s,
+        )
+
     def _note_answer(self, result: AttemptResult) -> None:
         """Note that a target ran the request to its end and goes on."""
         if result.answer is not None and result.answer.head.status >= _REDIRECTION:
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -80,11 +80,16 @@
     :param request_id: whose answer it is; None where it does not say.
     :param not_run: whether the target states that it did not run the request.
     :param replaced: whether it is another instance than the one that was meant.
+    :param leaving: whether the target says that it leaves.
+    :param pause_s: for how long the target wants nothing more; None where it does not
+        say.
     """
 
     request_id: str | None
     not_run: bool
     replaced: bool = False
+    leaving: bool = False
+    pause_s: float | None = None
 
 
 class WirePort(Protocol):
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -19,6 +19,7 @@
     "SETTINGS_READ",
     "TARGET_CHANGED",
     "TARGET_ENDED",
+    "TARGET_SAID",
 ]
 
 REQUEST_REFUSED = Event(
@@ -96,7 +97,7 @@
     "relay-target-changed",
     Level.INFO,
     "The router believes something else of a target.",
-    ("target", "service", "address", "change", "revision"),
+    ("target", "service", "address", "change", "revision", "source", "age_s"),
 )
 TARGET_ENDED = Event(
     9115,
@@ -105,6 +106,13 @@
     "A target ended, and broke the requests that this router had there.",
     ("target", "started_ms", "source", "lost", "fingerprints"),
 )
+TARGET_SAID = Event(
+    9116,
+    "relay-target-said",
+    Level.INFO,
+    "An answer of a target says that it leaves, or that it wants nothing for a time.",
+    ("request_id", "target", "leaving", "pause_s"),
+)
 FEED_LOST = Event(
     9113,
     "relay-feed-lost",
--- a/src/endivegw/telemetry/story.py
+++ b/src/endivegw/telemetry/story.py
@@ -261,6 +261,10 @@
     9203: lambda found: (
         f"{found['fingerprint']} may go to targets again ({found['source']})."
     ),
+    9116: lambda found: (
+        f"{found['target']} said in an answer: "
+        + ("it leaves." if found["leaving"] else f"nothing for {found['pause_s']} s.")
+    ),
     9110: lambda found: f"Configuration {found['version']} came into force.",
     9112: lambda found: f"Target {found['target']} was {found['change']}.",
     9120: lambda found: "The router started.",
--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -35,8 +35,12 @@
     :ivar instance_id: requests meant for another one are refused.
     :ivar sheds: how many requests from now on are refused without running.
     :ivar breaks_after: events after which the next stream breaks off midway.
-    :ivar pause_s: between two events.
+    :ivar event_pause_s: between two events.
     :ivar misdirected: requests that were meant for another instance.
+    :ivar leaving: whether it says in each answer that it leaves.
+    :ivar pause_s: what it asks for with each request that it turns away; None for
+        nothing.
+    :ivar turned_away: requests that it turned away.
     :ivar ended_by: a request with these bytes in its body ends the worker soon after
         it began to run; None where none does.
     :ivar ends: requests that ended the worker, over all its starts.
@@ -47,9 +51,12 @@
     events: int = 5
     sheds: int = 0
     breaks_after: int | None = None
-    pause_s: float = 0.0
+    event_pause_s: float = 0.0
     misdirected: int = 0
     runs: list[WorkerRun] = field(factory=list)
+    leaving: bool = False
+    pause_s: str | None = None
+    turned_away: int = 0
     ended_by: bytes | None = None
     ends: list[str] = field(factory=list)
     ended: anyio.Event = field(factory=anyio.Event)
@@ -92,12 +99,15 @@
         attempt = fields.get("endivegw-attempt-id", "")
         if fields.get("endivegw-expect-instance") != self.instance_id:
             self.misdirected += 1
-            await stream.send(_head(421, attempt, "content-length: 0\r\n"))
+            await stream.send(self._head(421, attempt, "content-length: 0\r\n"))
             return True
         if self.sheds:
             self.sheds -= 1
+            self.turned_away += 1
             extra = "endivegw-not-executed: 1\r\ncontent-length: 0\r\n"
-            await stream.send(_head(503, attempt, extra))
+            if self.pause_s is not None:
+                extra += f"retry-after: {self.pause_s}\r\n"
+            await stream.send(self._head(503, attempt, extra))
             return True
         run = WorkerRun(attempt, fields, body)
         self.runs.append(run)
@@ -110,7 +120,7 @@
             await anyio.sleep_forever()
         if "endivegw-token-counts" not in fields:
             extra = f"endivegw-response-seal: s\r\ncontent-length: {len(body)}\r\n"
-            await stream.send(_head(200, attempt, extra) + body)
+            await stream.send(self._head(200, attempt, extra) + body)
             return True
         return await self._stream(stream, run)
 
@@ -119,7 +129,7 @@
             "endivegw-response-seal: s\r\ncontent-type: text/event-stream\r\n"
             "transfer-encoding: chunked\r\n"
         )
-        await stream.send(_head(200, run.request_id, extra))
+        await stream.send(self._head(200, run.request_id, extra))
         first = int(run.fields.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: {number}\n\n".encode()
@@ -130,11 +140,12 @@
                 return False
             await stream.send(b"%x\r\n%b\r\n" % (len(event), event))
             run.events += 1
-            await anyio.sleep(self.pause_s)
+            await anyio.sleep(self.event_pause_s)
         await stream.send(b"0\r\n\r\n")
         return True
 
-
-def _head(status: int, attempt: str, extra: str) -> bytes:
-    lines = f"HTTP/1.1 {status} X\r\nendivegw-attempt-id: {attempt}\r\n{extra}\r\n"
-    return lines.encode()
+    def _head(self, status: int, attempt: str, extra: str) -> bytes:
+        if self.leaving:
+            extra += "server-leaving: 1\r\n"
+        lines = f"HTTP/1.1 {status} X\r\nendivegw-attempt-id: {attempt}\r\n"
+        return f"{lines}{extra}\r\n".encode()
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -152,7 +152,7 @@
         self.store_proxy.port = port
         self.store_port = await self._serve(self.store_proxy.serve)
         for name, service in (("e-1", "engine"), ("e-2", "engine"), ("p-1", "plain")):
-            worker = self.workers[name] = PlatformWorker(name, pause_s=0.02)
+            worker = self.workers[name] = PlatformWorker(name, event_pause_s=0.02)
             target = PlatformTarget(name, service, worker)
             proxy = Proxy(target.port)
             self.proxies.append(proxy)
--- a/tests/test_caller_departures.py
+++ b/tests/test_caller_departures.py
@@ -60,7 +60,7 @@
 async def _open_connections_to_targets(fleet: AskedFleet) -> None:
     """Leave kept connections, so that a request that was read is sent at once."""
     for worker in fleet.workers.values():
-        worker.pause_s = 0.02
+        worker.event_pause_s = 0.02
     async with anyio.create_task_group() as tasks:
         for route in _ROUTES * 4:
             tokens = (100, 40) if route == "chat" else None
--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -250,7 +250,7 @@
         async def play() -> None:
             async with platform_fleet() as fleet:
                 for worker in fleet.workers.values():
-                    worker.pause_s = 0.7
+                    worker.event_pause_s = 0.7
                 streams = []
 
                 async def watch() -> None:
