--- a/src/endivegw_standins/platform_store_app.py
+++ b/src/endivegw_standins/platform_store_app.py
@@ -27,10 +27,12 @@
     """Serve the store's calls as an ASGI application.
 
     :ivar down: whether every call is answered 503.
+    :ivar unread: tables whose reads are answered 503.
     :ivar lost_answers: how many writes from now on take effect without an answer.
     """
 
     down: bool = False
+    unread: set[str] = field(factory=set)
     lost_answers: int = 0
     revision: int = 0
     _rows: dict[tuple[str, str], _Row] = field(factory=dict)
@@ -74,10 +76,8 @@
         status = 503
         document: dict[str, Any] = {}
         lost = False
-        if not self.down:
-            query = {
-                k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()
-            }
+        query = {k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()}
+        if not self.down and query.get("Table") not in self.unread:
             match scope["path"]:
                 case "/rows-tx":
                     status, document = self._transact(json.loads(body))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,7 +24,7 @@
 from endivegw.results import Refused
 from endivegw.routing import RouteKind, ServiceKind
 from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
-from endivegw_standins.platform_fleet import TARGET_ENTRY
+from endivegw_standins.platform_target import TARGET_ENTRY
 
 CONFIGURATION = {
     "Version": 7,
--- a/tests/test_target_entries.py
+++ b/tests/test_target_entries.py
@@ -17,11 +17,12 @@
 from endivegw.platform.command import PlatformDecoder
 from endivegw.platform.configuration import DecodeError, decode_target
 from endivegw.platform.store import _rows
+from endivegw.relay.target_ends import TargetEnds
 from endivegw.relay.target_pool import TargetPool
 from endivegw.services.row_store import StoredRow
 from endivegw.telemetry import EventLog
 from endivegw.types import AvailabilityZone, InstanceId, Priority
-from endivegw_standins.platform_fleet import TARGET_ENTRY
+from endivegw_standins.platform_target import TARGET_ENTRY
 
 STARTED_MS = 1_790_000_000_000
 
@@ -67,8 +68,11 @@
         )
         queue = types.SimpleNamespace(dispatcher=self.dispatcher, kick=lambda: None)
         self.pool = TargetPool(lambda: 0.0)
-        context = types.SimpleNamespace(table=None, queue=queue, pool=self.pool)
         log = EventLog("router", vm="vm-0")
+        ends = TargetEnds(self.pool, lambda start, names: None, lambda: 0.0, log)
+        context = types.SimpleNamespace(
+            table=None, queue=queue, pool=self.pool, ends=ends
+        )
         self.reader = TargetReader(context, PlatformDecoder(), lambda: 0.0, log)
         self.placed = 0
 
