Believe targets that say in their answers that they leave, or that they want a pause

Retry-After of a target's 503 was not read either: callers were told 0.2 s whatever the target had asked for, and the next request went there at once.

Why this works: what the head of any answer says is taken in as it is read. Leaving belongs to one start of a target: no row takes it back, a new start does, and the other routers hear of it by rumour. A pause belongs to one start and this router; nothing is placed there until it is over, a little later at each router. What was placed before asks once more right before it is sent. Where no target takes work, callers and queued work are answered at once, with the time at which the first is back.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -25,8 +25,9 @@
 from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
 from endivegw.gossip.link import MOST_WITNESSES
+from endivegw.gossip.messages import TargetLeaving
 from endivegw.gossip.peers import PEERS_TABLE
-from endivegw.quarantine import QuarantineKeeper
+from endivegw.quarantine import Evidence, QuarantineKeeper, TargetStart
 from endivegw.relay.context import RelayContext
 from endivegw.relay.handler import RequestHandler
 from endivegw.relay.target_ends import TargetEnds
@@ -96,7 +97,7 @@
         named_witnesses=lambda: keeper.book.witnesses.named(),
         clock=clock,
         log=log,
-        on_evidence=lambda evidence: quarantine.hear(evidence),
+        on_news=lambda told: on_news(told),
         rng=rng,
         most_witnesses=MOST_WITNESSES if mechanisms.witnesses else 0,
     )
@@ -129,6 +130,19 @@
     targets = TargetReader(context, decoder, clock, log)
     context.on_replaced = targets.replaced
 
+    def on_leaving(start: TargetStart, source: str) -> None:
+        if targets.leaving(start, source):
+            link.spread(TargetLeaving(start))
+
+    context.on_leaving = on_leaving
+
+    def on_news(told: Evidence | TargetLeaving) -> None:
+        match told:
+            case TargetLeaving(start):
+                on_leaving(start, "peer")
+            case _:
+                quarantine.hear(told)
+
     def on_configuration() -> None:
         if context.table is not None:
             keeper.set_prepaid(context.table.prepaid_tokens())
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -36,6 +36,9 @@
         #: Starts that are gone for good, whatever the registry still says. A later
         #: start under the same id is not among them.
         self._replaced: set[tuple[InstanceId, int | None]] = set()
+        #: Starts that said that they leave, and when this router heard of it. No row
+        #: that still says ready takes it back: it was written before.
+        self._leaving: dict[TargetStart, float] = {}
         #: Rows that could not be used when they were read last.
         self._unusable: set[str] = set()
 
@@ -75,9 +78,23 @@
         target = self.view.targets.get(instance_id)
         if target is not None and target.started_ms == started_ms:
             self.view.drop(instance_id)
-            self._note(target, "replaced", 0)
+            self._note(target, "replaced", 0, "answer")
             self.apply()
 
+    def leaving(self, start: TargetStart, source: str) -> bool:
+        """Send a start of a target nothing more; return whether that is news.
+
+        :param source: ``answer`` or ``peer``.
+        """
+        if start in self._leaving:
+            return False
+        self._leaving[start] = self._clock()
+        target = self.view.targets.get(start.instance_id)
+        if target is not None and _start_of(target) == start and not target.leaving:
+            self._note(target, "leaving", 0, source)
+            self.apply()
+        return True
+
     def settle(self) -> None:
         """Drop targets that stayed missing after the registry's return."""
         if self.view.settle(self._clock()):
@@ -155,12 +172,15 @@
             availability_zone=target.availability_zone,
             models=frozenset({prefix + target.service}),
             slots=target.slots,
-            draining=target.leaving,
+            draining=target.leaving or _start_of(target) in self._leaving,
             started_ms=target.started_ms,
             copy_s_per_token=copy_s_per_token,
         )
 
-    def _note(self, target: DirectTarget, change: str, revision: int) -> None:
+    def _note(
+        self, target: DirectTarget, change: str, revision: int, source: str = "row"
+    ) -> None:
+        heard_s = self._leaving.get(_start_of(target))
         self._log.emit(
             events.TARGET_CHANGED,
             target=target.instance_id,
@@ -168,8 +188,8 @@
             address=target.address,
             change=change,
             revision=revision,
-            source="row" if revision else "answer",
-            age_s=None,
+            source=source,
+            age_s=None if heard_s is None else round(self._clock() - heard_s, 3),
         )
 
 
--- a/src/endivegw/decisions/backlog.py
+++ b/src/endivegw/decisions/backlog.py
@@ -11,7 +11,9 @@
 from endivegw.decisions.work import Expired, Placement, Queued, WorkItem
 from endivegw.results import Reason, Refused
 
-__all__ = ["Backlog"]
+__all__ = ["NOBODY_TAKES_WORK", "Backlog"]
+
+NOBODY_TAKES_WORK = "no target takes work now"
 
 
 @define(eq=False)
@@ -101,6 +103,14 @@
         shares = pool.queue.shares
         return shares.ahead_s(item, held_s, latest_s) / max(1, shares.running)
 
+    def give_up_all(
+        self, pool: Pool, retry_s: float, decided: list[Placement | Expired]
+    ) -> None:
+        """Answer all queued work of a model that no target takes."""
+        for entry in list(pool.queue.entries()):
+            pool.queue.remove(entry)
+            decided.append(Expired(entry.item, NOBODY_TAKES_WORK, retry_s))
+
     def give_up(
         self, pool: Pool, now_s: float, decided: list[Placement | Expired]
     ) -> None:
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -10,6 +10,7 @@
 from endivegw.decisions.affinity import CachedPrefixes, PrefixIndex
 from endivegw.decisions.estimates import Estimates, ModelSpeed
 from endivegw.decisions.fetch import NO_COPY, Copy, CopySources
+from endivegw.decisions.holdoffs import is_held_off
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.pool import Pool
 from endivegw.decisions.target_state import TargetState
@@ -59,6 +60,7 @@
     :param plain: whether it is for a plain service.
     """
 
+    now_s: float
     item: WorkItem
     speed: ModelSpeed
     share: float
@@ -119,6 +121,7 @@
             sources = CopySources.among(self.targets, cached.read, item.model)
         plain = item.model.startswith(SERVICE_PREFIX)
         return _Need(
+            now_s,
             item,
             self.estimates.speed(item.model),
             self.policy.slots_share(item.priority),
@@ -171,6 +174,8 @@
         """
         if state.draining or state.view.draining:
             return False
+        if is_held_off(state, need.now_s):
+            return False
         item = need.item
         if item.excluded and state.view.target in item.excluded:
             return False
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -64,6 +64,8 @@
     :param prefix_entries: bound of the prefix index.
     :param prefix_ttl_s: how long a prefix is believed cached without news.
     :param recheck_s: how often queued work looks for a free slot unasked.
+    :param holdoff_wait_s: how long work may wait while all targets want nothing;
+        where the first is back later, callers are told when.
 
     Estimates before anything was measured:
 
@@ -123,6 +125,7 @@
     prefix_entries: int = 20_000
     prefix_ttl_s: float = 300.0
     recheck_s: float = 0.05
+    holdoff_wait_s: float = 0.25
 
     prior_first_s: float = 0.05
     prior_prefill_tokens_per_s: float = 4000.0
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -52,6 +52,7 @@
     :param pending_tokens: prompt tokens sent there that are still being read.
     :param pace_s: usual time between two pieces of its answers; 0 before any.
     :param others_pending_tokens: the same of other routers, as last reported.
+    :param held_off_until_s: until when it wants nothing of this router.
     """
 
     view: TargetView
@@ -68,6 +69,7 @@
     others_pending_tokens: int = 0
     pace_s: float = 0.0
     next_probe_s: float = 0.0
+    held_off_until_s: float = 0.0
     same_reports: int = 0
     moved: bool = False
     believed: bool = True
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -23,6 +23,7 @@
     Offer,
     PeerState,
     PrefixesRead,
+    TargetLeaving,
     Testimony,
     decode,
     encode,
@@ -73,7 +74,7 @@
     :param on_read: takes the prefixes that targets read for a peer's callers.
     :param state_limits: returns the statement of a sequence for the witnesses.
     :param named_witnesses: returns the routers whose acknowledgement counts.
-    :param on_evidence: takes what a peer knows of a request that ends targets.
+    :param on_news: takes what a peer passes on.
     :param on_offer: credits tokens that a peer debited, once for each ask, also
         where the ask was given up meanwhile: they exist nowhere else.
     """
@@ -93,7 +94,7 @@
         named_witnesses: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], float],
         log: EventLog,
-        on_evidence: Callable[[Evidence], None] = lambda evidence: None,
+        on_news: Callable[[Evidence | TargetLeaving], None] = lambda told: None,
         most_witnesses: int = MOST_WITNESSES,
         rng: random.Random | None = None,
     ) -> None:
@@ -113,7 +114,7 @@
         self._testimonies: tuple[InstanceId, dict[InstanceId, Statement]] | None = None
         self._clock = clock
         self._log = log
-        self._on_evidence = on_evidence
+        self._on_news = on_news
         self._rumours = Rumours(self._send_data, peers.entries, rng or random.Random())
         self._socket: UDPSocket | None = None
         #: Offers and statements are sent by tasks of their own; the socket takes
@@ -226,9 +227,9 @@
         self._testimonies = None
         return {name: found[name] for name in witnesses if name in found}
 
-    def spread(self, evidence: Evidence) -> None:
+    def spread(self, told: Evidence | TargetLeaving) -> None:
         """Tell all routers, with the help of those that hear it."""
-        self._rumours.tell(encode(News(self.entry.instance_id, evidence)))
+        self._rumours.tell(encode(News(self.entry.instance_id, told)))
 
     def restate_soon(self) -> None:
         """State the limits without waiting: they fell."""
@@ -323,8 +324,8 @@
                     heard = self.peers.last_statement(about)
                     answer = Testimony(self.entry.instance_id, about, heard)
                     await self._send_to(encode(answer), host, port)
-                case News(_, evidence):
-                    self._on_evidence(evidence)
+                case News(_, told):
+                    self._on_news(told)
                 case Testimony(sender, about, statement):
                     if self._testimonies and self._testimonies[0] == about:
                         self._testimonies[1][sender] = statement
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -19,6 +19,7 @@
     Fingerprint,
     RequestRecord,
     TargetEnded,
+    TargetStart,
     read_starts,
     write_starts,
 )
@@ -31,6 +32,7 @@
     "Offer",
     "PeerState",
     "PrefixesRead",
+    "TargetLeaving",
     "decode",
     "encode",
     "prefix_datagrams",
@@ -129,12 +131,19 @@
     prefixes: dict[TargetName, list[bytes]]
 
 
+@frozen
+class TargetLeaving:
+    """Say that a start of a target leaves, by its own word in an answer."""
+
+    start: TargetStart
+
+
 @frozen
 class News:
-    """Pass on what is known of a request that ends targets, whoever found it out."""
+    """Pass on what concerns all routers, whoever found it out."""
 
     sender: InstanceId
-    evidence: Evidence
+    told: Evidence | TargetLeaving
 
 
 Message = (
@@ -195,6 +204,8 @@
                 message.tokens,
                 message.left_tokens,
             ]
+        case News(sender, TargetLeaving(start)):
+            document = ["leaving", sender, [start.instance_id, start.started_ms]]
         case News(sender, TargetEnded(start, fingerprints)):
             pair = [start.instance_id, start.started_ms]
             document = ["ended", sender, pair, list(fingerprints)]
@@ -247,6 +258,9 @@
                 )
             case "offer", [transfer_id, tokens, left]:
                 return Offer(name, TransferId(str(transfer_id)), int(tokens), int(left))
+            case "leaving", [start]:
+                (leaving,) = read_starts([start])
+                return News(name, TargetLeaving(leaving))
             case "ended", [start, fingerprints]:
                 (ended,) = read_starts([start])
                 names = tuple(Fingerprint(str(text)) for text in fingerprints)
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -30,6 +30,8 @@
     ANSWERED = "answered"
     #: Nothing was sent.
     NOT_SENT = "not-sent"
+    #: Nothing was sent: by then the target took no more work.
+    HELD_BACK = "held-back"
     #: The target says that it did not run the request.
     NOT_RUN = "not-run"
     #: No whole answer came; the request may have run.
@@ -89,6 +91,8 @@
     :param pass_head: called with the head and the first whole event.
     :param pass_events: called with whole events.
     :param on_first: called when the answer has begun.
+    :param may_send: called right before the request is sent; returns whether the target
+        still takes work. It may have said otherwise while a connection came about.
     :param on_marks: takes what the head of an answer says, of an answer to an earlier
         request on the connection too: the same target says it.
     :param cancel_if_left: called right before the request is sent; cancels it where
@@ -105,6 +109,7 @@
         pass_head: Callable[[TargetHead, bytes], Awaitable[None]],
         pass_events: Callable[[bytes], Awaitable[None]],
         on_first: Callable[[], None],
+        may_send: Callable[[], bool],
         on_marks: Callable[[AnswerMarks], None],
         cancel_if_left: Callable[[], None],
     ) -> None:
@@ -115,6 +120,7 @@
         self._pass_head = pass_head
         self._pass_events = pass_events
         self._on_first = on_first
+        self._may_send = may_send
         self._on_marks = on_marks
         self._cancel_if_left = cancel_if_left
         self._marks = AnswerMarks(None, False)
@@ -143,6 +149,8 @@
         try:
             self._cancel_if_left()
             await anyio.lowlevel.checkpoint_if_cancelled()
+            if not self._may_send():
+                return AttemptResult(End.HELD_BACK, "the target takes no more work")
             clean = False
             self.sent = True
             result = await self._exchange(connection, outgoing, stream, silence_s)
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -10,7 +10,7 @@
 from endivegw.allowances import AllowanceKeeper
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.decisions import RetryBudget
-from endivegw.quarantine import QuarantineKeeper
+from endivegw.quarantine import QuarantineKeeper, TargetStart
 from endivegw.relay.attempt import AttemptLimits
 from endivegw.relay.target_ends import TargetEnds
 from endivegw.relay.target_pool import TargetPool
@@ -32,6 +32,8 @@
     :ivar draining: whether the router is about to stop.
     :ivar on_replaced: takes the instance and the start of a target at whose address
         another instance answered.
+    :ivar on_leaving: takes a start of a target that says in an answer that it leaves,
+        and where that was heard.
     """
 
     wire: WirePort
@@ -50,3 +52,4 @@
     table_since_s: float = 0.0
     draining: bool = False
     on_replaced: Callable[[InstanceId, int | None], None] = lambda name, start: None
+    on_leaving: Callable[[TargetStart, str], None] = lambda start, source: None
--- a/src/endivegw/relay/request_progress.py
+++ b/src/endivegw/relay/request_progress.py
@@ -57,5 +57,7 @@
             return AttemptKind.FAILED if failed else AttemptKind.OK
         case End.NOT_RUN:
             return AttemptKind.REFUSED
+        case End.HELD_BACK:
+            return AttemptKind.CANCELLED
         case _:
             return AttemptKind.FAILED
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 
 from endivegw.allowances import Reservation
 from endivegw.decisions import AttemptEnd, Placement
-from endivegw.quarantine import Fingerprint, TargetStart
 from endivegw.relay.admission import Admitted, model_of, work_item
 from endivegw.relay.answers import own_answer
 from endivegw.relay.attempt import (
@@ -26,16 +27,18 @@
     attempt_kind,
     lower_quartile,
 )
+from endivegw.relay.suspicion import Suspicion
 from endivegw.relay.target_connection import Outgoing
-from endivegw.relay.wire import AnswerMarks, SendMarks
+from endivegw.relay.target_word import take_word
+from endivegw.relay.wire import SendMarks
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.routing import RouteKind
 from endivegw.telemetry.catalogue import relay as events
 
 __all__ = ["RequestRun"]
 
-#: The smallest status that is no success.
-_REDIRECTION = 300
+#: Ends of attempts that sent nothing.
+_UNSENT = (End.NOT_SENT, End.HELD_BACK)
 
 #: When a caller should come back whose request a target refused to run: full
 #: targets have let several answers go by then.
@@ -57,7 +60,7 @@
         after = admitted.marks.resume_after
         self._progress = RequestProgress(StreamPassed(EventOrder(after)))
         self._reservation: Reservation | None = None
-        self._named: Fingerprint | None = None
+        self._suspicion = Suspicion(context, admitted)
 
     async def run(self) -> None:
         """Answer the request, and settle what it consumed."""
@@ -136,7 +139,7 @@
         )
         placement = await context.queue.place(item)
         if isinstance(placement, Placement):
-            refused = self._quarantined()
+            refused = self._suspicion.refusal()
             if refused is not None:
                 unsent = AttemptResult(End.NOT_SENT, refused.detail)
                 self._report(placement, unsent, False)
@@ -173,7 +176,10 @@
             self._pass_head,
             self._pass_events,
             self._note_first,
-            lambda marks: self._note_marks(placement, marks),
+            lambda: context.queue.dispatcher.takes_work(
+                placement.target, context.clock()
+            ),
+            lambda marks: take_word(context, admitted.request_id, placement, marks),
             self._answerer.cancel_if_left,
         )
         progress.target = placement.target
@@ -192,44 +198,9 @@
                 end = End.LOST if attempt.sent else End.NOT_SENT
                 self._report(placement, AttemptResult(end, "cancelled"), False)
         self._report(placement, result, True)
-        if result.broken:
-            start = TargetStart(placement.instance_id, placement.started_ms)
-            await context.ends.lost(start, placement.address, self._fingerprint())
-        elif result.end is End.ANSWERED:
-            self._note_answer(result)
+        await self._suspicion.note(placement, result)
         return result
 
-    def _quarantined(self) -> Refused | None:
-        """Return why no target may get the request any more."""
-        quarantine = self._context.quarantine
-        if not len(quarantine.ledger):
-            return None
-        return quarantine.refuse(self._fingerprint())
-
-    def _note_marks(self, placement: Placement, marks: AnswerMarks) -> None:
-        """Take in what a target says of itself beside its answer."""
-        if not marks.leaving and marks.pause_s is None:
-            return
-        self._context.log.emit(
-            events.TARGET_SAID,
-            request_id=self._admitted.request_id,
-            target=placement.target,
-            leaving=marks.leaving,
-            pause_s=marks.pause_s,
-        )
-
-    def _note_answer(self, result: AttemptResult) -> None:
-        """Note that a target ran the request to its end and goes on."""
-        if result.answer is not None and result.answer.head.status >= _REDIRECTION:
-            return
-        self._context.quarantine.answered(self._fingerprint())
-
-    def _fingerprint(self) -> Fingerprint:
-        """Return the name of the request's content; its body is read once for it."""
-        if self._named is None:
-            self._named = self._admitted.fingerprint
-        return self._named
-
     def _outgoing(self, placement: Placement) -> Outgoing:
         admitted = self._admitted
         request = admitted.request
@@ -246,7 +217,7 @@
     def _report(self, placement: Placement, result: AttemptResult, done: bool) -> None:
         """Tell the dispatcher how the attempt ended, and count it."""
         context = self._context
-        if result.end is not End.NOT_SENT:
+        if result.end not in _UNSENT:
             self._progress.sent += 1
         if result.end in (End.ANSWERED, End.LOST):
             self._progress.maybe_run = True
@@ -271,7 +242,7 @@
                 end=result.end.value,
                 detail=result.detail,
                 events=self._progress.passed.events,
-                fingerprint=self._fingerprint() if result.broken else None,
+                fingerprint=self._suspicion.fingerprint if result.broken else None,
             )
 
     def _conclude(
@@ -284,14 +255,22 @@
         match result.end:
             case End.ANSWERED:
                 return None
-            case End.NOT_SENT | End.NOT_RUN:
+            case End.NOT_SENT | End.NOT_RUN | End.HELD_BACK:
                 if self._progress.maybe_run:
                     return Unknown(Reason.ANSWER_LOST, "an earlier answer was lost")
                 retry_s = _REPLACED_RETRY_S if result.replaced else _REFUSED_RETRY_S
+                retry_s = max(retry_s, self._back_in_s())
                 return Refused(Reason.OVERLOADED, f"not run: {result.detail}", retry_s)
             case End.LOST:
                 return Unknown(Reason.ANSWER_LOST, result.detail)
 
+    def _back_in_s(self) -> float:
+        """Return when some target takes work again; 0 where one does."""
+        dispatcher = self._context.queue.dispatcher
+        model = model_of(self._admitted)
+        back_s = dispatcher.back_in_s(model, self._context.clock())
+        return back_s if math.isfinite(back_s) else 0.0
+
     def _wants_better(self, answer: WholeAnswer) -> bool:
         """Return whether another target may do better than a failed answer."""
         failed = answer.head.status >= SERVER_ERROR
@@ -306,17 +285,18 @@
         route = self._admitted.route
         excluded = frozenset(self._progress.excluded)
         dispatcher = self._context.queue.dispatcher
-        if not dispatcher.has_untried(model_of(self._admitted), excluded):
+        now_s = self._context.clock()
+        if not dispatcher.has_untried(model_of(self._admitted), excluded, now_s):
             return False
-        if result.end is End.NOT_SENT and self._progress.sent < route.most_targets:
+        if result.end in _UNSENT and self._progress.sent < route.most_targets:
             return True
         if self._progress.sent >= route.most_targets:
             return False
         if result.end in (End.LOST, End.ANSWERED) and not route.kind.may_repeat:
             return False
-        if result.broken and self._context.quarantine.is_suspect(self._fingerprint()):
+        if self._suspicion.bars_retry(result):
             return False
-        return self._context.retries.may_retry(self._context.clock()) is True
+        return self._context.retries.may_retry(now_s) is True
 
     async def _pass_on(self, answer: WholeAnswer) -> str:
         if self._answerer.begun:
--- a/src/endivegw_standins/quarantine_world.py
+++ b/src/endivegw_standins/quarantine_world.py
@@ -20,6 +20,8 @@
     Evidence,
     Fingerprint,
     QuarantineKeeper,
+    RequestRecord,
+    TargetEnded,
     TargetStart,
 )
 from endivegw.telemetry import EventLog
@@ -102,8 +104,9 @@
                 tasks.start_soon(self.keeper.run)
                 async for data, _ in socket:
                     message = decode(data)
-                    if isinstance(message, News):
-                        self.keeper.hear(message.evidence)
+                    match message:
+                        case News(_, TargetEnded() | RequestRecord() as evidence):
+                            self.keeper.hear(evidence)
 
     def _tell(self, evidence: Evidence) -> None:
         self.rumours.tell(encode(News(self.entry.instance_id, evidence)))
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -87,6 +87,24 @@
 
         anyio.run(play)
 
+    def test_the_other_routers_hear_of_it(self) -> None:
+        """Guards against routers that learn of a leaving target one after the other."""
+
+        async def play() -> None:
+            async with platform_fleet(routers=2) as fleet:
+                fleet.store.unread.add("servers")
+                leaving = fleet.workers["e-1"]
+                leaving.leaving = True
+                await ask_until_run(fleet, "e-1")
+                await anyio.sleep(0.3)
+                ran = len(leaving.runs)
+                for _ in range(20):
+                    answer = await fleet.ask("resumable", router=1, tokens=(50, 20))
+                    self.assertEqual(answer.status, 200)
+                self.assertEqual(len(leaving.runs), ran)
+
+        anyio.run(play)
+
 
 class PauseTests(unittest.TestCase):
     """A target turns a request away and says for how long it wants nothing."""
