--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -48,6 +48,14 @@
 _EVENTS = 5
 _GRACE_S = 8.0
 
+#: A request whose body begins so ends each target that runs it; there are two of them
+#: on each route, which many callers send.
+_DEADLY = b"deadly"
+_DEADLY_SHARE = 0.04
+
+#: Runs of one deadly body that are allowed once all faults have ended.
+_MOST_DEADLY = 3
+
 #: Kinds of the sample routes that may run once only.
 _ONCE = frozenset({"print", "chat"})
 
@@ -134,6 +142,7 @@
         self.store = PlatformStoreApp()
         self.workers: dict[str, PlatformWorker] = {}
         self.proxies: list[Proxy] = []
+        self.targets: list[PlatformTarget] = []
         self.store_proxy = Proxy(0)
         self.store_port = 0
         self.routers: dict[int, subprocess.Popen[bytes]] = {}
@@ -153,7 +162,9 @@
         self.store_port = await self._serve(self.store_proxy.serve)
         for name, service in (("e-1", "engine"), ("e-2", "engine"), ("p-1", "plain")):
             worker = self.workers[name] = PlatformWorker(name, event_pause_s=0.02)
+            worker.ended_by = _DEADLY
             target = PlatformTarget(name, service, worker)
+            self.targets.append(target)
             proxy = Proxy(target.port)
             self.proxies.append(proxy)
             address = f"127.0.0.1:{await self._serve(proxy.serve)}"
@@ -233,6 +244,8 @@
         self.asked += 1
         request_id = f"{route}-{self.asked}"
         body = request_id.encode()
+        if pool is not None and self.rng.random() < _DEADLY_SHARE:
+            body = b"%b-%d" % (_DEADLY, self.rng.randrange(2))
         fields = {
             "host": "h.example",
             "endivegw-attempt-id": request_id,
@@ -250,20 +263,23 @@
             return "cut"
         except TimeoutError:
             return "timeout"
-        self._check_answer(request_id, route, answer)
+        self._check_answer(request_id, route, body, answer)
         return str(answer.status)
 
     # The checks.
 
     def _check_answer(
-        self, request_id: str, route: str, answer: httpcore.Response
+        self, request_id: str, route: str, body: bytes, answer: httpcore.Response
     ) -> None:
         if answer.status in _NOT_RUN:
             self.refused.add(request_id)
+        is_quarantined = answer.content.startswith(b"quarantined")
+        if is_quarantined and not body.startswith(_DEADLY):
+            self._broke(f"{request_id} was refused for what ended targets")
         if answer.status != 200:
             return
         if route in ("print", "notice"):
-            if answer.content != request_id.encode():
+            if answer.content != body:
                 self._broke(f"{request_id} got another body: {answer.content[:60]!r}")
             return
         ids = [line for line in answer.content.split(b"\n") if line.startswith(b"id:")]
@@ -292,6 +308,18 @@
         for request_id in self.refused & set(runs):
             self._broke(f"{request_id} ran though its caller was told that it did not")
 
+    def deadly_runs(self) -> Counter[tuple[str, bytes]]:
+        """Return how often each deadly body ran, by route."""
+        runs = [run for worker in self.workers.values() for run in worker.runs]
+        deadly = [run for run in runs if run.body.startswith(_DEADLY)]
+        return Counter((run.request_id.split("-")[0], run.body) for run in deadly)
+
+    def check_deadly(self, before: Counter[tuple[str, bytes]]) -> None:
+        """Check that what ends targets is kept from them once the faults are over."""
+        for name, runs in (self.deadly_runs() - before).items():
+            if runs > _MOST_DEADLY:
+                self._broke(f"{name} ran {runs} times after the faults had ended")
+
     def _broke(self, what: str) -> None:
         if what not in self.report.broken:
             self.report.broken.append(what)
@@ -319,7 +347,7 @@
             await anyio.sleep(self.rng.random() * 1.5)
             fault = self.rng.choice(
                 [self._kill, self._stop, self._pause, self._store, self._target]
-                + [self._configure, self._shed]
+                + [self._configure, self._shed, self._leave]
             )
             self.report.faults.append(fault.__name__.strip("_"))
             self.tasks.start_soon(fault)
@@ -386,9 +414,24 @@
     async def _shed(self) -> None:
         worker = self.rng.choice(list(self.workers.values()))
         worker.sheds += self.rng.randrange(1, 6)
+        worker.pause_s = self.rng.choice([None, "0", "0.3", "1", "2.5", "soon"])
         if self.rng.random() < 0.5:
             worker.breaks_after = self.rng.randrange(1, _EVENTS)
 
+    async def _leave(self) -> None:
+        target = self.rng.choice(self.targets)
+        worker, name = target.worker, target.worker.instance_id
+        worker.leaving = True
+        await anyio.sleep(self.rng.random() * 3.0)
+        row = self.store.documents("servers").get(name)
+        if row is not None:
+            self.store.put("servers", name, {**row, "State": "draining"})
+        await anyio.sleep(2.0 + self.rng.random())
+        # It may have ended and started again meanwhile.
+        if worker.instance_id == name:
+            worker.ended.set()
+        worker.leaving = False
+
 
 @contextlib.asynccontextmanager
 async def _soak(seed: int) -> AsyncIterator[Soak]:
@@ -422,8 +465,11 @@
                 load.start_soon(soak.caller)
             with anyio.move_on_after(span_s):
                 await soak.trouble()
-            await anyio.sleep(_GRACE_S + 4.0)
+            await anyio.sleep(_GRACE_S)
+            before = soak.deadly_runs()
+            await anyio.sleep(4.0)
             load.cancel_scope.cancel()
+        soak.check_deadly(before)
         await soak.recovers()
         soak.check()
         return soak.report
