--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -17,7 +17,8 @@
 
 async def ask_deadly(fleet: DevFleet, router: int) -> None:
     """Ask one router for what ends engines."""
-    await post(fleet, "/v1/chat/completions", chat(DEADLY), router=router)
+    path = "/v1/chat/completions"
+    await post(fleet, path, chat(DEADLY), router=router, endivegw_deadline_s="8")
 
 
 class CrashingCallTests(unittest.TestCase):
@@ -30,7 +31,7 @@
             async with running_fleet() as fleet:
                 for engine in fleet.engines.values():
                     engine.knobs.ended_by = DEADLY
-                for calls in (1, 3):
+                for calls in (1, 6):
                     async with anyio.create_task_group() as tasks:
                         for number in range(calls):
                             tasks.start_soon(ask_deadly, fleet, number % 2)
