--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from endivegw.relay.wire import (
     AnswerMarks,
     CallerMarks,
@@ -54,6 +52,9 @@
 #: Status of a target at whose address another instance answers now.
 _MISDIRECTED = 421
 
+#: Longer pauses are cut to this: a day, which few starts of a target live for.
+_LONGEST_PAUSE_S = 86_400.0
+
 #: Status by which a target turns a request away; it may say for how long.
 _UNAVAILABLE = 503
 
@@ -132,7 +133,7 @@
         found = float(value or b"")
     except ValueError:
         return None
-    return found if math.isfinite(found) and found > 0.0 else None
+    return min(found, _LONGEST_PAUSE_S) if found > 0.0 else None
 
 
 def _key(value: bytes | None) -> str | None:
