Keep generations that end their engines from further ones in the fleet with sidecars

One generation that came again took down engine after engine, up to four placements a call.

Cause: the request's state machine remembers which targets to avoid for one call.

Why this works: a sidecar knows when its engine forgot what it was at; it ends the answer at once, where it asked for the rest until the deadline before, and names the engine's start, the same for all that it broke. Routers join these ends with contents in the ledger of the other fleet, pass them on over a call between routers and keep them in rows of the table.

--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -14,6 +14,7 @@
 from endivegw.daemons.request_plan import PREFIX_SCHEME
 from endivegw.daemons.request_runner import RunnerParts
 from endivegw.daemons.router import Router, RouterParts
+from endivegw.daemons.router_news import RouterNews
 from endivegw.daemons.router_watch import RouterWatch
 from endivegw.daemons.seal_calls import SealCalls
 from endivegw.daemons.slot_map_reader import SlotMapReader
@@ -22,6 +23,8 @@
 from endivegw.decisions import SERVICE_PREFIX, Dispatcher, Policy
 from endivegw.membership import MembershipPolicy, Peer, PeerAddress, TargetSubset
 from endivegw.peers import SidecarClient
+from endivegw.quarantine import QuarantineKeeper
+from endivegw.services.table_rows import TableRows
 from endivegw.settings import RouterSettings
 from endivegw.telemetry import EventLog
 
@@ -55,12 +58,27 @@
         process.log,
     )
     watch = _target_watch(settings, process, queue)
+    news = RouterNews(
+        process.identity.instance_id,
+        process.book,
+        process.header,
+        lambda evidence: quarantine.hear(evidence),
+        process.rng,
+    )
+    quarantine = QuarantineKeeper(
+        TableRows(process.platform.table),
+        news.tell,
+        process.rng,
+        process.clock,
+        process.log,
+    )
     slots = SlotMapReader(process.platform.table, process.clock)
     runner = RunnerParts(
         keeper=keeper,
         queue=queue,
         sidecars=watch,
         claims=ClaimClient(slots, process.connect_owner, process.header),
+        quarantine=quarantine,
         header=process.header,
         on_header=process.on_header,
         clock=process.clock,
@@ -89,6 +107,7 @@
         slots=slots,
         runner=runner,
         book=process.book,
+        news=news,
         header=process.header,
         on_header=process.on_header,
         security=process.security,
--- a/src/endivegw/daemons/request_driver.py
+++ b/src/endivegw/daemons/request_driver.py
@@ -88,6 +88,12 @@
     def refused(self, step: HandOver, refused: Refused) -> None:
         """Take in why an order started nothing, before the machine does."""
 
+    def target_ended(self, end: str) -> None:
+        """Take in that a target ended with the request, before the machine does.
+
+        :param end: names the start that ended.
+        """
+
 
 class RequestDriver:
     """Run one request from its first step to its ending."""
@@ -205,6 +211,8 @@
                 return machine.ended(attempt_id, frame.end.length, usage, now_s)
             case "failed":
                 failed = frame.failed
+                if failed.target_end:
+                    self._ports.target_ended(failed.target_end)
                 usage = Usage(failed.prompt_tokens, failed.completion_tokens)
                 return machine.failed(
                     attempt_id,
--- a/src/endivegw/daemons/request_run.py
+++ b/src/endivegw/daemons/request_run.py
@@ -6,6 +6,7 @@
 
 from endivegw.budgets import BillLine
 from endivegw.daemons.held_attempts import HeldAttempt, HeldAttempts
+from endivegw.daemons.request_content import RequestContent
 from endivegw.daemons.request_driver import PlacedTarget, RequestDriver
 from endivegw.daemons.request_messages import start_message
 from endivegw.daemons.request_money import RequestMoney
@@ -50,6 +51,7 @@
         self._parts = parts
         self._held = held
         self._money = RequestMoney(plan, parts.keeper, parts.clock)
+        self._content = RequestContent(plan, parts.quarantine)
         self._driver = RequestDriver(machine, self, parts.clock)
         self._placed: Placement | None = None
         self._retry_after_s: float | None = None
@@ -73,6 +75,13 @@
         """Reserve tokens and find a target; waits in the queue where needed."""
         self._leave_target()
         self._money.settle(self._machine.charges)
+        refusal = self._content.refusal()
+        if refusal is None and avoid and self._content.is_suspect:
+            detail = "targets ended while they ran it"
+            refusal = Refused(Reason.TARGET_FAILED, detail)
+        if refusal is not None:
+            self._retry_after_s = refusal.retry_after_s
+            return refusal
         if self._body_spent:
             return Refused(Reason.TARGET_FAILED, "the body cannot be sent again", 1.0)
         refused = await self._money.reserve()
@@ -150,6 +159,10 @@
             reason=refused.reason.value,
         )
 
+    def target_ended(self, end: str) -> None:
+        """Take in that a target ended with the request, before the machine does."""
+        self._content.target_ended(end)
+
     def _take_place(self, placed: Placement) -> PlacedTarget:
         self._placed = placed
         link = self._parts.sidecars.find(placed.target)
@@ -167,7 +180,10 @@
         """Settle, bill and log; nothing here waits, so nothing is cut short."""
         self.ended = True
         charges = self._machine.charges
-        self._leave_target(answered=ending.outcome is Outcome.ANSWERED)
+        is_answered = ending.outcome is Outcome.ANSWERED
+        if is_answered:
+            self._content.answered()
+        self._leave_target(answered=is_answered)
         self._money.settle(charges)
         to_cancel = {step.attempt_id for step in self._machine.abandoned}
         for bound in self._money.unsettled():
--- a/src/endivegw/daemons/request_runner.py
+++ b/src/endivegw/daemons/request_runner.py
@@ -19,6 +19,7 @@
 from endivegw.daemons.sidecar_links import SidecarDirectory
 from endivegw.decisions import RetryBudget, RetryPolicy
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw.quarantine import QuarantineKeeper
 from endivegw.requests.attempt_limits import AttemptLimits
 from endivegw.requests.attempts import RequestMachine
 from endivegw.telemetry import EventLog, Metrics
@@ -39,6 +40,7 @@
     queue: PlacementQueue
     sidecars: SidecarDirectory
     claims: ClaimClient
+    quarantine: QuarantineKeeper
     header: Callable[[], pb.Header]
     on_header: Callable[[pb.Header], None]
     clock: Callable[[], float]
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -18,6 +18,7 @@
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.recovery_watch import RecoveryWatch
 from endivegw.daemons.request_runner import RequestRunner, RunnerParts
+from endivegw.daemons.router_news import RouterNews
 from endivegw.daemons.router_service import RouterService
 from endivegw.daemons.router_watch import RouterWatch
 from endivegw.daemons.slot_map_reader import SlotMapReader
@@ -60,6 +61,7 @@
     slots: SlotMapReader
     runner: RunnerParts
     book: PeerBook
+    news: RouterNews
     header: Callable[[], pb.Header]
     on_header: Callable[[pb.Header], None]
     security: PeerSecurity
@@ -117,6 +119,8 @@
                 parts.slots.run,
                 parts.queue.run,
                 parts.keeper.run,
+                parts.news.run,
+                parts.runner.quarantine.run,
             ):
                 tasks.start_soon(run)
             peers = parts.settings.peers.listen
@@ -186,6 +190,7 @@
             parts.header,
             parts.on_header,
             lambda: self._draining,
+            parts.news.hear,
             parts.clock,
         )
 
--- a/src/endivegw/daemons/router_service.py
+++ b/src/endivegw/daemons/router_service.py
@@ -21,6 +21,7 @@
     """Serve heartbeats, moves of tokens and the configuration.
 
     :param leaving: returns whether this router takes no new work.
+    :param on_news: takes what another router passes on.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         header: Callable[[], pb.Header],
         on_header: Callable[[pb.Header], None],
         leaving: Callable[[], bool],
+        on_news: Callable[[bytes], None],
         clock: Callable[[], float],
     ) -> None:
         self._keeper = keeper
@@ -37,6 +39,7 @@
         self._header = header
         self._on_header = on_header
         self._leaving = leaving
+        self._on_news = on_news
         self._clock = clock
 
     async def Heartbeat(self, stream: Any) -> None:
@@ -64,6 +67,13 @@
         )
         await stream.send_message(reply)
 
+    async def News(self, stream: Any) -> None:
+        """Take in what another router passes on."""
+        request = await stream.recv_message()
+        self._on_header(request.header)
+        self._on_news(request.news)
+        await stream.send_message(pb.NewsReply(header=self._header()))
+
     async def Configuration(self, stream: Any) -> None:
         """Hand out the configuration to a process that has an older one."""
         request = await stream.recv_message()
--- a/src/endivegw/daemons/sidecar.py
+++ b/src/endivegw/daemons/sidecar.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 
+from endivegw.daemons.engine_starts import EngineStarts
 from endivegw.daemons.headers import PROTOCOL_VERSION
 from endivegw.daemons.peer_book import TARGET_ROLE
 from endivegw.daemons.sidecar_body import BodyChannel
@@ -93,7 +94,9 @@
         self._claims = claims
         self._holders = holders
         engine = engine_of(target)
-        self._jobs = Jobs(target, grants, settings, clock)
+        self._jobs = Jobs(
+            target, grants, settings, clock, EngineStarts(settings.instance_id)
+        )
         self._work = Work(registry, grants, settings, clock, log, metrics)
         self._cancels = Cancels(registry, self._work, engine, settings, clock, log)
         self._gate = Gate(registry, grants, configuration, clock)
--- a/src/endivegw/daemons/sidecar_engine.py
+++ b/src/endivegw/daemons/sidecar_engine.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from endivegw.daemons.engine_starts import EngineStarts
 from endivegw.daemons.sidecar_ports import Clock, GrantGate, SidecarSettings
 from endivegw.daemons.sidecar_run import Run
 from endivegw.exceptions import TargetError
@@ -35,6 +36,7 @@
     """Drive one generation; it ends its buffer exactly once.
 
     :param prompt_bound_tokens: the most that the prompt can count.
+    :param starts: names the engine's start that the generation belongs to.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         run: Run,
         request: EngineRequest,
         prompt_bound_tokens: int,
+        starts: EngineStarts,
     ) -> None:
         self._engine = engine
         self._grants = grants
@@ -54,6 +57,8 @@
         self._run = run
         self._request = request
         self._prompt_bound_tokens = prompt_bound_tokens
+        self._starts = starts
+        self._start_number = starts.number
         self._pieces = 0
         self._tokens = 0
         self._resumed = 0
@@ -118,10 +123,26 @@
             failed.started
             and not failed.usage_final
             and failed.reason not in _FINAL
+            and not self._is_forgotten(failed)
             and self._resumed < self._settings.resume_tries
             and self._clock() < self._run.deadline_s
         )
 
+    def _is_forgotten(self, failed: EngineFailed) -> bool:
+        """Return whether the engine does not know the generation any more."""
+        return self._resumed > 0 and failed.reason is Reason.UNKNOWN_MODEL
+
+    def _target_end(self, failed: EngineFailed) -> str:
+        """Return the start of the engine that ended with the answer, if one did.
+
+        An engine that is there and forgot what it was at has started again; one that
+        cannot be reached on the same machine is gone.
+        """
+        is_gone = self._resumed > 0 and failed.reason is Reason.UNREACHABLE
+        if is_gone or self._is_forgotten(failed):
+            return self._starts.ended(self._start_number)
+        return ""
+
     def _failed(self, reason: Reason, detail: str) -> EngineFailed:
         usage = Usage(self._prompt_bound_tokens, self._tokens)
         return EngineFailed(reason, detail, True, usage, False)
@@ -133,7 +154,8 @@
         usage, final = failed.usage, failed.usage_final
         if not final:
             usage, final = await self._cancel()
-        failure = BufferFailure(failed.reason, failed.detail, usage, final)
+        end = self._target_end(failed)
+        failure = BufferFailure(failed.reason, failed.detail, usage, final, end)
         self._run.buffer.fail(failure)
         return usage
 
--- a/src/endivegw/daemons/sidecar_frames.py
+++ b/src/endivegw/daemons/sidecar_frames.py
@@ -94,6 +94,7 @@
                 prompt_tokens=outcome.usage.prompt_tokens,
                 completion_tokens=outcome.usage.completion_tokens,
                 usage_final=outcome.usage_final,
+                target_end=outcome.target_end,
             )
             return pb.Frame(attempt_id=attempt_id, offset=length_bytes, failed=failed)
         case Refused():
--- a/src/endivegw/daemons/sidecar_jobs.py
+++ b/src/endivegw/daemons/sidecar_jobs.py
@@ -4,6 +4,7 @@
 
 from attrs import frozen
 
+from endivegw.daemons.engine_starts import EngineStarts
 from endivegw.daemons.sidecar_body import BodyChannel, single_body
 from endivegw.daemons.sidecar_engine import EngineJob
 from endivegw.daemons.sidecar_frames import fields_of
@@ -53,6 +54,7 @@
     grants: GrantGate
     settings: SidecarSettings
     clock: Clock
+    starts: EngineStarts
 
     def job(
         self, run: Run, start: pb.ExecuteStart, body: BodyChannel | None
@@ -68,6 +70,7 @@
                     run,
                     _engine_request(start),
                     start.engine.prompt_bound_tokens,
+                    self.starts,
                 )
             case "service", ServiceTarget(service=service):
                 chunks = body.chunks() if body else single_body(start.service.body)
--- a/src/endivegw/gossip/rumours.py
+++ b/src/endivegw/gossip/rumours.py
@@ -8,15 +8,16 @@
 from __future__ import annotations
 
 import random
-from typing import Awaitable, Callable
+from typing import Awaitable, Callable, Generic, TypeVar
 
 import anyio
 from attrs import define, frozen
 
-from endivegw.gossip.peers import PeerEntry
-
 __all__ = ["RumourLimits", "Rumours"]
 
+#: How a peer is named to whoever sends.
+_Peer = TypeVar("_Peer")
+
 
 @frozen
 class RumourLimits:
@@ -43,7 +44,7 @@
     rounds_left: int
 
 
-class Rumours:
+class Rumours(Generic[_Peer]):
     """Pass news on.
 
     :param send: sends one datagram to a peer.
@@ -52,8 +53,8 @@
 
     def __init__(
         self,
-        send: Callable[[bytes, PeerEntry], Awaitable[None]],
-        peers: Callable[[], list[PeerEntry]],
+        send: Callable[[bytes, _Peer], Awaitable[None]],
+        peers: Callable[[], list[_Peer]],
         rng: random.Random,
         limits: RumourLimits = RumourLimits(),
     ) -> None:
@@ -70,7 +71,7 @@
         del self._waiting[: -self._limits.most]
         self._news.set()
 
-    def take(self) -> list[tuple[bytes, PeerEntry]]:
+    def take(self) -> list[tuple[bytes, _Peer]]:
         """Return the datagrams of one round."""
         peers = self._peers()
         count = min(self._limits.peers, len(peers))
--- a/src/endivegw/peers/_generated/endivegw_peers_grpc.py
+++ b/src/endivegw/peers/_generated/endivegw_peers_grpc.py
@@ -130,6 +130,10 @@
     async def Transfer(self, stream: 'grpclib.server.Stream[endivegw_peers_pb2.TransferRequest, endivegw_peers_pb2.TransferReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def News(self, stream: 'grpclib.server.Stream[endivegw_peers_pb2.NewsRequest, endivegw_peers_pb2.NewsReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Configuration(self, stream: 'grpclib.server.Stream[endivegw_peers_pb2.ConfigRequest, endivegw_peers_pb2.ConfigReply]') -> None:
         pass
@@ -148,6 +152,12 @@
                 endivegw_peers_pb2.TransferRequest,
                 endivegw_peers_pb2.TransferReply,
             ),
+            '/endivegw.peers.v1.Router/News': grpclib.const.Handler(
+                self.News,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                endivegw_peers_pb2.NewsRequest,
+                endivegw_peers_pb2.NewsReply,
+            ),
             '/endivegw.peers.v1.Router/Configuration': grpclib.const.Handler(
                 self.Configuration,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -172,6 +182,12 @@
             endivegw_peers_pb2.TransferRequest,
             endivegw_peers_pb2.TransferReply,
         )
+        self.News = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/endivegw.peers.v1.Router/News',
+            endivegw_peers_pb2.NewsRequest,
+            endivegw_peers_pb2.NewsReply,
+        )
         self.Configuration = grpclib.client.UnaryUnaryMethod(
             channel,
             '/endivegw.peers.v1.Router/Configuration',
--- a/src/endivegw/peers/router_client.py
+++ b/src/endivegw/peers/router_client.py
@@ -20,3 +20,7 @@
     async def transfer(self, request: pb.TransferRequest, timeout_s: float) -> Any:
         """Return the :class:`pb.TransferReply`."""
         return await self._call(self._stub.Transfer, request, timeout_s)
+
+    async def news(self, request: pb.NewsRequest, timeout_s: float) -> Any:
+        """Return the :class:`pb.NewsReply`."""
+        return await self._call(self._stub.News, request, timeout_s)
--- a/src/endivegw/quarantine/keeper.py
+++ b/src/endivegw/quarantine/keeper.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections import OrderedDict
-from typing import Callable, Iterable
+from typing import Callable, Iterable, Protocol
 
 import anyio
 from attrs import define, evolve, frozen
@@ -25,14 +25,13 @@
     Conflict,
     ExpectedRow,
     NewRow,
-    RowStorePort,
     StoredRow,
     StoreMoment,
 )
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import quarantine as events
 
-__all__ = ["QuarantineKeeper", "QuarantineOptions"]
+__all__ = ["QuarantineKeeper", "QuarantineOptions", "RecordRows"]
 
 #: Fingerprints in one datagram, which is not cut into packets then.
 _MOST_TOLD = 48
@@ -65,6 +64,25 @@
     timeout_s: float = 1.0
 
 
+class RecordRows(Protocol):
+    """What the keeper needs of a store of rows; see the row store's port."""
+
+    async def transact(
+        self,
+        expected: tuple[ExpectedRow, ...],
+        puts: tuple[NewRow, ...],
+        *,
+        deletes: tuple[ExpectedRow, ...] = (),
+        timeout_s: float,
+    ) -> Done[StoreMoment] | Conflict | Refused | Unknown:
+        """Write all or nothing."""
+
+    async def list_rows(
+        self, table: str, *, timeout_s: float, partition: str = ""
+    ) -> Done[Changes] | Refused | Unknown:
+        """Return all rows of a table's partition as of one moment."""
+
+
 @define
 class _Row:
     """Hold a row as it was read or written last.
@@ -85,7 +103,7 @@
 
     def __init__(
         self,
-        store: RowStorePort,
+        store: RecordRows,
         tell: Callable[[Evidence], None],
         rng: random.Random,
         clock: Callable[[], float],
--- a/src/endivegw/requests/buffer.py
+++ b/src/endivegw/requests/buffer.py
@@ -33,12 +33,15 @@
     """Say that the answer will not become whole.
 
     :param usage_final: False where the target may still be consuming.
+    :param target_end: names the start of the target that ended with the answer; empty
+        where none did.
     """
 
     reason: Reason
     detail: str
     usage: Usage
     usage_final: bool
+    target_end: str = ""
 
 
 @frozen
--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -180,6 +180,9 @@
     def heard(self, header: pb.Header) -> None:
         pass
 
+    def target_ended(self, end: str) -> None:
+        pass
+
     def refused(self, step: HandOver, refused: Refused) -> None:
         pass
 
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -31,7 +31,7 @@
             async with running_fleet() as fleet:
                 for engine in fleet.engines.values():
                     engine.knobs.ended_by = DEADLY
-                for calls in (1, 6):
+                for calls in (1, 1, 1, 6):
                     async with anyio.create_task_group() as tasks:
                         for number in range(calls):
                             tasks.start_soon(ask_deadly, fleet, number % 2)
@@ -40,6 +40,32 @@
 
         anyio.run(play)
 
+    def test_a_generation_beside_it_is_answered(self) -> None:
+        """Guards against healthy generations that are refused for their neighbour."""
+
+        async def play() -> None:
+            async with running_fleet() as fleet:
+                for engine in fleet.engines.values():
+                    engine.knobs.ended_by = DEADLY
+                statuses: list[int] = []
+
+                async def ask_well(number: int) -> None:
+                    body = chat(f"all is well {number}", max_tokens=20)
+                    path = "/v1/chat/completions"
+                    for _ in range(3):
+                        reply = await post(fleet, path, body, router=number % 2)
+                        if reply.status == 200:
+                            break
+                    statuses.append(reply.status)
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(8):
+                        tasks.start_soon(ask_well, number)
+                        tasks.start_soon(ask_deadly, fleet, number % 2)
+                self.assertEqual(statuses, [200] * 8)
+
+        anyio.run(play)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_request_body.py
+++ b/tests/test_request_body.py
@@ -72,6 +72,7 @@
         queue=queue,
         sidecars=SimpleNamespace(find=lambda target: SidecarLink(sidecar, "i.0")),
         claims=SimpleNamespace(),
+        quarantine=SimpleNamespace(),
         header=pb.Header,
         on_header=lambda header: None,
         clock=anyio.current_time,
