--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -6,8 +6,9 @@
 from collections import deque
 from typing import Iterable, Mapping
 
-from endivegw.decisions import admission, health, holdoffs
+from endivegw.decisions import admission, health
 from endivegw.decisions.affinity import PrefixIndex
+from endivegw.decisions.availability import Availability, back_in_s
 from endivegw.decisions.backlog import NOBODY_TAKES_WORK, Backlog
 from endivegw.decisions.estimates import Estimates
 from endivegw.decisions.fair_queue import FairQueue
@@ -52,6 +53,7 @@
 
     :param availability_zone: where the router runs.
     :param rng: the only source of chance.
+    :ivar availability: which targets take work now.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self._prefixes = PrefixIndex(
             policy.prefix_entries, policy.prefix_ttl_s, policy.block_tokens
         )
+        self.availability = Availability(self._targets, self._pools)
         self._placer = Placer(
             policy,
             availability_zone,
@@ -144,7 +147,7 @@
             )
         if item.deadline_s <= now_s:
             return Refused(Reason.DEADLINE, "the deadline has passed")
-        back_s = holdoffs.back_in_s(pool.members, now_s)
+        back_s = back_in_s(pool.members, now_s)
         if back_s > self._policy.holdoff_wait_s:
             return Refused(Reason.OVERLOADED, NOBODY_TAKES_WORK, back_s)
         self._sweep(now_s)
@@ -166,7 +169,7 @@
         waiting = [pool for pool in self._pools.values() if len(pool.queue)]
         for pool in waiting:
             self._backlog.give_up(pool, now_s, decided)
-            back_s = holdoffs.back_in_s(pool.members, now_s)
+            back_s = back_in_s(pool.members, now_s)
             if back_s > self._policy.holdoff_wait_s:
                 retry_s = back_s if pool.members else _NO_TARGET_RETRY_S
                 self._backlog.give_up_all(pool, retry_s, decided)
@@ -191,37 +194,6 @@
         meter = self._demand
         return {model: meter.slots(model, now_s) for model in meter.models()}
 
-    def has_untried(
-        self, model: str, excluded: frozenset[TargetName], now_s: float
-    ) -> bool:
-        """Return whether some target takes work of a model and is not ruled out."""
-        pool = self._pools.get(model)
-        members = pool.members if pool is not None else []
-        return any(
-            state.view.target not in excluded and not holdoffs.is_held_off(state, now_s)
-            for state in members
-        )
-
-    def hold_off(
-        self, target: TargetName, started_ms: int | None, until_s: float
-    ) -> None:
-        """Send one start of a target nothing more for a while."""
-        state = self._targets.get(target)
-        if state is not None and state.view.started_ms == started_ms:
-            state.held_off_until_s = max(state.held_off_until_s, until_s)
-
-    def back_in_s(self, model: str, now_s: float) -> float:
-        """Return when a target of a model takes work; infinity where there is none."""
-        pool = self._pools.get(model)
-        return holdoffs.back_in_s(pool.members if pool is not None else [], now_s)
-
-    def takes_work(self, target: TargetName, now_s: float) -> bool:
-        """Return whether a target may be sent what was placed there."""
-        state = self._targets.get(target)
-        if state is None or state.view.draining:
-            return False
-        return not holdoffs.is_held_off(state, now_s)
-
     def own_load(self) -> dict[TargetName, OwnLoad]:
         """Return what this router has at each target."""
         return {
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -8,9 +8,9 @@
 from attrs import define
 
 from endivegw.decisions.affinity import CachedPrefixes, PrefixIndex
+from endivegw.decisions.availability import is_held_off
 from endivegw.decisions.estimates import Estimates, ModelSpeed
 from endivegw.decisions.fetch import NO_COPY, Copy, CopySources
-from endivegw.decisions.holdoffs import is_held_off
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.pool import Pool
 from endivegw.decisions.target_state import TargetState
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -176,7 +176,7 @@
             self._pass_head,
             self._pass_events,
             self._note_first,
-            lambda: context.queue.dispatcher.takes_work(
+            lambda: context.queue.dispatcher.availability.takes_work(
                 placement.target, context.clock()
             ),
             lambda marks: take_word(context, admitted.request_id, placement, marks),
@@ -266,9 +266,9 @@
 
     def _back_in_s(self) -> float:
         """Return when some target takes work again; 0 where one does."""
-        dispatcher = self._context.queue.dispatcher
+        availability = self._context.queue.dispatcher.availability
         model = model_of(self._admitted)
-        back_s = dispatcher.back_in_s(model, self._context.clock())
+        back_s = availability.back_in_s(model, self._context.clock())
         return back_s if math.isfinite(back_s) else 0.0
 
     def _wants_better(self, answer: WholeAnswer) -> bool:
@@ -284,9 +284,9 @@
         """
         route = self._admitted.route
         excluded = frozenset(self._progress.excluded)
-        dispatcher = self._context.queue.dispatcher
+        availability = self._context.queue.dispatcher.availability
         now_s = self._context.clock()
-        if not dispatcher.has_untried(model_of(self._admitted), excluded, now_s):
+        if not availability.has_untried(model_of(self._admitted), excluded, now_s):
             return False
         if result.end in _UNSENT and self._progress.sent < route.most_targets:
             return True
--- a/src/endivegw/relay/target_word.py
+++ b/src/endivegw/relay/target_word.py
@@ -37,5 +37,5 @@
     if marks.pause_s is not None:
         pause_s = marks.pause_s * (1.0 + _PAUSE_SPREAD * context.rng.random())
         until_s = context.clock() + pause_s
-        dispatcher = context.queue.dispatcher
-        dispatcher.hold_off(placement.target, placement.started_ms, until_s)
+        availability = context.queue.dispatcher.availability
+        availability.hold_off(placement.target, placement.started_ms, until_s)
