--- a/tests/test_caller_departures.py
+++ b/tests/test_caller_departures.py
@@ -94,6 +94,13 @@
     return float(page.split("\nendivegw_queue_seconds_count ")[1].split()[0]) > 0
 
 
+async def _ends(fleet: AskedFleet) -> str:
+    """Return how requests ended, for a failure's message."""
+    page = await fleet.metrics()
+    wanted = ("endivegw_requests", "endivegw_hand", "endivegw_reserved")
+    return "\n".join(line for line in page.split("\n") if line.startswith(wanted))
+
+
 class DepartureTests(unittest.TestCase):
     """
     A router stands still for a moment: its machine is frozen, or its processor is
@@ -156,9 +163,10 @@
                     before = await _hand_tokens(fleet)
                     with _connect(fleet.ports[0]) as connection:
                         connection.sendall(_request("chat", "left"))
-                        with anyio.fail_after(_PATIENCE_S):
+                        with anyio.move_on_after(_PATIENCE_S):
                             while not await _placed(fleet):
                                 await anyio.sleep(0)
+                        self.assertTrue(await _placed(fleet), await _ends(fleet))
                     with anyio.fail_after(_PATIENCE_S):
                         while 'outcome="caller-left"' not in await fleet.metrics():
                             await anyio.sleep(0.01)
