--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -52,6 +52,7 @@
 
     :param replaced: whether another instance answered at the target's address.
     :param broken: whether the connection ended before the answer did.
+    :param paused: whether the target wants nothing for a while.
     """
 
     end: End
@@ -59,6 +60,7 @@
     answer: WholeAnswer | None = None
     replaced: bool = False
     broken: bool = False
+    paused: bool = False
 
 
 @frozen
@@ -185,7 +187,13 @@
         answer = WholeAnswer(TargetHead(head.status, end_to_end(head.fields)), body)
         if marks.not_run:
             detail = f"status {head.status}"
-            return AttemptResult(End.NOT_RUN, detail, answer, marks.replaced)
+            return AttemptResult(
+                End.NOT_RUN,
+                detail,
+                answer,
+                marks.replaced,
+                paused=marks.pause_s is not None,
+            )
         return AttemptResult(End.ANSWERED, f"status {head.status}", answer)
 
     def _is_own(self, status: int, fields: HeaderFields) -> bool:
--- a/src/endivegw/relay/request_progress.py
+++ b/src/endivegw/relay/request_progress.py
@@ -55,9 +55,10 @@
             answer = result.answer
             failed = answer is not None and answer.head.status >= SERVER_ERROR
             return AttemptKind.FAILED if failed else AttemptKind.OK
-        case End.NOT_RUN:
+        case End.NOT_RUN if not result.paused:
             return AttemptKind.REFUSED
-        case End.HELD_BACK:
+        case End.NOT_RUN | End.HELD_BACK:
+            # It is left alone for as long as it asked; that is all it wants.
             return AttemptKind.CANCELLED
         case _:
             return AttemptKind.FAILED
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -18,6 +18,8 @@
 ) -> list[int]:
     """Ask four at a time, so that each target gets some; return the statuses."""
     found: list[int] = []
+    for worker in fleet.workers.values():
+        worker.event_pause_s = 0.02
 
     async def ask() -> None:
         answer = await fleet.ask(route, tokens=(50, 20))
--- a/tests/test_target_word.py
+++ b/tests/test_target_word.py
@@ -20,6 +20,8 @@
 from endivegw.platform.wire import PlatformWire
 from endivegw.quarantine import RequestRecord, TargetEnded, TargetStart
 from endivegw.quarantine.fingerprint import Fingerprint
+from endivegw.relay.attempt import AttemptResult, End
+from endivegw.relay.request_progress import attempt_kind
 from endivegw.results import Reason, Refused
 from endivegw.types import (
     AvailabilityZone,
@@ -162,6 +164,17 @@
         self.assertFalse(self.dispatcher.availability.takes_work(TargetName("a"), 1.0))
 
 
+class HealthTests(unittest.TestCase):
+    """What a refusal says of a target's health."""
+
+    def test_a_target_that_asks_for_a_pause_is_not_sick(self) -> None:
+        """Guards against a target that gets no work long after its pause."""
+        paused = AttemptResult(End.NOT_RUN, paused=True)
+        self.assertEqual(attempt_kind(paused, True), AttemptKind.CANCELLED)
+        refused = AttemptResult(End.NOT_RUN)
+        self.assertEqual(attempt_kind(refused, True), AttemptKind.REFUSED)
+
+
 class NewsTests(unittest.TestCase):
     """What routers pass on arrives as it was."""
 
