--- a/src/endivegw/quarantine/keeper.py
+++ b/src/endivegw/quarantine/keeper.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections import OrderedDict
-from typing import Callable, Iterable, Protocol
+from typing import Callable, Iterable
 
 import anyio
 from attrs import define, evolve, frozen
@@ -25,13 +25,14 @@
     Conflict,
     ExpectedRow,
     NewRow,
+    RowsPort,
     StoredRow,
     StoreMoment,
 )
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import quarantine as events
 
-__all__ = ["QuarantineKeeper", "QuarantineOptions", "RecordRows"]
+__all__ = ["QuarantineKeeper", "QuarantineOptions"]
 
 #: Fingerprints in one datagram, which is not cut into packets then.
 _MOST_TOLD = 48
@@ -64,25 +65,6 @@
     timeout_s: float = 1.0
 
 
-class RecordRows(Protocol):
-    """What the keeper needs of a store of rows; see the row store's port."""
-
-    async def transact(
-        self,
-        expected: tuple[ExpectedRow, ...],
-        puts: tuple[NewRow, ...],
-        *,
-        deletes: tuple[ExpectedRow, ...] = (),
-        timeout_s: float,
-    ) -> Done[StoreMoment] | Conflict | Refused | Unknown:
-        """Write all or nothing."""
-
-    async def list_rows(
-        self, table: str, *, timeout_s: float, partition: str = ""
-    ) -> Done[Changes] | Refused | Unknown:
-        """Return all rows of a table's partition as of one moment."""
-
-
 @define
 class _Row:
     """Hold a row as it was read or written last.
@@ -103,7 +85,7 @@
 
     def __init__(
         self,
-        store: RecordRows,
+        store: RowsPort,
         tell: Callable[[Evidence], None],
         rng: random.Random,
         clock: Callable[[], float],
--- a/src/endivegw/services/row_store.py
+++ b/src/endivegw/services/row_store.py
@@ -15,6 +15,7 @@
     "HistoryGone",
     "NewRow",
     "RowStorePort",
+    "RowsPort",
     "StoreMoment",
     "StoredRow",
 ]
@@ -91,8 +92,8 @@
     """Say that the changes since a revision are no longer available."""
 
 
-class RowStorePort(Protocol):
-    """The platform's store.
+class RowsPort(Protocol):
+    """Rows that are listed and written.
 
     Each write ends within ``timeout_s``. A read may go on for longer while its answer
     keeps coming; ``timeout_s`` then bounds each silence.
@@ -113,6 +114,10 @@
     ) -> Done[Changes] | Refused | Unknown:
         """Return all rows of a table's partition as of one moment."""
 
+
+class RowStorePort(RowsPort, Protocol):
+    """The platform's store: its rows, and a feed of what changes."""
+
     async def watch(
         self, table: str, after_revision: int, *, wait_s: float, timeout_s: float
     ) -> Done[Changes] | HistoryGone | Refused | Unknown:
