Report a large request without an answer as broken

A request of over 16,384 bytes whose connection carried only answers to other requests ended in an ExceptionGroup: the error was raised within the task group that sends the body, and only the errors of sockets and of the parser were taken out of it. The attempt does not catch a group, so that the caller's connection broke instead of a retry.

--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -170,8 +170,10 @@
             tasks.start_soon(send)
             try:
                 head = await self._read_matching_head(outgoing, matches_request)
-            except (h11.ProtocolError, OSError, anyio.EndOfStream) as error:
+            except (AnswerBroken, h11.ProtocolError, OSError) as error:
                 failure: Exception | None = error
+            except anyio.EndOfStream as error:
+                failure = error
             except anyio.BrokenResourceError as error:
                 failure = error
             else:
