Hand no request of a caller that has left to a sidecar

With the router's process stopped, 1 to 6 of 12 started at engines and services, all of callers gone for 1.2 s. Worst: a request that may not be repeated started after its caller had left in 9 to 12 of 12 cases where the answer to its claim and the caller's end arrived in one stall.

The HTTP server reports a disconnect one turn of the event loop later, and a request that has to wait for nothing is on its way by then. Ruled out: the sidecars. Stopped in place of the router they start none.

The kernel is asked once the connection to the sidecar is open, and nothing is awaited until the message is sent; the wait for that connection may take a second. An attempt that was never sent is recorded as not run, so that its tokens are released without asking the sidecar.

tests.test_disconnects_sidecars: handed over 12, 1, 1 and 6 of 6 before (both claims tests), 0 since. The doubles of the request tests take the new argument; no check changes.

--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -5,6 +5,7 @@
 from typing import Any, Callable, Mapping, Protocol
 
 import anyio
+from attrs import evolve
 
 from endivegw.configuration import Snapshot
 from endivegw.daemons.callers import Caller, identify, is_plain_path, is_repeatable
@@ -40,6 +41,7 @@
     ServiceCall,
 )
 from endivegw.exceptions import EndivegwError
+from endivegw.http_protocol import client_has_disconnected
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.settings import HttpLimits
 from endivegw.telemetry import EventLog
@@ -162,9 +164,7 @@
         if path == _MODELS_PATH or path.startswith(_MODEL_PREFIX):
             await self._models(scope["method"], path, caller, send)
         elif path in (_CHAT_PATH, _COMPLETION_PATH):
-            await self._completion(
-                scope["method"], path == _CHAT_PATH, caller, receive, send
-            )
+            await self._completion(scope, path == _CHAT_PATH, caller, receive, send)
         elif path.startswith(_SERVICE_PREFIX):
             await self._service(scope, headers, caller, receive, send)
         else:
@@ -194,14 +194,19 @@
         await _refuse(send, refused)
 
     async def _completion(
-        self, method: str, chat: bool, caller: Caller, receive: Receive, send: Send
+        self,
+        scope: Mapping[str, Any],
+        chat: bool,
+        caller: Caller,
+        receive: Receive,
+        send: Send,
     ) -> None:
         body = await read_body(receive, self._limits.max_body_bytes)
         if isinstance(body, Refused):
             await _refuse(send, body, caller.keyed)
             return
         completion = parse_completion(body, chat=chat)
-        if method != "POST":
+        if scope["method"] != "POST":
             completion = Refused(
                 Reason.BAD_REQUEST, "completions require the method POST"
             )
@@ -225,7 +230,7 @@
         request = self._build_request(
             caller, _engine_call(completion), repeatable, completion.stream
         )
-        await self._run(request, sink, receive)
+        await self._run(request, sink, scope, receive)
 
     async def _service(
         self,
@@ -265,7 +270,7 @@
         repeatable = is_repeatable(caller.account, f"{name}/{rest}")
         request = self._build_request(caller, call, repeatable)
         sink = PassthroughAnswerSink(send, caller.fields, caller.keyed)
-        await self._run(request, sink, receive)
+        await self._run(request, sink, scope, receive)
 
     def _build_request(
         self,
@@ -291,7 +296,11 @@
         )
 
     async def _run(
-        self, request: RoutedRequest, sink: _CallerSink, receive: Receive
+        self,
+        request: RoutedRequest,
+        sink: _CallerSink,
+        scope: Mapping[str, Any],
+        receive: Receive,
     ) -> None:
         if not request.repeatable and request.idempotency_key is None:
             refused = Refused(
@@ -301,9 +310,15 @@
             await sink.end(refused)
             return
         async with anyio.create_task_group() as tasks:
-            streaming = isinstance(request.call, ServiceCall) and request.call.rest
-            if not streaming:
+
+            def cancel_if_caller_left() -> None:
+                if client_has_disconnected(scope):
+                    tasks.cancel_scope.cancel()
+
+            if not (isinstance(request.call, ServiceCall) and request.call.rest):
+                # Only the task that forwards a streamed body may receive messages.
                 tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
+            request = evolve(request, cancel_if_caller_left=cancel_if_caller_left)
             end = await self._run_checked(request, sink)
             try:
                 await sink.end(end)
--- a/src/endivegw/daemons/request_driver.py
+++ b/src/endivegw/daemons/request_driver.py
@@ -61,6 +61,9 @@
     def start(self, step: HandOver) -> pb.ExecuteStart:
         """Return the message for an attempt; the driver adds the step's fields."""
 
+    def cancel_if_caller_left(self) -> None:
+        """Cancel the request if its caller has disconnected."""
+
     def may_start(self) -> bool:
         """Return whether a message may still start the request.
 
@@ -171,10 +174,9 @@
         start.target_instance_id = step.incarnation
         start.resume_offset = step.resume_offset_bytes
         start.join_only = step.join_only or not self._ports.may_start()
-        self._machine.handed_over()
         try:
             body = None if start.join_only else self._ports.body()
-            async with aclosing(_open_stream(client, start, body)) as frames:
+            async with aclosing(self._open_stream(client, start, body)) as frames:
                 async for frame in frames:
                     if frame.HasField("header"):
                         self._ports.on_header(frame.header)
@@ -187,6 +189,23 @@
             pass
         return self._machine.lost(delivered=True, now_s=self._clock())
 
+    def _open_stream(
+        self,
+        client: SidecarClient,
+        start: pb.ExecuteStart,
+        body: AsyncIterator[bytes] | None,
+    ) -> Any:
+        return client.execute(start, body, self._before_send)
+
+    async def _before_send(self) -> None:
+        """Cancel the request if its caller left; else record that it is handed over.
+
+        Opening the connection may have taken long enough for the caller to leave.
+        """
+        self._ports.cancel_if_caller_left()
+        await anyio.lowlevel.checkpoint_if_cancelled()
+        self._machine.handed_over()
+
     async def _handle_frame(self, hand_over: HandOver, frame: pb.Frame) -> Step | None:
         """Process one frame; return the next step if the stream need not be read on."""
         machine, now_s = self._machine, self._clock()
@@ -253,12 +272,6 @@
         )
 
 
-def _open_stream(
-    client: SidecarClient, start: pb.ExecuteStart, body: AsyncIterator[bytes] | None
-) -> Any:
-    return client.execute(start, body)
-
-
 def _parse_refusal(refusal: pb.Refusal) -> Refused:
     retry_after_s = refusal.retry_after_s if refusal.retry_after_s >= 0 else None
     return Refused(_parse_reason(refusal.reason), refusal.detail, retry_after_s)
--- a/src/endivegw/daemons/request_run.py
+++ b/src/endivegw/daemons/request_run.py
@@ -112,6 +112,10 @@
         now_s = self._parts.clock()
         return start_message(self._plan, self._parts.header(), reservation, now_s)
 
+    def cancel_if_caller_left(self) -> None:
+        """Cancel the request if its caller has disconnected."""
+        self._plan.request.cancel_if_caller_left()
+
     def may_start(self) -> bool:
         """Return whether a message may still start the request."""
         return not self._body_consumed
--- a/src/endivegw/daemons/routed.py
+++ b/src/endivegw/daemons/routed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import AsyncIterator, Protocol
+from typing import AsyncIterator, Callable, Protocol
 
 from attrs import field, frozen
 
@@ -53,6 +53,10 @@
     rest: AsyncIterator[bytes] | None = field(default=None, eq=False)
 
 
+def _never_left() -> None:
+    """Do nothing: the caller's connection is not known."""
+
+
 @frozen
 class RoutedRequest:
     """Hold one accepted request.
@@ -62,6 +66,8 @@
     :param arrived_s: time on the router's clock.
     :param deadline_s: time on the router's clock.
     :param streams: whether the caller receives the answer while it is generated.
+    :param cancel_if_caller_left: called right before the request is sent to a target;
+        cancels the request if its caller has disconnected.
     """
 
     request_id: str
@@ -74,6 +80,7 @@
     arrived_s: float
     deadline_s: float
     streams: bool = True
+    cancel_if_caller_left: Callable[[], None] = field(default=_never_left, eq=False)
 
 
 @frozen
--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -1,4 +1,4 @@
-"""Limit the size of the header section of HTTP requests.
+"""Limit the size of HTTP header sections, and detect clients that disconnect early.
 
 uvicorn's httptools parser buffers header fields, trailers and chunk extensions of
 any length, complete or not. An unauthenticated client could grow the process past
@@ -9,12 +9,22 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, Mapping
 
 from attrs import frozen
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
-__all__ = ["BoundedHttpProtocol", "HeaderLimit"]
+from endivegw.sockets import peer_has_closed
+
+__all__ = [
+    "BoundedHttpProtocol",
+    "HeaderLimit",
+    "client_has_disconnected",
+]
+
+#: Extension of the ASGI scope with the state of the connection.
+_EXTENSION = "endivegw.connection"
+_HAS_DISCONNECTED = "has_disconnected"
 
 _TOO_LARGE = 431
 
@@ -41,6 +51,19 @@
     """Stop the parser, which reports the exception as a parser error."""
 
 
+def client_has_disconnected(scope: Mapping[str, Any]) -> bool:
+    """Return whether the client of a request has closed its connection.
+
+    The kernel is queried, because the event loop may not have read the end of the
+    connection yet.
+
+    :param scope: the ASGI scope of the request. False is returned if its connection
+        is not served by :class:`BoundedHttpProtocol`.
+    """
+    extension = scope.get("extensions", {}).get(_EXTENSION)
+    return extension is not None and extension[_HAS_DISCONNECTED]()
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """Refuse a request whose header section is too large, and close the connection.
 
@@ -72,6 +95,11 @@
     def on_message_begin(self) -> None:
         """Start counting for a new request."""
         super().on_message_begin()
+        self.scope["extensions"] = {
+            _EXTENSION: {
+                _HAS_DISCONNECTED: self._has_disconnected,
+            }
+        }
         self._field_bytes = 0
         self._in_message = True
         self._record_progress()
@@ -104,6 +132,12 @@
             return
         super().send_400_response(msg)
 
+    def _has_disconnected(self) -> bool:
+        """Return whether the client has closed the connection."""
+        if self.transport.is_closing():
+            return True
+        return peer_has_closed(self.transport.get_extra_info("socket"))
+
     def _record_progress(self) -> None:
         self._progressed = True
         self._buffered_bytes = 0
--- a/src/endivegw/peers/client.py
+++ b/src/endivegw/peers/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, AsyncGenerator, AsyncIterator
+from typing import Any, AsyncGenerator, AsyncIterator, Awaitable, Callable
 
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw.peers._generated.endivegw_peers_grpc import SidecarStub
@@ -27,13 +27,18 @@
         super().__init__(SidecarStub, *address, **options)
 
     async def execute(
-        self, start: pb.ExecuteStart, body: AsyncIterator[bytes] | None = None
+        self,
+        start: pb.ExecuteStart,
+        body: AsyncIterator[bytes] | None = None,
+        before_send: Callable[[], Awaitable[None]] | None = None,
     ) -> AsyncGenerator[pb.Frame, None]:
         """Start an attempt and yield the frames of its response.
 
         Closing the iterator does not end the attempt; :meth:`cancel` does.
 
         :param body: chunks of the request body for a plain service.
+        :param before_send: awaited right before the start message is sent, once the
+            connection is open; an exception that it raises prevents the send.
         :raises NotDelivered: if the sidecar cannot have received the start message.
         :raises OutcomeUnknown: if the sidecar may have received it.
         """
@@ -42,6 +47,8 @@
         try:
             async with self._stub.Execute.open() as stream:
                 await connect(stream, self._connect_timeout_s)
+                if before_send is not None:
+                    await before_send()
                 written = True
                 message = pb.ExecuteMessage(start=start)
                 await stream.send_message(message, end=body is None)
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -6,13 +6,13 @@
 from typing import Awaitable, Callable
 
 import anyio
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
-from endivegw.relay.sockets import peer_has_closed
 from endivegw.relay.wire import HeaderFields
 from endivegw.routing import CallerLimits
+from endivegw.sockets import peer_has_closed
 
 __all__ = ["AnswerWriter", "CallerConnection", "Handler"]
 
@@ -153,7 +153,9 @@
         work for callers that disconnected seconds ago. The kernel already knows of the
         end, so it is queried right before the send.
         """
-        if not self._caller_left and peer_has_closed(self._stream):
+        if self._caller_left:
+            return
+        if peer_has_closed(self._stream.extra(SocketAttribute.raw_socket)):
             self._handle_caller_left()
 
     def _handle_caller_left(self) -> None:
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -6,12 +6,12 @@
 
 import anyio
 import h11
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 from attrs import frozen
 
 from endivegw.relay.messages import TargetHead
-from endivegw.relay.sockets import has_no_pending_input
 from endivegw.relay.wire import HeaderFields
+from endivegw.sockets import has_no_pending_input
 
 __all__ = ["AnswerBroken", "OutgoingRequest", "TargetConnection"]
 
@@ -75,7 +75,7 @@
         Received bytes cannot belong to a future answer. An end of stream means that
         the target has closed the connection, and a request sent now would be lost.
         """
-        return has_no_pending_input(self._stream)
+        return has_no_pending_input(self._stream.extra(SocketAttribute.raw_socket))
 
     async def send_request(
         self,
--- a/src/endivegw/requests/attempts.py
+++ b/src/endivegw/requests/attempts.py
@@ -280,7 +280,11 @@
     def stop(self, reason: Reason, now_s: float) -> Step:
         """End the request because the deadline passed or the caller disconnected."""
         attempt = self._attempt
-        if attempt is None or attempt.foreign or not self._record.may_have_run(attempt):
+        if attempt is None or attempt.foreign:
+            return self._finish_stopped(reason)
+        if not self._record.may_have_run(attempt):
+            # The order was not written; the tokens of the attempt can be released.
+            self._record.record_not_run(attempt)
             return self._finish_stopped(reason)
         if reason is Reason.CANCELLED and not self.facts.repeatable:
             # A non-repeatable operation that is stopped halfway is of no use, so it
--- a/src/endivegw_standins/request_net.py
+++ b/src/endivegw_standins/request_net.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from typing import Any, AsyncIterator
+from typing import Any, AsyncIterator, Awaitable, Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -93,12 +93,17 @@
     late_orders: int = field(default=0, init=False)
 
     async def execute(
-        self, start: pb.ExecuteStart, body: AsyncIterator[bytes] | None = None
+        self,
+        start: pb.ExecuteStart,
+        body: AsyncIterator[bytes] | None = None,
+        before_send: Callable[[], Awaitable[None]] | None = None,
     ) -> AsyncIterator[pb.Frame]:
         """Send an order and yield its frames, with the configured network faults."""
         await self._latency()
         if self.host.tasks is None:
             raise NotDelivered("connection refused")
+        if before_send is not None:
+            await before_send()
         message = pb.ExecuteMessage()
         message.start.CopyFrom(start)
         if self._happens(self.faults.lose_order):
--- a/src/endivegw_standins/request_world.py
+++ b/src/endivegw_standins/request_world.py
@@ -153,6 +153,9 @@
         start.service.service = "s"
         return start
 
+    def cancel_if_caller_left(self) -> None:
+        pass
+
     def may_start(self) -> bool:
         return True
 
--- /dev/null
+++ b/tests/test_disconnects_sidecars.py
@@ -0,0 +1,263 @@
+"""Callers that disconnect from a router in front of sidecars, in one process."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+import unittest
+from typing import Any, AsyncIterator, Callable
+from unittest import mock
+
+import anyio
+from grpclib.client import Stream
+
+from endivegw.configuration import TargetKind
+from endivegw.daemons.request_run import RequestRun
+from endivegw.dev.fleet import DevFleet
+from endivegw.dev.layout import MODEL, SERVICE
+from endivegw.peers._generated import endivegw_peers_pb2 as pb
+from endivegw_standins.service_app import ServiceApp
+from endivegw_standins.serving import serve_in
+
+_TIMEOUT_S = 10.0
+_CALLERS = 12
+_STREAMED_BYTES = 1000 * 1024
+
+#: Resolution of the kernel's times.
+_KERNEL_CLOCK_TICK_S = 0.01
+
+#: How long a target may go on after its caller has left.
+_STOP_S = 3.0
+
+
+class HoldingService(ServiceApp):
+    """A service that records whether its caller stays until it is released."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.holds = False
+        self.begun = anyio.Event()
+        self.read = anyio.Event()
+        self.left = anyio.Event()
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer at once, or wait for the end of the connection."""
+        if not self.holds or scope["type"] != "http":
+            await super().__call__(scope, receive, send)
+            return
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                self.left.set()
+                return
+            self.begun.set()
+            if not message.get("more_body", False):
+                self.read.set()
+
+
+class HoldingFleet(DevFleet):
+    """A fleet whose service waits for the end of its connections."""
+
+    holding: HoldingService
+
+    async def _start_target(self, tasks: Any, target: Any) -> str:
+        if target.kind is not TargetKind.SERVICE:
+            return await super()._start_target(tasks, target)
+        self.holding = HoldingService()
+        self.services[target.name] = self.holding
+        return await serve_in(tasks, self.holding, lifespan=False)
+
+
+def _http(fleet: DevFleet, path: str, body: bytes, **fields: str) -> bytes:
+    """Return the bytes of one request of the first account."""
+    lines = [f"POST {path} HTTP/1.1", "host: h", f"content-length: {len(body)}"]
+    lines.append(f"authorization: Bearer {fleet.accounts[0].key}")
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in fields.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def _chat(fleet: DevFleet, text: str, stream: bool, **fields: str) -> bytes:
+    message = {"role": "user", "content": text}
+    document = {"model": MODEL, "messages": [message], "max_tokens": 250}
+    body = json.dumps({**document, "stream": stream}).encode()
+    return _http(fleet, "/v1/chat/completions", body, **fields)
+
+
+def _service(fleet: DevFleet, path: str, body: bytes, **fields: str) -> bytes:
+    return _http(fleet, f"/services/{SERVICE}/{path}", body, **fields)
+
+
+def _starts(fleet: DevFleet) -> int:
+    """Return the number of requests that reached an engine or a service."""
+    engines = fleet.engines.values()
+    starts = sum(c.starts for engine in engines for c in engine.consumed.values())
+    return starts + sum(len(service.bodies) for service in fleet.services.values())
+
+
+@contextlib.asynccontextmanager
+async def _fleet() -> AsyncIterator[HoldingFleet]:
+    fleet = HoldingFleet(http_ports=(0,), log_level="error")
+    async with anyio.create_task_group() as tasks:
+        await fleet.start(tasks)
+        yield fleet
+        tasks.cancel_scope.cancel()
+
+
+def _connect(fleet: DevFleet) -> socket.socket:
+    host, _, port = fleet.routers[0].url.removeprefix("http://").partition(":")
+    return socket.create_connection((host, int(port)), timeout=_TIMEOUT_S)
+
+
+def _exchange(fleet: DevFleet, request: bytes) -> bytes:
+    with _connect(fleet) as connection:
+        connection.sendall(request)
+        return connection.recv(12)
+
+
+class BlockedRouterTests(unittest.TestCase):
+    """
+    Callers ask and leave while the event loop is blocked. No request may be handed
+    to a sidecar afterwards.
+    """
+
+    def _leave(self, build: Callable[[Any, int], bytes]) -> int:
+        """Return the number of requests that were handed to sidecars."""
+        handed: list[str] = []
+        send_message = Stream.send_message
+
+        async def record(self_: Any, message: Any, *, end: bool = False) -> None:
+            if isinstance(message, pb.ExecuteMessage) and message.HasField("start"):
+                handed.append(message.start.attempt_id)
+            await send_message(self_, message, end=end)
+
+        async def scenario() -> None:
+            async with _fleet() as fleet:
+                for number in range(6):
+                    request = _chat(fleet, f"warm {number} len=5", False)
+                    await anyio.to_thread.run_sync(_exchange, fleet, request)
+                request = _service(fleet, "status/1", b"warm")
+                await anyio.to_thread.run_sync(_exchange, fleet, request)
+                connections = [
+                    await anyio.to_thread.run_sync(_connect, fleet)
+                    for _ in range(_CALLERS)
+                ]
+                await anyio.sleep(0.1)
+
+                def act() -> None:
+                    for number, connection in enumerate(connections):
+                        connection.sendall(build(fleet, number))
+                        connection.close()
+
+                with mock.patch.object(Stream, "send_message", record):
+                    thread = threading.Thread(target=act)
+                    thread.start()
+                    thread.join()
+                    await anyio.sleep(0.5)
+
+        anyio.run(scenario)
+        return len(handed)
+
+    def test_chat(self) -> None:
+        """Complete answers."""
+        self.assertEqual(self._leave(lambda f, n: _chat(f, f"c{n} len=200", False)), 0)
+
+    def test_chat_stream(self) -> None:
+        """Streams."""
+        self.assertEqual(self._leave(lambda f, n: _chat(f, f"s{n} len=200", True)), 0)
+
+    def test_keyed_chat(self) -> None:
+        """Chat requests with an idempotency key."""
+        count = self._leave(
+            lambda f, n: _chat(f, f"k{n} len=200", False, idempotency_key=f"k{n}")
+        )
+        self.assertEqual(count, 0)
+
+    def test_service(self) -> None:
+        """Small requests to a plain service."""
+        self.assertEqual(
+            self._leave(lambda f, n: _service(f, "status/1", b"x%d" % n)), 0
+        )
+
+    def test_notice(self) -> None:
+        """Requests to a plain service that may not be repeated."""
+        count = self._leave(
+            lambda f, n: _service(f, "notices", b"n%d" % n, idempotency_key=f"n{n}")
+        )
+        self.assertEqual(count, 0)
+
+
+class AnsweredClaimTests(unittest.TestCase):
+    """
+    The answer to a claim and the end of the caller's connection are unread together.
+    The request then starts although its caller has left, also one that runs once.
+    """
+
+    def _leave(self, build: Callable[[Any, int], bytes]) -> tuple[int, int]:
+        """Return how many requests were handed to sidecars, and started at targets."""
+        handed: list[str] = []
+        send_message = Stream.send_message
+        claim = RequestRun.claim
+        leaving: list[socket.socket] = []
+        started: list[int] = []
+
+        async def record(self_: Any, message: Any, *, end: bool = False) -> None:
+            if isinstance(message, pb.ExecuteMessage) and message.HasField("start"):
+                handed.append(message.start.attempt_id)
+            await send_message(self_, message, end=end)
+
+        async def claim_then_leave(self_: RequestRun, proposal: Any) -> Any:
+            answer = await claim(self_, proposal)
+            thread = threading.Thread(target=leaving.pop().close)
+            thread.start()
+            thread.join()
+            return answer
+
+        async def scenario() -> None:
+            async with _fleet() as fleet:
+                request = _service(fleet, "status/1", b"warm")
+                await anyio.to_thread.run_sync(_exchange, fleet, request)
+                request = _chat(fleet, "warm len=5", False)
+                await anyio.to_thread.run_sync(_exchange, fleet, request)
+                before = _starts(fleet)
+                with (
+                    mock.patch.object(Stream, "send_message", record),
+                    mock.patch.object(RequestRun, "claim", claim_then_leave),
+                ):
+                    for number in range(6):
+                        leaving.append(await anyio.to_thread.run_sync(_connect, fleet))
+                        request = build(fleet, number)
+                        await anyio.to_thread.run_sync(leaving[0].sendall, request)
+                        with anyio.move_on_after(_TIMEOUT_S):
+                            while leaving:
+                                await anyio.sleep(0.01)
+                        await anyio.sleep(0.2)
+                started.append(_starts(fleet) - before)
+
+        anyio.run(scenario)
+        return len(handed), started[0]
+
+    def test_notice(self) -> None:
+        """Requests to a plain service that may not be repeated."""
+        count = self._leave(
+            lambda f, n: _service(f, "notices", b"n%d" % n, idempotency_key=f"n{n}")
+        )
+        self.assertEqual(count, (0, 0))
+
+    def test_chat(self) -> None:
+        """Chat requests that may not be repeated."""
+        count = self._leave(
+            lambda f, n: _chat(
+                f,
+                f"o{n} len=200",
+                False,
+                idempotency_key=f"o{n}",
+                endivegw_repeatable="no",
+            )
+        )
+        self.assertEqual(count, (0, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_request_body.py
+++ b/tests/test_request_body.py
@@ -26,7 +26,8 @@
         self.first = first
         self.messages = []
 
-    async def execute(self, start, body=None):
+    async def execute(self, start, body=None, before_send=None):
+        await before_send()
         self.messages.append((start.join_only, body is not None))
         if len(self.messages) == 1:
             await anext(body)
--- a/tests/test_sidecar_claims.py
+++ b/tests/test_sidecar_claims.py
@@ -161,6 +161,9 @@
         start.remaining_s = max(0.0, remaining_s)
         return start
 
+    def cancel_if_caller_left(self):
+        pass
+
     def may_start(self):
         return True
 
