Notice callers that leave while the HTTP server does not read

Cause: uvicorn stops reading while a streamed body is not taken and while a second request waits, and only the task that forwards a streamed body may receive messages, so that nothing watched such callers. A disconnect in the middle of a body ended the forwarding alone.

Each request asks the kernel five times a second whether its caller has closed, which costs one poll and needs no reading. Disconnects that the server reports end the request at once as before.

tests.test_disconnects_sidecars: four cases failed before, their controls did not.

--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -50,6 +50,12 @@
 __all__ = ["HttpFrontend", "RunRequest"]
 
 _MAX_BUFFERED_BODY_BYTES = 256 * 1024
+
+#: Interval of the checks whether a caller has disconnected. The HTTP server reports it
+#: at once, except while it does not read: a streamed body that is not yet forwarded, or
+#: a pipelined request, stops it.
+_CLOSE_CHECK_INTERVAL_S = 0.2
+
 _CHAT_PATH = "/v1/chat/completions"
 _COMPLETION_PATH = "/v1/completions"
 _MODELS_PATH = "/v1/models"
@@ -315,6 +321,7 @@
                 if client_has_disconnected(scope):
                     tasks.cancel_scope.cancel()
 
+            tasks.start_soon(_check_periodically, cancel_if_caller_left)
             if not (isinstance(request.call, ServiceCall) and request.call.rest):
                 # Only the task that forwards a streamed body may receive messages.
                 tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
@@ -369,3 +376,10 @@
         if message["type"] == "http.disconnect":
             scope.cancel()
             return
+
+
+async def _check_periodically(cancel_if_caller_left: Callable[[], None]) -> None:
+    """Cancel the request soon after its caller has disconnected."""
+    while True:
+        await anyio.sleep(_CLOSE_CHECK_INTERVAL_S)
+        cancel_if_caller_left()
--- a/tests/test_disconnects_sidecars.py
+++ b/tests/test_disconnects_sidecars.py
@@ -259,5 +259,93 @@
         self.assertEqual(count, (0, 0))
 
 
+class StreamedBodyTests(unittest.TestCase):
+    """
+    While a streamed body is forwarded and after it, nothing watched its caller: the
+    service worked on until the deadline.
+    """
+
+    def _leave(self, sent_bytes: int) -> bool:
+        """Return whether the service's connection ended soon after the caller left."""
+        result: list[bool] = []
+
+        async def scenario() -> None:
+            async with _fleet() as fleet:
+                service = fleet.holding
+                service.holds = True
+                request = _service(fleet, "status/1", b"b" * _STREAMED_BYTES)
+                missing = _STREAMED_BYTES - sent_bytes
+                connection = await anyio.to_thread.run_sync(_connect, fleet)
+                data = request[: len(request) - missing]
+                await anyio.to_thread.run_sync(connection.sendall, data)
+                with anyio.fail_after(_TIMEOUT_S):
+                    await (service.begun if missing else service.read).wait()
+                connection.close()
+                with anyio.move_on_after(_STOP_S):
+                    await service.left.wait()
+                result.append(service.left.is_set())
+
+        anyio.run(scenario)
+        return result[0]
+
+    def test_caller_that_leaves_within_its_body(self) -> None:
+        """A part of the body is missing."""
+        self.assertTrue(self._leave(_STREAMED_BYTES - 10_000))
+
+    def test_caller_that_leaves_after_its_body(self) -> None:
+        """The body is complete and the service works on it."""
+        self.assertTrue(self._leave(_STREAMED_BYTES))
+
+    def test_caller_with_a_small_body(self) -> None:
+        """A body that is not streamed; this is watched."""
+        with mock.patch(f"{__name__}._STREAMED_BYTES", 1000):
+            self.assertTrue(self._leave(1000))
+
+
+class PipelinedTests(unittest.TestCase):
+    """
+    A caller sends a second request before the first is answered, and leaves. The HTTP
+    server reads no further then, and the caller's end is not noticed.
+    """
+
+    def _leave(self, seconds: int, together: bool) -> bool:
+        """Return whether the service's connection ended soon after the caller left."""
+        result: list[bool] = []
+
+        async def scenario() -> None:
+            async with _fleet() as fleet:
+                service = fleet.holding
+                service.holds = True
+                request = _service(fleet, "status/1", b"first")
+                more = _service(fleet, "status/1", b"second") * seconds
+                connection = await anyio.to_thread.run_sync(_connect, fleet)
+                first = request + more if together else request
+                await anyio.to_thread.run_sync(connection.sendall, first)
+                with anyio.fail_after(_TIMEOUT_S):
+                    await service.read.wait()
+                if more and not together:
+                    await anyio.to_thread.run_sync(connection.sendall, more)
+                    await anyio.sleep(0.1)
+                connection.close()
+                with anyio.move_on_after(_STOP_S):
+                    await service.left.wait()
+                result.append(service.left.is_set())
+
+        anyio.run(scenario)
+        return result[0]
+
+    def test_no_second_request(self) -> None:
+        """A control: one request."""
+        self.assertTrue(self._leave(0, True))
+
+    def test_second_request_with_the_first(self) -> None:
+        """Both requests arrive in one read."""
+        self.assertTrue(self._leave(1, True))
+
+    def test_second_request_after_the_first(self) -> None:
+        """The second request arrives while the service works on the first."""
+        self.assertTrue(self._leave(1, False))
+
+
 if __name__ == "__main__":
     unittest.main()
