Send the whole of a streamed body to a plain service

Cause: the sidecar took the chunks that follow the start message and left out the start of the body, which is in that message. The start comes first now; routers and messages are unchanged, so that routers of the code before are served whole as well.

tests.test_disconnects_sidecars, test_streamed_body_arrives_complete: failed before.

--- a/src/endivegw/daemons/sidecar_body.py
+++ b/src/endivegw/daemons/sidecar_body.py
@@ -49,12 +49,15 @@
                 if message.chunk.last:
                     return
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def chunks(self, first: bytes) -> AsyncIterator[bytes]:
         """Yield the body.
 
+        :param first: the start of the body, which arrived in the start message.
         :raises PeerError: if the stream ends before the last chunk.
         """
         async with self._receiver:
+            if first:
+                yield first
             async for chunk in self._receiver:
                 if chunk.data:
                     yield chunk.data
--- a/src/endivegw/daemons/sidecar_jobs.py
+++ b/src/endivegw/daemons/sidecar_jobs.py
@@ -73,7 +73,8 @@
                     self.starts,
                 )
             case "service", ServiceTarget(service=service):
-                chunks = body.chunks() if body else single_body(start.service.body)
+                first = start.service.body
+                chunks = body.chunks(first) if body else single_body(first)
                 return ServiceJob(service, run, _service_request(start), chunks)
         return None
 
--- a/tests/test_disconnects_sidecars.py
+++ b/tests/test_disconnects_sidecars.py
@@ -296,6 +296,19 @@
         """The body is complete and the service works on it."""
         self.assertTrue(self._leave(_STREAMED_BYTES))
 
+    def test_streamed_body_arrives_complete(self) -> None:
+        """The part that the router had read before it streamed the rest was lost."""
+        received: list[int] = []
+
+        async def scenario() -> None:
+            async with _fleet() as fleet:
+                request = _service(fleet, "status/1", b"b" * _STREAMED_BYTES)
+                await anyio.to_thread.run_sync(_exchange, fleet, request)
+                received.extend(len(body) for body in fleet.holding.bodies)
+
+        anyio.run(scenario)
+        self.assertEqual(received, [_STREAMED_BYTES])
+
     def test_caller_with_a_small_body(self) -> None:
         """A body that is not streamed; this is watched."""
         with mock.patch(f"{__name__}._STREAMED_BYTES", 1000):
