Repeat a cancel until a sidecar has answered it

Callers left their streams while sidecars were stopped for 2.5 s: one second after the sidecars' return 12 of 12 streams were running, in seven of seven runs, and in the one that was followed to its end all 12 were generated to the last token, with nobody to read them.

Two causes: an attempt whose cancel was not answered was handed to the resolver as one whose answer may still be wanted, which only bars it; and the resolver asked for a stop once and barred from then on, also where its first cancel got no answer. Mending either alone left 12 of 12 running, both 0 in three runs.

tests.test_lost_cancels: with one to three lost cancels the target was never stopped.

--- a/src/endivegw/daemons/held_attempts.py
+++ b/src/endivegw/daemons/held_attempts.py
@@ -104,7 +104,9 @@
                 continue
             missing_since_s = None
             reply = await cancel_attempt(link.client, self._header(), step)
-            if reply is not None and self._apply_reply(attempt, reply):
+            if reply is None:
+                continue
+            if self._apply_reply(attempt, reply):
                 return
             step = evolve(step, bar_only=True)
 
--- a/src/endivegw/requests/attempts.py
+++ b/src/endivegw/requests/attempts.py
@@ -272,6 +272,8 @@
     def cancel_lost(self, now_s: float) -> Step:
         """Process a cancel that was not answered."""
         if self._after_cancel is not None:
+            # The attempt may be running for a caller that left.
+            self.abandoned.append(self._cancel_step(self._current(), bar_only=False))
             return self._finish_stopped(self._after_cancel)
         return self._handle_unproven_start(
             self._current(), "the cancel was not answered", now_s
