Take back requests that have not arrived when their caller leaves

A target got requests seconds after the router had closed their connections, and ran them: what the kernel of the router holds, behind a cut link or a target that does not read, an orderly close delivers before its end.

Where anything is unacknowledged, the connection is reset, which discards it. Where all is acknowledged the close stays orderly: the target has the request, and unlike an end a reset that is lost is not repeated.

tests.test_disconnects_direct, UnreadTargetTests: all sizes ran before, none since.

--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -11,7 +11,11 @@
 
 from endivegw.relay.messages import TargetHead
 from endivegw.relay.wire import HeaderFields
-from endivegw.sockets import has_no_pending_input
+from endivegw.sockets import (
+    has_no_pending_input,
+    has_unacknowledged_output,
+    reset_on_close,
+)
 
 __all__ = ["AnswerBroken", "OutgoingRequest", "TargetConnection"]
 
@@ -137,7 +141,16 @@
             raise AnswerBroken(f"incomplete answer: {error}") from error
 
     async def close(self) -> None:
-        """Close at once, which makes the target stop work on the request."""
+        """Close at once, which makes the target stop work on the request.
+
+        A request that is still on its way is discarded, if it can be. An orderly close
+        would deliver it later, for example at the end of a network partition. A target
+        that has acknowledged all data gets an orderly close, because a reset that is
+        lost is not repeated.
+        """
+        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
+        if has_unacknowledged_output(raw_socket):
+            reset_on_close(raw_socket)
         await anyio.aclose_forcefully(self._stream)
 
     def _encode(self, outgoing: OutgoingRequest) -> bytes:
--- a/tests/test_disconnects_direct.py
+++ b/tests/test_disconnects_direct.py
@@ -181,6 +181,66 @@
         self.assertEqual(count, 0)
 
 
+class UnreadTargetTests(unittest.TestCase):
+    """
+    A target does not read while its caller leaves. What the router's kernel still held
+    was delivered after the router had closed, and the request ran seconds later.
+    """
+
+    def _leave(self, size: int) -> tuple[int, int]:
+        """Return runs, and the bytes that the router's kernel held at the close."""
+        result: list[int] = []
+
+        async def scenario() -> None:
+            async with platform_fleet() as fleet:
+                with thread_targets(fleet, "plain", 1, 8192) as targets:
+                    await _use_all(fleet, targets, "notice")
+                    result.extend(await self._one(fleet, targets[0], size))
+
+        anyio.run(scenario)
+        return result[0], result[1]
+
+    async def _one(
+        self, fleet: ClientFleet, target: ThreadTarget, size: int
+    ) -> tuple[int, int]:
+        held: list[int] = []
+        closed = anyio.Event()
+        close = TargetConnection.close
+
+        async def measure_and_close(self_: TargetConnection) -> None:
+            raw = self_._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            answer = fcntl.ioctl(raw.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+            held.append(struct.unpack("i", answer)[0])
+            closed.set()
+            await close(self_)
+
+        before = len(target.received)
+        target.reads.clear()
+        # Longer than a read of the target may still wait.
+        await anyio.sleep(0.1)
+        with mock.patch.object(TargetConnection, "close", measure_and_close):
+            connection = await anyio.to_thread.run_sync(_connect, fleet.ports[0])
+            data = _request("notice", "unread", b"b" * size)
+            await anyio.to_thread.run_sync(connection.sendall, data)
+            await anyio.sleep(0.4)
+            connection.close()
+            with anyio.fail_after(_TIMEOUT_S):
+                await closed.wait()
+        await anyio.sleep(0.6)
+        target.reads.set()
+        await anyio.sleep(1.0)
+        runs = target.received[before:].count("unread")
+        return runs, max(held)
+
+    def test_requests_held_by_the_kernel_do_not_run(self) -> None:
+        """Sizes up to one that the router's kernel does not hold whole either."""
+        for size in _HELD_SIZES:
+            with self.subTest(size=size):
+                runs, held = self._leave(size)
+                self.assertGreater(held, 0)
+                self.assertEqual(runs, 0)
+
+
 class SecondSendTests(unittest.TestCase):
     """
     The first target breaks and the caller leaves while the event loop is blocked: the
