Notice callers that leave while reading is paused

A caller that had sent more than 65,536 bytes behind its request was not noticed when it left: the target was at work 2 s later, closed or reset, with 100,000 and with 200,000 bytes, in five of five runs (with 60,000 it was stopped). Reading pauses there until the answer is finished, and the end lies behind the bytes that are not read.

While reading is paused, the kernel is asked five times a second.

tests.test_disconnects_direct, PipelinedTests: four of eight cases failed before.

--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -20,6 +20,9 @@
 #: Beyond it, reading from the caller pauses until the answer is finished.
 _MAX_READ_AHEAD_BYTES = 65536
 
+#: Interval of the checks whether a caller has disconnected while reading is paused.
+_CLOSE_CHECK_INTERVAL_S = 0.2
+
 #: How long to read on after a request was rejected before its end. Closing at once
 #: would reset the connection before the caller has read the answer.
 _LINGER_TIMEOUT_S = 0.3
@@ -175,7 +178,9 @@
                     self._parser.buffered_bytes > _MAX_READ_AHEAD_BYTES and self._scope
                 ):
                     self._read_resumed = anyio.Event()
-                    await self._read_resumed.wait()
+                    with anyio.move_on_after(_CLOSE_CHECK_INTERVAL_S):
+                        await self._read_resumed.wait()
+                    self.cancel_if_caller_left()
                 self._parser.feed(await self._stream.receive())
                 self._state_changed.set()
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
--- a/tests/test_disconnects_direct.py
+++ b/tests/test_disconnects_direct.py
@@ -308,6 +308,49 @@
                         self.assertEqual(count, 0)
 
 
+class PipelinedTests(unittest.TestCase):
+    """
+    A caller pipelines more than the router reads ahead and leaves. Its end was not
+    read before the answer, so that the target worked on for nobody.
+    """
+
+    def _leave(self, extra: int, leave: Callable[[socket.socket], None]) -> bool:
+        """Return whether the target's connection ended before its answer."""
+        stopped: list[bool] = []
+
+        async def scenario() -> None:
+            async with platform_fleet() as fleet:
+                with thread_targets(fleet, "plain", 1) as (target,):
+                    await _use_all(fleet, [target], "print")
+                    target.holds = lambda name: name == "long"
+                    connection = await anyio.to_thread.run_sync(
+                        _connect, fleet.ports[0]
+                    )
+                    data = _request("print", "long")
+                    await anyio.to_thread.run_sync(connection.sendall, data)
+                    await _wait(target.held)
+                    if extra:
+                        more = _request("print", "next", b"n" * extra)
+                        await anyio.to_thread.run_sync(connection.sendall, more)
+                        await anyio.sleep(0.2)
+                    leave(connection)
+                    with anyio.move_on_after(_OPEN_S):
+                        while not target.stopped:
+                            await anyio.sleep(0.02)
+                    stopped.append(bool(target.stopped))
+
+        anyio.run(scenario)
+        return stopped[0]
+
+    def test_end_behind_pipelined_bytes_stops_the_target(self) -> None:
+        """Closed and reset, with bytes below and above the limit."""
+        for extra in (0, 60_000, 100_000, 200_000):
+            for way in ("close", "reset"):
+                with self.subTest(extra=extra, way=way):
+                    stopped = self._leave(extra, _WAYS[way])
+                    self.assertTrue(stopped)
+
+
 class WaysToLeaveTests(unittest.TestCase):
     """A stalled router asks the kernel; callers leave in different ways."""
 
