Count a request's deadline from its arrival

The time at which the kernel received the last data is asked where a request is read (Linux, TCP_INFO). Where a later segment follows the request, its age is too small and the deadline as long as before at most.

tests.test_disconnects_direct and test_disconnects_sidecars, UnreadRequestTests: both failed before.

--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -41,7 +41,7 @@
     ServiceCall,
 )
 from endivegw.exceptions import EndivegwError
-from endivegw.http_protocol import client_has_disconnected
+from endivegw.http_protocol import client_has_disconnected, unread_s
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.settings import HttpLimits
 from endivegw.telemetry import EventLog
@@ -163,7 +163,9 @@
             )
             await _refuse(send, refused, keyed)
             return
-        caller = identify(headers, self._snapshot(), self._limits, self._clock())
+        # A deadline starts when the request arrives, not when it is read.
+        arrived_s = self._clock() - unread_s(scope)
+        caller = identify(headers, self._snapshot(), self._limits, arrived_s)
         if isinstance(caller, Refused):
             await _refuse(send, caller, keyed)
             return
--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -14,17 +14,19 @@
 from attrs import frozen
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
-from endivegw.sockets import peer_has_closed
+from endivegw.sockets import last_input_age_s, peer_has_closed
 
 __all__ = [
     "BoundedHttpProtocol",
     "HeaderLimit",
     "client_has_disconnected",
+    "unread_s",
 ]
 
 #: Extension of the ASGI scope with the state of the connection.
 _EXTENSION = "endivegw.connection"
 _HAS_DISCONNECTED = "has_disconnected"
+_UNREAD_S = "unread_s"
 
 _TOO_LARGE = 431
 
@@ -64,6 +66,16 @@
     return extension is not None and extension[_HAS_DISCONNECTED]()
 
 
+def unread_s(scope: Mapping[str, Any]) -> float:
+    """Return how long the start of a request was not read after it had arrived.
+
+    :param scope: the ASGI scope of the request. 0 is returned if its connection is not
+        served by :class:`BoundedHttpProtocol`.
+    """
+    extension = scope.get("extensions", {}).get(_EXTENSION)
+    return 0.0 if extension is None else float(extension[_UNREAD_S])
+
+
 class BoundedHttpProtocol(HttpToolsProtocol):
     """Refuse a request whose header section is too large, and close the connection.
 
@@ -98,6 +110,7 @@
         self.scope["extensions"] = {
             _EXTENSION: {
                 _HAS_DISCONNECTED: self._has_disconnected,
+                _UNREAD_S: last_input_age_s(self.transport.get_extra_info("socket")),
             }
         }
         self._field_bytes = 0
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -12,7 +12,7 @@
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
 from endivegw.relay.wire import HeaderFields
 from endivegw.routing import CallerLimits
-from endivegw.sockets import peer_has_closed
+from endivegw.sockets import last_input_age_s, peer_has_closed
 
 __all__ = ["AnswerWriter", "CallerConnection", "Handler"]
 
@@ -208,7 +208,7 @@
         head_due_s: float | None = None
         while True:
             self._state_changed = anyio.Event()
-            request = self._parser.next_request(self._clock())
+            request = self._parser.next_request(self._arrived_s())
             if request is not None:
                 self.busy = True
                 return request
@@ -235,6 +235,11 @@
                     "the request was not received completely in time",
                 )
 
+    def _arrived_s(self) -> float:
+        """Return when the last data arrived, which may have been unread since then."""
+        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
+        return self._clock() - last_input_age_s(raw_socket)
+
     async def _handle_request(self, request: CallerRequest) -> bool:
         """Answer one request; return whether the connection stays open."""
         writer = AnswerWriter(
--- a/src/endivegw/relay/messages.py
+++ b/src/endivegw/relay/messages.py
@@ -33,7 +33,7 @@
     :param target: path and query as sent.
     :param fields: header fields in order, with names in lower case.
     :param close_after: whether the caller's connection is closed after the answer.
-    :param arrived_s: time at which the last byte of the request was read.
+    :param arrived_s: time at which the kernel received the request's last byte.
     """
 
     method: bytes
--- a/tests/test_disconnects_direct.py
+++ b/tests/test_disconnects_direct.py
@@ -391,5 +391,34 @@
                 self.assertEqual(count, 0)
 
 
+class UnreadRequestTests(unittest.TestCase):
+    """
+    A request lay unread for a second. Its deadline began only when it was read, so
+    that the target was given time that its caller no longer had.
+    """
+
+    def test_deadline_of_a_request_that_lay_unread(self) -> None:
+        """The target receives what is left of three seconds."""
+
+        async def scenario() -> None:
+            async with platform_fleet() as fleet:
+                await _warm(fleet, ("notice",))
+                connection = await anyio.to_thread.run_sync(_connect, fleet.ports[0])
+
+                def act() -> None:
+                    connection.sendall(_request("notice", "unread"))
+                    threading.Event().wait(1.0)
+
+                _block(act)
+                await anyio.to_thread.run_sync(connection.recv, 12)
+                connection.close()
+                runs = [r for w in fleet.workers.values() for r in w.runs]
+                (run,) = [r for r in runs if r.request_id == "unread"]
+                told_ms = int(run.fields["endivegw-deadline-ms"])
+                self.assertLessEqual(told_ms, 2000 + _KERNEL_CLOCK_TICK_MS)
+
+        anyio.run(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_disconnects_sidecars.py
+++ b/tests/test_disconnects_sidecars.py
@@ -188,6 +188,44 @@
         self.assertEqual(count, 0)
 
 
+class UnreadRequestTests(unittest.TestCase):
+    """
+    A request lies unread for a second. Its deadline must not start only when the router
+    reads it, or targets get time that the caller no longer has.
+    """
+
+    def test_deadline_starts_at_the_arrival(self) -> None:
+        """The sidecar receives what is left of three seconds."""
+        remaining_s: list[float] = []
+        send_message = Stream.send_message
+
+        async def record(self_: Any, message: Any, *, end: bool = False) -> None:
+            if isinstance(message, pb.ExecuteMessage) and message.HasField("start"):
+                remaining_s.append(message.start.remaining_s)
+            await send_message(self_, message, end=end)
+
+        async def scenario() -> None:
+            async with _fleet() as fleet:
+                fields = {"endivegw_deadline_s": "3"}
+                request = _service(fleet, "status/1", b"unread", **fields)
+                connection = await anyio.to_thread.run_sync(_connect, fleet)
+
+                def act() -> None:
+                    connection.sendall(request)
+                    threading.Event().wait(1.0)
+
+                with mock.patch.object(Stream, "send_message", record):
+                    thread = threading.Thread(target=act)
+                    thread.start()
+                    thread.join()
+                    await anyio.to_thread.run_sync(connection.recv, 12)
+                connection.close()
+
+        anyio.run(scenario)
+        self.assertEqual(len(remaining_s), 1)
+        self.assertLessEqual(remaining_s[0], 2.0 + _KERNEL_CLOCK_TICK_S)
+
+
 class AnsweredClaimTests(unittest.TestCase):
     """
     The answer to a claim and the end of the caller's connection are unread together.
