Check only those requests whose disconnect the HTTP server cannot report

Only streamed bodies and connections with a pipelined request need it. The others wait for an event of their connection, which costs nothing until it is set.

Tests unchanged.

--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -41,7 +41,11 @@
     ServiceCall,
 )
 from endivegw.exceptions import EndivegwError
-from endivegw.http_protocol import client_has_disconnected, unread_s
+from endivegw.http_protocol import (
+    client_has_disconnected,
+    unread_s,
+    wait_reading_stopped,
+)
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.settings import HttpLimits
 from endivegw.telemetry import EventLog
@@ -51,9 +55,8 @@
 
 _MAX_BUFFERED_BODY_BYTES = 256 * 1024
 
-#: Interval of the checks whether a caller has disconnected. The HTTP server reports it
-#: at once, except while it does not read: a streamed body that is not yet forwarded, or
-#: a pipelined request, stops it.
+#: Interval of the checks whether a caller has disconnected while the HTTP server cannot
+#: report it.
 _CLOSE_CHECK_INTERVAL_S = 0.2
 
 _CHAT_PATH = "/v1/chat/completions"
@@ -323,10 +326,16 @@
                 if client_has_disconnected(scope):
                     tasks.cancel_scope.cancel()
 
-            tasks.start_soon(_check_periodically, cancel_if_caller_left)
-            if not (isinstance(request.call, ServiceCall) and request.call.rest):
-                # Only the task that forwards a streamed body may receive messages.
+            async def check_when_unread() -> None:
+                await wait_reading_stopped(scope)
+                await _check_periodically(cancel_if_caller_left)
+
+            if isinstance(request.call, ServiceCall) and request.call.rest:
+                # Only the task that forwards the body may receive messages.
+                tasks.start_soon(_check_periodically, cancel_if_caller_left)
+            else:
                 tasks.start_soon(_cancel_on_disconnect, receive, tasks.cancel_scope)
+                tasks.start_soon(check_when_unread)
             request = evolve(request, cancel_if_caller_left=cancel_if_caller_left)
             end = await self._run_checked(request, sink)
             try:
--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any, Mapping
 
 from attrs import frozen
@@ -21,11 +22,13 @@
     "HeaderLimit",
     "client_has_disconnected",
     "unread_s",
+    "wait_reading_stopped",
 ]
 
 #: Extension of the ASGI scope with the state of the connection.
 _EXTENSION = "endivegw.connection"
 _HAS_DISCONNECTED = "has_disconnected"
+_READING_STOPPED = "reading_stopped"
 _UNREAD_S = "unread_s"
 
 _TOO_LARGE = 431
@@ -66,6 +69,17 @@
     return extension is not None and extension[_HAS_DISCONNECTED]()
 
 
+async def wait_reading_stopped(scope: Mapping[str, Any]) -> None:
+    """Wait until disconnects of the client may not be reported to the application.
+
+    :param scope: the ASGI scope of the request. The wait does not end if its connection
+        is not served by :class:`BoundedHttpProtocol`.
+    """
+    extension = scope.get("extensions", {}).get(_EXTENSION)
+    stopped = asyncio.Event() if extension is None else extension[_READING_STOPPED]
+    await stopped.wait()
+
+
 def unread_s(scope: Mapping[str, Any]) -> float:
     """Return how long the start of a request was not read after it had arrived.
 
@@ -91,6 +105,9 @@
         self._progressed = False
         self._in_message = False
         self._refused = False
+        #: Set once a pipelined request has stopped reading. From then on uvicorn
+        #: reports a disconnect to the last request of the connection only.
+        self._reading_stopped = asyncio.Event()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and count those that the parser only buffers."""
@@ -110,6 +127,7 @@
         self.scope["extensions"] = {
             _EXTENSION: {
                 _HAS_DISCONNECTED: self._has_disconnected,
+                _READING_STOPPED: self._reading_stopped,
                 _UNREAD_S: last_input_age_s(self.transport.get_extra_info("socket")),
             }
         }
@@ -127,6 +145,12 @@
         self._count(len(name) + len(value) + _FIELD_OVERHEAD_BYTES)
         super().on_header(name, value)
 
+    def on_headers_complete(self) -> None:
+        """Start the request, or queue it behind the one in progress."""
+        super().on_headers_complete()
+        if self.pipeline:
+            self._reading_stopped.set()
+
     def on_body(self, body: bytes) -> None:
         """Record progress; the body has a separate limit."""
         self._record_progress()
