--- a/tests/test_disconnects_sidecars.py
+++ b/tests/test_disconnects_sidecars.py
@@ -20,6 +20,7 @@
 from endivegw.peers._generated import endivegw_peers_pb2 as pb
 from endivegw_standins.service_app import ServiceApp
 from endivegw_standins.serving import serve_in
+from tests.process_fleet import ProcessFleet
 
 _TIMEOUT_S = 10.0
 _CALLERS = 12
@@ -70,7 +71,9 @@
         return await serve_in(tasks, self.holding, lifespan=False)
 
 
-def _http(fleet: DevFleet, path: str, body: bytes, **fields: str) -> bytes:
+def build_http(
+    fleet: DevFleet | ProcessFleet, path: str, body: bytes, **fields: str
+) -> bytes:
     """Return the bytes of one request of the first account."""
     lines = [f"POST {path} HTTP/1.1", "host: h", f"content-length: {len(body)}"]
     lines.append(f"authorization: Bearer {fleet.accounts[0].key}")
@@ -78,18 +81,22 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def _chat(fleet: DevFleet, text: str, stream: bool, **fields: str) -> bytes:
+def build_chat(
+    fleet: DevFleet | ProcessFleet, text: str, stream: bool, **fields: str
+) -> bytes:
     message = {"role": "user", "content": text}
     document = {"model": MODEL, "messages": [message], "max_tokens": 250}
     body = json.dumps({**document, "stream": stream}).encode()
-    return _http(fleet, "/v1/chat/completions", body, **fields)
+    return build_http(fleet, "/v1/chat/completions", body, **fields)
 
 
-def _service(fleet: DevFleet, path: str, body: bytes, **fields: str) -> bytes:
-    return _http(fleet, f"/services/{SERVICE}/{path}", body, **fields)
+def build_service(
+    fleet: DevFleet | ProcessFleet, path: str, body: bytes, **fields: str
+) -> bytes:
+    return build_http(fleet, f"/services/{SERVICE}/{path}", body, **fields)
 
 
-def _starts(fleet: DevFleet) -> int:
+def count_starts(fleet: DevFleet | ProcessFleet) -> int:
     """Return the number of requests that reached an engine or a service."""
     engines = fleet.engines.values()
     starts = sum(c.starts for engine in engines for c in engine.consumed.values())
@@ -135,9 +142,9 @@
         async def scenario() -> None:
             async with _fleet() as fleet:
                 for number in range(6):
-                    request = _chat(fleet, f"warm {number} len=5", False)
+                    request = build_chat(fleet, f"warm {number} len=5", False)
                     await anyio.to_thread.run_sync(_exchange, fleet, request)
-                request = _service(fleet, "status/1", b"warm")
+                request = build_service(fleet, "status/1", b"warm")
                 await anyio.to_thread.run_sync(_exchange, fleet, request)
                 connections = [
                     await anyio.to_thread.run_sync(_connect, fleet)
@@ -161,29 +168,35 @@
 
     def test_chat(self) -> None:
         """Complete answers."""
-        self.assertEqual(self._leave(lambda f, n: _chat(f, f"c{n} len=200", False)), 0)
+        self.assertEqual(
+            self._leave(lambda f, n: build_chat(f, f"c{n} len=200", False)), 0
+        )
 
     def test_chat_stream(self) -> None:
         """Streams."""
-        self.assertEqual(self._leave(lambda f, n: _chat(f, f"s{n} len=200", True)), 0)
+        self.assertEqual(
+            self._leave(lambda f, n: build_chat(f, f"s{n} len=200", True)), 0
+        )
 
     def test_keyed_chat(self) -> None:
         """Chat requests with an idempotency key."""
         count = self._leave(
-            lambda f, n: _chat(f, f"k{n} len=200", False, idempotency_key=f"k{n}")
+            lambda f, n: build_chat(f, f"k{n} len=200", False, idempotency_key=f"k{n}")
         )
         self.assertEqual(count, 0)
 
     def test_service(self) -> None:
         """Small requests to a plain service."""
         self.assertEqual(
-            self._leave(lambda f, n: _service(f, "status/1", b"x%d" % n)), 0
+            self._leave(lambda f, n: build_service(f, "status/1", b"x%d" % n)), 0
         )
 
     def test_notice(self) -> None:
         """Requests to a plain service that may not be repeated."""
         count = self._leave(
-            lambda f, n: _service(f, "notices", b"n%d" % n, idempotency_key=f"n{n}")
+            lambda f, n: build_service(
+                f, "notices", b"n%d" % n, idempotency_key=f"n{n}"
+            )
         )
         self.assertEqual(count, 0)
 
@@ -207,7 +220,7 @@
         async def scenario() -> None:
             async with _fleet() as fleet:
                 fields = {"endivegw_deadline_s": "3"}
-                request = _service(fleet, "status/1", b"unread", **fields)
+                request = build_service(fleet, "status/1", b"unread", **fields)
                 connection = await anyio.to_thread.run_sync(_connect, fleet)
 
                 def act() -> None:
@@ -254,11 +267,11 @@
 
         async def scenario() -> None:
             async with _fleet() as fleet:
-                request = _service(fleet, "status/1", b"warm")
+                request = build_service(fleet, "status/1", b"warm")
                 await anyio.to_thread.run_sync(_exchange, fleet, request)
-                request = _chat(fleet, "warm len=5", False)
+                request = build_chat(fleet, "warm len=5", False)
                 await anyio.to_thread.run_sync(_exchange, fleet, request)
-                before = _starts(fleet)
+                before = count_starts(fleet)
                 with (
                     mock.patch.object(Stream, "send_message", record),
                     mock.patch.object(RequestRun, "claim", claim_then_leave),
@@ -271,7 +284,7 @@
                             while leaving:
                                 await anyio.sleep(0.01)
                         await anyio.sleep(0.2)
-                started.append(_starts(fleet) - before)
+                started.append(count_starts(fleet) - before)
 
         anyio.run(scenario)
         return len(handed), started[0]
@@ -279,14 +292,16 @@
     def test_notice(self) -> None:
         """Requests to a plain service that may not be repeated."""
         count = self._leave(
-            lambda f, n: _service(f, "notices", b"n%d" % n, idempotency_key=f"n{n}")
+            lambda f, n: build_service(
+                f, "notices", b"n%d" % n, idempotency_key=f"n{n}"
+            )
         )
         self.assertEqual(count, (0, 0))
 
     def test_chat(self) -> None:
         """Chat requests that may not be repeated."""
         count = self._leave(
-            lambda f, n: _chat(
+            lambda f, n: build_chat(
                 f,
                 f"o{n} len=200",
                 False,
@@ -311,7 +326,7 @@
             async with _fleet() as fleet:
                 service = fleet.holding
                 service.holds = True
-                request = _service(fleet, "status/1", b"b" * _STREAMED_BYTES)
+                request = build_service(fleet, "status/1", b"b" * _STREAMED_BYTES)
                 missing = _STREAMED_BYTES - sent_bytes
                 connection = await anyio.to_thread.run_sync(_connect, fleet)
                 data = request[: len(request) - missing]
@@ -340,7 +355,7 @@
 
         async def scenario() -> None:
             async with _fleet() as fleet:
-                request = _service(fleet, "status/1", b"b" * _STREAMED_BYTES)
+                request = build_service(fleet, "status/1", b"b" * _STREAMED_BYTES)
                 await anyio.to_thread.run_sync(_exchange, fleet, request)
                 received.extend(len(body) for body in fleet.holding.bodies)
 
@@ -367,8 +382,8 @@
             async with _fleet() as fleet:
                 service = fleet.holding
                 service.holds = True
-                request = _service(fleet, "status/1", b"first")
-                more = _service(fleet, "status/1", b"second") * seconds
+                request = build_service(fleet, "status/1", b"first")
+                more = build_service(fleet, "status/1", b"second") * seconds
                 connection = await anyio.to_thread.run_sync(_connect, fleet)
                 first = request + more if together else request
                 await anyio.to_thread.run_sync(connection.sendall, first)
