--- a/src/endivegw/sockets.py
+++ b/src/endivegw/sockets.py
@@ -20,9 +20,8 @@
 #: Format of the queue length that the kernel returns.
 _QUEUE_BYTES = struct.Struct("i")
 
-#: Values of the option ``SO_LINGER``: on, with a timeout of 0 s.
-_LINGER_OFF = struct.pack("ii", 1, 0)
-
+#: Value of ``SO_LINGER``: a close discards unsent data at once.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 #: Position of ``tcpi_last_data_recv``, in milliseconds, in Linux's ``struct tcp_info``.
 _LAST_INPUT = struct.Struct("52xI")
@@ -43,12 +42,15 @@
 
 def has_no_pending_input(connection: _Socket) -> bool:
     """Return whether neither data nor an end of stream is waiting to be read."""
-    return not _poll(connection, select.POLLIN)
+    return connection.fileno() >= 0 and not _poll(connection, select.POLLIN)
 
 
 def peer_has_closed(connection: _Socket) -> bool:
-    """Return whether the peer has closed, even if unread data is still pending."""
-    return bool(_poll(connection, select.POLLRDHUP))
+    """Return whether the peer has closed, even if unread data is still pending.
+
+    The peer of a socket that was closed here counts as gone as well.
+    """
+    return connection.fileno() < 0 or bool(_poll(connection, select.POLLRDHUP))
 
 
 def has_unacknowledged_output(connection: _Socket) -> bool:
@@ -78,7 +80,7 @@
 
 def reset_on_close(connection: _Socket) -> None:
     """Let the close discard unsent data and reset the connection."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
 
 
 def _poll(connection: _Socket, events: int) -> list[tuple[int, int]]:
