Stop an attempt after its last reader has left

Two callers of one key read one attempt; the first left, then the second. The first router's cancel spared the attempt, as it must, and only barred from then on; the second router sends none for an attempt that is not its own. The same where a broken stream still counted as a reader for more than 0.2 s.

The sidecar remembers the cancel. It stops the attempt once nothing has read it for 0.4 s, so that a reader whose connection broke may return. Weighed: routers that ask again, which costs calls for each attempt that is read and may meet just such a gap.

--- a/src/endivegw/daemons/sidecar_run.py
+++ b/src/endivegw/daemons/sidecar_run.py
@@ -19,6 +19,10 @@
 #: generated, and more when a reader catches up.
 READ_BYTES = 32 * 2**10
 
+#: How long an attempt runs on without a reader once a stop was requested. A reader
+#: whose connection broke returns within this time.
+_UNREAD_GRACE_S = 0.4
+
 #: Minimum time between two data frames of one engine's answer, except for its
 #: first and its last frame. A frame costs the router and the sidecar about 0.3 ms
 #: CPU each, whatever its size, so that tokens generated faster than this share a
@@ -57,6 +61,8 @@
         self._changed = anyio.Event()
         self._readers: dict[int, int] = {}
         self._next_reader = 0
+        #: Deadline of the scope if the attempt is read; None if no stop was requested.
+        self._read_deadline: float | None = None
 
     @property
     def attempt_id(self) -> str:
@@ -68,6 +74,20 @@
         """Return the number of streams that read the answer now."""
         return len(self._readers)
 
+    def stop_when_unread(self) -> None:
+        """Stop the attempt once nothing reads its answer any more."""
+        if self._read_deadline is None:
+            self._read_deadline = self.scope.deadline
+        self._update_deadline()
+
+    def _update_deadline(self) -> None:
+        if self._read_deadline is None:
+            return
+        self.scope.deadline = self._read_deadline
+        if not self._readers:
+            unread_deadline = anyio.current_time() + _UNREAD_GRACE_S
+            self.scope.deadline = min(self._read_deadline, unread_deadline)
+
     def notify_changed(self) -> None:
         """Wake the readers, and the producer if it waits for buffer space."""
         self._changed.set()
@@ -98,6 +118,7 @@
         reader = self._next_reader
         self._next_reader += 1
         self._readers[reader] = offset_bytes
+        self._update_deadline()
         head_sent = False
         try:
             while True:
@@ -130,6 +151,7 @@
                 await change.wait()
         finally:
             del self._readers[reader]
+            self._update_deadline()
             self.notify_changed()
 
     async def wait_changed(self) -> None:
