--- a/src/endivegw/daemons/request_driver.py
+++ b/src/endivegw/daemons/request_driver.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import aclosing
-from typing import Any, AsyncIterator, Callable, Protocol
+from typing import AsyncIterator, Callable, Protocol
 
 import anyio
 from attrs import frozen
@@ -176,7 +176,8 @@
         start.join_only = step.join_only or not self._ports.may_start()
         try:
             body = None if start.join_only else self._ports.body()
-            async with aclosing(self._open_stream(client, start, body)) as frames:
+            stream = client.execute(start, body, self._before_send)
+            async with aclosing(stream) as frames:
                 async for frame in frames:
                     if frame.HasField("header"):
                         self._ports.on_header(frame.header)
@@ -189,14 +190,6 @@
             pass
         return self._machine.lost(delivered=True, now_s=self._clock())
 
-    def _open_stream(
-        self,
-        client: SidecarClient,
-        start: pb.ExecuteStart,
-        body: AsyncIterator[bytes] | None,
-    ) -> Any:
-        return client.execute(start, body, self._before_send)
-
     async def _before_send(self) -> None:
         """Cancel the request if its caller left; else record that it is handed over.
 
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -174,18 +174,20 @@
         """
         try:
             while True:
-                while (
-                    self._parser.buffered_bytes > _MAX_READ_AHEAD_BYTES and self._scope
-                ):
-                    self._read_resumed = anyio.Event()
-                    with anyio.move_on_after(_CLOSE_CHECK_INTERVAL_S):
-                        await self._read_resumed.wait()
-                    self.cancel_if_caller_left()
+                await self._wait_buffered_requests()
                 self._parser.feed(await self._stream.receive())
                 self._state_changed.set()
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
             self._handle_caller_left()
 
+    async def _wait_buffered_requests(self) -> None:
+        """Wait while too much is buffered; detect a disconnect meanwhile."""
+        while self._parser.buffered_bytes > _MAX_READ_AHEAD_BYTES and self._scope:
+            self._read_resumed = anyio.Event()
+            with anyio.move_on_after(_CLOSE_CHECK_INTERVAL_S):
+                await self._read_resumed.wait()
+            self.cancel_if_caller_left()
+
     async def _serve_requests(self) -> None:
         while True:
             request = await self._next_request()
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -191,6 +191,7 @@
                 head = await self._read_matching_head(outgoing, matches_request)
             except _READ_ERRORS as error:
                 read_error = error
+            # The rest of the body is not sent once the answer is known.
             tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
