--- a/src/endivegw/daemons/sidecar_cancel.py
+++ b/src/endivegw/daemons/sidecar_cancel.py
@@ -63,13 +63,15 @@
         Another caller may have joined, and its answer must not be truncated when
         the first caller disconnects. The canceller has closed its own stream
         before it cancels, but the sidecar may detect this only after the cancel.
-        An attempt that is still read is stopped after its last reader has left.
+        A repeatable attempt that is still read is stopped after its last reader has
+        left; the answer of any other is retained for the caller's retry.
         """
         with anyio.move_on_after(_STREAM_END_TIMEOUT_S):
             while run.readers:
                 await run.wait_changed()
         if run.readers:
-            run.stop_when_unread()
+            if run.order.repeatable:
+                run.stop_when_unread()
             return
         run.scope.cancel()
         with anyio.move_on_after(self.settings.cancel_timeout_s):
