--- a/src/endivegw/cli/logs.py
+++ b/src/endivegw/cli/logs.py
@@ -15,6 +15,7 @@
     read_log_lines,
     trace_request,
 )
+from endivegw.telemetry.target_limits import current_limits
 
 __all__ = ["explain", "logs"]
 
@@ -81,6 +82,16 @@
     print_table(("window", "outcome", "requests"), rows, output)
 
 
+@logs.command()
+@_log_files
+@output_option
+def targets(files: tuple[TextIO, ...], output: str) -> None:
+    """Show evacuated zones, and targets that warm up, at the end of the logs."""
+    limits = current_limits(read_log_lines(_read_files(files)))
+    rows = [attrs.astuple(limit) for limit in limits]
+    print_table(("kind", "name", "since", "routers"), rows, output)
+
+
 @logs.command()
 @_log_files
 @_window_option(2.0)
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -19,8 +19,9 @@
     DirectRouterOptions,
     DirectRouterParts,
 )
+from endivegw.daemons.evacuation_reader import EvacuationReader
 from endivegw.daemons.placement_queue import PlacementQueue
-from endivegw.daemons.row_feed import FeedReader, RowFeed
+from endivegw.daemons.row_feed import FeedReader, ReaderGroup, RowFeed
 from endivegw.daemons.target_reader import TargetReader
 from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
@@ -33,6 +34,7 @@
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.termination_detector import TerminationDetector
 from endivegw.relay.wire import WirePort
+from endivegw.routing import ZoneChange, ZoneEvacuations
 from endivegw.services.measured_rows import TimedRowStore
 from endivegw.services.row_store import RowStorePort
 from endivegw.settings.direct import DirectRouterSettings
@@ -145,9 +147,29 @@
         log=log,
         metrics=metrics,
     )
+    evacuations = ZoneEvacuations()
+    targets = TargetReader(context, decoder, clock, log, evacuations, peers.send_quota)
+    evacuation_reader = EvacuationReader(
+        evacuations,
+        decoder,
+        targets.on_zone_change,
+        link.broadcast,
+        lambda zone: len(targets.targets_in(zone)),
+        log,
+    )
     _add_gauges(metrics, context)
-    targets = TargetReader(context, decoder, clock, log)
+    metrics.gauge(
+        "evacuated_zones",
+        "Availability zones whose targets get no new requests.",
+        lambda: len(evacuations.evacuated()),
+    )
+    metrics.gauge(
+        "targets_warming_up",
+        "Targets that get a limited rate of requests after their start.",
+        targets.warming_up_count,
+    )
     context.on_replaced = targets.on_replaced
+    context.on_warm_up = targets.on_warm_up
 
     def on_leaving(start: TargetStart, source: str) -> None:
         if targets.on_leaving(start, source):
@@ -155,10 +177,12 @@
 
     context.on_leaving = on_leaving
 
-    def on_broadcast(message: Evidence | TargetLeaving) -> None:
+    def on_broadcast(message: Evidence | TargetLeaving | ZoneChange) -> None:
         match message:
             case TargetLeaving(start):
                 on_leaving(start, "peer")
+            case ZoneChange():
+                evacuation_reader.apply(message, "peer")
             case _:
                 quarantine.receive(message)
 
@@ -170,7 +194,7 @@
     configuration = ConfigurationReader(context, decoder, on_configuration, log)
     peer_reader = PeerReader(peers, entry, log)
     readers: dict[str, FeedReader] = {
-        decoder.configuration_table: configuration,
+        decoder.configuration_table: ReaderGroup(configuration, evacuation_reader),
         decoder.targets_table: targets,
         PEERS_TABLE: peer_reader,
     }
--- a/src/endivegw/daemons/direct_readers.py
+++ b/src/endivegw/daemons/direct_readers.py
@@ -12,7 +12,7 @@
 from endivegw.services.row_store import ExpectedRow, RowsPort, StoredRow
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
-from endivegw.types import ClientAccountName
+from endivegw.types import AvailabilityZone, ClientAccountName
 
 __all__ = ["ConfigurationReader", "PeerReader", "RowDecoder", "log_unreadable"]
 
@@ -32,6 +32,12 @@
     def configuration(self, value: bytes) -> FleetConfiguration:
         """Decode a configuration."""
 
+    def evacuation(self, key: str) -> AvailabilityZone | None:
+        """Return the zone that a row of the configuration's table evacuates.
+
+        None if the row is not about a zone.
+        """
+
     def target(self, key: str, value: bytes) -> DirectTarget:
         """Decode a target's entry."""
 
@@ -78,7 +84,7 @@
         self._on_change = on_change
         self._log = log
 
-    def on_listing(self, rows: tuple[StoredRow, ...]) -> None:
+    def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
         """Apply all rows of the table."""
         for row in rows:
             self.on_row(row)
@@ -136,9 +142,10 @@
         if row.revision:
             await store.transact((), (), deletes=(row,), timeout_s=timeout_s)
 
-    def on_listing(self, rows: tuple[StoredRow, ...]) -> None:
+    def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
         """Apply all rows of the table; routers without a row are removed."""
         names = {row.key for row in rows}
+        self._peers.listed = True
         for entry in self._peers.entries():
             if entry.vm not in names:
                 self._peers.remove(entry.vm)
--- a/src/endivegw/daemons/row_feed.py
+++ b/src/endivegw/daemons/row_feed.py
@@ -11,7 +11,7 @@
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 
-__all__ = ["FeedReader", "RowFeed"]
+__all__ = ["FeedReader", "ReaderGroup", "RowFeed"]
 
 #: How long one read waits for a change. Short, because a connection may stall
 #: without a reset; the next read then detects it.
@@ -31,8 +31,12 @@
 class FeedReader(Protocol):
     """Receive the rows of a table and the state of the store."""
 
-    def on_listing(self, rows: tuple[StoredRow, ...]) -> None:
-        """Receive all rows of the table."""
+    def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
+        """Receive all rows of the table.
+
+        :param revision: revision of the store at the time of the listing, which may be
+            older than rows received before.
+        """
 
     def on_row(self, row: StoredRow) -> None:
         """Receive one row that was written or deleted."""
@@ -44,6 +48,33 @@
         """Record an answer of the store, before its rows are delivered."""
 
 
+class ReaderGroup:
+    """Pass everything that a feed delivers to several readers, in order."""
+
+    def __init__(self, *readers: FeedReader) -> None:
+        self._readers = readers
+
+    def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
+        """Pass on a listing."""
+        for reader in self._readers:
+            reader.on_listing(rows, revision)
+
+    def on_row(self, row: StoredRow) -> None:
+        """Pass on one row."""
+        for reader in self._readers:
+            reader.on_row(row)
+
+    def on_unavailable(self) -> None:
+        """Pass on that the store does not answer."""
+        for reader in self._readers:
+            reader.on_unavailable()
+
+    def on_response(self) -> None:
+        """Pass on that the store answered."""
+        for reader in self._readers:
+            reader.on_response()
+
+
 class RowFeed:
     """Keep a reader up to date with one table."""
 
@@ -82,7 +113,7 @@
             self._on_failure(result)
             return False
         self._on_answer(result.value)
-        self._reader.on_listing(result.value.rows)
+        self._reader.on_listing(result.value.rows, result.value.timestamp.revision)
         self._listed_s = self._clock()
         self._revision = result.value.timestamp.revision
         return True
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -5,20 +5,39 @@
 from typing import Callable
 
 from endivegw.daemons.direct_readers import RowDecoder, log_unreadable
-from endivegw.decisions import SERVICE_PREFIX, TargetView
+from endivegw.decisions import (
+    NO_SENDS,
+    SERVICE_PREFIX,
+    SendQuota,
+    TargetView,
+    WarmUp,
+    WarmUpLimits,
+)
 from endivegw.quarantine import TargetStart
 from endivegw.relay.context import RelayContext
-from endivegw.routing import DirectTarget, FleetView, ServiceKind
+from endivegw.routing import (
+    DirectTarget,
+    FleetView,
+    ServiceKind,
+    WarmUpTimes,
+    ZoneChange,
+    ZoneEvacuations,
+)
 from endivegw.services.row_store import StoredRow
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
-from endivegw.types import InstanceId, TargetName
+from endivegw.types import AvailabilityZone, InstanceId, TargetName
 
 __all__ = ["TargetReader"]
 
 
 class TargetReader:
-    """Keep the dispatcher's targets up to date with the registry."""
+    """Keep the dispatcher's targets up to date with the registry.
+
+    :param evacuations: the zones whose targets get no new requests.
+    :param send_quota: returns this router's quota for a target that is warming up,
+        given the requests per second that all routers together may send there.
+    """
 
     def __init__(
         self,
@@ -26,7 +45,14 @@
         decoder: RowDecoder,
         clock: Callable[[], float],
         log: EventLog,
+        evacuations: ZoneEvacuations | None = None,
+        send_quota: Callable[
+            [TargetName, float], SendQuota
+        ] = lambda target, rate: NO_SENDS,
     ) -> None:
+        self._evacuations = evacuations or ZoneEvacuations()
+        self._send_quota = send_quota
+        self._warm_ups = WarmUpTimes()
         self._context = context
         self._decoder = decoder
         self._clock = clock
@@ -43,7 +69,7 @@
         #: Keys of rows that did not decode when they were last read.
         self._unusable: set[str] = set()
 
-    def on_listing(self, rows: tuple[StoredRow, ...]) -> None:
+    def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
         """Apply all rows of the table; targets without a row are removed."""
         missing = set(self.view.targets)
         for row in rows:
@@ -99,6 +125,35 @@
             self.apply()
         return True
 
+    def on_zone_change(self, change: ZoneChange) -> None:
+        """Apply that a zone was evacuated, or is back in use.
+
+        Targets that got no requests may have become cold, and their entries show it
+        only after their next heartbeat.
+        """
+        if not change.evacuated:
+            for target in self.targets_in(change.zone):
+                limits = self._warm_up_limits(target)
+                if limits is not None:
+                    self._extend_warm_up(target, limits.duration_s, "zone")
+        self.apply()
+
+    def on_warm_up(self, start: TargetStart, left_s: float) -> None:
+        """Apply that a target's answer states that it warms up."""
+        target = self.view.targets.get(start.instance_id)
+        if target is not None and _start_of(target) == start:
+            self._extend_warm_up(target, left_s, "answer")
+            self.apply()
+
+    def targets_in(self, zone: AvailabilityZone) -> list[DirectTarget]:
+        """Return the registered targets of a zone."""
+        targets = self.view.targets.values()
+        return [target for target in targets if target.availability_zone == zone]
+
+    def warming_up_count(self) -> int:
+        """Return the number of targets that are warming up."""
+        return sum(self._warm_up(target) is not None for target in self.view.usable())
+
     def expire_missing(self) -> None:
         """Drop targets that are still missing after the registry became available."""
         if self.view.expire_missing(self._clock()):
@@ -111,7 +166,8 @@
         self._context.queue.wake()
 
     def _apply_row(self, row: StoredRow) -> None:
-        if row.revision < self._revisions.get(row.key, 0):
+        known_revision = self._revisions.get(row.key, 0)
+        if row.revision < known_revision:
             # A listing may be older than a row that the feed delivered before it.
             return
         self._revisions[row.key] = row.revision
@@ -119,6 +175,7 @@
         before = self.view.targets.get(instance_id)
         if row.deleted:
             self._unusable.discard(row.key)
+            self._warm_ups.forget(instance_id)
             self.view.remove(instance_id, self._clock())
             if before is not None:
                 self._log_change(before, "removed", row.revision)
@@ -133,6 +190,8 @@
         if (target.instance_id, target.started_ms) in self._replaced:
             return
         self.view.put(target)
+        if row.revision > known_revision:
+            self._register_warm_up(target)
         self._on_entry(before, target, row.revision)
 
     def _drop_unreadable(
@@ -164,6 +223,47 @@
         elif before.leaving != target.leaving:
             self._log_change(target, "leaving", revision)
 
+    def _register_warm_up(self, target: DirectTarget) -> None:
+        """Apply the time that an entry states; the same entry may be listed again."""
+        now_s = self._clock()
+        before_s = self._warm_ups.ends_s(target.instance_id)
+        self._warm_ups.register(target.instance_id, now_s + target.warm_up_s)
+        self._log_warm_up(target, before_s, "row")
+
+    def _extend_warm_up(self, target: DirectTarget, left_s: float, source: str) -> None:
+        before_s = self._warm_ups.ends_s(target.instance_id)
+        self._warm_ups.extend(target.instance_id, self._clock() + left_s)
+        self._log_warm_up(target, before_s, source)
+
+    def _log_warm_up(self, target: DirectTarget, before_s: float, source: str) -> None:
+        """Log that a target which was warm until now warms up."""
+        now_s = self._clock()
+        warm_up = self._warm_up(target)
+        if warm_up is None or before_s > now_s:
+            return
+        self._log.emit(
+            events.TARGET_WARMING_UP,
+            target=target.instance_id,
+            availability_zone=target.availability_zone,
+            left_s=round(warm_up.ends_s - now_s, 3),
+            sends=warm_up.quota.sends,
+            window_s=round(warm_up.quota.window_s, 3),
+            source=source,
+        )
+
+    def _warm_up_limits(self, target: DirectTarget) -> WarmUpLimits | None:
+        table = self._context.table
+        return None if table is None else table.warm_up_limits(target.service)
+
+    def _warm_up(self, target: DirectTarget) -> WarmUp | None:
+        """Return a target's warm-up, or None if it is warm or need not warm up."""
+        limits = self._warm_up_limits(target)
+        ends_s = self._warm_ups.ends_s(target.instance_id)
+        if limits is None or ends_s <= self._clock():
+            return None
+        quota = self._send_quota(TargetName(target.instance_id), limits.rate_per_s)
+        return WarmUp(ends_s, quota)
+
     def _view(self, target: DirectTarget) -> TargetView:
         table = self._context.table
         kind = ServiceKind.PLAIN
@@ -182,6 +282,8 @@
             draining=target.leaving or _start_of(target) in self._leaving,
             started_ms=target.started_ms,
             copy_s_per_token=copy_s_per_token,
+            evacuated=self._evacuations.is_evacuated(target.availability_zone),
+            warm_up=self._warm_up(target),
         )
 
     def _log_change(
--- a/src/endivegw/decisions/__init__.py
+++ b/src/endivegw/decisions/__init__.py
@@ -16,6 +16,13 @@
     plan_orders,
 )
 from endivegw.decisions.subset import SubsetPolicy, choose_subset, subset_size
+from endivegw.decisions.warm_up import (
+    NO_SENDS,
+    SendQuota,
+    WarmUp,
+    WarmUpLimits,
+    send_quota,
+)
 from endivegw.decisions.work import (
     SERVICE_PREFIX,
     AttemptEnd,
@@ -39,6 +46,7 @@
     "LoadFigures",
     "LocalLoad",
     "LoadedTarget",
+    "NO_SENDS",
     "Placement",
     "PlacementFigures",
     "PlannedOrder",
@@ -49,12 +57,16 @@
     "RetryPolicy",
     "SERVICE_PREFIX",
     "ScalingPolicy",
+    "SendQuota",
     "SubsetPolicy",
     "TargetView",
+    "WarmUp",
+    "WarmUpLimits",
     "WorkItem",
     "backoff_s",
     "choose_subset",
     "plan_orders",
     "prefix_digests",
+    "send_quota",
     "subset_size",
 ]
--- a/src/endivegw/decisions/admission.py
+++ b/src/endivegw/decisions/admission.py
@@ -8,11 +8,33 @@
 
 from __future__ import annotations
 
+from typing import Iterable
+
 from endivegw.decisions.policy import Policy
-from endivegw.decisions.work import WorkItem
+from endivegw.decisions.work import TargetView, WorkItem
 from endivegw.results import Reason, Refused
 
-__all__ = ["lateness_s", "refuse_overloaded", "refuse_short_deadline"]
+__all__ = [
+    "NO_TARGET_RETRY_S",
+    "lateness_s",
+    "refuse_overloaded",
+    "refuse_short_deadline",
+    "refuse_without_target",
+]
+
+#: Retry time for requests of a model without targets; targets register within it.
+NO_TARGET_RETRY_S = 1.0
+
+
+def refuse_without_target(model: str, views: Iterable[TargetView]) -> Refused:
+    """Return the refusal of a request that no target may get.
+
+    :param views: all targets, including those that get no new requests.
+    """
+    detail = f"no target serves {model}"
+    if any(view.evacuated and model in view.models for view in views):
+        detail = f"all targets of {model} are in evacuated availability zones"
+    return Refused(Reason.NO_TARGET, detail, NO_TARGET_RETRY_S)
 
 
 def refuse_short_deadline(item: WorkItem, finish_s: float, now_s: float) -> Refused:
--- a/src/endivegw/decisions/availability.py
+++ b/src/endivegw/decisions/availability.py
@@ -20,15 +20,16 @@
 
 
 def available_in_s(members: Iterable[TargetState], now_s: float) -> float:
-    """Return the time until the first target accepts requests.
+    """Return the time until the first target accepts a request of this router.
 
     :returns: 0 if one does now, infinity if there are no targets.
     """
     first_s = math.inf
     for state in members:
-        if not is_backing_off(state, now_s):
+        wait_s = max(state.backoff_until_s - now_s, state.warm_up_wait_s(now_s))
+        if wait_s <= 0.0:
             return 0.0
-        first_s = min(first_s, state.backoff_until_s - now_s)
+        first_s = min(first_s, wait_s)
     return first_s
 
 
@@ -73,10 +74,20 @@
     def accepts_work(self, target: TargetName, now_s: float) -> bool:
         """Return whether a request that was placed on a target may be sent to it."""
         state = self.targets.get(target)
-        if state is None or state.view.draining:
+        if state is None or not state.view.accepts_work:
             return False
         return not is_backing_off(state, now_s)
 
+    def start_send(self, request_id: str, target: TargetName, now_s: float) -> bool:
+        """Record the send of a placed request; return False if it must not be sent.
+
+        Called right before the send, because the target may have stopped accepting
+        requests since the placement.
+        """
+        if not self.accepts_work(target, now_s):
+            return False
+        return self.targets[target].start_send(request_id, now_s)
+
     def _members(self, model: str) -> list[TargetState]:
         pool = self.pools.get(model)
         return pool.members if pool is not None else []
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -38,9 +38,6 @@
 __all__ = ["Dispatcher"]
 
 
-#: Retry time for requests of a model without targets; targets register within it.
-_NO_TARGET_RETRY_S = 1.0
-
 #: Maximum number of prefixes waiting to be reported to the other routers; a busy router
 #: reads as many in a few seconds.
 _MAX_UNREPORTED_PREFIXES = 256
@@ -108,7 +105,7 @@
                 state = TargetState(view, max(1, view.slots))
             state.set_view(view)
             self._targets[view.target] = state
-            if view.draining:
+            if not view.accepts_work:
                 continue
             for model in state.models():
                 members.setdefault(model, []).append(state)
@@ -146,9 +143,8 @@
         """
         pool = self._pools.get(item.model)
         if pool is None or not pool.members:
-            return Refused(
-                Reason.NO_TARGET, f"no target serves {item.model}", _NO_TARGET_RETRY_S
-            )
+            views = (state.view for state in self._targets.values())
+            return admission.refuse_without_target(item.model, views)
         if item.deadline_s <= now_s:
             return Refused(Reason.DEADLINE, "the deadline has already passed")
         available_s = available_in_s(pool.members, now_s)
@@ -175,7 +171,7 @@
             self._backlog.abandon_expired(pool, now_s, decided)
             available_s = available_in_s(pool.members, now_s)
             if available_s > self._policy.max_backoff_wait_s:
-                retry_s = available_s if pool.members else _NO_TARGET_RETRY_S
+                retry_s = available_s if pool.members else admission.NO_TARGET_RETRY_S
                 self._backlog.abandon_all(pool, retry_s, decided)
         self._serve(waiting, now_s, decided)
         return decided
@@ -309,7 +305,7 @@
 
     def _offer_capacity(self, state: TargetState) -> None:
         """Offer queued requests a target that may have a free slot."""
-        if state.view.draining or state.occupied() >= state.limit(1.0):
+        if not state.view.accepts_work or state.occupied() >= state.limit(1.0):
             return
         for model in state.models():
             pool = self._pools.get(model)
@@ -374,10 +370,16 @@
     ) -> Placement:
         state = choice.state
         view = state.view
-        if view.draining or state.draining or view.target in item.excluded:
+        if (
+            not view.accepts_work
+            or state.draining
+            or view.target in item.excluded
+            or state.warm_up_wait_s(now_s) > 0.0
+        ):
             raise InvariantError(
                 f"{item.request_id} was about to be placed on {view.target}, which is "
-                "draining or excluded for this request"
+                "draining, evacuated, excluded for this request or at the limit of its "
+                "warm-up"
             )
         load = state.load()
         figures = PlacementFigures(
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -173,10 +173,12 @@
         those that are loaded. A request sent before its model is loaded would wait for
         the load.
         """
-        if state.draining or state.view.draining:
+        if state.draining or not state.view.accepts_work:
             return False
         if is_backing_off(state, criteria.now_s):
             return False
+        if state.warm_up_wait_s(criteria.now_s) > 0.0:
+            return False
         item = criteria.item
         if item.excluded and state.view.target in item.excluded:
             return False
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from endivegw.decisions.warm_up import MAX_SENDS
 from endivegw.decisions.work import LoadFigures, TargetView, WorkItem
 
 __all__ = ["Outstanding", "TargetState"]
@@ -26,6 +27,8 @@
     :param first_s: time of the first token; None before it arrived.
     :param concurrent_unread_tokens: maximum of the unread prompt tokens on the target
         while the attempt ran.
+    :param sent: whether the request was sent, which follows its placement once a
+        connection is open.
     """
 
     item: WorkItem
@@ -36,6 +39,7 @@
     finish_s: float
     first_s: float | None = None
     concurrent_unread_tokens: int = 0
+    sent: bool = False
 
 
 @define(eq=False)
@@ -88,6 +92,7 @@
     unread: dict[str, Outstanding] = field(factory=dict)
     _models: tuple[str, ...] = ()
     _last_figures: tuple[int, int, float, int] | None = None
+    _sends_s: deque[float] = field(factory=lambda: deque(maxlen=MAX_SENDS))
     _history: deque[tuple[float, int]] = field(factory=deque)
 
     def models(self) -> tuple[str, ...]:
@@ -141,6 +146,45 @@
             self._record_count(now_s)
         return attempt
 
+    def warm_up_wait_s(self, now_s: float) -> float:
+        """Return the time until this router may place a request on the target.
+
+        0 unless the target is warming up. Requests that are placed but not yet sent
+        count towards the router's quota.
+        """
+        if self.view.warm_up is None:
+            return 0.0
+        unsent = sum(not attempt.sent for attempt in self.local_attempts.values())
+        return self._quota_wait_s(unsent, now_s)
+
+    def start_send(self, request_id: str, now_s: float) -> bool:
+        """Record the send of a placed request; return False if it must not be sent.
+
+        Requests placed over some seconds may be sent at once when connections open, or
+        the target may have begun to warm up since the placement.
+        """
+        if self._quota_wait_s(0, now_s) > 0.0:
+            return False
+        self._sends_s.append(now_s)
+        attempt = self.local_attempts.get(request_id)
+        if attempt is not None:
+            attempt.sent = True
+        return True
+
+    def _quota_wait_s(self, unsent: int, now_s: float) -> float:
+        warm_up = self.view.warm_up
+        if warm_up is None or warm_up.ends_s <= now_s:
+            return 0.0
+        quota = warm_up.quota
+        left_s = warm_up.ends_s - now_s
+        if quota.sends <= unsent:
+            return min(left_s, quota.window_s) if quota.sends else left_s
+        recent_s = [at_s for at_s in self._sends_s if at_s > now_s - quota.window_s]
+        excess = len(recent_s) + unsent - quota.sends
+        if excess < 0:
+            return 0.0
+        return min(left_s, recent_s[excess] + quota.window_s - now_s)
+
     def _record_count(self, now_s: float) -> None:
         self.changed_since_report = True
         self._history.append((now_s, len(self.local_attempts)))
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -6,6 +6,7 @@
 
 from attrs import field, frozen
 
+from endivegw.decisions.warm_up import WarmUp
 from endivegw.targets.ports import CacheChange
 from endivegw.types import (
     AvailabilityZone,
@@ -79,6 +80,9 @@
         ``instance_id`` alone does.
     :param copy_s_per_token: time to copy a cached token from another target; None if
         targets do not copy from each other.
+    :param evacuated: whether the operator evacuated the target's availability zone. The
+        target gets no new requests, but others may copy from its cache.
+    :param warm_up: the target's warm-up; None if it is warm.
     """
 
     target: TargetName
@@ -90,6 +94,13 @@
     draining: bool = False
     started_ms: int | None = None
     copy_s_per_token: float | None = None
+    evacuated: bool = False
+    warm_up: WarmUp | None = None
+
+    @property
+    def accepts_work(self) -> bool:
+        """Return whether the target may get new requests at all."""
+        return not self.draining and not self.evacuated
 
     def is_incarnation_of(self, other: TargetView) -> bool:
         """Return whether both are the same incarnation of the same target."""
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -34,6 +34,7 @@
 from endivegw.gossip.peers import PeerEntry, PeerTable
 from endivegw.quarantine import Evidence
 from endivegw.rendezvous import rendezvous_order
+from endivegw.routing import ZoneChange
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId, TargetName
 
@@ -81,7 +82,9 @@
         named_witnesses: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], float],
         log: EventLog,
-        on_broadcast: Callable[[Evidence | TargetLeaving], None] = lambda update: None,
+        on_broadcast: Callable[
+            [Evidence | TargetLeaving | ZoneChange], None
+        ] = lambda update: None,
         on_lent: Callable[
             [ClientAccountName, int], None
         ] = lambda account, tokens: None,
@@ -225,7 +228,7 @@
         self._statement_responses = None
         return {name: responses[name] for name in witnesses if name in responses}
 
-    def broadcast(self, update: Evidence | TargetLeaving) -> None:
+    def broadcast(self, update: Evidence | TargetLeaving | ZoneChange) -> None:
         """Send an update to all routers by gossip."""
         self._gossip.broadcast(encode(BroadcastMessage(self.entry.instance_id, update)))
 
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -23,7 +23,14 @@
     decode_starts,
     encode_starts,
 )
-from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
+from endivegw.routing import ZoneChange
+from endivegw.types import (
+    AvailabilityZone,
+    ClientAccountName,
+    InstanceId,
+    TargetName,
+    TransferId,
+)
 
 __all__ = [
     "LoanRequest",
@@ -143,10 +150,10 @@
 
 @frozen
 class BroadcastMessage:
-    """An update for all routers, whichever router prefixes it out."""
+    """An update for all routers, whichever router sends it."""
 
     sender: InstanceId
-    update: Evidence | TargetLeaving
+    update: Evidence | TargetLeaving | ZoneChange
 
 
 Message = (
@@ -210,6 +217,8 @@
             ]
         case BroadcastMessage(sender, TargetLeaving(start)):
             document = ["leaving", sender, [start.instance_id, start.started_ms]]
+        case BroadcastMessage(sender, ZoneChange(zone, evacuated, revision)):
+            document = ["zone", sender, zone, evacuated, revision]
         case BroadcastMessage(sender, TargetTerminated(start, fingerprints)):
             pair = [start.instance_id, start.started_ms]
             document = ["ended", sender, pair, list(fingerprints)]
@@ -272,6 +281,9 @@
             case "leaving", [start]:
                 (leaving_start,) = decode_starts([start])
                 return BroadcastMessage(name, TargetLeaving(leaving_start))
+            case "zone", [zone, bool(evacuated), revision]:
+                change = ZoneChange(AvailabilityZone(zone), evacuated, int(revision))
+                return BroadcastMessage(name, change)
             case "ended", [start, fingerprints]:
                 (ended_start,) = decode_starts([start])
                 known_fingerprints = tuple(
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -9,7 +9,7 @@
 
 from endivegw.allowances.holders import holders_of
 from endivegw.allowances.witnesses import Statement
-from endivegw.decisions import LocalLoad
+from endivegw.decisions import NO_SENDS, LocalLoad, SendQuota, send_quota
 from endivegw.gossip.messages import PeerState
 from endivegw.rendezvous import rendezvous_order
 from endivegw.types import (
@@ -87,13 +87,19 @@
 
 @define
 class PeerTable:
-    """The other routers and their last reports."""
+    """The other routers and their last reports.
+
+    :ivar listed: whether all registered routers have been listed once.
+    """
 
     own_vm: str
     own_zone: AvailabilityZone = AvailabilityZone("")
+    listed: bool = False
     _peers: dict[str, _Peer] = field(factory=dict)
     #: The vms that hold each account's budget; cleared when a router joins or leaves.
     _holders: dict[ClientAccountName, frozenset[str]] = field(factory=dict)
+    #: This router's quotas for warming targets; cleared like the holders.
+    _quotas: dict[tuple[TargetName, float], SendQuota] = field(factory=dict)
     #: The last statement of each process. Statements of dead processes are retained,
     #: because their successors request them.
     _statements: OrderedDict[InstanceId, Statement] = field(factory=OrderedDict)
@@ -105,12 +111,17 @@
         known = self._peers.get(entry.vm)
         if known is None or known.entry != entry:
             self._peers[entry.vm] = _Peer(entry)
-            self._holders.clear()
+            self._forget_choices()
 
     def remove(self, vm: str) -> None:
         """Remove a router whose row was deleted."""
         self._peers.pop(vm, None)
+        self._forget_choices()
+
+    def _forget_choices(self) -> None:
+        """Forget what was chosen among the routers known so far."""
         self._holders.clear()
+        self._quotas.clear()
 
     def receive_state(self, state: PeerState, now_s: float) -> None:
         """Apply a router's report, unless a later one is known."""
@@ -220,6 +231,21 @@
         responsive = {peer.entry.vm for peer in self._responsive(now_s)}
         return self.own_vm == min((holders & responsive) | (holders & {self.own_vm}))
 
+    def send_quota(self, target: TargetName, rate_per_s: float) -> SendQuota:
+        """Return this router's quota for a target that is warming up.
+
+        Registered routers count whether they respond or not: routers agree on their
+        list, but not on which of them respond. None are known before the first list.
+        """
+        if not self.listed:
+            return NO_SENDS
+        known = self._quotas.get((target, rate_per_s))
+        if known is None:
+            vms = {*self._peers, self.own_vm}
+            known = send_quota(target, rate_per_s, self.own_vm, vms)
+            self._quotas[(target, rate_per_s)] = known
+        return known
+
     def leftovers(
         self, account: ClientAccountName, now_s: float
     ) -> list[tuple[PeerEntry, int]]:
--- a/src/endivegw/platform/command.py
+++ b/src/endivegw/platform/command.py
@@ -21,6 +21,7 @@
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
     decode_configuration,
+    decode_evacuation,
     decode_target,
 )
 from endivegw.platform.store import PlatformStore
@@ -34,6 +35,7 @@
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.bounded import BoundedLineBuffer, bounded_handler
 from endivegw.telemetry.catalogue.relay import SETTINGS_READ
+from endivegw.types import AvailabilityZone
 
 __all__ = ["PlatformDecoder", "platform_router"]
 
@@ -52,6 +54,10 @@
         """Decode the operator's configuration."""
         return decode_configuration(value)
 
+    def evacuation(self, key: str) -> AvailabilityZone | None:
+        """Return the zone that a row of the operator's table evacuates."""
+        return decode_evacuation(key)
+
     def target(self, key: str, value: bytes) -> DirectTarget:
         """Decode a target's entry."""
         return decode_target(key, value)
--- a/src/endivegw/platform/configuration.py
+++ b/src/endivegw/platform/configuration.py
@@ -4,8 +4,10 @@
 
 import ipaddress
 import json
+import math
 from typing import Any, Iterable, Mapping
 
+from endivegw.decisions import WarmUpLimits
 from endivegw.routing import (
     CallerLimits,
     ClientAccount,
@@ -21,9 +23,11 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
+    "EVACUATION_KEY_PREFIX",
     "TARGETS_TABLE",
     "DecodeError",
     "decode_configuration",
+    "decode_evacuation",
     "decode_target",
 ]
 
@@ -31,6 +35,9 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 
+#: Beginning of the keys in the operator's table that name evacuated zones.
+EVACUATION_KEY_PREFIX = "evacuate/"
+
 #: Table in which targets register themselves, each under the id of its incarnation.
 TARGETS_TABLE = "servers"
 
@@ -42,6 +49,10 @@
 #: cannot be a valid count, and arithmetic with it could overflow.
 _MAX_SLOTS = 1_000_000
 
+#: Longest warm-up that a target may register; starts take seconds. A larger value is
+#: not a duration, for example a point in time.
+_MAX_WARM_UP_MS = 3_600_000.0
+
 #: Exceptions that decoding arbitrary bytes may raise, including documents that are
 #: nested too deeply or hold numbers outside the range of a type.
 _DECODE_ERRORS = (
@@ -84,6 +95,7 @@
                 default=1,
             ),
             copy_s_per_token=_copy_s_per_token(services),
+            warm_ups=_warm_ups(services),
         )
     except _DECODE_ERRORS as error:
         raise DecodeError(f"invalid configuration row: {error!r}") from error
@@ -101,6 +113,16 @@
         raise DecodeError(f"invalid target entry: {error!r}") from error
 
 
+def decode_evacuation(key: str) -> AvailabilityZone | None:
+    """Return the zone that a row of the operator's table evacuates, or None.
+
+    The row's existence is the request; its value has no content.
+    """
+    if not key.startswith(EVACUATION_KEY_PREFIX):
+        return None
+    return AvailabilityZone(key.removeprefix(EVACUATION_KEY_PREFIX))
+
+
 def _decode_entry(instance_id: InstanceId, entry: Any) -> DirectTarget:
     """Return a target; raise an error if a field is missing or of another type.
 
@@ -110,7 +132,6 @@
     """
     _read_string(entry, "Version")
     _read_integer(entry, "Sequence")
-    _read_number(entry, "ColdRemainingMs")
     state = _read_string(entry, "State")
     if state not in _STATES:
         raise DecodeError(f"unknown target state {state!r}")
@@ -126,6 +147,7 @@
         leaving=state == "draining",
         # The field "born" holds the start time of this incarnation.
         started_ms=_read_integer(entry, "born") if "born" in entry else None,
+        warm_up_s=_read_warm_up_s(entry),
     )
 
 
@@ -151,6 +173,16 @@
     return float(value)
 
 
+def _read_warm_up_s(entry: Mapping[str, Any]) -> float:
+    """Return how long the target warms up; 0 if that time is over."""
+    remaining_ms = _read_number(entry, "ColdRemainingMs")
+    if math.isnan(remaining_ms) or remaining_ms > _MAX_WARM_UP_MS:
+        raise DecodeError(
+            f"ColdRemainingMs is {remaining_ms:g}, the limit is {_MAX_WARM_UP_MS:g}"
+        )
+    return max(0.0, remaining_ms / 1000.0)
+
+
 def _check_address(value: str) -> str:
     """Check that a connection can be opened to an address and return it."""
     host, _, port = value.rpartition(":")
@@ -217,6 +249,17 @@
     return found
 
 
+def _warm_ups(services: Iterable[Mapping[str, Any]]) -> dict[str, WarmUpLimits]:
+    """Return how the targets of each service warm up."""
+    found = {}
+    for service in services:
+        rate_per_s = float(service.get("ColdPerS") or 0)
+        if rate_per_s > 0:
+            duration_s = float(service.get("ColdStartS") or 0)
+            found[str(service["Name"])] = WarmUpLimits(duration_s, rate_per_s)
+    return found
+
+
 def _decode_account(entry: Mapping[str, Any]) -> ClientAccount:
     prepaid = entry.get("Prepaid")
     priority = entry.get("Priority")
--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -24,6 +24,7 @@
 _COPY_FROM = b"kv-fetch"
 _NOT_RUN = b"endivegw-not-executed"
 _LEAVING = b"server-leaving"
+_WARM_UP = b"endivegw-cold-ms"
 _RETRY_AFTER = b"retry-after"
 _LAST_EVENT = b"last-event-id"
 _AUTHORIZATION = b"authorization"
@@ -55,6 +56,9 @@
 #: Upper limit of requested pauses. Few target instances live for a day.
 _MAX_PAUSE_S = 86_400.0
 
+#: Upper limit of announced warm-ups, which take seconds.
+_MAX_WARM_UP_S = 60.0
+
 #: Status with which a target rejects a request, optionally with a Retry-After field.
 _UNAVAILABLE = 503
 
@@ -108,7 +112,10 @@
         if status == _UNAVAILABLE:
             pause_s = _parse_pause_s(found.get(_RETRY_AFTER))
         request_id = _decode_text(found.get(_ATTEMPT_ID))
-        return AnswerMetadata(request_id, not_run, replaced, leaving, pause_s)
+        warm_up_s = None if replaced else _parse_warm_up_s(found.get(_WARM_UP))
+        return AnswerMetadata(
+            request_id, not_run, replaced, leaving, pause_s, warm_up_s
+        )
 
     def router_answer_fields(self, request_id: str | None) -> HeaderFields:
         """Return the fields of an answer that the router generates itself."""
@@ -138,6 +145,15 @@
     return min(found, _MAX_PAUSE_S) if found > 0.0 else None
 
 
+def _parse_warm_up_s(value: bytes | None) -> float | None:
+    """Return the seconds of a field, or None if it holds no positive number."""
+    try:
+        found_ms = float(value or b"")
+    except ValueError:
+        return None
+    return min(found_ms / 1000.0, _MAX_WARM_UP_S) if found_ms > 0.0 else None
+
+
 def _parse_key(value: bytes | None) -> str | None:
     scheme, _, key = (value or b"").partition(b" ")
     if scheme.lower() != b"bearer" or not key.strip():
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -102,7 +102,7 @@
     :param relay_head: called with the head and the first complete events.
     :param relay_events: called with complete events.
     :param on_first_data: called when the first data of the answer has arrived.
-    :param accepts_work: called right before the request is sent; returns whether the
+    :param start_send: called right before the request is sent; returns whether the
         target still accepts work, which may have changed while a connection was opened.
     :param on_metadata: called with the metadata of each answer head, including late
         answers to earlier requests on the connection, which the same target sent.
@@ -120,7 +120,7 @@
         relay_head: Callable[[TargetHead, bytes], Awaitable[None]],
         relay_events: Callable[[bytes], Awaitable[None]],
         on_first_data: Callable[[], None],
-        accepts_work: Callable[[], bool],
+        start_send: Callable[[], bool],
         on_metadata: Callable[[AnswerMetadata], None],
         cancel_if_caller_left: Callable[[], None],
     ) -> None:
@@ -131,7 +131,7 @@
         self._relay_head = relay_head
         self._relay_events = relay_events
         self._on_first_data = on_first_data
-        self._accepts_work = accepts_work
+        self._start_send = start_send
         self._on_metadata = on_metadata
         self._cancel_if_caller_left = cancel_if_caller_left
         self._metadata = AnswerMetadata(None, False)
@@ -163,7 +163,7 @@
         try:
             self._cancel_if_caller_left()
             await anyio.lowlevel.checkpoint_if_cancelled()
-            if not self._accepts_work():
+            if not self._start_send():
                 return AttemptResult(
                     AttemptOutcome.HELD_BACK, "the target accepts no more work"
                 )
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -34,6 +34,8 @@
         another instance answered at its address.
     :ivar on_leaving: called with a target that announces its shutdown, and with the
         source of the announcement.
+    :ivar on_warm_up: called with a target whose answer states that it warms up, and
+        with the seconds that it still needs.
     """
 
     wire: WirePort
@@ -53,3 +55,4 @@
     draining: bool = False
     on_replaced: Callable[[InstanceId, int | None], None] = lambda name, start: None
     on_leaving: Callable[[TargetStart, str], None] = lambda start, source: None
+    on_warm_up: Callable[[TargetStart, float], None] = lambda start, warm_up_s: None
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -177,8 +177,8 @@
             self._relay_head,
             self._relay_events,
             self._record_first_data,
-            lambda: context.queue.dispatcher.availability.accepts_work(
-                placement.target, context.clock()
+            lambda: context.queue.dispatcher.availability.start_send(
+                admitted.request_id, placement.target, context.clock()
             ),
             lambda metadata: apply_target_report(
                 context, admitted.request_id, placement, metadata
--- a/src/endivegw/relay/target_report.py
+++ b/src/endivegw/relay/target_report.py
@@ -21,12 +21,15 @@
     placement: Placement,
     metadata: AnswerMetadata,
 ) -> None:
-    """Stop sending to a leaving target, and back off from one that asks for a pause.
+    """Apply that a target leaves, warms up, or asks to receive no requests for a time.
 
     :param request_id: id of the request during which the answer was read.
     :param placement: placement of that request; its connection delivered the answer.
     :param metadata: what the header fields of the answer state.
     """
+    start = TargetStart(placement.instance_id, placement.started_ms)
+    if metadata.warm_up_s is not None:
+        context.on_warm_up(start, metadata.warm_up_s)
     if not metadata.leaving and metadata.pause_s is None:
         return
     context.log.emit(
@@ -37,7 +40,6 @@
         pause_s=metadata.pause_s,
     )
     if metadata.leaving:
-        start = TargetStart(placement.instance_id, placement.started_ms)
         context.on_leaving(start, "answer")
     if metadata.pause_s is not None:
         pause_s = metadata.pause_s * (1.0 + _PAUSE_JITTER * context.rng.random())
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -90,6 +90,7 @@
     :param leaving: whether the target announces that it shuts down.
     :param pause_s: how long the target asks to receive no requests; None if it does
         not ask for a pause.
+    :param warm_up_s: how long the target still warms up; None if it does not say so.
     """
 
     request_id: str | None
@@ -97,6 +98,7 @@
     replaced: bool = False
     leaving: bool = False
     pause_s: float | None = None
+    warm_up_s: float | None = None
 
 
 class WirePort(Protocol):
--- a/src/endivegw/routing/__init__.py
+++ b/src/endivegw/routing/__init__.py
@@ -1,5 +1,6 @@
 """Routes, client accounts and targets that routers call directly."""
 
+from endivegw.routing.evacuations import ZoneChange, ZoneEvacuations
 from endivegw.routing.fleet import FleetView
 from endivegw.routing.model import (
     CallerLimits,
@@ -12,6 +13,7 @@
     WeightedService,
 )
 from endivegw.routing.table import RoutingTable
+from endivegw.routing.warm_ups import WarmUpTimes
 
 __all__ = [
     "CallerLimits",
@@ -23,5 +25,8 @@
     "RouteKind",
     "RoutingTable",
     "ServiceKind",
+    "WarmUpTimes",
     "WeightedService",
+    "ZoneChange",
+    "ZoneEvacuations",
 ]
--- a/src/endivegw/routing/model.py
+++ b/src/endivegw/routing/model.py
@@ -6,6 +6,7 @@
 
 from attrs import field, frozen
 
+from endivegw.decisions.warm_up import WarmUpLimits
 from endivegw.types import AvailabilityZone, ClientAccountName, InstanceId
 
 __all__ = [
@@ -122,6 +123,8 @@
 
     :param copy_s_per_token: time to copy one cached token between targets, by service;
         services whose targets cannot copy are left out.
+    :param warm_ups: how targets warm up, by service; services whose targets bear their
+        full load at once are left out.
     """
 
     version: int
@@ -131,6 +134,7 @@
     limits: CallerLimits = field(factory=CallerLimits)
     tokens_per_event: int = 1
     copy_s_per_token: dict[str, float] = field(factory=dict)
+    warm_ups: dict[str, WarmUpLimits] = field(factory=dict)
 
 
 @frozen
@@ -144,6 +148,7 @@
     :param started_ms: start time in Unix milliseconds, which distinguishes two
         incarnations of one ``instance_id``; None if not registered. Compare it
         for equality only: the target's clock may have been set back between two starts.
+    :param warm_up_s: time that the target needed to become warm when it registered.
     """
 
     instance_id: InstanceId
@@ -153,6 +158,7 @@
     slots: int
     leaving: bool = False
     started_ms: int | None = None
+    warm_up_s: float = 0.0
 
     def is_incarnation_of(self, other: DirectTarget) -> bool:
         """Return whether both are the same incarnation of the same target."""
--- a/src/endivegw/routing/table.py
+++ b/src/endivegw/routing/table.py
@@ -4,6 +4,7 @@
 
 import random
 
+from endivegw.decisions.warm_up import WarmUpLimits
 from endivegw.routing.model import (
     CallerLimits,
     ClientAccount,
@@ -76,6 +77,10 @@
         """Return the time to copy a cached token, or None if targets cannot copy."""
         return self.configuration.copy_s_per_token.get(service)
 
+    def warm_up_limits(self, service: str) -> WarmUpLimits | None:
+        """Return how a service's targets warm up, or None if they need not."""
+        return self.configuration.warm_ups.get(service)
+
     def prepaid_tokens(self) -> dict[ClientAccountName, int]:
         """Return the budgets by client account."""
         return {
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -20,6 +20,8 @@
     "TARGET_CHANGED",
     "TARGET_REPORTED",
     "TARGET_TERMINATED",
+    "TARGET_WARMING_UP",
+    "ZONE_CHANGED",
 ]
 
 REQUEST_REFUSED = Event(
@@ -114,6 +116,22 @@
     " requests for a time.",
     ("request_id", "target", "leaving", "pause_s"),
 )
+TARGET_WARMING_UP = Event(
+    9117,
+    "relay-target-warming-up",
+    Level.INFO,
+    "A target warms up; this router sends it at most a given number of requests in any"
+    " window until then.",
+    ("target", "availability_zone", "left_s", "sends", "window_s", "source"),
+)
+ZONE_CHANGED = Event(
+    9118,
+    "relay-zone-changed",
+    Level.WARNING,
+    "The operator evacuated an availability zone, whose targets get no new requests,"
+    " or put it back into use. No registered target is there if targets is 0.",
+    ("availability_zone", "evacuated", "revision", "source", "targets"),
+)
 FEED_LOST = Event(
     9113,
     "relay-feed-lost",
--- a/src/endivegw/telemetry/request_trace.py
+++ b/src/endivegw/telemetry/request_trace.py
@@ -281,6 +281,14 @@
         f"{fields['target']} reported in an answer: "
         + ("leaving." if fields["leaving"] else f"no work for {fields['pause_s']} s.")
     ),
+    9117: lambda fields: (
+        f"Target {fields['target']} warms up for {fields['left_s']} s; this router "
+        f"sends it at most {fields['sends']} requests in {fields['window_s']} s."
+    ),
+    9118: lambda fields: (
+        f"Availability zone {fields['availability_zone']} was "
+        + ("evacuated." if fields["evacuated"] else "put back into use.")
+    ),
     9110: lambda fields: f"Configuration {fields['version']} came into force.",
     9112: lambda fields: f"Target {fields['target']} was {fields['change']}.",
     9120: lambda fields: "The router started.",
@@ -289,4 +297,4 @@
 }
 
 #: Events of a process that concern all of its requests.
-_PROCESS_EVENTS = frozenset({9002, 9007, 9008, 9110, 9120, 9121, 9122})
+_PROCESS_EVENTS = frozenset({9002, 9007, 9008, 9110, 9118, 9120, 9121, 9122})
--- a/src/endivegw_standins/platform_fleet.py
+++ b/src/endivegw_standins/platform_fleet.py
@@ -59,23 +59,36 @@
             ("notice", "safe", "plain", 2),
         )
     ],
-    "Services": [{"Name": "engine", "Engine": {"Stride": 4}}, {"Name": "plain"}],
+    "Services": [
+        {
+            "Name": "engine",
+            "ColdStartS": 1.0,
+            "ColdPerS": 12.0,
+            "Engine": {"Stride": 4},
+        },
+        {"Name": "plain"},
+    ],
     "Tenants": [{"Name": "hotel", "ApiKeys": ["key-1"], "Prepaid": PREPAID}],
 }
 
 
 @define
 class PlatformFleet:
-    """Parts of one fleet; the ports are listed in the order of the routers."""
+    """Parts of one fleet; the ports are listed in the order of the routers.
+
+    :ivar zones: availability zone of each target; ``z`` if it is not named.
+    """
 
     store: PlatformStoreApp = field(factory=PlatformStoreApp)
     workers: dict[str, PlatformWorker] = field(factory=dict)
+    targets: dict[str, PlatformTarget] = field(factory=dict)
     routers: list[DirectRouter] = field(factory=list)
     ports: list[int] = field(factory=list)
     ready_ports: list[int] = field(factory=list)
     metrics_ports: list[int] = field(factory=list)
     store_port: int = 0
     row_lasts_s: float = 20.0
+    zones: dict[str, str] = field(factory=dict)
     tasks: TaskGroup | None = None
     _scopes: list[anyio.CancelScope] = field(factory=list)
     _removed_count: int = 0
@@ -169,6 +182,8 @@
         for name, service in [*targets, ("p-1", "plain")]:
             worker = fleet.workers[name] = PlatformWorker(name)
             target = PlatformTarget(name, service, worker)
+            target.zone = fleet.zones.get(name, target.zone)
+            fleet.targets[name] = target
             tasks.start_soon(target.run, fleet.store)
         fleet.store.put("op", "config", CONFIGURATION)
         fleet.store_port = store_port
--- a/src/endivegw_standins/platform_target.py
+++ b/src/endivegw_standins/platform_target.py
@@ -31,6 +31,8 @@
         its entry from the store. The port is closed meanwhile; the next incarnation
         starts afterwards.
     :ivar starts: number of starts so far.
+    :ivar zone: availability zone that it registers.
+    :ivar warm_up_s: how long each incarnation is cold after its start.
     """
 
     name: str
@@ -39,6 +41,8 @@
     port: int = field(factory=reserve_port)
     restart_delay_s: float = 0.3
     starts: int = 0
+    zone: str = "z"
+    warm_up_s: float = 0.0
 
     async def run(
         self,
@@ -55,7 +59,7 @@
             **TARGET_ENTRY,
             "Service": self.service,
             "Address": address or f"127.0.0.1:{self.port}",
-            "Zone": "z",
+            "Zone": self.zone,
             "Slots": slots,
         }
         while True:
@@ -77,6 +81,17 @@
         )
         async with listener, anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, self.worker.serve)
-            store.put("servers", name, entry)
+            tasks.start_soon(self._register, store, name, entry)
             await self.worker.terminated.wait()
             tasks.cancel_scope.cancel()
+
+    async def _register(
+        self, store: PlatformStoreApp, name: str, entry: dict[str, object]
+    ) -> None:
+        """Write the entry, and write it again once the worker is warm."""
+        if self.warm_up_s:
+            self.worker.make_cold(self.warm_up_s)
+            cold = {**entry, "ColdRemainingMs": int(self.warm_up_s * 1000)}
+            store.put("servers", name, cold)
+            await anyio.sleep(self.warm_up_s)
+        store.put("servers", name, entry)
--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from collections import deque
 
 import anyio
 import h11
@@ -11,6 +12,11 @@
 
 __all__ = ["PlatformWorker", "WorkerRun"]
 
+#: Factor on the rate that a cold worker bears, and requests beyond it, at which it
+#: crashes.
+_COLD_OVERAGE = 1.5
+_COLD_SLACK = 5
+
 #: Delay between the start of a request and the crash that it causes.
 _CRASH_DELAY_S = 0.03
 
@@ -47,6 +53,9 @@
         incarnations.
     :ivar terminated: set to terminate this incarnation, for example by a request that
         crashes it.
+    :ivar cold_rate_per_s: requests per second that it bears while it is cold.
+    :ivar cold_until_s: time until which it is cold.
+    :ivar cold_crashes: number of crashes from too many requests while it was cold.
     """
 
     instance_id: str
@@ -62,6 +71,15 @@
     crash_trigger: bytes | None = None
     crashing_request_ids: list[str] = field(factory=list)
     terminated: anyio.Event = field(factory=anyio.Event)
+    cold_rate_per_s: float = 0.0
+    cold_until_s: float = 0.0
+    cold_crashes: int = 0
+    _cold_arrivals_s: deque[float] = field(factory=deque)
+
+    def make_cold(self, span_s: float) -> None:
+        """Be cold for a time from now on."""
+        self.cold_until_s = anyio.current_time() + span_s
+        self._cold_arrivals_s.clear()
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection; a running request ends when the client disconnects."""
@@ -105,6 +123,10 @@
                 self._response_head(421, attempt, "content-length: 0\r\n")
             )
             return True
+        if self._crashes_cold():
+            self.cold_crashes += 1
+            self.terminated.set()
+            await anyio.sleep_forever()
         if self.remaining_sheds:
             self.remaining_sheds -= 1
             self.shed_count += 1
@@ -128,6 +150,17 @@
             return True
         return await self._stream(stream, run)
 
+    def _crashes_cold(self) -> bool:
+        """Count a request; return whether it is too many for a cold worker."""
+        now_s = anyio.current_time()
+        if not self.cold_rate_per_s or now_s >= self.cold_until_s:
+            return False
+        arrivals_s = self._cold_arrivals_s
+        arrivals_s.append(now_s)
+        while arrivals_s[0] <= now_s - 1.0:
+            arrivals_s.popleft()
+        return len(arrivals_s) > self.cold_rate_per_s * _COLD_OVERAGE + _COLD_SLACK
+
     async def _stream(self, stream: SocketStream, run: WorkerRun) -> bool:
         extra = (
             "endivegw-response-seal: s\r\ncontent-type: text/event-stream\r\n"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -124,9 +124,12 @@
 
 @contextlib.asynccontextmanager
 async def platform_fleet(
-    routers: int = 1, engines: int = 2, row_lasts_s: float = 20.0
+    routers: int = 1,
+    engines: int = 2,
+    row_lasts_s: float = 20.0,
+    zones: dict[str, str] | None = None,
 ) -> AsyncIterator[ClientFleet]:
     """Run a fleet; yield when every router is ready."""
-    fleet = ClientFleet(row_lasts_s=row_lasts_s)
+    fleet = ClientFleet(row_lasts_s=row_lasts_s, zones=zones or {})
     async with run_platform_fleet(fleet, routers, engines):
         yield fleet
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -57,6 +57,14 @@
 _CRASHING_PREFIX = b"deadly"
 _CRASHING_SHARE = 0.04
 
+#: Time for which a target is cold after its start and after an evacuation, and the
+#: requests per second that it bears until then, as in the configuration.
+_WARM_UP_S = 1.0
+_COLD_RATE_PER_S = 12.0
+
+#: Time within which routers that reach the store must follow an evacuation.
+_EVACUATION_S = 1.0
+
 #: Maximum number of runs of one crashing body after all faults have ended.
 _MAX_CRASHING_RUNS = 3
 
@@ -172,7 +180,10 @@
         for name, service in (("e-1", "engine"), ("e-2", "engine"), ("p-1", "plain")):
             worker = self.workers[name] = PlatformWorker(name, event_pause_s=0.02)
             worker.crash_trigger = _CRASHING_PREFIX
-            target = PlatformTarget(name, service, worker)
+            target = PlatformTarget(name, service, worker, zone=f"zone-{name}")
+            if service == "engine":
+                target.warm_up_s = _WARM_UP_S
+                worker.cold_rate_per_s = _COLD_RATE_PER_S
             self.targets.append(target)
             proxy = Proxy(target.port)
             self.proxies.append(proxy)
@@ -329,6 +340,10 @@
                 f"{request_id} ran though its caller was told that it had not run"
             )
 
+        for name, worker in self.workers.items():
+            if worker.cold_crashes:
+                self._record_violation(f"{name} crashed from requests while cold")
+
     def crashing_runs(self) -> Counter[tuple[str, bytes]]:
         """Return the number of runs of each crashing body, by route."""
         runs = [run for worker in self.workers.values() for run in worker.runs]
@@ -353,6 +368,32 @@
             self.check()
             await anyio.sleep(0.5)
 
+    async def check_evacuation(self) -> None:
+        """Check that an evacuated target gets nothing, and gets requests afterwards."""
+        target = self.targets[0]
+        self.store.put("op", f"evacuate/{target.zone}", {})
+        await anyio.sleep(_EVACUATION_S)
+        before = len(target.worker.runs)
+        await self._call_streams(20)
+        if len(target.worker.runs) > before:
+            self._record_violation(f"{target.name} got requests while evacuated")
+        self._end_evacuation(target)
+        await anyio.sleep(2 * _WARM_UP_S)
+        await self._call_streams(20)
+        if len(target.worker.runs) == before:
+            self._record_violation(f"{target.name} got nothing after its evacuation")
+
+    async def _call_streams(self, count: int) -> None:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(self._call, "resumable")
+
+    def _end_evacuation(self, target: PlatformTarget) -> None:
+        """Put a target's zone back into use; the target has become cold."""
+        if target.warm_up_s:
+            target.worker.make_cold(target.warm_up_s)
+        self.store.drop("op", f"evacuate/{target.zone}")
+
     async def check_recovery(self) -> None:
         """Check that plain requests are served once the faults have ended."""
         served = 0
@@ -371,6 +412,7 @@
             fault = self.rng.choice(
                 [self._kill, self._stop, self._pause, self._store, self._target]
                 + [self._configure, self._shed, self._leave, self._replace]
+                + [self._evacuate]
             )
             self.report.faults.append(fault.__name__.strip("_"))
             self.tasks.start_soon(fault)
@@ -454,6 +496,12 @@
         if self.rng.random() < 0.5:
             worker.break_after_events = self.rng.randrange(1, _EVENTS)
 
+    async def _evacuate(self) -> None:
+        target = self.rng.choice(self.targets)
+        self.store.put("op", f"evacuate/{target.zone}", {})
+        await anyio.sleep(self.rng.random() * 3.0)
+        self._end_evacuation(target)
+
     async def _leave(self) -> None:
         target = self.rng.choice(self.targets)
         worker, name = target.worker, target.worker.instance_id
@@ -506,6 +554,7 @@
             load.cancel_scope.cancel()
         soak.check_quarantine(before)
         await soak.check_recovery()
+        await soak.check_evacuation()
         soak.check()
         return soak.report
 
--- /dev/null
+++ b/tests/test_logs_targets.py
@@ -0,0 +1,67 @@
+"""``endivegw logs targets``: evacuated zones and targets that warm up."""
+
+from __future__ import annotations
+
+import json
+import unittest
+
+from click.testing import CliRunner
+
+from endivegw.cli import main
+from endivegw.telemetry.request_trace import read_log_lines
+from endivegw.telemetry.target_limits import TargetLimit, current_limits
+
+
+def line(second: float, event: int, vm: str = "front-1", **fields: object) -> str:
+    """Return a log line in the format of a router."""
+    at = f"2026-01-29T21:58:{second:06.3f}+00:00"
+    return json.dumps({"time": at, "event": event, "vm": vm, **fields})
+
+
+def zone(second: float, evacuated: bool, vm: str = "front-1") -> str:
+    """Return the line of a zone that was evacuated or put back into use."""
+    return line(second, 9118, vm, availability_zone="z-1", evacuated=evacuated)
+
+
+def warm_up(second: float, left_s: float) -> str:
+    """Return the line of a target that warms up."""
+    return line(second, 9117, target="e-1", left_s=left_s)
+
+
+def limits(*lines: str) -> list[TargetLimit]:
+    """Return the limits in force after the lines."""
+    return current_limits(read_log_lines(lines))
+
+
+class TargetLimitTests(unittest.TestCase):
+    """What an operator sees of targets that get no requests, or few."""
+
+    def test_an_evacuated_zone_is_shown_until_it_is_back(self) -> None:
+        """The number of routers shows whether all of them have learned of it."""
+        lines = [zone(1, True), zone(2, True, "front-2")]
+        (found,) = limits(*lines)
+        self.assertEqual((found.name, found.routers), ("z-1", 2))
+        self.assertIn("58:01", found.since)
+        self.assertEqual(limits(*lines, zone(3, False))[0].routers, 1)
+
+    def test_a_warm_up_is_shown_until_it_ends(self) -> None:
+        """The end of a warm-up has no line of its own."""
+        (found,) = limits(warm_up(1, 3.0), line(3, 9104))
+        self.assertEqual((found.kind, found.name), ("warming up", "e-1"))
+        self.assertEqual(limits(warm_up(1, 3.0), line(5, 9104)), [])
+
+    def test_a_restarted_router_has_no_limits(self) -> None:
+        """Guards against limits of a process that has ended."""
+        self.assertEqual(limits(zone(1, True), line(2, 9120)), [])
+
+    def test_the_command_prints_a_table(self) -> None:
+        """The command reads logs from standard input."""
+        text = zone(1, True) + "\n" + warm_up(1, 3.0) + "\n"
+        result = CliRunner().invoke(main, ["logs", "targets"], text)
+        self.assertEqual(result.exit_code, 0)
+        self.assertIn("evacuated zone", result.output)
+        self.assertIn("warming up", result.output)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_row_feed.py
+++ b/tests/test_row_feed.py
@@ -49,7 +49,7 @@
     def __init__(self) -> None:
         self.newest = b""
 
-    def on_listing(self, rows: tuple[StoredRow, ...]) -> None:
+    def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
         """Receive a listing."""
         for row in rows:
             self.on_row(row)
--- a/tests/test_target_entries.py
+++ b/tests/test_target_entries.py
@@ -156,7 +156,7 @@
         It is logged once, however often the row is overwritten.
         """
         with logbook.TestHandler() as lines:
-            self.reader.on_listing((row("a", ENTRY, 1), row("b", ENTRY, 2)))
+            self.reader.on_listing((row("a", ENTRY, 1), row("b", ENTRY, 2)), 2)
             for revision, corrupt in enumerate((b"\xff", {"Slots": "8"}, b"{"), 3):
                 self.reader.on_row(row("a", corrupt, revision))
             used = {self.place().target for _ in range(20)}
@@ -193,7 +193,7 @@
         """
         with_start = {**ENTRY, "born": STARTED_MS}
         self.reader.on_listing(
-            (row("a", with_start, 1), row("b", with_start, 2), row("c", ENTRY, 3))
+            (row("a", with_start, 1), row("b", with_start, 2), row("c", ENTRY, 3)), 3
         )
         self.assertEqual({self.place().target for _ in range(30)}, {"a", "b"})
         self.reader.on_row(row("a", ENTRY, 4))
@@ -210,7 +210,7 @@
         restart would wait for work that was lost, and rely on lost cache entries.
         """
         with_start = {**ENTRY, "born": STARTED_MS}
-        self.reader.on_listing((row("a", with_start, 1),))
+        self.reader.on_listing((row("a", with_start, 1),), 1)
         for _ in range(8):
             self.assertIsNotNone(self.place())
         self.assertEqual(self.dispatcher.local_load()["a"].running, 8)
@@ -228,7 +228,7 @@
         be unknown.
         """
         with_start = {**ENTRY, "born": STARTED_MS}
-        self.reader.on_listing((row("a", with_start, 1),))
+        self.reader.on_listing((row("a", with_start, 1),), 1)
         pooled = types.SimpleNamespace(
             address="10.0.0.1:80", idle_since_s=0.0, keep_alive_s=None
         )
@@ -245,7 +245,7 @@
         it must get work again.
         """
         with_start = {**ENTRY, "born": STARTED_MS}
-        self.reader.on_listing((row("a", with_start, 1),))
+        self.reader.on_listing((row("a", with_start, 1),), 1)
         self.reader.on_replaced(InstanceId("a"), STARTED_MS)
         self.reader.on_row(row("a", {**with_start, "Sequence": 9}, 2))
         self.assertIsNone(self.place())
@@ -255,7 +255,7 @@
     def test_a_late_refusal_by_the_earlier_start_does_not_drop_the_next(self) -> None:
         """A request is sent before a restart, and its refusal arrives after it."""
         with_start = {**ENTRY, "born": STARTED_MS}
-        self.reader.on_listing((row("a", with_start, 1),))
+        self.reader.on_listing((row("a", with_start, 1),), 1)
         self.reader.on_row(row("a", {**with_start, "born": STARTED_MS + 5000}, 2))
         self.reader.on_replaced(InstanceId("a"), STARTED_MS)
         self.assertIsNotNone(self.place())
@@ -264,5 +264,5 @@
         """A listing that was read before a restart arrives after the feed's row."""
         with_start = {**ENTRY, "born": STARTED_MS}
         self.reader.on_row(row("a", {**with_start, "born": STARTED_MS + 5000}, 5))
-        self.reader.on_listing((row("a", with_start, 4),))
+        self.reader.on_listing((row("a", with_start, 4),), 4)
         self.assertEqual(self.place().started_ms, STARTED_MS + 5000)
