Keep the warm-up of a target whose entry lapsed in an outage of the store

What callers saw: nothing yet; found by reading. Warm-ups are now kept as long as their target is. The test failed before.

--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -161,6 +161,7 @@
 
     def apply(self) -> None:
         """Pass the usable targets to the dispatcher."""
+        self._warm_ups.retain(self.view.targets)
         views = [self._view(target) for target in self.view.usable()]
         self._context.queue.dispatcher.set_targets(views, self._clock())
         self._context.queue.wake()
@@ -175,7 +176,6 @@
         before = self.view.targets.get(instance_id)
         if row.deleted:
             self._unusable.discard(row.key)
-            self._warm_ups.forget(instance_id)
             self.view.remove(instance_id, self._clock())
             if before is not None:
                 self._log_change(before, "removed", row.revision)
--- a/src/endivegw/routing/warm_ups.py
+++ b/src/endivegw/routing/warm_ups.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Container
+
 from attrs import define, field
 
 from endivegw.types import InstanceId
@@ -30,10 +32,11 @@
         known_s = self._minimum_s.get(instance_id, 0.0)
         self._minimum_s[instance_id] = max(known_s, ends_s)
 
-    def forget(self, instance_id: InstanceId) -> None:
-        """Remove a target that is gone."""
-        self._registered_s.pop(instance_id, None)
-        self._minimum_s.pop(instance_id, None)
+    def retain(self, known: Container[InstanceId]) -> None:
+        """Remove the targets that are no longer known."""
+        for times_s in (self._registered_s, self._minimum_s):
+            for instance_id in [name for name in times_s if name not in known]:
+                del times_s[instance_id]
 
     def ends_s(self, instance_id: InstanceId) -> float:
         """Return when a target is warm; 0 if it never warmed up."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -202,6 +202,17 @@
         self.now_s += WARM_UP_S
         self.assertIn("e-2", self.place())
 
+    def test_a_target_whose_entry_lapsed_in_an_outage_stays_cold(self) -> None:
+        """Guards against a warm-up forgotten with an entry that will be renewed."""
+        cold = {**ENTRY, "Zone": "z-2", "ColdRemainingMs": 3000}
+        self.targets.on_row(row("e-2", cold, 10))
+        self.targets.on_unavailable()
+        self.now_s = 0.5
+        self.targets.on_response()
+        self.targets.on_row(row("e-2", None, 11))
+        self.place()
+        self.assertEqual(self._local_count("e-2"), 1)
+
     def test_a_change_between_two_reads_counts_as_a_warm_up(self) -> None:
         """Guards against a zone whose evacuation began and ended unseen."""
         self.reader.on_row(zone_row("z-2", 11, deleted=True))
