Send a request on when another instance answered at its target's address

Engines had crashed and come back at their addresses while the store was away; each of 26 routers found out for itself: 205 sends were answered 421, two in a row ended a chat, one a long prompt.

Ruled out: the limit on targets that warm up (no event 9117 then, as no router knew the new instances).

A send that another instance answered no longer counts as one of the targets that a route allows, since the addressed target has ended and nothing ran; it still takes from the retry budget. The first router that learns of it tells the others, as for a target that says it leaves.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -168,7 +168,12 @@
         "Targets that get a limited rate of requests after their start.",
         targets.warming_up_count,
     )
-    context.on_replaced = targets.on_replaced
+
+    def on_replaced(instance_id: InstanceId, started_ms: int | None) -> None:
+        if targets.on_replaced(instance_id, started_ms):
+            link.broadcast(TargetLeaving(TargetStart(instance_id, started_ms)))
+
+    context.on_replaced = on_replaced
     context.on_warm_up = targets.on_warm_up
 
     def on_leaving(start: TargetStart, source: str) -> None:
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -93,13 +93,17 @@
         """Record that the registry answers."""
         self.view.on_registry_response(self._clock())
 
-    def on_replaced(self, instance_id: InstanceId, started_ms: int | None) -> None:
+    def on_replaced(self, instance_id: InstanceId, started_ms: int | None) -> bool:
         """Drop a start of a target at whose address another instance answered.
 
         Its entry stays in the registry for a while, and every request sent there
         in the meantime is refused. If the target has restarted under the same id
         since the request was placed, the new start is unaffected.
+
+        :returns: whether it was not known before.
         """
+        if (instance_id, started_ms) in self._replaced:
+            return False
         self._context.terminations.record_termination(
             TargetStart(instance_id, started_ms), "replaced"
         )
@@ -109,6 +113,7 @@
             self.view.drop(instance_id)
             self._log_change(target, "replaced", 0, "answer")
             self.apply()
+        return True
 
     def on_leaving(self, start: TargetStart, source: str) -> bool:
         """Place no more work at a start of a target.
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -143,7 +143,10 @@
 
 @frozen
 class TargetLeaving:
-    """Reports that a start of a target is leaving, as reported by the target itself."""
+    """Reports that a start of a target is leaving or has ended.
+
+    The target itself said that it leaves, or another instance answered at its address.
+    """
 
     start: TargetStart
 
--- a/src/endivegw/relay/request_progress.py
+++ b/src/endivegw/relay/request_progress.py
@@ -27,6 +27,8 @@
     """Track the progress of one request over all attempts.
 
     :ivar send_count: number of attempts that sent the request to a target.
+    :ivar replaced_count: number of these that another instance answered, because the
+        addressed target had ended.
     :ivar may_have_run: whether some target may have run the request.
     :ivar excluded: targets that must not receive the request again.
     :ivar first_data_s: time at which the first data of an answer arrived.
@@ -37,6 +39,7 @@
 
     stream_progress: StreamProgress
     send_count: int = 0
+    replaced_count: int = 0
     may_have_run: bool = False
     excluded: set[TargetName] = field(factory=set)
     first_data_s: float | None = None
@@ -44,6 +47,11 @@
     pauses_s: list[float] = field(factory=list)
     target: str = ""
 
+    @property
+    def target_count(self) -> int:
+        """Return the number of targets that were sent the request."""
+        return self.send_count - self.replaced_count
+
 
 def lower_quartile(pauses_s: list[float]) -> float | None:
     """Return the lower quartile of the pauses, None if there are too few of them."""
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -228,6 +228,7 @@
         context = self._context
         if result.outcome not in _UNSENT_OUTCOMES:
             self._progress.send_count += 1
+            self._progress.replaced_count += result.replaced
         if result.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.LOST):
             self._progress.may_have_run = True
         output = self._output_tokens()
@@ -305,10 +306,10 @@
             return False
         if (
             result.outcome in _UNSENT_OUTCOMES
-            and self._progress.send_count < route.max_targets
+            and self._progress.target_count < route.max_targets
         ):
             return True
-        if self._progress.send_count >= route.max_targets:
+        if self._progress.target_count >= route.max_targets:
             return False
         if (
             result.outcome in (AttemptOutcome.LOST, AttemptOutcome.ANSWERED)
