Tell callers to come back when a store that is away may be back

Cause: only a limit that will grow, or a silent router, lengthened the delay; where the tokens are not held at all it stayed at its minimum, although nobody can draw before the store is back. The store is now assumed to need as long again as it has been away, as routers are already; at most 3 s. The test failed before (0.43 s told 3.5 s into an outage).

--- a/src/endivegw/allowances/manager.py
+++ b/src/endivegw/allowances/manager.py
@@ -305,11 +305,12 @@
         """Return the delay after which a refused caller should retry.
 
         While the store is unavailable, the limit covers the request only once it has
-        grown. A caller that retries earlier is refused again, and many retry only once.
+        grown, and nobody can draw what is not held. A caller that retries earlier is
+        refused again, and many retry only once. A store or a router that has not
+        responded for a while is assumed to need as long again.
 
         :param unresponsive_s: for how long a router that may hold the missing tokens
-            has been unresponsive. One that has been so for a while is assumed to need
-            as long again.
+            has been unresponsive.
         """
         # A write may be in progress, and the next one covers the request.
         wait_s = max(_MIN_RETRY_S, 2.0 * self._writer.last_write_s, unresponsive_s)
@@ -317,6 +318,9 @@
         if self._extender.is_store_unavailable():
             store_ms = self.store_clock.now_ms(now_s)
             covered_s = self.ledger.covered_in_s(account, tokens, store_ms)
-            if covered_s is not None:
-                wait_s = min(max(_MIN_RETRY_S, covered_s), _MAX_RETRY_S)
+            if covered_s is None:
+                wait_s = max(wait_s, self._writer.store_age_s(now_s))
+            else:
+                wait_s = max(_MIN_RETRY_S, covered_s)
+            wait_s = min(wait_s, _MAX_RETRY_S)
         return wait_s * (1.0 + _RETRY_SPREAD * self._rng.random())
--- a/tests/test_allowances_fleet.py
+++ b/tests/test_allowances_fleet.py
@@ -100,6 +100,24 @@
 
         run(scenario)
 
+    def test_callers_do_not_come_back_while_the_store_stays_away(self) -> None:
+        """Guards against a second refusal of callers whose tokens nobody can reach."""
+
+        async def scenario(world: AllowanceWorld) -> None:
+            allowances = world.routers["a"].allowances
+            world.store.cut = set(world.vms)
+            for away_s, least_s in ((1.0, 0.8), (2.5, 2.0), (20.0, 3.0)):
+                await anyio.sleep(away_s)
+                refusal = await allowances.reserve(ACCOUNT, 2_000_000)
+                assert isinstance(refusal, Refused)
+                if refusal.reason is Reason.BUDGET_EXHAUSTED:
+                    continue
+                assert refusal.retry_after_s is not None
+                self.assertGreater(refusal.retry_after_s, least_s)
+                self.assertLess(refusal.retry_after_s, 4.0)
+
+        run(scenario)
+
 
 class KillTests(unittest.TestCase):
     """What remains of a budget after a kill."""
