--- a/src/endivegw/decisions/warm_up.py
+++ b/src/endivegw/decisions/warm_up.py
@@ -17,7 +17,14 @@
 from endivegw.rendezvous import rendezvous_order
 from endivegw.types import TargetName
 
-__all__ = ["NO_SENDS", "SendQuota", "WarmUp", "WarmUpLimits", "send_quota"]
+__all__ = [
+    "MAX_SENDS",
+    "NO_SENDS",
+    "SendQuota",
+    "WarmUp",
+    "WarmUpLimits",
+    "send_quota",
+]
 
 #: Shortest window of a quota; bounds on a target's load count requests per second.
 _MIN_WINDOW_S = 1.0
--- a/src/endivegw/routing/__init__.py
+++ b/src/endivegw/routing/__init__.py
@@ -13,7 +13,7 @@
     WeightedService,
 )
 from endivegw.routing.table import RoutingTable
-from endivegw.routing.warm_ups import WarmUpTimes
+from endivegw.routing.warm_up_times import WarmUpTimes
 
 __all__ = [
     "CallerLimits",
--- a/src/endivegw/telemetry/target_limits.py
+++ b/src/endivegw/telemetry/target_limits.py
@@ -10,6 +10,9 @@
 
 __all__ = ["TargetLimit", "current_limits"]
 
+_EVACUATED_ZONE = "evacuated zone"
+_WARMING_UP = "warming up"
+
 _TARGET_WARMING_UP = 9117
 _ZONE_CHANGED = 9118
 _PROCESS_STARTED = 9120
@@ -55,13 +58,13 @@
             _apply_zone(limits, line)
         elif line.event == _TARGET_WARMING_UP:
             ends_s = line.at_s + float(line.fields["left_s"])
-            key = "warming up", str(line.fields["target"])
+            key = _WARMING_UP, str(line.fields["target"])
             limits[key] = _Limit(line.at, ends_s)
     return _merge(by_router, last_s)
 
 
 def _apply_zone(limits: dict[tuple[str, str], _Limit], line: LogLine) -> None:
-    key = "evacuated zone", str(line.fields["availability_zone"])
+    key = _EVACUATED_ZONE, str(line.fields["availability_zone"])
     if line.fields["evacuated"]:
         limits[key] = _Limit(line.at)
     else:
