Log fields of answers that the router does not read

Event 9119 names each field with the platform's prefixes that the codec does not know, once a name and at most 32 names, with the value and the target.

--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -29,6 +29,20 @@
 _LAST_EVENT = b"last-event-id"
 _AUTHORIZATION = b"authorization"
 
+#: Prefixes of the platform's own fields in answers, and the fields known among them.
+_ANSWER_PREFIXES = (b"endivegw-", b"server-")
+_KNOWN_ANSWER_FIELDS = frozenset(
+    {
+        _ATTEMPT_ID,
+        _NOT_RUN,
+        _LEAVING,
+        _WARM_UP,
+        b"endivegw-response-seal",
+        b"endivegw-instance-id",
+        b"endivegw-weight-versions",
+    }
+)
+
 #: Fields that only the router may set. A caller that sent them could reserve engine
 #: memory, bypass the queue or impersonate another account.
 _RESERVED = frozenset(
@@ -113,8 +127,13 @@
             pause_s = _parse_pause_s(found.get(_RETRY_AFTER))
         request_id = _decode_text(found.get(_ATTEMPT_ID))
         warm_up_s = None if replaced else _parse_warm_up_s(found.get(_WARM_UP))
+        unknown_fields = tuple(
+            (name, value)
+            for name, value in fields
+            if name.startswith(_ANSWER_PREFIXES) and name not in _KNOWN_ANSWER_FIELDS
+        )
         return AnswerMetadata(
-            request_id, not_run, replaced, leaving, pause_s, warm_up_s
+            request_id, not_run, replaced, leaving, pause_s, warm_up_s, unknown_fields
         )
 
     def router_answer_fields(self, request_id: str | None) -> HeaderFields:
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -29,6 +29,8 @@
 
     :ivar table: the active configuration; None until the first one is loaded.
     :ivar table_active_since_s: time at which that configuration became active.
+    :ivar unknown_answer_fields: names of fields that targets sent and the adapter does
+        not read, as far as they were logged.
     :ivar draining: whether the router accepts no new requests because it stops.
     :ivar on_replaced: called with the instance id and start time of a target when
         another instance answered at its address.
@@ -52,6 +54,7 @@
     metrics: RouterMetrics = field(factory=RouterMetrics)
     table: RoutingTable | None = None
     table_active_since_s: float = 0.0
+    unknown_answer_fields: set[bytes] = field(factory=set)
     draining: bool = False
     on_replaced: Callable[[InstanceId, int | None], None] = lambda name, start: None
     on_leaving: Callable[[TargetStart, str], None] = lambda start, source: None
--- a/src/endivegw/relay/target_report.py
+++ b/src/endivegw/relay/target_report.py
@@ -10,6 +10,12 @@
 
 __all__ = ["apply_target_report"]
 
+#: Maximum number of unknown fields whose names are logged and retained.
+_MAX_UNKNOWN_FIELDS = 32
+
+#: Maximum length of a logged value.
+_MAX_LOGGED_BYTES = 64
+
 #: Maximum share by which a pause is extended at random, so that the routers do not
 #: all resume sending at the same instant.
 _PAUSE_JITTER = 0.1
@@ -28,6 +34,7 @@
     :param metadata: what the header fields of the answer state.
     """
     start = TargetStart(placement.instance_id, placement.started_ms)
+    _log_unknown_fields(context, request_id, placement, metadata)
     if metadata.warm_up_s is not None:
         context.on_warm_up(start, metadata.warm_up_s)
     if not metadata.leaving and metadata.pause_s is None:
@@ -46,3 +53,24 @@
         until_s = context.clock() + pause_s
         availability = context.queue.dispatcher.availability
         availability.back_off(placement.target, placement.started_ms, until_s)
+
+
+def _log_unknown_fields(
+    context: RelayContext,
+    request_id: str,
+    placement: Placement,
+    metadata: AnswerMetadata,
+) -> None:
+    """Log fields that the adapter does not read, so that a new one is noticed."""
+    logged = context.unknown_answer_fields
+    for name, value in metadata.unknown_fields:
+        if name in logged or len(logged) >= _MAX_UNKNOWN_FIELDS:
+            continue
+        logged.add(name)
+        context.log.emit(
+            events.ANSWER_FIELD_UNKNOWN,
+            request_id=request_id,
+            target=placement.target,
+            field=name.decode("latin-1"),
+            value=value[:_MAX_LOGGED_BYTES].decode("latin-1"),
+        )
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -91,6 +91,7 @@
     :param pause_s: how long the target asks to receive no requests; None if it does
         not ask for a pause.
     :param warm_up_s: how long the target still warms up; None if it does not say so.
+    :param unknown_fields: fields of the deployment that the adapter does not read.
     """
 
     request_id: str | None
@@ -99,6 +100,7 @@
     leaving: bool = False
     pause_s: float | None = None
     warm_up_s: float | None = None
+    unknown_fields: tuple[tuple[bytes, bytes], ...] = ()
 
 
 class WirePort(Protocol):
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -132,6 +132,14 @@
     " or put it back into use. No registered target is there if targets is 0.",
     ("availability_zone", "evacuated", "revision", "source", "targets"),
 )
+ANSWER_FIELD_UNKNOWN = Event(
+    9119,
+    "relay-answer-field-unknown",
+    Level.WARNING,
+    "A target's answer has a field of the platform that the router does not read. Each"
+    " name is logged once.",
+    ("request_id", "target", "field", "value"),
+)
 FEED_LOST = Event(
     9113,
     "relay-feed-lost",
--- a/tests/test_target_report.py
+++ b/tests/test_target_report.py
@@ -98,6 +98,17 @@
             wire.read_answer_fields(200, [(b"server-leaving", b"0")]).leaving
         )
 
+    def test_fields_that_are_not_read_are_reported(self) -> None:
+        """Guards against a new field of the platform that is ignored unnoticed."""
+        wire = PlatformWire()
+        fields = [
+            (b"endivegw-attempt-id", b"a"),
+            (b"server-news", b"7"),
+            (b"content-length", b"0"),
+        ]
+        metadata = wire.read_answer_fields(200, fields)
+        self.assertEqual(metadata.unknown_fields, ((b"server-news", b"7"),))
+
 
 class BackOffTests(unittest.TestCase):
     """Targets that ask to receive no requests for some time."""
