Failing test: limits that targets name in their answers

The stand-in worker names Server-Limit and keeps the times of arrivals. On this code 89 requests reach an engine in 4 s that names 1.1 a second (11 allowed), with four routers and 30 requests a second.

--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -56,6 +56,9 @@
     :ivar cold_rate_per_s: requests per second that it bears while it is cold.
     :ivar cold_until_s: time until which it is cold.
     :ivar cold_crashes: number of crashes from too many requests while it was cold.
+    :ivar limit: value of the field that limits the requests per second from all
+        routers, which each answer has; None to omit the field.
+    :ivar arrivals_s: times at which requests arrived, including refused ones.
     """
 
     instance_id: str
@@ -74,6 +77,8 @@
     cold_rate_per_s: float = 0.0
     cold_until_s: float = 0.0
     cold_crashes: int = 0
+    limit: str | None = None
+    arrivals_s: list[float] = field(factory=list)
     _cold_arrivals_s: deque[float] = field(factory=deque)
 
     def make_cold(self, span_s: float) -> None:
@@ -81,6 +86,16 @@
         self.cold_until_s = anyio.current_time() + span_s
         self._cold_arrivals_s.clear()
 
+    def most_arrivals(self, from_s: float, window_s: float) -> int:
+        """Return the largest number of arrivals in any window after a time."""
+        times_s = [at_s for at_s in self.arrivals_s if at_s >= from_s]
+        most = first = 0
+        for last, at_s in enumerate(times_s):
+            while times_s[first] <= at_s - window_s:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection; a running request ends when the client disconnects."""
         disconnect_errors = (anyio.BrokenResourceError, anyio.ClosedResourceError)
@@ -123,6 +138,7 @@
                 self._response_head(421, attempt, "content-length: 0\r\n")
             )
             return True
+        self.arrivals_s.append(anyio.current_time())
         if self._crashes_cold():
             self.cold_crashes += 1
             self.terminated.set()
@@ -184,5 +200,7 @@
     def _response_head(self, status: int, attempt: str, extra: str) -> bytes:
         if self.leaving:
             extra += "server-leaving: 1\r\n"
+        if self.limit is not None:
+            extra += f"server-limit: {self.limit}\r\n"
         lines = f"HTTP/1.1 {status} X\r\nendivegw-attempt-id: {attempt}\r\n"
         return f"{lines}{extra}\r\n".encode()
