Keep the limits that targets name, over all routers together

What was seen: an engine that names 1.1 requests a second in its answers got 15 to 17 of them in 4 s from five routers (12 allowed). Callers noticed nothing. Cause: the codec did not read Server-Limit, so placement ignored it; one router alone exceeded it. Fix: the field is read into the answer's metadata; an answer counts as newer only if its request was sent after the last answer that named a limit. Changes spread by gossip under a version for each start. Each target has one router, the first of the responsive ones in its rendezvous order, that assigns sends to points in time and grants them to the routers that ask, so that idle routers waste nothing. The coordinator grants the share of the limit that corresponds to the routers it reaches; a router that reaches no coordinator uses half of its even part. While all targets of a service are limited, requests beyond the permits that can be expected are refused at once with the reason target_limit. Why it works: whatever the membership, granted and own parts add up to less than 1.5 times the limit; tests.test_send_limits plays 1 to 300 routers in virtual time with lost datagrams, restarts and splits of the fleet.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -34,7 +34,7 @@
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.termination_detector import TerminationDetector
 from endivegw.relay.wire import WirePort
-from endivegw.routing import ZoneChange, ZoneEvacuations
+from endivegw.routing import LimitReport, ZoneChange, ZoneEvacuations
 from endivegw.services.measured_rows import TimedRowStore
 from endivegw.services.row_store import RowStorePort
 from endivegw.settings.direct import DirectRouterSettings
@@ -115,6 +115,7 @@
         log=log,
         on_broadcast=lambda message: on_broadcast(message),
         rng=rng,
+        on_permits=lambda *answer: queue.add_permits(*answer),
         max_witnesses=MAX_WITNESSES if mechanisms.witnesses else 0,
     )
     allowances = AllowanceManager(
@@ -132,10 +133,11 @@
     )
     quarantine = QuarantineManager(store, link.broadcast, rng, clock, log)
     pool = TargetPool(clock)
+    queue = PlacementQueue(dispatcher, clock, link.request_permits)
     context = RelayContext(
         wire=wire,
         allowances=allowances,
-        queue=PlacementQueue(dispatcher, clock),
+        queue=queue,
         pool=pool,
         terminations=TerminationDetector(
             pool, quarantine.record_termination, clock, log
@@ -148,7 +150,9 @@
         metrics=metrics,
     )
     evacuations = ZoneEvacuations()
-    targets = TargetReader(context, decoder, clock, log, evacuations, peers.send_quota)
+    targets = TargetReader(
+        context, decoder, clock, log, evacuations, peers.send_quota, peers.routers
+    )
     evacuation_reader = EvacuationReader(
         evacuations,
         decoder,
@@ -168,6 +172,11 @@
         "Targets that get a limited rate of requests after their start.",
         targets.warming_up_count,
     )
+    metrics.gauge(
+        "targets_limited",
+        "Targets that limit the requests from all routers together.",
+        targets.limited_count,
+    )
 
     def on_replaced(instance_id: InstanceId, started_ms: int | None) -> None:
         if targets.on_replaced(instance_id, started_ms):
@@ -182,8 +191,20 @@
 
     context.on_leaving = on_leaving
 
-    def on_broadcast(message: Evidence | TargetLeaving | ZoneChange) -> None:
+    def on_limit(start: TargetStart, limit_per_s: float | None, sent_s: float) -> None:
+        report = targets.on_limit(start, limit_per_s, sent_s)
+        if report is not None:
+            link.broadcast(report)
+
+    context.on_limit = on_limit
+
+    def on_broadcast(
+        message: Evidence | LimitReport | TargetLeaving | ZoneChange,
+    ) -> None:
         match message:
+            case LimitReport():
+                if targets.on_limit_report(message):
+                    link.broadcast(message)
             case TargetLeaving(start):
                 on_leaving(start, "peer")
             case ZoneChange():
--- a/src/endivegw/daemons/placement_queue.py
+++ b/src/endivegw/daemons/placement_queue.py
@@ -12,11 +12,14 @@
     AttemptKind,
     Dispatcher,
     Expired,
+    PermitRequest,
+    Permits,
     Placement,
     Queued,
     WorkItem,
 )
-from endivegw.results import Reason, Refused
+from endivegw.results import Refused
+from endivegw.types import TargetName
 
 __all__ = ["PlacementQueue"]
 
@@ -36,10 +39,18 @@
     """Submit work to the dispatcher and wait until it is placed or refused.
 
     :param clock: returns seconds on a monotonic clock.
+    :param on_permits_needed: called with permits to ask for; each call is answered by
+        :meth:`add_permits`, possibly before it returns.
     """
 
-    def __init__(self, dispatcher: Dispatcher, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Callable[[], float],
+        on_permits_needed: Callable[[PermitRequest], None] = lambda request: None,
+    ) -> None:
         self.dispatcher = dispatcher
+        self._on_permits_needed = on_permits_needed
         self._clock = clock
         self._waiters: dict[str, _Waiter] = {}
         self._wake_event = anyio.Event()
@@ -50,12 +61,24 @@
         Cancellation removes the work from the queue.
         """
         decision = self.dispatcher.submit(item, self._clock())
+        self._request_permits()
         match decision:
             case Placement() | Refused():
                 return decision
             case Queued():
                 return await self._wait(item)
 
+    def add_permits(
+        self, target: TargetName, started_ms: int | None, permits: Permits
+    ) -> None:
+        """Apply the answer to a request for permits."""
+        self.dispatcher.add_permits(target, started_ms, permits, self._clock())
+        self.wake()
+
+    def _request_permits(self) -> None:
+        for request in self.dispatcher.permit_requests(self._clock()):
+            self._on_permits_needed(request)
+
     def wake(self) -> None:
         """Trigger a poll of the queue after work has ended or a target has changed."""
         self._wake_event.set()
@@ -66,6 +89,7 @@
             now_s = self._clock()
             for decision in self.dispatcher.poll(now_s):
                 self._deliver(decision)
+            self._request_permits()
             next_s = self.dispatcher.next_poll_s(now_s)
             sleep_s = _MAX_SLEEP_S
             if next_s is not None:
@@ -117,6 +141,6 @@
                 waiter.decision = decision
             case Expired():
                 waiter.decision = Refused(
-                    Reason.OVERLOADED, decision.reason_detail, decision.retry_after_s
+                    decision.reason, decision.reason_detail, decision.retry_after_s
                 )
         waiter.decided.set()
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -8,6 +8,7 @@
 from endivegw.decisions import (
     NO_SENDS,
     SERVICE_PREFIX,
+    SendLimit,
     SendQuota,
     TargetView,
     WarmUp,
@@ -18,7 +19,9 @@
 from endivegw.routing import (
     DirectTarget,
     FleetView,
+    LimitReport,
     ServiceKind,
+    TargetLimits,
     WarmUpTimes,
     ZoneChange,
     ZoneEvacuations,
@@ -30,6 +33,10 @@
 
 __all__ = ["TargetReader"]
 
+#: Maximum time for which a limit is applied after its end. Without a delay that differs
+#: between routers, they would all choose the target at once.
+_MAX_LIMIT_END_DELAY_S = 1.0
+
 
 class TargetReader:
     """Keep the dispatcher's targets up to date with the registry.
@@ -37,6 +44,7 @@
     :param evacuations: the zones whose targets get no new requests.
     :param send_quota: returns this router's quota for a target that is warming up,
         given the requests per second that all routers together may send there.
+    :param router_count: returns the number of registered routers.
     """
 
     def __init__(
@@ -49,10 +57,15 @@
         send_quota: Callable[
             [TargetName, float], SendQuota
         ] = lambda target, rate: NO_SENDS,
+        router_count: Callable[[], int] = lambda: 1,
     ) -> None:
         self._evacuations = evacuations or ZoneEvacuations()
         self._send_quota = send_quota
+        self._router_count = router_count
         self._warm_ups = WarmUpTimes()
+        self._limits = TargetLimits(
+            lambda: _MAX_LIMIT_END_DELAY_S * context.rng.random()
+        )
         self._context = context
         self._decoder = decoder
         self._clock = clock
@@ -150,6 +163,30 @@
             self._extend_warm_up(target, left_s, "answer")
             self.apply()
 
+    def on_limit(
+        self, start: TargetStart, limit_per_s: float | None, sent_s: float
+    ) -> LimitReport | None:
+        """Apply the limit that an answer states, or that it states none.
+
+        :param sent_s: time at which the request of the answer was sent.
+        :returns: the report for the other routers; None if nothing changed.
+        """
+        report = self._limits.on_answer(start, limit_per_s, sent_s, self._clock())
+        if report is not None:
+            self._apply_limit(report, "answer")
+        return report
+
+    def on_limit_report(self, report: LimitReport) -> bool:
+        """Apply another router's report of a limit; return whether it is new."""
+        is_new = self._limits.on_report(report, self._clock())
+        if is_new:
+            self._apply_limit(report, "peer")
+        return is_new
+
+    def limited_count(self) -> int:
+        """Return the number of targets that limit their requests."""
+        return sum(self._limit(target) is not None for target in self.view.usable())
+
     def targets_in(self, zone: AvailabilityZone) -> list[DirectTarget]:
         """Return the registered targets of a zone."""
         targets = self.view.targets.values()
@@ -167,6 +204,7 @@
     def apply(self) -> None:
         """Pass the usable targets to the dispatcher."""
         self._warm_ups.retain(self.view.targets)
+        self._limits.retain({_start_of(t) for t in self.view.targets.values()})
         views = [self._view(target) for target in self.view.usable()]
         self._context.queue.dispatcher.set_targets(views, self._clock())
         self._context.queue.wake()
@@ -269,6 +307,29 @@
         quota = self._send_quota(TargetName(target.instance_id), limits.rate_per_s)
         return WarmUp(ends_s, quota)
 
+    def _apply_limit(self, report: LimitReport, source: str) -> None:
+        limit_per_s = report.rate_per_s
+        part_per_s = None
+        if limit_per_s is not None:
+            part_per_s = round(limit_per_s / self._router_count(), 4)
+        self._log.emit(
+            events.TARGET_LIMIT_CHANGED,
+            target=report.start.instance_id,
+            started_ms=report.start.started_ms,
+            limit_per_s=limit_per_s,
+            part_per_s=part_per_s,
+            version=report.version,
+            source=source,
+        )
+        self.apply()
+
+    def _limit(self, target: DirectTarget) -> SendLimit | None:
+        applied = self._limits.applied(_start_of(target), self._clock())
+        if applied is None:
+            return None
+        part_per_s = applied.rate_per_s / self._router_count()
+        return SendLimit(applied.rate_per_s, part_per_s, applied.ends_s)
+
     def _view(self, target: DirectTarget) -> TargetView:
         table = self._context.table
         kind = ServiceKind.PLAIN
@@ -289,6 +350,7 @@
             copy_s_per_token=copy_s_per_token,
             evacuated=self._evacuations.is_evacuated(target.availability_zone),
             warm_up=self._warm_up(target),
+            limit=self._limit(target),
         )
 
     def _log_change(
--- a/src/endivegw/decisions/__init__.py
+++ b/src/endivegw/decisions/__init__.py
@@ -15,6 +15,12 @@
     ScalingPolicy,
     plan_orders,
 )
+from endivegw.decisions.send_permits import (
+    PermitRequest,
+    Permits,
+    SendLimit,
+    SendSchedule,
+)
 from endivegw.decisions.subset import SubsetPolicy, choose_subset, subset_size
 from endivegw.decisions.warm_up import (
     NO_SENDS,
@@ -49,6 +55,8 @@
     "NO_SENDS",
     "Placement",
     "PlacementFigures",
+    "PermitRequest",
+    "Permits",
     "PlannedOrder",
     "Policy",
     "PrefixScheme",
@@ -57,7 +65,9 @@
     "RetryPolicy",
     "SERVICE_PREFIX",
     "ScalingPolicy",
+    "SendLimit",
     "SendQuota",
+    "SendSchedule",
     "SubsetPolicy",
     "TargetView",
     "WarmUp",
--- a/src/endivegw/decisions/availability.py
+++ b/src/endivegw/decisions/availability.py
@@ -26,7 +26,7 @@
     """
     first_s = math.inf
     for state in members:
-        wait_s = max(state.backoff_until_s - now_s, state.warm_up_wait_s(now_s))
+        wait_s = max(state.backoff_until_s - now_s, state.send_wait_s(now_s))
         if wait_s <= 0.0:
             return 0.0
         first_s = min(first_s, wait_s)
--- a/src/endivegw/decisions/backlog.py
+++ b/src/endivegw/decisions/backlog.py
@@ -5,7 +5,13 @@
 from attrs import define, field
 
 from endivegw.decisions import admission
+from endivegw.decisions.availability import available_in_s
 from endivegw.decisions.estimates import Estimates
+from endivegw.decisions.permit_demand import (
+    held_permits,
+    queue_capacity,
+    schedule_retry_s,
+)
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.pool import Pool
 from endivegw.decisions.work import Expired, Placement, Queued, WorkItem
@@ -15,6 +21,8 @@
 
 NO_TARGET_ACCEPTS_WORK = "no target accepts requests at present"
 
+TARGETS_LIMITED = "all targets limit their requests, and none accepts another one yet"
+
 
 @define(eq=False)
 class Backlog:
@@ -32,6 +40,9 @@
     def enqueue(self, pool: Pool, item: WorkItem, now_s: float) -> Queued | Refused:
         """Queue a request, or refuse it if it would finish too late."""
         policy = self.policy
+        refused = self._make_room(pool, item, now_s)
+        if refused is not None:
+            return refused
         service_time_s = self.estimates.service_time_s(item, 1.0)
         long_service_time_s = self.estimates.service_time_s(
             item, 1.0, policy.queue_deviations
@@ -67,6 +78,32 @@
         pool.queue.push(item, service_time_s, latest_start_s, last_chance_s)
         return Queued(wait_s, position)
 
+    def _make_room(self, pool: Pool, item: WorkItem, now_s: float) -> Refused | None:
+        """Limit the queue to the permits that can be expected.
+
+        :returns: a refusal unless another request was evicted instead.
+        """
+        capacity = queue_capacity(pool, self.policy, now_s)
+        if capacity is None or len(pool.queue) < capacity:
+            return None
+        wait_s = available_in_s(pool.members, now_s)
+        retry_s = schedule_retry_s(pool, wait_s, now_s)
+        evicted = pool.queue.eviction_candidate(item)
+        if evicted is None:
+            return Refused(Reason.TARGET_LIMIT, TARGETS_LIMITED, retry_s)
+        pool.queue.remove(evicted)
+        self.abandoned.append(
+            Expired(evicted.item, TARGETS_LIMITED, retry_s, Reason.TARGET_LIMIT)
+        )
+        return None
+
+    def refuse_unavailable(self, pool: Pool, wait_s: float, now_s: float) -> Refused:
+        """Return the refusal of a request that no target accepts for a time."""
+        if queue_capacity(pool, self.policy, now_s) is None:
+            return Refused(Reason.OVERLOADED, NO_TARGET_ACCEPTS_WORK, wait_s)
+        retry_s = schedule_retry_s(pool, wait_s, now_s)
+        return Refused(Reason.TARGET_LIMIT, TARGETS_LIMITED, retry_s)
+
     def _retry_s(
         self, pool: Pool, service_time_s: float, wait_s: float, now_s: float
     ) -> float:
@@ -128,12 +165,39 @@
         )
 
     def abandon_all(
-        self, pool: Pool, retry_s: float, decided: list[Placement | Expired]
+        self,
+        pool: Pool,
+        wait_s: float,
+        now_s: float,
+        decided: list[Placement | Expired],
     ) -> None:
         """Expire all queued requests of a model that no target accepts."""
         for entry in list(pool.queue.entries()):
             pool.queue.remove(entry)
-            decided.append(Expired(entry.item, NO_TARGET_ACCEPTS_WORK, retry_s))
+            refused = self.refuse_unavailable(pool, wait_s, now_s)
+            decided.append(
+                Expired(
+                    entry.item, refused.detail, refused.retry_after_s, refused.reason
+                )
+            )
+
+    def abandon_without_permits(
+        self, pool: Pool, now_s: float, decided: list[Placement | Expired]
+    ) -> None:
+        """Expire queued requests that waited too long for permits of targets."""
+        if queue_capacity(pool, self.policy, now_s) is None:
+            return
+        oldest_s = now_s - self.policy.max_backoff_wait_s
+        entries = list(pool.queue.entries())
+        overdue = [entry for entry in entries if entry.item.arrived_s <= oldest_s]
+        excess = len(entries) - held_permits(pool, now_s)
+        for entry in overdue[: max(0, excess)]:
+            pool.queue.remove(entry)
+            wait_s = available_in_s(pool.members, now_s)
+            retry_s = schedule_retry_s(pool, wait_s, now_s)
+            decided.append(
+                Expired(entry.item, TARGETS_LIMITED, retry_s, Reason.TARGET_LIMIT)
+            )
 
     def abandon_expired(
         self, pool: Pool, now_s: float, decided: list[Placement | Expired]
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -9,14 +9,16 @@
 from endivegw.decisions import admission, health
 from endivegw.decisions.affinity import PrefixIndex
 from endivegw.decisions.availability import Availability, available_in_s
-from endivegw.decisions.backlog import NO_TARGET_ACCEPTS_WORK, Backlog
+from endivegw.decisions.backlog import Backlog
 from endivegw.decisions.estimates import Estimates
 from endivegw.decisions.fair_queue import FairQueue
 from endivegw.decisions.feedback import learn_from_answer, record_report_speed
+from endivegw.decisions.permit_demand import permit_requests
 from endivegw.decisions.placement import Choice, Placer
 from endivegw.decisions.policy import Policy
 from endivegw.decisions.pool import Pool, model_groups
 from endivegw.decisions.scaling import DemandMeter
+from endivegw.decisions.send_permits import PermitRequest, Permits
 from endivegw.decisions.shares import Shares
 from endivegw.decisions.target_state import Outstanding, TargetState
 from endivegw.decisions.work import (
@@ -64,6 +66,9 @@
         #: Target of each request's running attempt, by request id.
         self._placed: dict[str, TargetState] = {}
         self._groups: dict[str, int] = {}
+        self._rng = rng
+        #: Pools with targets that limit their requests.
+        self._limited_pools: list[Pool] = []
         self._next_sweep_s = 0.0
         #: Prefixes read by targets and not yet reported to the other routers; the
         #: oldest are dropped when it is full.
@@ -111,6 +116,7 @@
                 members.setdefault(model, []).append(state)
         for model, states in members.items():
             self._pool(model).set_members(states, self._zone)
+        self._limited_pools = [pool for pool in self._pools.values() if pool.limited]
         self._regroup()
 
     def report(self, target: TargetName, figures: LoadFigures, now_s: float) -> None:
@@ -149,7 +155,8 @@
             return Refused(Reason.DEADLINE, "the deadline has already passed")
         available_s = available_in_s(pool.members, now_s)
         if available_s > self._policy.max_backoff_wait_s:
-            return Refused(Reason.OVERLOADED, NO_TARGET_ACCEPTS_WORK, available_s)
+            return self._backlog.refuse_unavailable(pool, available_s, now_s)
+        pool.permits_wanted = True
         self._sweep(now_s)
         self._demand.add(item.model, self._estimates.service_time_s(item, 1.0), now_s)
         head = pool.queue.head()
@@ -172,8 +179,10 @@
             available_s = available_in_s(pool.members, now_s)
             if available_s > self._policy.max_backoff_wait_s:
                 retry_s = available_s if pool.members else admission.NO_TARGET_RETRY_S
-                self._backlog.abandon_all(pool, retry_s, decided)
+                self._backlog.abandon_all(pool, retry_s, now_s, decided)
         self._serve(waiting, now_s, decided)
+        for pool in waiting:
+            self._backlog.abandon_without_permits(pool, now_s, decided)
         return decided
 
     def next_poll_s(self, now_s: float) -> float | None:
@@ -194,6 +203,25 @@
         meter = self._demand
         return {model: meter.slots(model, now_s) for model in meter.models()}
 
+    def permit_requests(self, now_s: float) -> list[PermitRequest]:
+        """Return the permits to ask for; each answer goes to :meth:`add_permits`."""
+        requests = []
+        for pool in self._limited_pools:
+            requests += permit_requests(pool, self._rng, now_s)
+        return requests
+
+    def add_permits(
+        self,
+        target: TargetName,
+        started_ms: int | None,
+        permits: Permits,
+        now_s: float,
+    ) -> None:
+        """Apply the answer to a request for permits."""
+        state = self._targets.get(target)
+        if state is not None and state.view.started_ms == started_ms:
+            state.permits.receive(permits, now_s)
+
     def local_load(self) -> dict[TargetName, LocalLoad]:
         """Return this router's own requests at each target."""
         return {
@@ -374,12 +402,12 @@
             not view.accepts_work
             or state.draining
             or view.target in item.excluded
-            or state.warm_up_wait_s(now_s) > 0.0
+            or state.send_wait_s(now_s) > 0.0
         ):
             raise InvariantError(
                 f"{item.request_id} was about to be placed on {view.target}, which is "
-                "draining, evacuated, excluded for this request or at the limit of its "
-                "warm-up"
+                "draining, evacuated, excluded for this request, at the limit of its "
+                "warm-up or without a permit"
             )
         load = state.load()
         figures = PlacementFigures(
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -106,6 +106,8 @@
                 best = choice
         if best is None:
             best = self._sample_until_free(pool, criteria)
+        if pool.limited:
+            best = self._limit_probe(pool, criteria) or best
         if best is not None:
             best.candidates = max(1, compared)
         return best
@@ -177,7 +179,7 @@
             return False
         if is_backing_off(state, criteria.now_s):
             return False
-        if state.warm_up_wait_s(criteria.now_s) > 0.0:
+        if state.send_wait_s(criteria.now_s) > 0.0:
             return False
         item = criteria.item
         if item.excluded and state.view.target in item.excluded:
@@ -243,6 +245,25 @@
             cost_s += pause_cost_s
         return cost_s
 
+    def _limit_probe(self, pool: Pool, criteria: _Criteria) -> Choice | None:
+        """Return a limited target that got no request for a time, or None.
+
+        Other targets may be cheaper as long as the limit applies, but its end is only
+        noticed by an answer.
+        """
+        item = criteria.item
+        for state in pool.limited:
+            if not state.is_limit_probe_due(criteria.now_s):
+                continue
+            if not self._has_capacity(state, criteria):
+                continue
+            choice = self._evaluate(pool, state, criteria)
+            if criteria.now_s + choice.finish_s * _PROBE_TIME_FACTOR > item.deadline_s:
+                continue
+            choice.why = "limit-probe"
+            return choice
+        return None
+
     def _probe(self, pool: Pool, criteria: _Criteria, now_s: float) -> Choice | None:
         """Return a shed target that is due for a probe, or None.
 
--- a/src/endivegw/decisions/pool.py
+++ b/src/endivegw/decisions/pool.py
@@ -30,6 +30,10 @@
         all members. It is not 1, because reports count streams that are still reading
         their prompt.
     :param probe_due: shed members that are due for a probe request.
+    :param limited: members that limit their requests.
+    :param permits_wanted: whether a request arrived since permits were last asked for.
+    :param limit_retries_until_s: latest time to retry that was given to callers while
+        all members limited their requests.
     :param pauses: predicts the pauses that long prompts cause.
     """
 
@@ -42,11 +46,15 @@
     peer_ratio: Average = field(factory=lambda: Average(1.0))
     probe_due: list[TargetState] = field(factory=list)
     pauses: PauseModel = field(factory=PauseModel)
+    limited: list[TargetState] = field(factory=list)
+    permits_wanted: bool = False
+    limit_retries_until_s: float = 0.0
 
     def set_members(self, members: list[TargetState], zone: AvailabilityZone) -> None:
         """Replace the members."""
         self.members = members
         self.same_zone = [m for m in members if m.view.availability_zone == zone]
+        self.limited = [m for m in members if m.view.limit is not None]
         names = {member.view.target for member in members}
         self.free_targets = {n: s for n, s in self.free_targets.items() if n in names}
         self.probe_due = [s for s in self.probe_due if s.view.target in names]
--- a/src/endivegw/decisions/target_state.py
+++ b/src/endivegw/decisions/target_state.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from endivegw.decisions.send_permits import SendLimit, SendPermits
 from endivegw.decisions.warm_up import MAX_SENDS
 from endivegw.decisions.work import LoadFigures, TargetView, WorkItem
 
@@ -17,6 +18,10 @@
 _HISTORY_LENGTH_S = 15.0
 
 
+#: Interval at which a router that holds a permit sends a request to a limited target.
+_LIMIT_PROBE_S = 1.0
+
+
 @define(eq=False)
 class Outstanding:
     """Hold one attempt that this router has on a target.
@@ -67,6 +72,7 @@
         nothing.
     :param repeated_reports: number of consecutive reports equal to the one before,
         while this router's requests came or went.
+    :param permits: this router's permits while the target limits its requests.
     :param trusted: whether reports are used; False while they appear frozen.
     """
 
@@ -88,6 +94,7 @@
     repeated_reports: int = 0
     changed_since_report: bool = False
     trusted: bool = True
+    permits: SendPermits = field(factory=SendPermits)
     local_attempts: dict[str, Outstanding] = field(factory=dict)
     unread: dict[str, Outstanding] = field(factory=dict)
     _models: tuple[str, ...] = ()
@@ -146,25 +153,48 @@
             self._record_count(now_s)
         return attempt
 
-    def warm_up_wait_s(self, now_s: float) -> float:
+    def limit_at(self, now_s: float) -> SendLimit | None:
+        """Return the target's limit on requests, or None if it has none."""
+        limit = self.view.limit
+        if limit is None or (limit.ends_s is not None and limit.ends_s <= now_s):
+            return None
+        return limit
+
+    def send_wait_s(self, now_s: float) -> float:
         """Return the time until this router may place a request on the target.
 
-        0 unless the target is warming up. Requests that are placed but not yet sent
-        count towards the router's quota.
+        0 unless the target is warming up or limits its requests. Requests that are
+        placed but not yet sent count as sent.
         """
-        if self.view.warm_up is None:
+        limit = self.limit_at(now_s)
+        if self.view.warm_up is None and limit is None:
             return 0.0
-        unsent = sum(not attempt.sent for attempt in self.local_attempts.values())
-        return self._quota_wait_s(unsent, now_s)
+        wait_s = self._quota_wait_s(self.unsent(), now_s)
+        if limit is None:
+            return wait_s
+        return max(wait_s, self.permits.wait_s(self.unsent(), now_s))
+
+    def is_limit_probe_due(self, now_s: float) -> bool:
+        """Return whether a request would show if the target still has its limit."""
+        if self.limit_at(now_s) is None or not self.permits.held(now_s):
+            return False
+        return not self._sends_s or self._sends_s[-1] <= now_s - _LIMIT_PROBE_S
+
+    def unsent(self) -> int:
+        """Return the number of requests that were placed but not yet sent."""
+        return sum(not attempt.sent for attempt in self.local_attempts.values())
 
     def start_send(self, request_id: str, now_s: float) -> bool:
         """Record the send of a placed request; return False if it must not be sent.
 
         Requests placed over some seconds may be sent at once when connections open, or
-        the target may have begun to warm up since the placement.
+        the target may have begun to warm up, or may have limited its requests, since
+        the placement.
         """
         if self._quota_wait_s(0, now_s) > 0.0:
             return False
+        if self.limit_at(now_s) is not None and not self.permits.consume(now_s):
+            return False
         self._sends_s.append(now_s)
         attempt = self.local_attempts.get(request_id)
         if attempt is not None:
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -6,7 +6,9 @@
 
 from attrs import field, frozen
 
+from endivegw.decisions.send_permits import SendLimit
 from endivegw.decisions.warm_up import WarmUp
+from endivegw.results import Reason
 from endivegw.targets.ports import CacheChange
 from endivegw.types import (
     AvailabilityZone,
@@ -83,6 +85,7 @@
     :param evacuated: whether the operator evacuated the target's availability zone. The
         target gets no new requests, but others may copy from its cache.
     :param warm_up: the target's warm-up; None if it is warm.
+    :param limit: the target's limit on requests from all routers; None if it has none.
     """
 
     target: TargetName
@@ -96,6 +99,7 @@
     copy_s_per_token: float | None = None
     evacuated: bool = False
     warm_up: WarmUp | None = None
+    limit: SendLimit | None = None
 
     @property
     def accepts_work(self) -> bool:
@@ -173,7 +177,8 @@
 class Placement:
     """Hold the target on which a request is placed.
 
-    :param why: ``least-loaded``, ``prefix-cache``, ``prefix-copy`` or ``probe``.
+    :param why: ``least-loaded``, ``prefix-cache``, ``prefix-copy``, ``probe`` or
+        ``limit-probe``.
     :param started_ms: start of the target's incarnation, as in its :class:`TargetView`.
     :param copy_from: address of a target that has more of the prompt cached; None if
         nothing is copied.
@@ -214,6 +219,7 @@
     item: WorkItem
     reason_detail: str
     retry_after_s: float | None
+    reason: Reason = Reason.OVERLOADED
 
 
 class AttemptKind(enum.Enum):
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -10,7 +10,7 @@
 
 from endivegw.allowances.lending import PeerSurplus
 from endivegw.allowances.witnesses import Statement
-from endivegw.decisions import LocalLoad
+from endivegw.decisions import LocalLoad, PermitRequest, Permits
 from endivegw.gossip.gossip_queue import GossipQueue
 from endivegw.gossip.loans import RESEND_S, Loans
 from endivegw.gossip.messages import (
@@ -22,6 +22,8 @@
     LoanResponse,
     Message,
     PeerState,
+    PermitQuery,
+    PermitResponse,
     PrefixesRead,
     StatementRequest,
     StatementResponse,
@@ -32,9 +34,10 @@
     shortened,
 )
 from endivegw.gossip.peers import PeerEntry, PeerTable
+from endivegw.gossip.permit_exchange import PermitExchange
 from endivegw.quarantine import Evidence
 from endivegw.rendezvous import rendezvous_order
-from endivegw.routing import ZoneChange
+from endivegw.routing import LimitReport, ZoneChange
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId, TargetName
 
@@ -65,6 +68,7 @@
     :param on_broadcast: called with each broadcast update received.
     :param on_lent: called with the tokens lent to a router that does not hold the
         account.
+    :param on_permits: called with the answer to each request for permits.
     """
 
     def __init__(
@@ -83,11 +87,14 @@
         clock: Callable[[], float],
         log: EventLog,
         on_broadcast: Callable[
-            [Evidence | TargetLeaving | ZoneChange], None
+            [Evidence | LimitReport | TargetLeaving | ZoneChange], None
         ] = lambda update: None,
         on_lent: Callable[
             [ClientAccountName, int], None
         ] = lambda account, tokens: None,
+        on_permits: Callable[
+            [TargetName, int | None, Permits], None
+        ] = lambda target, started_ms, permits: None,
         max_witnesses: int = MAX_WITNESSES,
         rng: random.Random | None = None,
     ) -> None:
@@ -106,8 +113,10 @@
         ) = None
         self._clock = clock
         self._on_broadcast = on_broadcast
-        self._gossip = GossipQueue(
-            self._send_data, peers.entries, rng or random.Random()
+        rng = rng or random.Random()
+        self._gossip = GossipQueue(self._send_data, peers.entries, rng)
+        self._permits = PermitExchange(
+            entry.instance_id, peers, self._send, on_permits, clock, rng
         )
         self._socket: UDPSocket | None = None
         #: Loan responses and statements are sent by separate tasks; the socket accepts
@@ -150,6 +159,7 @@
                 tasks.start_soon(self._listen, tasks)
                 tasks.start_soon(self._send_statements_on_demand)
                 tasks.start_soon(self._gossip.run)
+                tasks.start_soon(self._permits.run)
                 while True:
                     interval_s = self.interval_s()
                     await self._send_state(interval_s)
@@ -228,7 +238,13 @@
         self._statement_responses = None
         return {name: responses[name] for name in witnesses if name in responses}
 
-    def broadcast(self, update: Evidence | TargetLeaving | ZoneChange) -> None:
+    def request_permits(self, request: PermitRequest) -> None:
+        """Ask a target's coordinator for permits."""
+        self._permits.request(request)
+
+    def broadcast(
+        self, update: Evidence | LimitReport | TargetLeaving | ZoneChange
+    ) -> None:
         """Send an update to all routers by gossip."""
         self._gossip.broadcast(encode(BroadcastMessage(self.entry.instance_id, update)))
 
@@ -290,6 +306,12 @@
                         self.entry.instance_id, about, last_statement
                     )
                     await self._send_to(encode(answer), host, port)
+                case PermitQuery():
+                    permit_response = self._permits.respond(message)
+                    if permit_response is not None:
+                        await self._send_to(encode(permit_response), host, port)
+                case PermitResponse():
+                    self._permits.receive(message)
                 case BroadcastMessage(_, update):
                     self._on_broadcast(update)
                 case StatementResponse(sender, about, statement):
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -8,12 +8,13 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any, Iterable
 
-from attrs import evolve, field, frozen
+from attrs import astuple, evolve, field, frozen
 
 from endivegw.allowances.witnesses import Statement
-from endivegw.decisions import LocalLoad
+from endivegw.decisions import LocalLoad, Permits
 from endivegw.quarantine import (
     Evidence,
     Fingerprint,
@@ -23,7 +24,7 @@
     decode_starts,
     encode_starts,
 )
-from endivegw.routing import ZoneChange
+from endivegw.routing import LimitReport, ZoneChange
 from endivegw.types import (
     AvailabilityZone,
     ClientAccountName,
@@ -38,6 +39,8 @@
     "BroadcastMessage",
     "LoanResponse",
     "PeerState",
+    "PermitQuery",
+    "PermitResponse",
     "PrefixesRead",
     "TargetLeaving",
     "decode",
@@ -141,6 +144,30 @@
     prefixes: dict[TargetName, list[bytes]]
 
 
+@frozen
+class PermitQuery:
+    """Asks a target's coordinator for permits to send requests to it.
+
+    :param number: number of the query at its sender.
+    :param rate_per_s: the target's limit, as known to the sender.
+    """
+
+    sender: InstanceId
+    start: TargetStart
+    number: int
+    rate_per_s: float
+    sends: int
+
+
+@frozen
+class PermitResponse:
+    """Answers a query for permits."""
+
+    sender: InstanceId
+    number: int
+    permits: Permits
+
+
 @frozen
 class TargetLeaving:
     """Reports that a start of a target is leaving or has ended.
@@ -156,11 +183,13 @@
     """An update for all routers, whichever router sends it."""
 
     sender: InstanceId
-    update: Evidence | TargetLeaving | ZoneChange
+    update: Evidence | LimitReport | TargetLeaving | ZoneChange
 
 
 Message = (
     PeerState
+    | PermitQuery
+    | PermitResponse
     | PrefixesRead
     | Limits
     | Acknowledgement
@@ -218,6 +247,14 @@
                 message.tokens,
                 message.left_tokens,
             ]
+        case PermitQuery(sender, start, number, rate_per_s, sends):
+            pair = [start.instance_id, start.started_ms]
+            document = ["permit", sender, pair, number, rate_per_s, sends]
+        case PermitResponse(sender, number, permits):
+            document = ["permitted", sender, number, *astuple(permits)]
+        case BroadcastMessage(sender, LimitReport(start, limit_per_s, version)):
+            pair = [start.instance_id, start.started_ms]
+            document = ["limit", sender, pair, limit_per_s, version]
         case BroadcastMessage(sender, TargetLeaving(start)):
             document = ["leaving", sender, [start.instance_id, start.started_ms]]
         case BroadcastMessage(sender, ZoneChange(zone, evacuated, revision)):
@@ -281,6 +318,23 @@
                 return LoanResponse(
                     name, TransferId(str(transfer_id)), int(tokens), int(left_tokens)
                 )
+            case "permit", [start, number, rate, sends]:
+                (limited_start,) = decode_starts([start])
+                rate_per_s = _decode_rate(rate)
+                return PermitQuery(
+                    name, limited_start, int(number), rate_per_s, int(sends)
+                )
+            case "permitted", [number, sends, first_in_s, interval_s, retry_in_s]:
+                permits = Permits(
+                    int(sends), float(first_in_s), float(interval_s), float(retry_in_s)
+                )
+                return PermitResponse(name, int(number), permits)
+            case "limit", [start, rate, version]:
+                (limited_start,) = decode_starts([start])
+                limit_per_s = None if rate is None else _decode_rate(rate)
+                return BroadcastMessage(
+                    name, LimitReport(limited_start, limit_per_s, int(version))
+                )
             case "leaving", [start]:
                 (leaving_start,) = decode_starts([start])
                 return BroadcastMessage(name, TargetLeaving(leaving_start))
@@ -328,6 +382,14 @@
     return datagrams
 
 
+def _decode_rate(rate: Any) -> float:
+    """Return a limit in requests per second; raise ValueError if it cannot be one."""
+    rate_per_s = float(rate)
+    if not (0.0 < rate_per_s < math.inf):
+        raise ValueError(f"limit of {rate_per_s} requests per second")
+    return rate_per_s
+
+
 def _decode_prefixes(prefixes: Any) -> dict[TargetName, list[bytes]]:
     return {
         TargetName(target): [str(digest).encode("latin-1") for digest in digests]
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -100,6 +100,8 @@
     _holders: dict[ClientAccountName, frozenset[str]] = field(factory=dict)
     #: This router's quotas for warming targets; cleared like the holders.
     _quotas: dict[tuple[TargetName, float], SendQuota] = field(factory=dict)
+    #: The order of routers that grant permits for a target; cleared like the holders.
+    _coordinators: dict[TargetName, tuple[str, ...]] = field(factory=dict)
     #: The last statement of each process. Statements of dead processes are retained,
     #: because their successors request them.
     _statements: OrderedDict[InstanceId, Statement] = field(factory=OrderedDict)
@@ -122,6 +124,7 @@
         """Forget what was chosen among the routers known so far."""
         self._holders.clear()
         self._quotas.clear()
+        self._coordinators.clear()
 
     def receive_state(self, state: PeerState, now_s: float) -> None:
         """Apply a router's report, unless a later one is known."""
@@ -246,6 +249,28 @@
             self._quotas[(target, rate_per_s)] = known
         return known
 
+    def coordinator(self, target: TargetName, now_s: float) -> PeerEntry | None:
+        """Return the router that grants permits for a target; None for this one."""
+        order = self._coordinators.get(target)
+        if order is None:
+            order = rendezvous_order(target, {*self._peers, self.own_vm})
+            self._coordinators[target] = order
+        responsive = {peer.entry.vm: peer.entry for peer in self._responsive(now_s)}
+        for vm in order:
+            if vm == self.own_vm or vm in responsive:
+                return responsive.get(vm)
+        return None
+
+    def routers(self) -> int:
+        """Return the number of registered routers, including this one."""
+        return len(self._peers) + 1
+
+    def reachable_share(self, now_s: float) -> float:
+        """Return the share of registered routers that respond; 0 if none are known."""
+        if not self.listed:
+            return 0.0
+        return (len(self._responsive(now_s)) + 1) / self.routers()
+
     def leftovers(
         self, account: ClientAccountName, now_s: float
     ) -> list[tuple[PeerEntry, int]]:
--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from endivegw.relay.wire import (
     AnswerMetadata,
     CallerMetadata,
@@ -25,6 +27,7 @@
 _NOT_RUN = b"endivegw-not-executed"
 _LEAVING = b"server-leaving"
 _WARM_UP = b"endivegw-cold-ms"
+_LIMIT = b"server-limit"
 _RETRY_AFTER = b"retry-after"
 _LAST_EVENT = b"last-event-id"
 _AUTHORIZATION = b"authorization"
@@ -37,6 +40,7 @@
         _NOT_RUN,
         _LEAVING,
         _WARM_UP,
+        _LIMIT,
         b"endivegw-response-seal",
         b"endivegw-instance-id",
         b"endivegw-weight-versions",
@@ -73,6 +77,9 @@
 #: Upper limit of announced warm-ups, which take seconds.
 _MAX_WARM_UP_S = 60.0
 
+#: Lower limit of the stated limits on requests per second.
+_MIN_LIMIT_PER_S = 0.1
+
 #: Status with which a target rejects a request, optionally with a Retry-After field.
 _UNAVAILABLE = 503
 
@@ -127,13 +134,27 @@
             pause_s = _parse_pause_s(found.get(_RETRY_AFTER))
         request_id = _decode_text(found.get(_ATTEMPT_ID))
         warm_up_s = None if replaced else _parse_warm_up_s(found.get(_WARM_UP))
-        unknown_fields = tuple(
+        limits = [value for name, value in fields if name == _LIMIT and not replaced]
+        limits_per_s = [_parse_limit_per_s(value) for value in limits]
+        stated_per_s = [rate for rate in limits_per_s if rate is not None]
+        unknown_fields = [
             (name, value)
             for name, value in fields
             if name.startswith(_ANSWER_PREFIXES) and name not in _KNOWN_ANSWER_FIELDS
-        )
+        ]
+        unknown_fields += [
+            (_LIMIT, value) for value, rate in zip(limits, limits_per_s) if rate is None
+        ]
         return AnswerMetadata(
-            request_id, not_run, replaced, leaving, pause_s, warm_up_s, unknown_fields
+            request_id,
+            not_run,
+            replaced,
+            leaving,
+            pause_s,
+            warm_up_s,
+            min(stated_per_s, default=None),
+            bool(limits) and not stated_per_s,
+            tuple(unknown_fields),
         )
 
     def router_answer_fields(self, request_id: str | None) -> HeaderFields:
@@ -173,6 +194,19 @@
     return min(found_ms / 1000.0, _MAX_WARM_UP_S) if found_ms > 0.0 else None
 
 
+def _parse_limit_per_s(value: bytes) -> float | None:
+    """Return a limit in requests per second, or None if it is malformed.
+
+    With a limit of 0, the target gets the few requests by whose answers the end of the
+    limit is noticed.
+    """
+    try:
+        found = float(value)
+    except ValueError:
+        return None
+    return max(found, _MIN_LIMIT_PER_S) if 0.0 <= found < math.inf else None
+
+
 def _parse_key(value: bytes | None) -> str | None:
     scheme, _, key = (value or b"").partition(b" ")
     if scheme.lower() != b"bearer" or not key.strip():
--- a/src/endivegw/quarantine/lost_sends.py
+++ b/src/endivegw/quarantine/lost_sends.py
@@ -4,10 +4,10 @@
 
 from collections import OrderedDict
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from endivegw.quarantine.fingerprint import Fingerprint
-from endivegw.types import InstanceId
+from endivegw.types import TargetStart
 
 __all__ = ["LostSends", "TargetStart"]
 
@@ -20,18 +20,6 @@
 _MAX_STARTS = 1024
 
 
-@frozen
-class TargetStart:
-    """Identifier of one start of a target.
-
-    :param started_ms: distinguishes two starts with the same ``instance_id``; None if
-        ``instance_id`` is unique for each start.
-    """
-
-    instance_id: InstanceId
-    started_ms: int | None
-
-
 @define
 class _Losses:
     address: str = ""
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -38,6 +38,8 @@
         source of the announcement.
     :ivar on_warm_up: called with a target whose answer states that it warms up, and
         with the seconds that it still needs.
+    :ivar on_limit: called for each answer with its target, the limit that it states on
+        requests per second, and the time at which its request was sent.
     """
 
     wire: WirePort
@@ -59,3 +61,6 @@
     on_replaced: Callable[[InstanceId, int | None], None] = lambda name, start: None
     on_leaving: Callable[[TargetStart, str], None] = lambda start, source: None
     on_warm_up: Callable[[TargetStart, float], None] = lambda start, warm_up_s: None
+    on_limit: Callable[[TargetStart, float | None, float], None] = (
+        lambda start, limit_per_s, sent_s: None
+    )
--- a/src/endivegw/relay/request_progress.py
+++ b/src/endivegw/relay/request_progress.py
@@ -33,6 +33,7 @@
     :ivar excluded: targets that must not receive the request again.
     :ivar first_data_s: time at which the first data of an answer arrived.
     :ivar last_relayed_s: time at which events were last relayed.
+    :ivar sent_s: time at which the latest attempt was sent.
     :ivar pauses_s: pauses between relayed batches of events.
     :ivar target: target of the latest attempt.
     """
@@ -44,6 +45,7 @@
     excluded: set[TargetName] = field(factory=set)
     first_data_s: float | None = None
     last_relayed_s: float | None = None
+    sent_s: float = 0.0
     pauses_s: list[float] = field(factory=list)
     target: str = ""
 
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -177,11 +177,9 @@
             self._relay_head,
             self._relay_events,
             self._record_first_data,
-            lambda: context.queue.dispatcher.availability.start_send(
-                admitted.request_id, placement.target, context.clock()
-            ),
+            lambda: self._start_send(placement),
             lambda metadata: apply_target_report(
-                context, admitted.request_id, placement, metadata
+                context, admitted.request_id, placement, metadata, progress.sent_s
             ),
             self._writer.cancel_if_caller_left,
         )
@@ -206,6 +204,13 @@
         await self._quarantine_check.record_attempt(placement, result)
         return result
 
+    def _start_send(self, placement: Placement) -> bool:
+        """Record the send; return False if the target must not get the request."""
+        now_s = self._progress.sent_s = self._context.clock()
+        return self._context.queue.dispatcher.availability.start_send(
+            self._admitted.request_id, placement.target, now_s
+        )
+
     def _build_request(self, placement: Placement) -> OutgoingRequest:
         admitted = self._admitted
         request = admitted.request
--- a/src/endivegw/relay/target_report.py
+++ b/src/endivegw/relay/target_report.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from endivegw.decisions import Placement
 from endivegw.quarantine import TargetStart
 from endivegw.relay.context import RelayContext
@@ -26,15 +28,22 @@
     request_id: str,
     placement: Placement,
     metadata: AnswerMetadata,
+    sent_s: float,
 ) -> None:
-    """Apply that a target leaves, warms up, or asks to receive no requests for a time.
+    """Apply that a target leaves, warms up, asks for a pause or limits its requests.
 
     :param request_id: id of the request during which the answer was read.
     :param placement: placement of that request; its connection delivered the answer.
     :param metadata: what the header fields of the answer state.
+    :param sent_s: time at which that request was sent.
     """
     start = TargetStart(placement.instance_id, placement.started_ms)
     _log_unknown_fields(context, request_id, placement, metadata)
+    if not metadata.replaced and not metadata.limit_unreadable:
+        is_late = metadata.request_id != request_id
+        # A late answer belongs to a request that was sent earlier.
+        answered_sent_s = -math.inf if is_late else sent_s
+        context.on_limit(start, metadata.limit_per_s, answered_sent_s)
     if metadata.warm_up_s is not None:
         context.on_warm_up(start, metadata.warm_up_s)
     if not metadata.leaving and metadata.pause_s is None:
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -91,7 +91,11 @@
     :param pause_s: how long the target asks to receive no requests; None if it does
         not ask for a pause.
     :param warm_up_s: how long the target still warms up; None if it does not say so.
-    :param unknown_fields: fields of the deployment that the adapter does not read.
+    :param limit_per_s: requests per second that the target accepts from all routers
+        together; None if it states no limit.
+    :param limit_unreadable: whether it states a limit that is malformed.
+    :param unknown_fields: fields of the deployment that the adapter does not read, and
+        those with malformed values.
     """
 
     request_id: str | None
@@ -100,6 +104,8 @@
     leaving: bool = False
     pause_s: float | None = None
     warm_up_s: float | None = None
+    limit_per_s: float | None = None
+    limit_unreadable: bool = False
     unknown_fields: tuple[tuple[bytes, bytes], ...] = ()
 
 
--- a/src/endivegw/results.py
+++ b/src/endivegw/results.py
@@ -38,6 +38,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline_exceeded"
     NO_TARGET = "no_target"
+    TARGET_LIMIT = "target_limit"
     DRAINING = "draining"
     # Configuration, membership and identity of requests.
     STALE_CONFIGURATION = "stale_configuration"
--- a/src/endivegw/routing/__init__.py
+++ b/src/endivegw/routing/__init__.py
@@ -13,18 +13,22 @@
     WeightedService,
 )
 from endivegw.routing.table import RoutingTable
+from endivegw.routing.target_limits import AppliedLimit, LimitReport, TargetLimits
 from endivegw.routing.warm_up_times import WarmUpTimes
 
 __all__ = [
+    "AppliedLimit",
     "CallerLimits",
     "ClientAccount",
     "DirectTarget",
     "FleetConfiguration",
     "FleetView",
+    "LimitReport",
     "Route",
     "RouteKind",
     "RoutingTable",
     "ServiceKind",
+    "TargetLimits",
     "WarmUpTimes",
     "WeightedService",
     "ZoneChange",
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -132,12 +132,20 @@
     " or put it back into use. No registered target is there if targets is 0.",
     ("availability_zone", "evacuated", "revision", "source", "targets"),
 )
+TARGET_LIMIT_CHANGED = Event(
+    9125,
+    "relay-target-limit-changed",
+    Level.INFO,
+    "A target states how many requests per second it accepts from all routers"
+    " together, or no longer states a limit (null). Sources are an answer or a peer.",
+    ("target", "started_ms", "limit_per_s", "part_per_s", "version", "source"),
+)
 ANSWER_FIELD_UNKNOWN = Event(
     9119,
     "relay-answer-field-unknown",
     Level.WARNING,
-    "A target's answer has a field of the platform that the router does not read. Each"
-    " name is logged once.",
+    "A target's answer has a field of the platform that the router does not read, or"
+    " whose value is malformed. Each name is logged once.",
     ("request_id", "target", "field", "value"),
 )
 FEED_LOST = Event(
--- a/src/endivegw/types.py
+++ b/src/endivegw/types.py
@@ -19,6 +19,7 @@
     "Priority",
     "RequestIdentity",
     "TargetName",
+    "TargetStart",
     "TransferId",
     "Usage",
 ]
@@ -98,3 +99,15 @@
     def total_tokens(self) -> int:
         """Return the number of tokens charged to the budget."""
         return self.prompt_tokens + self.completion_tokens
+
+
+@frozen
+class TargetStart:
+    """Identifier of one start of a target.
+
+    :param started_ms: distinguishes two starts with the same ``instance_id``; None if
+        ``instance_id`` is unique for each start.
+    """
+
+    instance_id: InstanceId
+    started_ms: int | None
--- a/src/endivegw_standins/linked_world.py
+++ b/src/endivegw_standins/linked_world.py
@@ -60,11 +60,13 @@
     """Deliver datagrams between routers.
 
     :ivar loss: share of the datagrams that is lost.
+    :ivar groups: group of each host; hosts of different groups do not reach each other.
     :ivar sent: number of datagrams sent.
     """
 
     rng: random.Random
     loss: float = 0.0
+    groups: dict[str, int] = field(factory=dict)
     sent: int = 0
     sent_bytes: int = 0
     _sockets: dict[str, SimulatedSocket] = field(factory=dict)
@@ -83,6 +85,8 @@
         """Deliver a datagram after the latency, unless it is lost."""
         self.sent += 1
         self.sent_bytes += len(data)
+        if self.groups.get(source) != self.groups.get(host):
+            return
         if self.rng.random() >= self.loss:
             loop = asyncio.get_running_loop()
             loop.call_later(_LATENCY_S, self._deliver, host, (data, (source, port)))
@@ -106,6 +110,8 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._listen, tasks)
                 tasks.start_soon(self._send_statements_on_demand)
+                tasks.start_soon(self._gossip.run)
+                tasks.start_soon(self._permits.run)
                 while True:
                     interval_s = self.interval_s()
                     await self._send_state(interval_s)
