Soak, logs and docs for targets that limit their requests

The soak names limits of several values, also malformed ones, at random moments, and checks after the faults that three routers together keep a limit. endivegw explain and logs targets show limits.

--- a/src/endivegw/cli/logs.py
+++ b/src/endivegw/cli/logs.py
@@ -86,7 +86,7 @@
 @_log_files
 @output_option
 def targets(files: tuple[TextIO, ...], output: str) -> None:
-    """Show evacuated zones, and targets that warm up, at the end of the logs."""
+    """Show evacuated zones, and targets with few requests, at the end of the logs."""
     limits = current_limits(read_log_lines(_read_files(files)))
     rows = [attrs.astuple(limit) for limit in limits]
     print_table(("kind", "name", "since", "routers"), rows, output)
--- a/src/endivegw/telemetry/request_trace.py
+++ b/src/endivegw/telemetry/request_trace.py
@@ -289,6 +289,15 @@
         f"Availability zone {fields['availability_zone']} was "
         + ("evacuated." if fields["evacuated"] else "put back into use.")
     ),
+    9125: lambda fields: (
+        f"Target {fields['target']} "
+        + (
+            "limits its requests no longer"
+            if fields["limit_per_s"] is None
+            else f"accepts {fields['limit_per_s']} requests a second from all routers"
+        )
+        + f" (source: {fields['source']})."
+    ),
     9110: lambda fields: f"Configuration {fields['version']} came into force.",
     9112: lambda fields: f"Target {fields['target']} was {fields['change']}.",
     9120: lambda fields: "The router started.",
--- a/src/endivegw/telemetry/target_limits.py
+++ b/src/endivegw/telemetry/target_limits.py
@@ -1,4 +1,4 @@
-"""Evacuated zones and targets that warm up, computed from the log lines of routers."""
+"""Evacuated zones and targets that get few requests, from the log lines of routers."""
 
 from __future__ import annotations
 
@@ -12,9 +12,11 @@
 
 _EVACUATED_ZONE = "evacuated zone"
 _WARMING_UP = "warming up"
+_LIMITED = "limited"
 
 _TARGET_WARMING_UP = 9117
 _ZONE_CHANGED = 9118
+_LIMIT_CHANGED = 9125
 _PROCESS_STARTED = 9120
 
 
@@ -22,7 +24,7 @@
 class TargetLimit:
     """Hold why targets get no requests, or few of them.
 
-    :param kind: ``evacuated zone`` or ``warming up``.
+    :param kind: ``evacuated zone``, ``warming up`` or ``limited``.
     :param name: the zone or the target.
     :param since: time of the first line that says so.
     :param routers: number of routers that apply the limit.
@@ -60,6 +62,12 @@
             ends_s = line.at_s + float(line.fields["left_s"])
             key = _WARMING_UP, str(line.fields["target"])
             limits[key] = _Limit(line.at, ends_s)
+        elif line.event == _LIMIT_CHANGED:
+            key = _LIMITED, str(line.fields["target"])
+            if line.fields["limit_per_s"] is None:
+                limits.pop(key, None)
+            else:
+                limits.setdefault(key, _Limit(line.at))
     return _merge(by_router, last_s)
 
 
--- a/src/endivegw_standins/platform_target.py
+++ b/src/endivegw_standins/platform_target.py
@@ -75,6 +75,7 @@
         self.worker.instance_id = name
         # The state of the previous incarnation does not apply to this one.
         self.worker.leaving = False
+        self.worker.limit = None
         self.worker.terminated = anyio.Event()
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=self.port
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -65,6 +65,11 @@
 #: Time within which routers that reach the store must follow an evacuation.
 _EVACUATION_S = 1.0
 
+#: Limit that a target states after all faults have ended, and the window in which its
+#: requests are counted.
+_LIMIT_PER_S = 1.5
+_LIMIT_WINDOW_S = 4.0
+
 #: Maximum number of runs of one crashing body after all faults have ended.
 _MAX_CRASHING_RUNS = 3
 
@@ -394,6 +399,25 @@
             target.worker.make_cold(target.warm_up_s)
         self.store.drop("op", f"evacuate/{target.zone}")
 
+    async def check_limit(self, settle_s: float) -> None:
+        """Check that all routers together keep a limit that a target states.
+
+        :param settle_s: time after which all earlier faults have ended.
+        """
+        worker = self.workers["e-2"]
+        name = worker.instance_id
+        worker.limit = str(_LIMIT_PER_S)
+        await anyio.sleep(settle_s)
+        from_s = anyio.current_time()
+        await anyio.sleep(_LIMIT_WINDOW_S)
+        most = worker.most_arrivals(from_s, _LIMIT_WINDOW_S)
+        # A worker that crashed meanwhile has no limit.
+        if worker.instance_id != name:
+            return
+        worker.limit = None
+        if most > 1.5 * _LIMIT_WINDOW_S * _LIMIT_PER_S + 5:
+            self._record_violation(f"{name} got {most} requests beyond its limit")
+
     async def check_recovery(self) -> None:
         """Check that plain requests are served once the faults have ended."""
         served = 0
@@ -412,7 +436,7 @@
             fault = self.rng.choice(
                 [self._kill, self._stop, self._pause, self._store, self._target]
                 + [self._configure, self._shed, self._leave, self._replace]
-                + [self._evacuate]
+                + [self._evacuate, self._limit]
             )
             self.report.faults.append(fault.__name__.strip("_"))
             self.tasks.start_soon(fault)
@@ -502,6 +526,12 @@
         await anyio.sleep(self.rng.random() * 3.0)
         self._end_evacuation(target)
 
+    async def _limit(self) -> None:
+        worker = self.rng.choice(list(self.workers.values()))
+        worker.limit = self.rng.choice(["0.4", "1", "2.5", "0", "soon", "nan", "-1"])
+        await anyio.sleep(self.rng.random() * 3.0)
+        worker.limit = None
+
     async def _leave(self) -> None:
         target = self.rng.choice(self.targets)
         worker, name = target.worker, target.worker.instance_id
@@ -548,9 +578,10 @@
                 load.start_soon(soak.caller)
             with anyio.move_on_after(span_s):
                 await soak.inject_faults()
+            load.start_soon(soak.check_limit, _GRACE_S)
             await anyio.sleep(_GRACE_S)
             before = soak.crashing_runs()
-            await anyio.sleep(4.0)
+            await anyio.sleep(_LIMIT_WINDOW_S + 0.5)
             load.cancel_scope.cancel()
         soak.check_quarantine(before)
         await soak.check_recovery()
--- a/tests/test_logs_targets.py
+++ b/tests/test_logs_targets.py
@@ -50,6 +50,23 @@
         self.assertEqual((found.kind, found.name), ("warming up", "e-1"))
         self.assertEqual(limits(warm_up(1, 3.0), line(5, 9104)), [])
 
+    def test_a_limit_is_shown_until_its_target_states_none(self) -> None:
+        """Guards against operators who do not see why a target gets few requests."""
+        lines = [
+            line(1, 9125, target="e-1", limit_per_s=2.0),
+            line(2, 9125, "front-2", target="e-1", limit_per_s=1.0),
+            line(3, 9125, target="e-1", limit_per_s=1.0),
+        ]
+        (found,) = limits(*lines)
+        self.assertEqual((found.kind, found.name), ("limited", "e-1"))
+        self.assertEqual(found.routers, 2)
+        self.assertIn("58:01", found.since)
+        ended = [
+            line(4, 9125, vm, target="e-1", limit_per_s=None)
+            for vm in ("front-1", "front-2")
+        ]
+        self.assertEqual(limits(*lines, *ended), [])
+
     def test_a_restarted_router_has_no_limits(self) -> None:
         """Guards against limits of a process that has ended."""
         self.assertEqual(limits(zone(1, True), line(2, 9120)), [])
