Soak: the check of the recovery sends no requests that crash targets

Only callers under load draw such bodies now; the bound of 17 of 20 stays, and no longer has to cover them.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -259,7 +259,7 @@
             async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
                 for _ in range(self.rng.randrange(1, 8)):
                     route = self.rng.choice(["chat", "resumable", "print", "notice"])
-                    outcome = await self._call(route, pool, number)
+                    outcome = await self._call(route, pool, number, may_crash=True)
                     self.report.answers[outcome] += 1
                     await anyio.sleep(self.rng.random() * 0.15)
 
@@ -268,6 +268,7 @@
         route: str,
         pool: httpcore.AsyncConnectionPool | None = None,
         router: int = 0,
+        may_crash: bool = False,
     ) -> str:
         if pool is None:
             async with httpcore.AsyncConnectionPool() as pool:
@@ -275,7 +276,7 @@
         self.request_count += 1
         request_id = f"{route}-{self.request_count}"
         body = request_id.encode()
-        if pool is not None and self.rng.random() < _CRASHING_SHARE:
+        if may_crash and self.rng.random() < _CRASHING_SHARE:
             body = b"%b-%d" % (_CRASHING_PREFIX, self.rng.randrange(2))
         fields = {
             "host": "h.example",
