--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -23,6 +23,7 @@
 from endivegw.daemons.placement_queue import PlacementQueue
 from endivegw.daemons.row_feed import FeedReader, ReaderGroup, RowFeed
 from endivegw.daemons.target_reader import TargetReader
+from endivegw.daemons.unknown_rows import UnknownRows
 from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
 from endivegw.gossip.link import MAX_WITNESSES
@@ -220,7 +221,9 @@
     configuration = ConfigurationReader(context, decoder, on_configuration, log)
     peer_reader = PeerReader(peers, entry, log)
     readers: dict[str, FeedReader] = {
-        decoder.configuration_table: ReaderGroup(configuration, evacuation_reader),
+        decoder.configuration_table: ReaderGroup(
+            configuration, evacuation_reader, UnknownRows(decoder, log)
+        ),
         decoder.targets_table: targets,
         PEERS_TABLE: peer_reader,
     }
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -140,6 +140,14 @@
     " together, or no longer states a limit (null). Sources are an answer or a peer.",
     ("target", "started_ms", "limit_per_s", "part_per_s", "version", "source"),
 )
+ROW_UNKNOWN = Event(
+    9126,
+    "relay-row-unknown",
+    Level.WARNING,
+    "The operator's table has a row that the router does not read. Each key is logged"
+    " once.",
+    ("table", "key", "revision"),
+)
 ANSWER_FIELD_UNKNOWN = Event(
     9119,
     "relay-answer-field-unknown",
--- a/src/endivegw_standins/limit_world.py
+++ b/src/endivegw_standins/limit_world.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import Counter
-from typing import Any
+from typing import Any, Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -22,6 +22,7 @@
     AttemptKind,
     Dispatcher,
     LoadFigures,
+    PermitRequest,
     Placement,
     Policy,
     SendLimit,
@@ -92,9 +93,9 @@
         dispatcher = Dispatcher(
             Policy(choices=32, frozen_reports=1_000_000_000), _ZONE, rng
         )
-        self.queue = PlacementQueue(
-            dispatcher, self.world.clock, self.link.request_permits
-        )
+        way = self.world.way
+        request = self.link.request_permits if way is None else way(self)
+        self.queue = PlacementQueue(dispatcher, self.world.clock, request)
 
     async def run(self) -> None:
         """Exchange datagrams and poll the queue until killed."""
@@ -167,6 +168,7 @@
     :ivar outcomes: number of requests by outcome.
     :ivar retries_s: Retry-After of each refused request.
     :ivar longest_refusal_s: longest time after which a request was refused.
+    :ivar way: returns how a router asks for permits; None for the way of production.
     """
 
     rng: random.Random
@@ -178,6 +180,7 @@
     retries_s: list[float] = field(factory=list)
     longest_refusal_s: float = 0.0
     deadline_s: float = 1.0
+    way: Callable[[LimitRouter], Callable[[PermitRequest], None]] | None = None
     _entries: dict[str, PeerEntry] = field(factory=dict)
     _starts: int = 0
     _requests: int = 0
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -11,6 +11,7 @@
 
 from endivegw.daemons.evacuation_reader import EvacuationReader
 from endivegw.daemons.target_reader import TargetReader
+from endivegw.daemons.unknown_rows import UnknownRows
 from endivegw.decisions import Dispatcher, Placement, Policy, SendQuota, WarmUpLimits
 from endivegw.gossip.messages import BroadcastMessage, decode, encode
 from endivegw.platform.command import PlatformDecoder
@@ -306,5 +307,20 @@
         await fleet.send_request("resumable", router=router, tokens=(50, 20))
 
 
+class UnknownRowTests(unittest.TestCase):
+    """Rows of the operator that this version does not read."""
+
+    def test_rows_that_are_not_read_are_logged_once(self) -> None:
+        """Guards against an instruction of the operator that is ignored unnoticed."""
+        with logbook.TestHandler() as handler:
+            rows = UnknownRows(PlatformDecoder(), EventLog("router", vm="vm-0"))
+            known = StoredRow("op", "config", b"{}", 1, False)
+            unknown = StoredRow("op", "pause/all", b"{}", 2, False)
+            rows.on_listing((known, zone_row("z-1", 1), unknown), 2)
+            rows.on_row(unknown)
+            logged = [record.message for record in handler.records]
+        self.assertEqual(logged, ["relay-row-unknown"])
+
+
 if __name__ == "__main__":
     unittest.main()
