Routers without a permit ask again at a bounded rate

What operators would have seen: in a large fleet whose targets are all limited, every router asks the coordinator again as soon as another send may be assigned, 600 queries a second at one router with 300 routers and a limit of 2 a second (test_many_routers_do_not_all_ask_again_soon, which failed with this). Cause: the time to ask again did not depend on how many others ask. Fix: queries that got no permit are told times that are 50 ms apart in total, or the interval of the limit if that is shorter.

--- a/src/endivegw/decisions/send_permits.py
+++ b/src/endivegw/decisions/send_permits.py
@@ -27,6 +27,10 @@
 #: Expected time until a request for permits is answered.
 _ANSWER_S = 0.02
 
+#: Total rate at which routers that got no permit ask again. Otherwise the queries of a
+#: large fleet would exceed what one router can answer.
+_MAX_RETRIES_PER_S = 20.0
+
 #: For how long the lower of two limits that routers state is kept.
 _KEEP_LOWER_S = 2.0
 
@@ -85,6 +89,7 @@
 
     next_s: float
     used_s: float = 0.0
+    _next_retry_s: float = 0.0
     _rate_per_s: float = 0.0
     _rate_set_s: float = -math.inf
 
@@ -104,12 +109,12 @@
         while assigned < sends and self.next_s <= now_s + _MAX_AHEAD_S:
             assigned += 1
             self.next_s += interval_s
-        return Permits(
-            assigned,
-            max(0.0, first_s - now_s),
-            interval_s,
-            max(0.0, self.next_s - _MAX_AHEAD_S - now_s),
-        )
+        retry_s = max(now_s, self.next_s - _MAX_AHEAD_S)
+        if not assigned:
+            retries_per_s = max(_MAX_RETRIES_PER_S, rate_per_s)
+            self._next_retry_s = max(self._next_retry_s, now_s) + 1.0 / retries_per_s
+            retry_s = max(retry_s, self._next_retry_s)
+        return Permits(assigned, max(0.0, first_s - now_s), interval_s, retry_s - now_s)
 
     def lower_rate(self, rate_per_s: float, now_s: float) -> float:
         """Return the lowest limit that routers stated lately.
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -245,6 +245,20 @@
         self.assertFalse(permits.consume(3.1))
         self.assertTrue(permits.consume(3.6))
 
+    def test_many_routers_do_not_all_ask_again_soon(self) -> None:
+        """Guards against queries to one router that grow with the fleet."""
+        schedule = SendSchedule(0.0)
+        waiting_s = [0.0] * 300
+        asked = 0
+        for tenth in range(50):
+            now_s = tenth * 0.1
+            for router, retry_s in enumerate(waiting_s):
+                if retry_s <= now_s:
+                    asked += now_s > 0.0
+                    permits = schedule.assign(2.0, 1, now_s)
+                    waiting_s[router] = now_s + permits.retry_in_s
+        self.assertLess(asked / 5.0, 30.0)
+
     def test_the_lower_of_two_limits_applies(self) -> None:
         """Guards against a router that still believes in a higher limit."""
         schedule = SendSchedule(0.0)
