Limits of targets: message types apart from their codec, one count of arrivals, smaller repairs

A request that would be refused as late no longer evicts another one from the queue for permits first. An answer has at most 64 permits, whatever a datagram asks for. Readability: the types of datagrams have a module of their own; both stand-ins count arrivals with one function.

--- a/benchmarks/send_limits.py
+++ b/benchmarks/send_limits.py
@@ -18,6 +18,7 @@
 
 from endivegw.decisions import PermitRequest, Permits, SendSchedule, send_quota
 from endivegw.types import TargetName
+from endivegw_standins.arrivals import most_arrivals
 from endivegw_standins.limit_world import LimitedTarget, LimitRouter, LimitWorld
 from endivegw_standins.virtual_time import VirtualLoop
 
@@ -122,7 +123,9 @@
         sends = [at_s for t in world.targets for at_s in t.arrivals_s if at_s >= from_s]
         allowed = _LIMIT_PER_S * _TARGETS * (_DURATION_S - _SETTLE_S)
         result = self.result
-        result.most = max(t.most_arrivals(from_s, _WINDOW_S) for t in world.targets)
+        result.most = max(
+            most_arrivals(t.arrivals_s, from_s, _WINDOW_S) for t in world.targets
+        )
         result.used_share = len(sends) / allowed
         result.refusals = world.outcomes["target_limit"]
         datagrams = world.network.sent - sent
--- a/src/endivegw/decisions/backlog.py
+++ b/src/endivegw/decisions/backlog.py
@@ -40,9 +40,6 @@
     def enqueue(self, pool: Pool, item: WorkItem, now_s: float) -> Queued | Refused:
         """Queue a request, or refuse it if it would finish too late."""
         policy = self.policy
-        refused = self._make_room(pool, item, now_s)
-        if refused is not None:
-            return refused
         service_time_s = self.estimates.service_time_s(item, 1.0)
         long_service_time_s = self.estimates.service_time_s(
             item, 1.0, policy.queue_deviations
@@ -59,6 +56,9 @@
         ):
             retry_s = self._retry_s(pool, service_time_s, lateness_s, now_s)
             return admission.refuse_overloaded(wait_s, service_time_s, retry_s)
+        refused = self._make_room(pool, item, now_s)
+        if refused is not None:
+            return refused
         if len(pool.queue) >= policy.queue_items:
             evicted = pool.queue.eviction_candidate(item)
             retry_s = self._retry_s(pool, service_time_s, wait_s, now_s)
--- a/src/endivegw/decisions/send_permits.py
+++ b/src/endivegw/decisions/send_permits.py
@@ -27,6 +27,9 @@
 #: Expected time until a request for permits is answered.
 _ANSWER_S = 0.02
 
+#: Maximum number of permits in one answer.
+_MAX_PERMITS = 64
+
 #: Total rate at which routers that got no permit ask again. Otherwise the queries of a
 #: large fleet would exceed what one router can answer.
 _MAX_RETRIES_PER_S = 20.0
@@ -106,6 +109,7 @@
         self.next_s = max(self.next_s, now_s - interval_s)
         first_s = self.next_s
         assigned = 0
+        sends = min(sends, _MAX_PERMITS)
         while assigned < sends and self.next_s <= now_s + _MAX_AHEAD_S:
             assigned += 1
             self.next_s += interval_s
--- a/src/endivegw/routing/target_limits.py
+++ b/src/endivegw/routing/target_limits.py
@@ -27,8 +27,10 @@
     version: int
 
     def supersedes(self, other: LimitReport) -> bool:
-        """Return whether this report replaces another; of two equal versions, the
-        lower limit holds."""
+        """Return whether this report replaces another.
+
+        Of two reports with equal versions, the one with the lower limit holds.
+        """
         if self.version != other.version:
             return self.version > other.version
         return _or_infinite(self.rate_per_s) < _or_infinite(other.rate_per_s)
--- a/src/endivegw_standins/limit_world.py
+++ b/src/endivegw_standins/limit_world.py
@@ -63,16 +63,6 @@
     slots: int = 64
     arrivals_s: list[float] = field(factory=list)
 
-    def most_arrivals(self, from_s: float, window_s: float) -> int:
-        """Return the largest number of arrivals in any window after a time."""
-        times_s = [at_s for at_s in self.arrivals_s if at_s >= from_s]
-        most = first = 0
-        for last, at_s in enumerate(times_s):
-            while times_s[first] <= at_s - window_s:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
-
 
 @define(eq=False)
 class LimitRouter:
--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -86,16 +86,6 @@
         self.cold_until_s = anyio.current_time() + span_s
         self._cold_arrivals_s.clear()
 
-    def most_arrivals(self, from_s: float, window_s: float) -> int:
-        """Return the largest number of arrivals in any window after a time."""
-        times_s = [at_s for at_s in self.arrivals_s if at_s >= from_s]
-        most = first = 0
-        for last, at_s in enumerate(times_s):
-            while times_s[first] <= at_s - window_s:
-                first += 1
-            most = max(most, last - first + 1)
-        return most
-
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection; a running request ends when the client disconnects."""
         disconnect_errors = (anyio.BrokenResourceError, anyio.ClosedResourceError)
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -30,6 +30,7 @@
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from attrs import define, field
 
+from endivegw_standins.arrivals import most_arrivals
 from endivegw_standins.platform_store_app import PlatformStoreApp
 from endivegw_standins.platform_target import PlatformTarget
 from endivegw_standins.platform_worker import PlatformWorker
@@ -411,7 +412,7 @@
         await anyio.sleep(settle_s)
         from_s = anyio.current_time()
         await anyio.sleep(_LIMIT_WINDOW_S)
-        most = worker.most_arrivals(from_s, _LIMIT_WINDOW_S)
+        most = most_arrivals(worker.arrivals_s, from_s, _LIMIT_WINDOW_S)
         # A worker that crashed meanwhile has no limit.
         if worker.instance_id != name:
             return
--- a/tests/test_send_limits.py
+++ b/tests/test_send_limits.py
@@ -21,6 +21,7 @@
 from endivegw.platform.wire import PlatformWire
 from endivegw.routing import LimitReport, TargetLimits
 from endivegw.types import InstanceId, TargetName, TargetStart
+from endivegw_standins.arrivals import most_arrivals
 from endivegw_standins.limit_world import LimitedTarget, LimitWorld
 from endivegw_standins.virtual_time import VirtualLoop
 
@@ -96,7 +97,7 @@
         world = play.run()
         for target, limit_per_s in zip(world.targets, play.limits):
             if limit_per_s is not None:
-                most = target.most_arrivals(play.from_s, WINDOW_S)
+                most = most_arrivals(target.arrivals_s, play.from_s, WINDOW_S)
                 self.assertLessEqual(most, most_allowed(limit_per_s), play)
         return world
 
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from endivegw_standins.arrivals import most_arrivals
 from endivegw_standins.platform_worker import PlatformWorker
 from tests.platform_fleet import ClientFleet, platform_fleet
 
@@ -46,7 +47,7 @@
     """Routers on loopback and targets that name limits."""
 
     def _check(self, worker: PlatformWorker, limit_per_s: float, from_s: float) -> None:
-        most = worker.most_arrivals(from_s + CONTACT_S, WINDOW_S)
+        most = most_arrivals(worker.arrivals_s, from_s + CONTACT_S, WINDOW_S)
         self.assertLessEqual(most, most_allowed(limit_per_s))
 
     def test_all_routers_together_keep_the_limit_of_a_target(self) -> None:
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -36,6 +36,7 @@
     "allowances/rows.py",
     "allowances/store_clock.py",
     "allowances/witnesses.py",
+    "gossip/message_types.py",
     "gossip/messages.py",
     "quarantine/evidence.py",
     "quarantine/fingerprint.py",
