Read the body of requests that offer another protocol

What callers saw: in front of sidecars a request with an Upgrade field (Java's HTTP client sends one with each request) lost its body; the service ran an empty request and the caller got 200. Cause: the parser takes everything after a header section with such an offer for the other protocol. Fix: HTTP lets a server ignore the offer. The header section is parsed once more without it, by a new parser that goes on with the rest of the connection.

--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -5,6 +5,9 @@
 its limit of 64 MB with an endless header field, and the machine would kill the
 process together with all responses in progress. The bytes are therefore counted as
 they arrive, before the application receives the request.
+
+An offer to change the protocol is ignored, as HTTP allows. The parser would take all
+bytes after the header section for the other protocol, and the body would be lost.
 """
 
 from __future__ import annotations
@@ -12,6 +15,7 @@
 import asyncio
 from typing import Any, Mapping
 
+import httptools
 from attrs import frozen
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
@@ -33,6 +37,10 @@
 
 _TOO_LARGE = 431
 
+_CONNECT = b"CONNECT"
+_CONNECTION = b"connection"
+_UPGRADE = b"upgrade"
+
 #: Bytes of a field besides its name and value: colon, space and CRLF.
 _FIELD_OVERHEAD_BYTES = 4
 
@@ -109,6 +117,8 @@
         self._progressed = False
         self._in_message = False
         self._refused = False
+        #: Whether the header section just parsed offers to change the protocol.
+        self._offers_upgrade = False
         #: Set once a pipelined request has stopped reading. From then on uvicorn
         #: reports a disconnect to the last request of the connection only.
         self._reading_stopped = asyncio.Event()
@@ -118,7 +128,7 @@
         if self._refused:
             return
         self._progressed = False
-        super().data_received(data)
+        self._parse(data)
         if not self._in_message or self._progressed:
             return
         self._buffered_bytes += len(data)
@@ -151,6 +161,10 @@
 
     def on_headers_complete(self) -> None:
         """Start the request, or queue it behind the one in progress."""
+        if self.parser.should_upgrade() and self.parser.get_method() != _CONNECT:
+            # The request starts once it was parsed without the offer.
+            self._offers_upgrade = True
+            return
         super().on_headers_complete()
         if self.pipeline:
             self._reading_stopped.set()
@@ -162,6 +176,8 @@
 
     def on_message_complete(self) -> None:
         """Stop counting until the next request."""
+        if self._offers_upgrade:
+            return
         self._in_message = False
         self._record_progress()
         super().on_message_complete()
@@ -173,6 +189,37 @@
             return
         super().send_400_response(msg)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes; parse a request that offers an upgrade once more."""
+        self._unset_keepalive_if_required()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.send_400_response("Invalid HTTP request received.")
+        except httptools.HttpParserUpgrade as upgrade:
+            if not self._offers_upgrade:
+                return
+            self._offers_upgrade = False
+            (parsed_bytes,) = upgrade.args
+            head = self._head_without_upgrade()
+            self.parser = httptools.HttpRequestParser(self)
+            # Pipelined requests may follow one that closes the connection, as they may
+            # with the parser that uvicorn creates.
+            self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+            self._parse(head + data[parsed_bytes:])
+
+    def _head_without_upgrade(self) -> bytes:
+        """Return the last header section without the offer to change the protocol."""
+        version = self.parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self.parser.get_method(), self.url, version)]
+        for name, value in self.headers:
+            if name == _CONNECTION:
+                tokens = [token.strip() for token in value.split(b",")]
+                value = b", ".join(t for t in tokens if t.lower() != _UPGRADE)
+            if name != _UPGRADE and (value or name != _CONNECTION):
+                lines.append(b"%b: %b" % (name, value))
+        return b"\r\n".join([*lines, b"", b""])
+
     def _arrived_s(self) -> float:
         """Return when the last data arrived, on the event loop's clock."""
         age_s = last_input_age_s(self.transport.get_extra_info("socket"))
