--- a/src/endivegw/decisions/send_permits.py
+++ b/src/endivegw/decisions/send_permits.py
@@ -3,8 +3,9 @@
 A target may limit the requests per second that it accepts from all routers together.
 The routers' callers are unevenly spread, and some routers may be unreachable. One
 router, the target's coordinator, therefore assigns each send to a point in time and
-grants it as a permit to the router that asks for it. Each router that cannot reach the
-coordinator has an even part of the limit, by which the coordinator assigns less.
+grants it as a permit to the router that asks for it. It assigns less than the limit
+while it does not reach all routers. A router that cannot reach the coordinator uses
+half of its even part of the limit.
 """
 
 from __future__ import annotations
@@ -43,7 +44,7 @@
     """Hold a target's limit.
 
     :param rate_per_s: requests per second from all routers together.
-    :param part_per_s: the even part of one router, which it may use on its own.
+    :param part_per_s: the even part of one router.
     :param ends_s: time from which the limit no longer applies; None while the target
         states it.
     """
