Build the refusal for limited targets in one place

The same refusal and its turn into the end of a queued request stood three times in the backlog, and the wait was computed again for each entry. No change of behaviour; tests of dispatcher, loads and limits pass.

--- a/src/endivegw/decisions/backlog.py
+++ b/src/endivegw/decisions/backlog.py
@@ -86,23 +86,19 @@
         capacity = queue_capacity(pool, self.policy, now_s)
         if capacity is None or len(pool.queue) < capacity:
             return None
-        wait_s = available_in_s(pool.members, now_s)
-        retry_s = schedule_retry_s(pool, wait_s, now_s)
+        refused = _refuse_limited(pool, available_in_s(pool.members, now_s), now_s)
         evicted = pool.queue.eviction_candidate(item)
         if evicted is None:
-            return Refused(Reason.TARGET_LIMIT, TARGETS_LIMITED, retry_s)
+            return refused
         pool.queue.remove(evicted)
-        self.abandoned.append(
-            Expired(evicted.item, TARGETS_LIMITED, retry_s, Reason.TARGET_LIMIT)
-        )
+        self.abandoned.append(_expired(evicted.item, refused))
         return None
 
     def refuse_unavailable(self, pool: Pool, wait_s: float, now_s: float) -> Refused:
         """Return the refusal of a request that no target accepts for a time."""
         if queue_capacity(pool, self.policy, now_s) is None:
             return Refused(Reason.OVERLOADED, NO_TARGET_ACCEPTS_WORK, wait_s)
-        retry_s = schedule_retry_s(pool, wait_s, now_s)
-        return Refused(Reason.TARGET_LIMIT, TARGETS_LIMITED, retry_s)
+        return _refuse_limited(pool, wait_s, now_s)
 
     def _retry_s(
         self, pool: Pool, service_time_s: float, wait_s: float, now_s: float
@@ -175,11 +171,7 @@
         for entry in list(pool.queue.entries()):
             pool.queue.remove(entry)
             refused = self.refuse_unavailable(pool, wait_s, now_s)
-            decided.append(
-                Expired(
-                    entry.item, refused.detail, refused.retry_after_s, refused.reason
-                )
-            )
+            decided.append(_expired(entry.item, refused))
 
     def abandon_without_permits(
         self, pool: Pool, now_s: float, decided: list[Placement | Expired]
@@ -191,13 +183,11 @@
         entries = list(pool.queue.entries())
         overdue = [entry for entry in entries if entry.item.arrived_s <= oldest_s]
         excess = len(entries) - held_permits(pool, now_s)
+        wait_s = available_in_s(pool.members, now_s)
         for entry in overdue[: max(0, excess)]:
             pool.queue.remove(entry)
-            wait_s = available_in_s(pool.members, now_s)
-            retry_s = schedule_retry_s(pool, wait_s, now_s)
-            decided.append(
-                Expired(entry.item, TARGETS_LIMITED, retry_s, Reason.TARGET_LIMIT)
-            )
+            refused = _refuse_limited(pool, wait_s, now_s)
+            decided.append(_expired(entry.item, refused))
 
     def abandon_expired(
         self, pool: Pool, now_s: float, decided: list[Placement | Expired]
@@ -214,3 +204,14 @@
             retry_s = self._retry_s(pool, entry.service_time_s, wait_s, now_s)
             detail = "queued request can no longer finish before its deadline"
             decided.append(Expired(entry.item, detail, retry_s))
+
+
+def _refuse_limited(pool: Pool, wait_s: float, now_s: float) -> Refused:
+    """Return the refusal of a request for which no target grants a permit in time."""
+    retry_s = schedule_retry_s(pool, wait_s, now_s)
+    return Refused(Reason.TARGET_LIMIT, TARGETS_LIMITED, retry_s)
+
+
+def _expired(item: WorkItem, refused: Refused) -> Expired:
+    """Return a refusal as the end of a queued request."""
+    return Expired(item, refused.detail, refused.retry_after_s, refused.reason)
