--- a/tests/test_pipelined_upgrades.py
+++ b/tests/test_pipelined_upgrades.py
@@ -20,6 +20,9 @@
 #: Few enough requests that a parser that recurses for each of them still serves them.
 SHORT_BURST = 900
 
+#: Larger than anything sent here, so that all of it is one read.
+ONE_READ_BYTES = 2**20
+
 #: What a burst of requests with the offer may need beyond one without it.
 EXTRA_MEMORY_BYTES = 4 * 2**20
 
@@ -143,20 +146,22 @@
 
 
 def small_request(fields: bytes = b"") -> bytes:
-    """Return a request of about the size of those in a burst."""
+    """Return a request with a body of five bytes and the given fields."""
     return b"POST /a HTTP/1.1\r\nhost: a\r\n%bcontent-length: 5\r\n\r\nhello" % fields
 
 
 class BurstTests(unittest.TestCase):
     """
-    A client, or a load balancer for many of them, pipelines requests with the offer on
-    one connection. All but the first were lost, and the process grew by 80 MB.
+    One connection pipelines requests with the offer. They are lost, or fill the
+    memory of the router.
     """
 
     def test_all_requests_of_a_burst_are_served(self) -> None:
         """Guards against work for each offer that nests within one read."""
-        plain = receive_bytes(small_request() * BURST, 2**20)
-        offering = receive_bytes(small_request(CONNECTION + OFFER) * BURST, 2**20)
+        plain = receive_bytes(small_request() * BURST, ONE_READ_BYTES)
+        offering = receive_bytes(
+            small_request(CONNECTION + OFFER) * BURST, ONE_READ_BYTES
+        )
         self.assertEqual(len(offering.requests), BURST)
         self.assertEqual(offering, plain)
 
@@ -164,9 +169,9 @@
         """Guards against copies of a read that are kept for each offer in it."""
         for count in (SHORT_BURST, BURST):
             with self.subTest(count=count):
-                plain = receive_bytes(small_request() * count, 2**20, True)
+                plain = receive_bytes(small_request() * count, ONE_READ_BYTES, True)
                 sent = small_request(CONNECTION + OFFER) * count
-                offering = receive_bytes(sent, 2**20, True)
+                offering = receive_bytes(sent, ONE_READ_BYTES, True)
                 self.assertEqual(len(offering.requests), count)
                 self.assertLess(
                     offering.peak_bytes, plain.peak_bytes + EXTRA_MEMORY_BYTES
@@ -218,8 +223,8 @@
 
 class EqualityTests(unittest.TestCase):
     """
-    Bytes of a body or of the next request are lost, or a request is refused, because it
-    offers another protocol.
+    An offer of another protocol costs a request its body, or the next request its
+    start.
     """
 
     def test_offer_changes_nothing_else(self) -> None:
@@ -228,7 +233,7 @@
             for offer, rest in OFFERS:
                 offering, plain = request % offer, request % rest
                 following = small_request()
-                for piece_bytes in (1, 7, 2**20):
+                for piece_bytes in (1, 7, ONE_READ_BYTES):
                     with self.subTest(name=name, offer=offer, piece_bytes=piece_bytes):
                         self.assertEqual(
                             receive_bytes(offering * 2 + following, piece_bytes),
