--- a/src/endivegw_standins/platform_fleet.py
+++ b/src/endivegw_standins/platform_fleet.py
@@ -77,6 +77,7 @@
     """Parts of one fleet; the ports are listed in the order of the routers.
 
     :ivar zones: availability zone of each target; ``z`` if it is not named.
+    :ivar software_versions: software version of each target that adds it to its events.
     """
 
     store: PlatformStoreApp = field(factory=PlatformStoreApp)
@@ -89,6 +90,7 @@
     store_port: int = 0
     row_lasts_s: float = 20.0
     zones: dict[str, str] = field(factory=dict)
+    software_versions: dict[str, str] = field(factory=dict)
     tasks: TaskGroup | None = None
     _scopes: list[anyio.CancelScope] = field(factory=list)
     _removed_count: int = 0
@@ -183,6 +185,8 @@
             worker = fleet.workers[name] = PlatformWorker(name)
             target = PlatformTarget(name, service, worker)
             target.zone = fleet.zones.get(name, target.zone)
+            worker.software_version = fleet.software_versions.get(name)
+            target.software_version = worker.software_version or target.software_version
             fleet.targets[name] = target
             tasks.start_soon(target.run, fleet.store)
         fleet.store.put("op", "config", CONFIGURATION)
--- a/src/endivegw_standins/platform_target.py
+++ b/src/endivegw_standins/platform_target.py
@@ -33,6 +33,7 @@
     :ivar starts: number of starts so far.
     :ivar zone: availability zone that it registers.
     :ivar warm_up_s: how long each incarnation is cold after its start.
+    :ivar software_version: version of the software that the next incarnation runs.
     """
 
     name: str
@@ -43,6 +44,7 @@
     starts: int = 0
     zone: str = "z"
     warm_up_s: float = 0.0
+    software_version: str = "v1"
 
     async def run(
         self,
@@ -65,7 +67,8 @@
         while True:
             self.starts += 1
             name = self.name if self.starts == 1 else f"{self.name}.{self.starts}"
-            await self._serve_incarnation(store, name, entry)
+            entry["Version"] = self.software_version
+            await self._serve_incarnation(store, name, dict(entry))
             await anyio.sleep(self.restart_delay_s)
             store.drop("servers", name)
 
@@ -76,6 +79,8 @@
         # The state of the previous incarnation does not apply to this one.
         self.worker.leaving = False
         self.worker.limit = None
+        if self.worker.software_version is not None:
+            self.worker.software_version = str(entry["Version"])
         self.worker.terminated = anyio.Event()
         listener = await anyio.create_tcp_listener(
             local_host="127.0.0.1", local_port=self.port
--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -58,6 +58,7 @@
     :ivar cold_crashes: number of crashes from too many requests while it was cold.
     :ivar limit: value of the field that limits the requests per second from all
         routers, which each answer has; None to omit the field.
+    :ivar software_version: added to the data of each event; None to omit it.
     :ivar arrivals_s: times at which requests arrived, including refused ones.
     """
 
@@ -78,6 +79,7 @@
     cold_until_s: float = 0.0
     cold_crashes: int = 0
     limit: str | None = None
+    software_version: str | None = None
     arrivals_s: list[float] = field(factory=list)
     _cold_arrivals_s: deque[float] = field(factory=deque)
 
@@ -175,7 +177,10 @@
         await stream.send(self._response_head(200, run.request_id, extra))
         first = int(run.fields.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: {number}\n\n".encode()
+            data = str(number)
+            if self.software_version is not None:
+                data += f" {self.software_version}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if self.break_after_events == number - 1:
                 self.break_after_events = None
                 # The rest of the event is never sent.
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from typing import AsyncIterator
+from typing import AsyncIterator, Sequence
 
 import anyio
 import h11
@@ -52,20 +52,29 @@
         key: str = "key-1",
         body: bytes = b"hello",
         deadline_ms: int = 3000,
+        attempt_id: str | None = None,
+        fields: Sequence[tuple[str, str]] = (),
+        leave_after_events: int | None = None,
     ) -> Answer:
-        """Send one request on a new connection."""
+        """Send one request on a new connection.
+
+        :param attempt_id: id of the request; None for one that is not used otherwise.
+        :param fields: further header fields.
+        :param leave_after_events: number of events after which the caller disconnects.
+        """
         self.request_count += 1
-        fields = [
+        all_fields = [
             ("host", "h.example"),
             ("content-length", str(len(body))),
-            ("endivegw-attempt-id", f"a-{self.request_count}"),
+            ("endivegw-attempt-id", attempt_id or f"a-{self.request_count}"),
             ("endivegw-deadline-ms", str(deadline_ms)),
             ("authorization", f"Bearer {key}"),
+            *fields,
         ]
         if tokens is not None:
-            fields.append(("endivegw-token-counts", f"{tokens[0]},{tokens[1]}"))
-        request = h11.Request(method="POST", target=f"/{route}/x", headers=fields)
-        return await exchange(self.ports[router], request, body)
+            all_fields.append(("endivegw-token-counts", f"{tokens[0]},{tokens[1]}"))
+        request = h11.Request(method="POST", target=f"/{route}/x", headers=all_fields)
+        return await exchange(self.ports[router], request, body, leave_after_events)
 
     async def ready_status(self, router: int = 0) -> int:
         """Return the status of the load balancer's readiness check."""
@@ -89,8 +98,13 @@
         return total
 
 
-async def exchange(port: int, request: h11.Request, body: bytes) -> Answer:
-    """Send a request and read the response."""
+async def exchange(
+    port: int,
+    request: h11.Request,
+    body: bytes,
+    leave_after_events: int | None = None,
+) -> Answer:
+    """Send a request and read the response, or its first events."""
     connection = h11.Connection(h11.CLIENT)
     answer = Answer(0, {}, b"")
     async with await anyio.connect_tcp("127.0.0.1", port) as stream:
@@ -110,6 +124,9 @@
                     answer.fields = {k.decode(): v.decode() for k, v in event.headers}
                 case h11.Data():
                     answer.body += bytes(event.data)
+                    if answer.body.count(b"\n\n") == leave_after_events:
+                        answer.complete = False
+                        return answer
                 case h11.EndOfMessage():
                     return answer
                 case h11.ConnectionClosed():
@@ -128,8 +145,13 @@
     engines: int = 2,
     row_lasts_s: float = 20.0,
     zones: dict[str, str] | None = None,
+    software_versions: dict[str, str] | None = None,
 ) -> AsyncIterator[ClientFleet]:
     """Run a fleet; yield when every router is ready."""
-    fleet = ClientFleet(row_lasts_s=row_lasts_s, zones=zones or {})
+    fleet = ClientFleet(
+        row_lasts_s=row_lasts_s,
+        zones=zones or {},
+        software_versions=software_versions or {},
+    )
     async with run_platform_fleet(fleet, routers, engines):
         yield fleet
--- /dev/null
+++ b/tests/test_software_versions.py
@@ -0,0 +1,144 @@
+"""Streams stay at the software version of targets that began them."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import anyio
+from attrs import define, field
+
+from tests.platform_fleet import Answer, ClientFleet, platform_fleet
+
+#: Streams that may hold events of two versions.
+MAX_JOINED = 2
+
+SEED = 1
+STREAMS = 120
+EVENTS = 8
+
+#: Three targets of each of two software versions.
+VERSIONS = {f"e-{number}": "v1" if number <= 3 else "v2" for number in range(1, 7)}
+
+
+def events_of(answer: Answer) -> list[tuple[int, str]]:
+    """Return the number and the software version of each complete event."""
+    found = []
+    for event in answer.body.split(b"\n\n")[:-1]:
+        number, version = event.rpartition(b"data: ")[2].decode().split()
+        found.append((int(number), version))
+    return found
+
+
+@define
+class Counts:
+    """Count streams.
+
+    :ivar joined: streams with events of two versions, by how they came about.
+    """
+
+    new: int = 0
+    begun: int = 0
+    resumed: int = 0
+    continued: int = 0
+    joined: dict[str, int] = field(factory=lambda: {"answer": 0, "tries": 0})
+
+
+@define
+class Caller:
+    """Send streams, leave some of them, and resume them at other routers."""
+
+    fleet: ClientFleet
+    rng: random.Random
+    counts: Counts = field(factory=Counts)
+
+    async def send_stream(self) -> None:
+        """Send one stream; a quarter is broken by a target, a quarter is left."""
+        fleet, rng, counts = self.fleet, self.rng, self.counts
+        way = rng.random()
+        if way < 0.25:
+            name = rng.choice(list(VERSIONS))
+            fleet.workers[name].break_after_events = rng.randint(1, EVENTS - 2)
+        leaves = rng.randint(1, EVENTS - 2) if 0.25 <= way < 0.5 else None
+        attempt_id = f"s-{rng.getrandbits(64):016x}"
+        router = rng.randrange(len(fleet.ports))
+        counts.new += 1
+        first = await self._send(router, attempt_id, None, leaves)
+        events = events_of(first)
+        counts.begun += bool(events)
+        self._count_joined("answer", events)
+        if first.complete or not events:
+            return
+        counts.resumed += 1
+        last, second = events[-1][0], Answer(0, {}, b"")
+        for _ in range(3):
+            other = rng.randrange(len(fleet.ports))
+            resumes = (("last-event-id", str(last)), ("resumes", attempt_id))
+            second = await self._send(
+                other, f"s-{rng.getrandbits(64):016x}", resumes, None
+            )
+            if second.status == 200:
+                break
+            await anyio.sleep(0.05)
+        rest = events_of(second)
+        counts.continued += bool(rest)
+        self._count_joined("tries", events[-1:] + rest)
+
+    async def _send(
+        self,
+        router: int,
+        attempt_id: str,
+        resumes: tuple[tuple[str, str], ...] | None,
+        leaves: int | None,
+    ) -> Answer:
+        router = min(router, len(self.fleet.ports) - 1)
+        try:
+            return await self.fleet.send_request(
+                "resumable",
+                router=router,
+                tokens=(20, 32),
+                body=attempt_id.encode(),
+                attempt_id=attempt_id,
+                fields=resumes or (),
+                leave_after_events=leaves,
+            )
+        except OSError:
+            return Answer(0, {}, b"", complete=False)
+
+    def _count_joined(self, where: str, events: list[tuple[int, str]]) -> None:
+        self.counts.joined[where] += len({version for _, version in events}) > 1
+
+
+async def send_streams(fleet: ClientFleet, seed: int, kill: bool) -> Counts:
+    """Send streams to all routers; kill one of them halfway."""
+    for worker in fleet.workers.values():
+        worker.events, worker.event_pause_s = EVENTS, 0.02
+    caller = Caller(fleet, random.Random(seed))
+    async with anyio.create_task_group() as tasks:
+        for number in range(STREAMS):
+            tasks.start_soon(caller.send_stream)
+            if kill and number == STREAMS // 2:
+                fleet.kill_router(0)
+            await anyio.sleep(0.02)
+    return caller.counts
+
+
+class FleetTests(unittest.TestCase):
+    """Whole fleets whose engines run two software versions side by side."""
+
+    def test_streams_hold_events_of_one_software_version(self) -> None:
+        """Guards against streams continued at another version, after a kill too."""
+
+        async def scenario() -> Counts:
+            async with platform_fleet(4, 6, software_versions=VERSIONS) as fleet:
+                return await send_streams(fleet, SEED, kill=True)
+
+        counts = anyio.run(scenario)
+        self.assertLessEqual(sum(counts.joined.values()), MAX_JOINED, counts)
+        self.assertGreaterEqual(counts.resumed, 12, counts)
+        share = counts.continued / counts.resumed
+        self.assertGreaterEqual(share, 0.5 * counts.begun / counts.new, counts)
+
+
+if __name__ == "__main__":
+    unittest.main()
