--- a/src/endivegw/cli/logs.py
+++ b/src/endivegw/cli/logs.py
@@ -15,6 +15,7 @@
     read_log_lines,
     trace_request,
 )
+from endivegw.telemetry.software_versions import side_by_side
 from endivegw.telemetry.target_limits import current_limits
 
 __all__ = ["explain", "logs"]
@@ -86,9 +87,22 @@
 @_log_files
 @output_option
 def targets(files: tuple[TextIO, ...], output: str) -> None:
-    """Show evacuated zones, and targets with few requests, at the end of the logs."""
-    limits = current_limits(read_log_lines(_read_files(files)))
-    rows = [attrs.astuple(limit) for limit in limits]
+    """Show evacuated zones, and targets with few requests, at the end of the logs.
+
+    Where targets of a service run several software versions, these are shown as well,
+    each with the number of its targets.
+    """
+    lines = list(read_log_lines(_read_files(files)))
+    rows = [attrs.astuple(limit) for limit in current_limits(lines)]
+    rows += [
+        (
+            "software version",
+            f"{served.service} {served.software_version}, {served.targets} targets",
+            served.since,
+            None,
+        )
+        for served in side_by_side(lines)
+    ]
     print_table(("kind", "name", "since", "routers"), rows, output)
 
 
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -27,9 +27,9 @@
 from endivegw.decisions import Dispatcher, Policy, RetryBudget, RetryPolicy
 from endivegw.gossip import PeerEntry, PeerLink, PeerTable
 from endivegw.gossip.link import MAX_WITNESSES
-from endivegw.gossip.messages import TargetLeaving
+from endivegw.gossip.messages import TargetLeaving, Update
 from endivegw.gossip.peers import PEERS_TABLE
-from endivegw.quarantine import Evidence, QuarantineManager, TargetStart
+from endivegw.quarantine import QuarantineManager, TargetStart
 from endivegw.relay.context import RelayContext
 from endivegw.relay.handler import RequestHandler
 from endivegw.relay.target_pool import TargetPool
@@ -40,6 +40,7 @@
 from endivegw.services.row_store import RowStorePort
 from endivegw.settings.direct import DirectRouterSettings
 from endivegw.settings.mechanisms import Mechanisms
+from endivegw.streams import StreamVersions, VersionSeen
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.exposition import RouterMetrics
 from endivegw.types import InstanceId
@@ -117,8 +118,17 @@
         on_broadcast=lambda message: on_broadcast(message),
         rng=rng,
         on_permits=lambda *answer: queue.add_permits(*answer),
+        on_streams=lambda records: streams.keep(records),
+        find_stream=lambda key: streams.find(key),
         max_witnesses=MAX_WITNESSES if mechanisms.witnesses else 0,
     )
+    streams = StreamVersions(
+        store,
+        link.streams,
+        lambda: targets.unavailable_s(),
+        clock,
+        log,
+    )
     allowances = AllowanceManager(
         store,
         settings.vm,
@@ -144,6 +154,7 @@
             pool, quarantine.record_termination, clock, log
         ),
         quarantine=quarantine,
+        streams=streams,
         retries=RetryBudget(RetryPolicy(settings.retry_share, settings.retry_burst)),
         rng=rng,
         clock=clock,
@@ -152,7 +163,14 @@
     )
     evacuations = ZoneEvacuations()
     targets = TargetReader(
-        context, decoder, clock, log, evacuations, peers.send_quota, peers.routers
+        context,
+        decoder,
+        clock,
+        log,
+        evacuations,
+        peers.send_quota,
+        peers.routers,
+        streams.register,
     )
     evacuation_reader = EvacuationReader(
         evacuations,
@@ -199,15 +217,15 @@
 
     context.on_limit = on_limit
 
-    def on_broadcast(
-        message: Evidence | LimitReport | TargetLeaving | ZoneChange,
-    ) -> None:
+    def on_broadcast(message: Update) -> None:
         match message:
             case LimitReport():
                 if targets.on_limit_report(message):
                     link.broadcast(message)
             case TargetLeaving(start):
                 on_leaving(start, "peer")
+            case VersionSeen():
+                streams.receive(message)
             case ZoneChange():
                 evacuation_reader.apply(message, "peer")
             case _:
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -113,6 +113,7 @@
             tasks.start_soon(parts.context.queue.run)
             tasks.start_soon(parts.link.run)
             tasks.start_soon(parts.context.quarantine.run)
+            tasks.start_soon(parts.context.streams.run)
             tasks.start_soon(self._maintain_registration)
             tasks.start_soon(self._report_load)
             tasks.start_soon(
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -37,6 +37,10 @@
 #: between routers, they would all choose the target at once.
 _MAX_LIMIT_END_DELAY_S = 1.0
 
+#: Longest time between two answers of a registry that is available. A longer one may
+#: also be a pause of this process.
+_MAX_RESPONSE_INTERVAL_S = 1.5
+
 
 class TargetReader:
     """Keep the dispatcher's targets up to date with the registry.
@@ -45,6 +49,7 @@
     :param send_quota: returns this router's quota for a target that is warming up,
         given the requests per second that all routers together may send there.
     :param router_count: returns the number of registered routers.
+    :param on_versions: called with the software versions of the targets, by service.
     """
 
     def __init__(
@@ -58,7 +63,9 @@
             [TargetName, float], SendQuota
         ] = lambda target, rate: NO_SENDS,
         router_count: Callable[[], int] = lambda: 1,
+        on_versions: Callable[[dict[str, set[str]]], None] = lambda versions: None,
     ) -> None:
+        self._on_versions = on_versions
         self._evacuations = evacuations or ZoneEvacuations()
         self._send_quota = send_quota
         self._router_count = router_count
@@ -71,6 +78,7 @@
         self._clock = clock
         self._log = log
         self.view = FleetView()
+        self._last_response_s = clock()
         self._revisions: dict[str, int] = {}
         #: Starts that have been replaced for good, whatever the registry still
         #: lists. A later start under the same id is not among them.
@@ -104,7 +112,13 @@
 
     def on_response(self) -> None:
         """Record that the registry answers."""
-        self.view.on_registry_response(self._clock())
+        self._last_response_s = self._clock()
+        self.view.on_registry_response(self._last_response_s)
+
+    def unavailable_s(self) -> float:
+        """Return for how long the registry has not answered; 0 if it does."""
+        silent_s = self._clock() - self._last_response_s
+        return silent_s if silent_s > _MAX_RESPONSE_INTERVAL_S else 0.0
 
     def on_replaced(self, instance_id: InstanceId, started_ms: int | None) -> bool:
         """Drop a start of a target at whose address another instance answered.
@@ -205,6 +219,10 @@
         """Pass the usable targets to the dispatcher."""
         self._warm_ups.retain(self.view.targets)
         self._limits.retain({_start_of(t) for t in self.view.targets.values()})
+        versions: dict[str, set[str]] = {}
+        for target in self.view.targets.values():
+            versions.setdefault(target.service, set()).add(target.software_version)
+        self._on_versions(versions)
         views = [self._view(target) for target in self.view.usable()]
         self._context.queue.dispatcher.set_targets(views, self._clock())
         self._context.queue.wake()
@@ -351,6 +369,7 @@
             evacuated=self._evacuations.is_evacuated(target.availability_zone),
             warm_up=self._warm_up(target),
             limit=self._limit(target),
+            software_version=target.software_version,
         )
 
     def _log_change(
@@ -362,6 +381,7 @@
             target=target.instance_id,
             service=target.service,
             address=target.address,
+            software_version=target.software_version,
             change=change,
             revision=revision,
             source=source,
--- a/src/endivegw/decisions/admission.py
+++ b/src/endivegw/decisions/admission.py
@@ -20,6 +20,7 @@
     "refuse_overloaded",
     "refuse_short_deadline",
     "refuse_without_target",
+    "refuse_without_version",
 ]
 
 #: Retry time for requests of a model without targets; targets register within it.
@@ -37,6 +38,15 @@
     return Refused(Reason.NO_TARGET, detail, NO_TARGET_RETRY_S)
 
 
+def refuse_without_version(item: WorkItem) -> Refused:
+    """Return the refusal of a stream whose software version no target runs."""
+    detail = (
+        f"no target runs software version {item.software_version}, which began the"
+        " stream"
+    )
+    return Refused(Reason.VERSION_UNAVAILABLE, detail, NO_TARGET_RETRY_S)
+
+
 def refuse_short_deadline(item: WorkItem, finish_s: float, now_s: float) -> Refused:
     """Return the refusal of a request that is late even without queueing."""
     remaining_s = item.deadline_s - now_s
--- a/src/endivegw/decisions/availability.py
+++ b/src/endivegw/decisions/availability.py
@@ -45,11 +45,20 @@
     pools: Mapping[str, Pool]
 
     def has_untried(
-        self, model: str, excluded: frozenset[TargetName], now_s: float
+        self,
+        model: str,
+        excluded: frozenset[TargetName],
+        now_s: float,
+        software_version: str | None = None,
     ) -> bool:
-        """Return whether a target outside ``excluded`` accepts a model's requests."""
+        """Return whether a target outside ``excluded`` accepts a model's requests.
+
+        :param software_version: the only version that may run them; None for any.
+        """
         return any(
-            state.view.target not in excluded and not is_backing_off(state, now_s)
+            state.view.target not in excluded
+            and not is_backing_off(state, now_s)
+            and software_version in (None, state.view.software_version)
             for state in self._members(model)
         )
 
@@ -78,14 +87,25 @@
             return False
         return not is_backing_off(state, now_s)
 
-    def start_send(self, request_id: str, target: TargetName, now_s: float) -> bool:
+    def start_send(
+        self,
+        request_id: str,
+        target: TargetName,
+        now_s: float,
+        software_version: str | None = None,
+    ) -> bool:
         """Record the send of a placed request; return False if it must not be sent.
 
         Called right before the send, because the target may have stopped accepting
-        requests since the placement.
+        requests since the placement, or have restarted with other software.
+
+        :param software_version: version that the target ran when it was chosen; None
+            if the request may run at any.
         """
         if not self.accepts_work(target, now_s):
             return False
+        if software_version not in (None, self.targets[target].view.software_version):
+            return False
         return self.targets[target].start_send(request_id, now_s)
 
     def _members(self, model: str) -> list[TargetState]:
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -10,6 +10,7 @@
 from endivegw.decisions.affinity import PrefixIndex
 from endivegw.decisions.availability import Availability, available_in_s
 from endivegw.decisions.backlog import Backlog
+from endivegw.decisions.bound_requests import BoundRequests
 from endivegw.decisions.estimates import Estimates
 from endivegw.decisions.fair_queue import FairQueue
 from endivegw.decisions.feedback import learn_from_answer, record_report_speed
@@ -78,6 +79,7 @@
         self._demand = DemandMeter(policy.demand_window_s)
         self._estimates = Estimates(policy)
         self._backlog = Backlog(policy, self._estimates, self._pools)
+        self._bound = BoundRequests(policy)
         self._prefixes = PrefixIndex(
             policy.prefix_entries, policy.prefix_ttl_s, policy.block_tokens
         )
@@ -153,6 +155,8 @@
             return admission.refuse_without_target(item.model, views)
         if item.deadline_s <= now_s:
             return Refused(Reason.DEADLINE, "the deadline has already passed")
+        if self._bound.is_bound(pool, item):
+            return self._submit_bound(pool, item, now_s)
         available_s = available_in_s(pool.members, now_s)
         if available_s > self._policy.max_backoff_wait_s:
             return self._backlog.refuse_unavailable(pool, available_s, now_s)
@@ -168,11 +172,26 @@
                 return self._admit(pool, item, choice, now_s)
         return self._backlog.enqueue(pool, item, now_s)
 
+    def _submit_bound(
+        self, pool: Pool, item: WorkItem, now_s: float
+    ) -> Placement | Queued | Refused:
+        """Place a request that must run at one software version, or let it wait."""
+        refused = self._bound.refusal(pool, item, now_s)
+        if refused is not None:
+            return refused
+        pool.permits_wanted = True
+        self._sweep(now_s)
+        choice = self._placer.choose(pool, item, now_s)
+        if choice is not None:
+            return self._admit(pool, item, choice, now_s)
+        return Queued(self._bound.add(pool, item, now_s), len(self._bound) - 1)
+
     def poll(self, now_s: float) -> list[Placement | Expired]:
         """Return the decisions made on queued requests since the last call."""
         self._sweep(now_s)
         decided: list[Placement | Expired] = list(self._backlog.abandoned)
         self._backlog.abandoned.clear()
+        self._serve_bound(now_s, decided)
         waiting = [pool for pool in self._pools.values() if len(pool.queue)]
         for pool in waiting:
             self._backlog.abandon_expired(pool, now_s, decided)
@@ -190,6 +209,8 @@
         if self._backlog.abandoned:
             return now_s
         latest_s: float | None = None
+        if len(self._bound):
+            latest_s = now_s + self._policy.recheck_s
         for pool in self._pools.values():
             expiry_s = pool.queue.next_expiry_s()
             if expiry_s is None:
@@ -287,6 +308,7 @@
 
     def cancel(self, request_id: str, now_s: float) -> None:
         """Remove a queued request whose caller disconnected."""
+        self._bound.remove(request_id)
         for pool in self._pools.values():
             entry = pool.queue.find(request_id)
             if entry is not None:
@@ -372,6 +394,15 @@
             return admission.refuse_short_deadline(item, choice.finish_s, now_s)
         return self._place(pool, item, choice, now_s)
 
+    def _serve_bound(self, now_s: float, decided: list[Placement | Expired]) -> None:
+        """Place requests that must run at one software version, the oldest first."""
+        decided += self._bound.expire(now_s)
+        for pool, item in self._bound.waiting():
+            choice = self._placer.choose(pool, item, now_s)
+            if choice is not None:
+                self._bound.remove(item.request_id)
+                decided.append(self._place(pool, item, choice, now_s))
+
     def _serve(
         self, waiting: list[Pool], now_s: float, decided: list[Placement | Expired]
     ) -> None:
@@ -402,12 +433,13 @@
             not view.accepts_work
             or state.draining
             or view.target in item.excluded
+            or not item.allows(view)
             or state.send_wait_s(now_s) > 0.0
         ):
             raise InvariantError(
                 f"{item.request_id} was about to be placed on {view.target}, which is "
-                "draining, evacuated, excluded for this request, at the limit of its "
-                "warm-up or without a permit"
+                "draining, evacuated, excluded for this request, of another software "
+                "version, at the limit of its warm-up or without a permit"
             )
         load = state.load()
         figures = PlacementFigures(
@@ -440,4 +472,5 @@
             figures,
             view.started_ms,
             choice.copy.address,
+            view.software_version,
         )
--- a/src/endivegw/decisions/placement.py
+++ b/src/endivegw/decisions/placement.py
@@ -182,6 +182,8 @@
         if state.send_wait_s(criteria.now_s) > 0.0:
             return False
         item = criteria.item
+        if not item.allows(state.view):
+            return False
         if item.excluded and state.view.target in item.excluded:
             return False
         return criteria.is_service or not state.loaded or item.model in state.loaded
--- a/src/endivegw/decisions/policy.py
+++ b/src/endivegw/decisions/policy.py
@@ -67,6 +67,9 @@
         ignored.
     :param recheck_s: interval at which free slots are assigned to queued requests
         without an event.
+    :param bound_wait_s: longest wait of a request that only targets of one software
+        version may run. It continues a stream, and callers leave a stream after a
+        pause of 2 s at the earliest.
     :param max_backoff_wait_s: longest wait of a request while all targets asked for a
         pause. If the first target accepts requests later, callers are refused with the
         time until then.
@@ -130,6 +133,7 @@
     prefix_entries: int = 20_000
     prefix_ttl_s: float = 300.0
     recheck_s: float = 0.05
+    bound_wait_s: float = 0.8
     max_backoff_wait_s: float = 0.25
 
     prior_first_s: float = 0.05
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -54,6 +54,8 @@
     :param excluded: targets on which this request must not be placed.
     :param pause_objective_s: longest pause within the answer that meets the objective;
         None if there is no objective.
+    :param software_version: version of the software that must run the request, because
+        it began the stream; None if any may.
     """
 
     request_id: str
@@ -69,6 +71,11 @@
     excluded: frozenset[TargetName] = field(factory=frozenset)
     pause_objective_s: float | None = None
     prefix_tokens: tuple[int, ...] = ()
+    software_version: str | None = None
+
+    def allows(self, view: TargetView) -> bool:
+        """Return whether a target's software may run the request."""
+        return self.software_version in (None, view.software_version)
 
 
 @frozen
@@ -86,6 +93,7 @@
         target gets no new requests, but others may copy from its cache.
     :param warm_up: the target's warm-up; None if it is warm.
     :param limit: the target's limit on requests from all routers; None if it has none.
+    :param software_version: version of the software that the target runs.
     """
 
     target: TargetName
@@ -100,6 +108,7 @@
     evacuated: bool = False
     warm_up: WarmUp | None = None
     limit: SendLimit | None = None
+    software_version: str = ""
 
     @property
     def accepts_work(self) -> bool:
@@ -109,7 +118,8 @@
     def is_incarnation_of(self, other: TargetView) -> bool:
         """Return whether both are the same incarnation of the same target."""
         same_start = self.started_ms == other.started_ms
-        return self.instance_id == other.instance_id and same_start
+        same_software = self.software_version == other.software_version
+        return self.instance_id == other.instance_id and same_start and same_software
 
 
 @frozen
@@ -182,6 +192,7 @@
     :param started_ms: start of the target's incarnation, as in its :class:`TargetView`.
     :param copy_from: address of a target that has more of the prompt cached; None if
         nothing is copied.
+    :param software_version: version of the software that the target runs.
     """
 
     item: WorkItem
@@ -192,6 +203,7 @@
     figures: PlacementFigures
     started_ms: int | None = None
     copy_from: str | None = None
+    software_version: str = ""
 
 
 @frozen
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -27,7 +27,10 @@
     PrefixesRead,
     StatementRequest,
     StatementResponse,
-    TargetLeaving,
+    StreamQuery,
+    StreamResponse,
+    StreamsBegun,
+    Update,
     decode,
     encode,
     prefix_datagrams,
@@ -35,9 +38,9 @@
 )
 from endivegw.gossip.peers import PeerEntry, PeerTable
 from endivegw.gossip.permit_exchange import PermitExchange
-from endivegw.quarantine import Evidence
+from endivegw.gossip.stream_exchange import StreamExchange
 from endivegw.rendezvous import rendezvous_order
-from endivegw.routing import LimitReport, ZoneChange
+from endivegw.streams import StreamKey, StreamRecord
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId, TargetName
 
@@ -69,6 +72,8 @@
     :param on_lent: called with the tokens lent to a router that does not hold the
         account.
     :param on_permits: called with the answer to each request for permits.
+    :param on_streams: called with records of streams that this router is to keep.
+    :param find_stream: returns the version that began a stream, None if unknown here.
     """
 
     def __init__(
@@ -86,15 +91,15 @@
         named_witnesses: Callable[[], tuple[InstanceId, ...]],
         clock: Callable[[], float],
         log: EventLog,
-        on_broadcast: Callable[
-            [Evidence | LimitReport | TargetLeaving | ZoneChange], None
-        ] = lambda update: None,
+        on_broadcast: Callable[[Update], None] = lambda update: None,
         on_lent: Callable[
             [ClientAccountName, int], None
         ] = lambda account, tokens: None,
         on_permits: Callable[
             [TargetName, int | None, Permits], None
         ] = lambda target, started_ms, permits: None,
+        on_streams: Callable[[tuple[StreamRecord, ...]], None] = lambda records: None,
+        find_stream: Callable[[StreamKey], str | None] = lambda key: None,
         max_witnesses: int = MAX_WITNESSES,
         rng: random.Random | None = None,
     ) -> None:
@@ -115,6 +120,11 @@
         self._on_broadcast = on_broadcast
         rng = rng or random.Random()
         self._gossip = GossipQueue(self._send_data, peers.entries, rng)
+        self._on_streams = on_streams
+        self._find_stream = find_stream
+        self.streams = StreamExchange(
+            entry.instance_id, peers, self._send_data, self.broadcast, clock
+        )
         self._permits = PermitExchange(
             entry.instance_id, peers, self._send, on_permits, clock, rng
         )
@@ -160,6 +170,7 @@
                 tasks.start_soon(self._send_statements_on_demand)
                 tasks.start_soon(self._gossip.run)
                 tasks.start_soon(self._permits.run)
+                tasks.start_soon(self.streams.run)
                 while True:
                     interval_s = self.interval_s()
                     await self._send_state(interval_s)
@@ -242,9 +253,7 @@
         """Ask a target's coordinator for permits."""
         self._permits.request(request)
 
-    def broadcast(
-        self, update: Evidence | LimitReport | TargetLeaving | ZoneChange
-    ) -> None:
+    def broadcast(self, update: Update) -> None:
         """Send an update to all routers by gossip."""
         self._gossip.broadcast(encode(BroadcastMessage(self.entry.instance_id, update)))
 
@@ -312,6 +321,14 @@
                         await self._send_to(encode(permit_response), host, port)
                 case PermitResponse():
                     self._permits.receive(message)
+                case StreamsBegun(_, records):
+                    self._on_streams(records)
+                case StreamQuery(_, number, key):
+                    version = self._find_stream(key)
+                    found = StreamResponse(self.entry.instance_id, number, version)
+                    await self._send_to(encode(found), host, port)
+                case StreamResponse():
+                    self.streams.receive(message)
                 case BroadcastMessage(_, update):
                     self._on_broadcast(update)
                 case StatementResponse(sender, about, statement):
--- a/src/endivegw/gossip/message_types.py
+++ b/src/endivegw/gossip/message_types.py
@@ -8,6 +8,7 @@
 from endivegw.decisions import LocalLoad, Permits
 from endivegw.quarantine import Evidence
 from endivegw.routing import LimitReport, ZoneChange
+from endivegw.streams import StreamKey, StreamRecord, VersionSeen
 from endivegw.types import (
     ClientAccountName,
     InstanceId,
@@ -29,7 +30,11 @@
     "PrefixesRead",
     "StatementRequest",
     "StatementResponse",
+    "StreamQuery",
+    "StreamResponse",
+    "StreamsBegun",
     "TargetLeaving",
+    "Update",
 ]
 
 
@@ -153,12 +158,48 @@
     start: TargetStart
 
 
+@frozen
+class StreamsBegun:
+    """Reports which software versions began streams, to a router that keeps this."""
+
+    sender: InstanceId
+    records: tuple[StreamRecord, ...]
+
+
+@frozen
+class StreamQuery:
+    """Asks a router which software version began a stream.
+
+    :param number: number of the query at its sender.
+    """
+
+    sender: InstanceId
+    number: int
+    key: StreamKey
+
+
+@frozen
+class StreamResponse:
+    """Answers a query for a stream.
+
+    :param software_version: None if the sender does not know it.
+    """
+
+    sender: InstanceId
+    number: int
+    software_version: str | None
+
+
+#: An update that all routers need.
+Update = Evidence | LimitReport | TargetLeaving | VersionSeen | ZoneChange
+
+
 @frozen
 class BroadcastMessage:
     """An update for all routers, whichever router sends it."""
 
     sender: InstanceId
-    update: Evidence | LimitReport | TargetLeaving | ZoneChange
+    update: Update
 
 
 Message = (
@@ -172,5 +213,8 @@
     | StatementResponse
     | LoanRequest
     | LoanResponse
+    | StreamsBegun
+    | StreamQuery
+    | StreamResponse
     | BroadcastMessage
 )
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -28,7 +28,11 @@
     PrefixesRead,
     StatementRequest,
     StatementResponse,
+    StreamQuery,
+    StreamResponse,
+    StreamsBegun,
     TargetLeaving,
+    Update,
 )
 from endivegw.quarantine import (
     Fingerprint,
@@ -38,6 +42,7 @@
     encode_starts,
 )
 from endivegw.routing import LimitReport, ZoneChange
+from endivegw.streams import StreamKey, StreamRecord, VersionSeen
 from endivegw.types import (
     AvailabilityZone,
     ClientAccountName,
@@ -64,7 +69,12 @@
     "shortened",
     "StatementRequest",
     "StatementResponse",
+    "stream_datagrams",
+    "StreamQuery",
+    "StreamResponse",
+    "StreamsBegun",
     "TargetLeaving",
+    "Update",
 ]
 
 #: Maximum size of a datagram. Larger ones would be fragmented, and the loss of one
@@ -132,6 +142,14 @@
             document = ["limit", sender, pair, limit_per_s, version]
         case BroadcastMessage(sender, TargetLeaving(start)):
             document = ["leaving", sender, [start.instance_id, start.started_ms]]
+        case StreamsBegun(sender, records):
+            document = ["began", sender, [list(astuple(record)) for record in records]]
+        case StreamQuery(sender, number, key):
+            document = ["stream", sender, number, key]
+        case StreamResponse(sender, number, version):
+            document = ["stream-version", sender, number, version]
+        case BroadcastMessage(sender, VersionSeen(service, version)):
+            document = ["version", sender, service, version]
         case BroadcastMessage(sender, ZoneChange(zone, evacuated, revision)):
             document = ["zone", sender, zone, evacuated, revision]
         case BroadcastMessage(sender, TargetTerminated(start, fingerprints)):
@@ -213,6 +231,22 @@
             case "leaving", [start]:
                 (leaving_start,) = decode_starts([start])
                 return BroadcastMessage(name, TargetLeaving(leaving_start))
+            case "began", [records]:
+                return StreamsBegun(
+                    name,
+                    tuple(
+                        StreamRecord(StreamKey(str(key)), str(service), str(version))
+                        for key, service, version in records
+                    ),
+                )
+            case "stream", [number, key]:
+                return StreamQuery(name, int(number), StreamKey(str(key)))
+            case "stream-version", [number, version]:
+                began = None if version is None else str(version)
+                return StreamResponse(name, int(number), began)
+            case "version", [service, version]:
+                seen = VersionSeen(str(service), str(version))
+                return BroadcastMessage(name, seen)
             case "zone", [zone, bool(evacuated), revision]:
                 change = ZoneChange(AvailabilityZone(zone), evacuated, int(revision))
                 return BroadcastMessage(name, change)
@@ -257,6 +291,27 @@
     return datagrams
 
 
+def stream_datagrams(
+    sender: InstanceId, records: Iterable[StreamRecord]
+) -> list[bytes]:
+    """Return records of streams as datagrams that are not fragmented."""
+    datagrams: list[bytes] = []
+    batch: list[StreamRecord] = []
+    datagram_bytes = 0
+    for record in records:
+        entry_bytes = _ENTRY_OVERHEAD_BYTES + sum(
+            len(json.dumps(text)) for text in astuple(record)
+        )
+        if batch and datagram_bytes + entry_bytes > MAX_DATAGRAM_BYTES:
+            datagrams.append(encode(StreamsBegun(sender, tuple(batch))))
+            batch, datagram_bytes = [], 0
+        datagram_bytes += entry_bytes
+        batch.append(record)
+    if batch:
+        datagrams.append(encode(StreamsBegun(sender, tuple(batch))))
+    return datagrams
+
+
 def _decode_rate(rate: Any) -> float:
     """Return a limit in requests per second; raise ValueError if it cannot be one."""
     rate_per_s = float(rate)
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from collections import OrderedDict
 
 from attrs import define, evolve, field, frozen
@@ -32,6 +33,12 @@
 #: Number of routers that check the row of an unresponsive one.
 _ROW_CHECKERS = 2
 
+#: Number of routers that keep each record, of which all but one may be lost.
+_KEEPERS = 3
+
+#: Number of choices of keepers.
+_KEEPER_GROUPS = 1024
+
 #: Maximum number of routers asked for one loan.
 _MAX_LENDERS = 12
 
@@ -102,6 +109,8 @@
     _quotas: dict[tuple[TargetName, float], SendQuota] = field(factory=dict)
     #: The order of routers that grant permits for a target; cleared like the holders.
     _coordinators: dict[TargetName, tuple[str, ...]] = field(factory=dict)
+    #: The vms that keep records of streams, by the hash of their keys; cleared as well.
+    _keepers: dict[int, tuple[str, ...]] = field(factory=dict)
     #: The last statement of each process. Statements of dead processes are retained,
     #: because their successors request them.
     _statements: OrderedDict[InstanceId, Statement] = field(factory=OrderedDict)
@@ -125,6 +134,7 @@
         self._holders.clear()
         self._quotas.clear()
         self._coordinators.clear()
+        self._keepers.clear()
 
     def receive_state(self, state: PeerState, now_s: float) -> None:
         """Apply a router's report, unless a later one is known."""
@@ -261,6 +271,25 @@
                 return responsive.get(vm)
         return None
 
+    def keepers(self, key: str) -> list[PeerEntry]:
+        """Return the other routers that keep records under a key.
+
+        Registered routers count whether they respond or not, as routers agree on their
+        list. Keys share a limited number of choices, so that a choice among hundreds
+        of routers is not made for each stream.
+        """
+        group = zlib.crc32(key.encode()) % _KEEPER_GROUPS
+        vms = self._keepers.get(group)
+        if vms is None:
+            order = rendezvous_order(f"records-{group}", {*self._peers, self.own_vm})
+            vms = self._keepers[group] = order[:_KEEPERS]
+        return [self._peers[vm].entry for vm in vms if vm in self._peers]
+
+    def is_writer(self, key: str, now_s: float) -> bool:
+        """Return whether this router is among the few that write a row for all."""
+        responsive = {peer.entry.vm for peer in self._responsive(now_s)} | {self.own_vm}
+        return self.own_vm in rendezvous_order(key, responsive)[:_ROW_CHECKERS]
+
     def routers(self) -> int:
         """Return the number of registered routers, including this one."""
         return len(self._peers) + 1
--- a/src/endivegw/platform/configuration.py
+++ b/src/endivegw/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import ipaddress
 import json
 import math
@@ -53,6 +54,9 @@
 #: not a duration, for example a point in time.
 _MAX_WARM_UP_MS = 3_600_000.0
 
+#: Longest software version that is kept as it is.
+_MAX_VERSION_BYTES = 64
+
 #: Exceptions that decoding arbitrary bytes may raise, including documents that are
 #: nested too deeply or hold numbers outside the range of a type.
 _DECODE_ERRORS = (
@@ -130,7 +134,6 @@
     of a number that is given as text, would send callers to an address without a
     target.
     """
-    _read_string(entry, "Version")
     _read_integer(entry, "Sequence")
     state = _read_string(entry, "State")
     if state not in _STATES:
@@ -148,9 +151,18 @@
         # The field "born" holds the start time of this incarnation.
         started_ms=_read_integer(entry, "born") if "born" in entry else None,
         warm_up_s=_read_warm_up_s(entry),
+        software_version=_bounded_version(_read_string(entry, "Version")),
     )
 
 
+def _bounded_version(version: str) -> str:
+    """Return a version, or a digest of one that is too long for datagrams."""
+    encoded = version.encode()
+    if len(encoded) <= _MAX_VERSION_BYTES:
+        return version
+    return hashlib.blake2b(encoded, digest_size=_MAX_VERSION_BYTES // 2).hexdigest()
+
+
 def _read_string(entry: Mapping[str, Any], name: str) -> str:
     value = entry[name]
     if not isinstance(value, str) or not value:
--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -30,6 +30,7 @@
 _LIMIT = b"server-limit"
 _RETRY_AFTER = b"retry-after"
 _LAST_EVENT = b"last-event-id"
+_RESUMES = b"resumes"
 _AUTHORIZATION = b"authorization"
 
 #: Prefixes of the platform's own fields in answers, and the fields known among them.
@@ -100,6 +101,7 @@
                 max_output_tokens=counts[1] if counts else 0,
                 parts=_parse_prompt_parts(found.get(_PROMPT_PARTS)),
                 resume_after=_parse_integer(found.get(_LAST_EVENT)),
+                resumes=_parse_resumes(fields),
             )
         except ValueError as error:
             return Refused(Reason.BAD_REQUEST, f"malformed header field: {error}")
@@ -168,6 +170,14 @@
     return None if value is None else value.decode("latin-1")
 
 
+def _parse_resumes(fields: HeaderFields) -> str | None:
+    """Return the id of the attempt that is resumed, or None if it is empty."""
+    values = {value.strip() for name, value in fields if name == _RESUMES}
+    if len(values) > 1:
+        raise ValueError(f"{len(values)} different attempts are resumed")
+    return _decode_text(values.pop() if values else None) or None
+
+
 def _parse_integer(value: bytes | None) -> int | None:
     return None if value is None else int(value)
 
--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -37,13 +37,21 @@
     deadline_s: float
     request_id: str
 
+    @property
+    def account_name(self) -> ClientAccountName | None:
+        """Return the name of the account; None if the request needs none."""
+        return self.account.name if self.account is not None else None
+
     @property
     def fingerprint(self) -> Fingerprint:
         """Return the fingerprint of the content, which repeated requests share."""
         request = self.request
-        account = self.account.name if self.account is not None else None
         return fingerprint_of(
-            request.method, request.host, request.target, account, request.body
+            request.method,
+            request.host,
+            request.target,
+            self.account_name,
+            request.body,
         )
 
     @property
@@ -101,10 +109,12 @@
     admitted: AdmittedRequest,
     excluded: frozenset[TargetName],
     now_s: float,
+    software_version: str | None = None,
 ) -> WorkItem:
     """Return a request in the form that the dispatcher takes.
 
     :param excluded: targets that must not receive the request (again).
+    :param software_version: version that must run the request; None if any may.
     """
     metadata = admitted.metadata
     account = admitted.account
@@ -123,6 +133,7 @@
         prefix_tokens=tuple(accumulate(part.tokens for part in metadata.parts)),
         excluded=excluded,
         pause_objective_s=admitted.route.pause_objective_s,
+        software_version=software_version,
     )
 
 
--- a/src/endivegw/relay/answers.py
+++ b/src/endivegw/relay/answers.py
@@ -25,6 +25,8 @@
     Reason.TARGET_LIMIT: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.NOT_READY: HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.QUARANTINED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.UNKNOWN_STREAM: HTTPStatus.SERVICE_UNAVAILABLE,
+    Reason.VERSION_UNAVAILABLE: HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 #: Retry-after in seconds where the refusal states none.
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -16,6 +16,7 @@
 from endivegw.relay.termination_detector import TerminationDetector
 from endivegw.relay.wire import WirePort
 from endivegw.routing import RoutingTable
+from endivegw.streams import StreamVersions
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.exposition import RouterMetrics
 from endivegw.types import InstanceId
@@ -48,6 +49,7 @@
     pool: TargetPool
     terminations: TerminationDetector
     quarantine: QuarantineManager
+    streams: StreamVersions
     retries: RetryBudget
     rng: random.Random
     clock: Callable[[], float]
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -27,6 +27,7 @@
     attempt_kind,
     lower_quartile,
 )
+from endivegw.relay.stream_binding import StreamBinding
 from endivegw.relay.suspicion import QuarantineCheck
 from endivegw.relay.target_connection import OutgoingRequest
 from endivegw.relay.target_report import apply_target_report
@@ -62,6 +63,7 @@
         self._progress = RequestProgress(StreamProgress(EventOrder(after)))
         self._reservation: Reservation | None = None
         self._quarantine_check = QuarantineCheck(context, admitted)
+        self._binding = StreamBinding(context.streams, admitted)
 
     async def run(self) -> None:
         """Answer the request, and settle the tokens that it consumed."""
@@ -77,7 +79,7 @@
             self._settle(outcome)
 
     async def _serve(self) -> str:
-        refused = await self._reserve()
+        refused = await self._binding.find() or await self._reserve()
         if refused is None:
             end = await self._run_attempts()
             if not isinstance(end, (Refused, Unknown)):
@@ -121,6 +123,7 @@
                 assert result.outcome is AttemptOutcome.ANSWERED
                 if result.answer is None:
                     await self._writer.finish()
+                    self._binding.end()
                     return "answered"
                 if not self._should_retry_answer(result.answer):
                     return await self._relay_answer(result.answer)
@@ -137,6 +140,7 @@
             self._admitted,
             frozenset(self._progress.excluded),
             context.clock(),
+            self._binding.software_version,
         )
         placement = await context.queue.place(item)
         if isinstance(placement, Placement):
@@ -161,6 +165,7 @@
                 queued_s=round(figures.queued_s, 4),
                 finish_s=round(figures.finish_s, 3),
                 reserved_tokens=self._reserved_tokens,
+                software_version=placement.software_version or None,
             )
         return placement
 
@@ -174,7 +179,7 @@
             context.wire,
             admitted.request_id,
             progress.stream_progress,
-            self._relay_head,
+            lambda head, data: self._relay_head(placement, head, data),
             self._relay_events,
             self._record_first_data,
             lambda: self._start_send(placement),
@@ -208,7 +213,10 @@
         """Record the send; return False if the target must not get the request."""
         now_s = self._progress.sent_s = self._context.clock()
         return self._context.queue.dispatcher.availability.start_send(
-            self._admitted.request_id, placement.target, now_s
+            self._admitted.request_id,
+            placement.target,
+            now_s,
+            placement.software_version,
         )
 
     def _build_request(self, placement: Placement) -> OutgoingRequest:
@@ -307,7 +315,9 @@
         excluded = frozenset(self._progress.excluded)
         availability = self._context.queue.dispatcher.availability
         now_s = self._context.clock()
-        if not availability.has_untried(model_of(self._admitted), excluded, now_s):
+        if not availability.has_untried(
+            model_of(self._admitted), excluded, now_s, self._binding.software_version
+        ):
             return False
         if (
             result.outcome in _UNSENT_OUTCOMES
@@ -332,8 +342,11 @@
         await self._writer.send_complete(head.status, head.fields, answer.body)
         return "answered"
 
-    async def _relay_head(self, head: TargetHead, data: bytes) -> None:
+    async def _relay_head(
+        self, placement: Placement, head: TargetHead, data: bytes
+    ) -> None:
         self._progress.last_relayed_s = self._context.clock()
+        self._binding.begin(placement)
         await self._writer.start(head.status, head.fields, data)
 
     async def _relay_events(self, data: bytes) -> None:
@@ -421,4 +434,6 @@
             reserved_tokens=self._reserved_tokens,
             charged_tokens=charged,
             cut=self._writer.truncated,
+            resumes=admitted.metadata.resumes,
+            software_version=self._binding.software_version,
         )
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -50,6 +50,8 @@
     :param parts: the parts of the prompt in order.
     :param resume_after: id of the last event that the caller has received; None if
         the stream starts from the beginning.
+    :param resumes: id of the caller's attempt that brought the first event of the
+        stream; None if not stated.
     """
 
     request_id: str | None
@@ -59,6 +61,7 @@
     max_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
+    resumes: str | None = None
 
 
 @frozen
--- a/src/endivegw/results.py
+++ b/src/endivegw/results.py
@@ -57,6 +57,8 @@
     QUARANTINED = "quarantined"
     CANCELLED = "cancelled"
     ANSWER_LOST = "answer_lost"
+    UNKNOWN_STREAM = "unknown_stream"
+    VERSION_UNAVAILABLE = "version_unavailable"
     STALE_FENCE = "stale_fence"
 
 
--- a/src/endivegw/routing/model.py
+++ b/src/endivegw/routing/model.py
@@ -149,6 +149,8 @@
         incarnations of one ``instance_id``; None if not registered. Compare it
         for equality only: the target's clock may have been set back between two starts.
     :param warm_up_s: time that the target needed to become warm when it registered.
+    :param software_version: version of the software that this start runs. It is not
+        the version of a model's weights.
     """
 
     instance_id: InstanceId
@@ -159,8 +161,10 @@
     leaving: bool = False
     started_ms: int | None = None
     warm_up_s: float = 0.0
+    software_version: str = ""
 
     def is_incarnation_of(self, other: DirectTarget) -> bool:
         """Return whether both are the same incarnation of the same target."""
         same_start = self.started_ms == other.started_ms
-        return self.instance_id == other.instance_id and same_start
+        same_software = self.software_version == other.software_version
+        return self.instance_id == other.instance_id and same_start and same_software
--- /dev/null
+++ b/src/endivegw/streams/manager.py
@@ -0,0 +1,294 @@
+"""Know which software version began a stream, at this router or at another."""
+
+from __future__ import annotations
+
+from typing import Callable, Iterable, Mapping, Protocol
+
+import anyio
+
+from endivegw.results import Done, Reason, Refused
+from endivegw.services.row_store import (
+    Changes,
+    Conflict,
+    ExpectedRow,
+    NewRow,
+    RowsPort,
+    StoredRow,
+)
+from endivegw.streams.history import VersionHistory, VersionSeen
+from endivegw.streams.records import StreamKey, StreamRecord, StreamRecords, stream_key
+from endivegw.streams.rows import VERSIONS_TABLE, decode_versions, encode_versions
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue import relay as events
+from endivegw.types import ClientAccountName
+
+__all__ = ["StreamPeers", "StreamVersions"]
+
+#: Time for which callers may resume a stream; the tries of one caller take less.
+_RETENTION_S = 60.0
+
+#: Retry-after in seconds of a resumption whose version is not known. A router that
+#: holds the record may respond again by then.
+_UNKNOWN_RETRY_S = 0.5
+
+#: Interval and timeout of calls to the store.
+_RETRY_S = 0.5
+_TIMEOUT_S = 1.0
+
+#: Number of consecutive write conflicts on one row before the write is postponed.
+_MAX_CONFLICTS = 5
+
+
+class StreamPeers(Protocol):
+    """The other routers, some of which keep the records of streams."""
+
+    def keep(self, records: Iterable[StreamRecord]) -> None:
+        """Send records to the routers that keep them."""
+
+    async def find(self, key: StreamKey) -> str | None:
+        """Ask the routers that keep a record; None if none of them has it."""
+
+    def broadcast(self, seen: VersionSeen) -> None:
+        """Tell all routers of a version."""
+
+    def is_writer(self, key: str) -> bool:
+        """Return whether this router is among the few that write a row."""
+
+    def would_tell(self) -> bool:
+        """Return whether another router would tell this one of a version."""
+
+
+class StreamVersions:
+    """Decide at which software version a stream may go on.
+
+    What targets of two versions write does not fit together. While a service has one
+    version, nothing is sent. Else the version of each stream is sent to few routers
+    when its first event is relayed, since its own router may die and its caller
+    continue at another one.
+
+    :param unavailable_s: returns for how long the registry of targets has not answered.
+    """
+
+    def __init__(
+        self,
+        store: RowsPort,
+        peers: StreamPeers,
+        unavailable_s: Callable[[], float],
+        clock: Callable[[], float],
+        log: EventLog,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._unavailable_s = unavailable_s
+        self._clock = clock
+        self._log = log
+        self.history = VersionHistory(_RETENTION_S)
+        #: Records that this router keeps for others.
+        self._kept = StreamRecords(_RETENTION_S)
+        self._own = StreamRecords(_RETENTION_S)
+        #: Whether the versions in the store were read; a version that is gone by now
+        #: may have begun streams before this router started.
+        self._loaded = False
+        self._changed: set[str] = set()
+        self._wake = anyio.Event()
+
+    # Streams.
+
+    def begin(
+        self,
+        account: ClientAccountName | None,
+        attempt_id: str,
+        service: str,
+        software_version: str,
+    ) -> None:
+        """Record that the first event of a stream is relayed."""
+        key = stream_key(account, attempt_id)
+        record = StreamRecord(key, service, software_version)
+        self._own.add(record, self._clock())
+        if self._sole_version(service) is None:
+            self._peers.keep([record])
+
+    def keep(self, records: Iterable[StreamRecord]) -> None:
+        """Keep records for other routers."""
+        now_s = self._clock()
+        for record in records:
+            self._kept.add(record, now_s)
+
+    def find(self, key: StreamKey) -> str | None:
+        """Return the version that began a stream, None if it is unknown here."""
+        now_s = self._clock()
+        record = self._own.find(key, now_s) or self._kept.find(key, now_s)
+        return None if record is None else record.software_version
+
+    def end(self, account: ClientAccountName | None, attempt_id: str) -> None:
+        """Record that a caller has got all of its stream."""
+        self._own.discard(stream_key(account, attempt_id))
+
+    async def version_of(
+        self, account: ClientAccountName | None, attempt_id: str | None, service: str
+    ) -> str | Refused:
+        """Return the version that began a stream, or why it must not go on.
+
+        :param attempt_id: id of the attempt that began it; None if not stated.
+        """
+        if attempt_id is not None:
+            key = stream_key(account, attempt_id)
+            known = self.find(key)
+            if known is not None:
+                return known
+        sole = self._sole_version(service)
+        if sole is not None:
+            return sole
+        if attempt_id is None:
+            return Refused(
+                Reason.UNKNOWN_STREAM,
+                "several software versions serve, and the attempt that began the"
+                " stream is not stated",
+                _UNKNOWN_RETRY_S,
+            )
+        version = await self._peers.find(key)
+        if version is not None:
+            return version
+        return Refused(
+            Reason.UNKNOWN_STREAM,
+            "several software versions serve, and no router that responds knows which"
+            " one began the stream",
+            _UNKNOWN_RETRY_S,
+        )
+
+    # Versions.
+
+    def register(self, registered: Mapping[str, Iterable[str]]) -> None:
+        """Apply the versions of all registered targets, by service."""
+        now_s = self._clock()
+        for service in {*registered, *self.history.services()}:
+            before = self._several(service)
+            versions = frozenset(registered.get(service, ()))
+            new = self.history.register(service, versions, now_s)
+            if new is None or not self._several(service):
+                continue
+            for version in new:
+                self._peers.broadcast(VersionSeen(service, version))
+            self._on_versions(service, before)
+
+    def receive(self, seen: VersionSeen) -> None:
+        """Apply another router's report of a version; forward it if it is new."""
+        before = self._several(seen.service)
+        if self.history.record(seen, self._clock()):
+            self._peers.broadcast(seen)
+            self._on_versions(seen.service, before)
+
+    def _on_versions(self, service: str, several_before: bool) -> None:
+        """Send the records of streams that began while there was one version."""
+        if not self._several(service):
+            return
+        if not several_before:
+            versions = sorted(self.history.versions(service, self._clock()))
+            self._log.emit(
+                events.SEVERAL_VERSIONS, service=service, software_versions=versions
+            )
+            self._peers.keep(self._own.of_service(service))
+        self._changed.add(service)
+        self._wake.set()
+
+    def _several(self, service: str) -> bool:
+        return len(self.history.versions(service, self._clock())) > 1
+
+    def _sole_version(self, service: str) -> str | None:
+        """Return the only version of a service, None if there may be others.
+
+        Without the registry, this router learns of versions from its peers only. What
+        they say counts for the retention, so it is not relied on for nearly as long.
+        """
+        if not self._loaded:
+            return None
+        unavailable_s = self._unavailable_s()
+        if unavailable_s > _RETENTION_S / 2:
+            return None
+        if unavailable_s > 0.0 and not self._peers.would_tell():
+            return None
+        return self.history.sole_version(service, self._clock())
+
+    # Rows of the store.
+
+    async def run(self) -> None:
+        """Read the rows once, then write those that change, until cancelled."""
+        while not await self._load():
+            await anyio.sleep(_RETRY_S)
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            while self._changed:
+                if not await self._write(self._changed.pop()):
+                    await anyio.sleep(_RETRY_S)
+
+    async def _load(self) -> bool:
+        result = await self._store.list_rows(VERSIONS_TABLE, timeout_s=_TIMEOUT_S)
+        if isinstance(result, Done):
+            self._loaded = True
+            self._apply_rows(result.value)
+        return self._loaded
+
+    def _apply_rows(self, changes: Changes) -> None:
+        for row in changes.rows:
+            self._apply_row(row, changes.timestamp.now_ms)
+
+    def _apply_row(self, row: StoredRow, now_ms: int) -> None:
+        try:
+            versions = decode_versions(row.value)
+        except ValueError as error:
+            self._log.emit(
+                events.CONFIGURATION_UNREADABLE,
+                table=row.table,
+                key=row.key,
+                revision=row.revision,
+                detail=str(error),
+            )
+            return
+        now_s = self._clock()
+        before = self._several(row.key)
+        for version, last_ms in versions.items():
+            # A version that was registered when the row was written may have been
+            # until just now.
+            age_s = 0.0 if last_ms is None else max(0, now_ms - last_ms) / 1000.0
+            if age_s < _RETENTION_S:
+                self.history.record(VersionSeen(row.key, version), now_s - age_s)
+        self._on_versions(row.key, before)
+
+    async def _write(self, service: str) -> bool:
+        """Write a service's versions; return False if it must be tried again."""
+        if not self._peers.is_writer(service):
+            return True
+        for _ in range(_MAX_CONFLICTS):
+            read = await self._store.list_rows(VERSIONS_TABLE, timeout_s=_TIMEOUT_S)
+            if not isinstance(read, Done):
+                break
+            rows = {row.key: row for row in read.value.rows}
+            row = rows.get(service)
+            value = self._row_value(service, read.value.timestamp.now_ms)
+            if row is not None and row.value == value:
+                return True
+            revision = row.revision if row is not None else 0
+            result = await self._store.transact(
+                (ExpectedRow(VERSIONS_TABLE, service, revision),),
+                (NewRow(VERSIONS_TABLE, service, value),),
+                timeout_s=_TIMEOUT_S,
+            )
+            if not isinstance(result, Conflict):
+                if not isinstance(result, Done):
+                    break
+                return True
+        self._changed.add(service)
+        return False
+
+    def _row_value(self, service: str, now_ms: int) -> bytes:
+        now_s = self._clock()
+        versions = self.history.versions(service, now_s)
+        return encode_versions(
+            {
+                version: (
+                    None if last_s is None else now_ms - int((now_s - last_s) * 1000)
+                )
+                for version, last_s in sorted(versions.items())
+            }
+        )
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -17,6 +17,7 @@
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
     "SETTINGS_READ",
+    "SEVERAL_VERSIONS",
     "TARGET_CHANGED",
     "TARGET_REPORTED",
     "TARGET_TERMINATED",
@@ -47,6 +48,7 @@
         "queued_s",
         "finish_s",
         "reserved_tokens",
+        "software_version",
     ),
 )
 ATTEMPT_FAILED = Event(
@@ -78,6 +80,8 @@
         "reserved_tokens",
         "charged_tokens",
         "cut",
+        "resumes",
+        "software_version",
     ),
 )
 CONFIGURATION_IN_FORCE = Event(
@@ -99,7 +103,16 @@
     "relay-target-changed",
     Level.INFO,
     "The router's view of a target changed.",
-    ("target", "service", "address", "change", "revision", "source", "age_s"),
+    (
+        "target",
+        "service",
+        "address",
+        "software_version",
+        "change",
+        "revision",
+        "source",
+        "age_s",
+    ),
 )
 TARGET_TERMINATED = Event(
     9115,
@@ -205,6 +218,14 @@
     "An unexpected exception ended the connection of one caller.",
     ("detail",),
 )
+SEVERAL_VERSIONS = Event(
+    9127,
+    "relay-several-versions",
+    Level.INFO,
+    "Targets of several software versions serve, or served until lately; a stream goes"
+    " on only at the version that began it.",
+    ("service", "software_versions"),
+)
 LINES_DROPPED = Event(
     9130,
     "log-lines-left-out",
--- a/src/endivegw/telemetry/request_trace.py
+++ b/src/endivegw/telemetry/request_trace.py
@@ -37,6 +37,14 @@
     "quarantined": (
         "Refused (503): targets terminated while they ran it before. It did not run."
     ),
+    "unknown_stream": (
+        "Refused (503): no router knew which software version began the stream. It did"
+        " not run."
+    ),
+    "version_unavailable": (
+        "Refused (503): no target of the software version that began the stream could"
+        " run it in time. It did not run."
+    ),
     "overloaded": "Refused (503): no target could run it in time. It did not run.",
     "cut": "A better answer came too late: the one to the caller had started.",
 }
@@ -111,11 +119,13 @@
 
 
 def trace_request(request_id: str, lines: Iterable[LogLine]) -> RequestTrace:
-    """Return what happened to a request, with the figures that decided it."""
+    """Return what happened to a request, with the figures that decided it.
+
+    Other tries of the caller at the same stream are part of it.
+    """
     all_lines = sorted(lines, key=lambda line: line.at)
-    request_lines = [
-        line for line in all_lines if line.fields.get("request_id") == request_id
-    ]
+    ids = _ids_of_stream(request_id, all_lines)
+    request_lines = [line for line in all_lines if line.fields.get("request_id") in ids]
     if not request_lines:
         return RequestTrace(request_id)
     steps = request_lines + list(_context_lines(request_lines, all_lines))
@@ -124,6 +134,22 @@
     return RequestTrace(request_id, tuple(trace), _cause(request_lines, steps))
 
 
+def _ids_of_stream(request_id: str, lines: list[LogLine]) -> set[str]:
+    """Return the ids of all tries at the stream of a request."""
+    tries = [line.fields for line in lines if line.fields.get("resumes")]
+    first_ids = {request_id} | {
+        str(fields["resumes"])
+        for fields in tries
+        if fields.get("request_id") == request_id
+    }
+    later_ids = {
+        str(fields.get("request_id"))
+        for fields in tries
+        if fields["resumes"] in first_ids
+    }
+    return first_ids | later_ids
+
+
 def count_outcomes(lines: Iterable[LogLine], window_s: float) -> OutcomeCounts:
     """Count requests by outcome, in total and by time window."""
     outcomes: Counter[str] = Counter()
@@ -174,7 +200,8 @@
 
 
 def _cause(request_lines: list[LogLine], steps: list[LogLine]) -> str:
-    end = next((line for line in request_lines if line.event in (9101, 9104)), None)
+    ends = [line for line in request_lines if line.event in (9101, 9104)]
+    end = ends[-1] if ends else None
     if end is None:
         return "No line says how it ended: its router ended before it did."
     outcome = str(end.fields.get("outcome") or end.fields.get("reason"))
@@ -200,12 +227,18 @@
 
 def _placed(fields: Mapping[str, Any]) -> str:
     return (
-        f"Placed on {fields['target']} ({fields['why']}) after {fields['queued_s']} s "
+        f"Placed on {fields['target']}{_software(fields)} ({fields['why']}) after "
+        f"{fields['queued_s']} s "
         f"in the queue: load {fields['load']} there, {fields['cached_tokens']} tokens "
         f"of the prompt expected in its cache, {fields['finish_s']} s expected."
     )
 
 
+def _software(fields: Mapping[str, Any]) -> str:
+    version = fields.get("software_version")
+    return f" of software version {version}" if version else ""
+
+
 def _failed(fields: Mapping[str, Any]) -> str:
     return (
         f"The send to {fields['target']} at {fields['address']} ended {fields['end']}: "
@@ -221,9 +254,20 @@
         text += " " + _latency(fields)
     if fields.get("cut"):
         text += f" The answer was truncated after {fields['events']} events."
+    if fields.get("resumes"):
+        text = f"{_resumed(fields)} {text}"
     return f"{text} {fields['sends']} sends, {charged} tokens charged."
 
 
+def _resumed(fields: Mapping[str, Any]) -> str:
+    version = fields.get("software_version")
+    began = f"began at software version {version}" if version else "is not known"
+    return (
+        f"Attempt {fields['request_id']} resumed the stream of attempt"
+        f" {fields['resumes']}, which {began}."
+    )
+
+
 def _short_of_tokens(fields: Mapping[str, Any]) -> str:
     missing = "tokens" if fields["shortage"] == "tokens" else "a limit that covers them"
     budget_state = (
@@ -299,7 +343,13 @@
         + f" (source: {fields['source']})."
     ),
     9110: lambda fields: f"Configuration {fields['version']} came into force.",
-    9112: lambda fields: f"Target {fields['target']} was {fields['change']}.",
+    9112: lambda fields: (
+        f"Target {fields['target']}{_software(fields)} was {fields['change']}."
+    ),
+    9127: lambda fields: (
+        f"Targets of {fields['service']} run software versions "
+        f"{', '.join(fields['software_versions'])}, or did lately."
+    ),
     9120: lambda fields: "The router started.",
     9121: lambda fields: "The router was asked to stop.",
     9122: lambda fields: "The router ended.",
--- a/src/endivegw_standins/linked_world.py
+++ b/src/endivegw_standins/linked_world.py
@@ -112,6 +112,7 @@
                 tasks.start_soon(self._send_statements_on_demand)
                 tasks.start_soon(self._gossip.run)
                 tasks.start_soon(self._permits.run)
+                tasks.start_soon(self.streams.run)
                 while True:
                     interval_s = self.interval_s()
                     await self._send_state(interval_s)
--- a/tests/test_logs_targets.py
+++ b/tests/test_logs_targets.py
@@ -9,6 +9,7 @@
 
 from endivegw.cli import main
 from endivegw.telemetry.request_trace import read_log_lines
+from endivegw.telemetry.software_versions import side_by_side
 from endivegw.telemetry.target_limits import TargetLimit, current_limits
 
 
@@ -80,5 +81,34 @@
         self.assertIn("warming up", result.output)
 
 
+class SoftwareVersionTests(unittest.TestCase):
+    """What an operator sees of software versions that serve side by side."""
+
+    def _line(self, second: float, target: str, version: str, change: str) -> str:
+        return line(
+            second,
+            9112,
+            target=target,
+            service="engine",
+            software_version=version,
+            change=change,
+        )
+
+    def test_versions_are_shown_while_there_are_several(self) -> None:
+        """Guards against operators who do not see why streams wait or are refused."""
+        lines = [
+            self._line(1, "e-1", "v1", "added"),
+            self._line(2, "e-2", "v2", "added"),
+            self._line(3, "e-3", "v2", "added"),
+        ]
+        served = side_by_side(read_log_lines(lines))
+        found = [(entry.software_version, entry.targets) for entry in served]
+        self.assertEqual(found, [("v1", 1), ("v2", 2)])
+        gone = self._line(4, "e-1", "v1", "removed")
+        self.assertEqual(side_by_side(read_log_lines([*lines, gone])), [])
+        result = CliRunner().invoke(main, ["logs", "targets"], input="\n".join(lines))
+        self.assertIn("engine v2, 2 targets", result.output)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -155,5 +155,22 @@
         self.assertIn("budget_unavailable", result.output)
 
 
+class StreamTests(unittest.TestCase):
+    """Traces of streams that a caller resumes at another router."""
+
+    def test_all_tries_at_a_stream_are_shown(self) -> None:
+        """Guards against a trace that ends where the first router was killed."""
+        lines = [
+            ended(1.0, "r-1", "caller-left", events=3, software_version="v1"),
+            ended(2.0, "r-2", "answered", resumes="r-1", software_version="v1"),
+            ended(3.0, "r-3", "answered", resumes="r-0", software_version="v2"),
+        ]
+        for request_id in ("r-1", "r-2"):
+            trace = trace_request(request_id, read_log_lines(lines))
+            self.assertEqual(len(trace.steps), 2)
+            self.assertIn("began at software version v1", trace.steps[1].text)
+            self.assertIn("complete answer", trace.cause)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from typing import Awaitable, Callable
 
 import anyio
 from attrs import define, field
@@ -109,36 +110,79 @@
         self.counts.joined[where] += len({version for _, version in events}) > 1
 
 
-async def send_streams(fleet: ClientFleet, seed: int, kill: bool) -> Counts:
-    """Send streams to all routers; kill one of them halfway."""
+Faults = Callable[[ClientFleet], Awaitable[None]]
+
+
+async def send_streams(fleet: ClientFleet, seed: int, faults: Faults) -> Counts:
+    """Send streams to all routers; inject faults when a third of them was sent."""
     for worker in fleet.workers.values():
         worker.events, worker.event_pause_s = EVENTS, 0.02
     caller = Caller(fleet, random.Random(seed))
     async with anyio.create_task_group() as tasks:
         for number in range(STREAMS):
             tasks.start_soon(caller.send_stream)
-            if kill and number == STREAMS // 2:
-                fleet.kill_router(0)
+            if number == STREAMS // 3:
+                tasks.start_soon(faults, fleet)
             await anyio.sleep(0.02)
     return caller.counts
 
 
+async def kill_one(fleet: ClientFleet) -> None:
+    """Kill a router."""
+    fleet.kill_router(0)
+
+
+async def roll_out(fleet: ClientFleet) -> None:
+    """Replace all targets by a new version in turn; replace routers meanwhile."""
+    for number, name in enumerate(list(VERSIONS)):
+        fleet.targets[name].software_version = "v2"
+        fleet.workers[name].terminated.set()
+        if number % 2:
+            fleet.kill_router(0)
+            fleet.start_router()
+        await anyio.sleep(0.25)
+
+
+async def kill_all(fleet: ClientFleet) -> None:
+    """Kill all routers, and start as many."""
+    count = len(fleet.routers)
+    fleet.kill_routers()
+    for _ in range(count):
+        fleet.start_router()
+
+
+def play(seed: int, faults: Faults, versions: dict[str, str] = VERSIONS) -> Counts:
+    """Play a fleet of four routers and six targets; return what callers saw."""
+
+    async def scenario() -> Counts:
+        async with platform_fleet(4, 6, software_versions=versions) as fleet:
+            return await send_streams(fleet, seed, faults)
+
+    return anyio.run(scenario)
+
+
 class FleetTests(unittest.TestCase):
     """Whole fleets whose engines run two software versions side by side."""
 
     def test_streams_hold_events_of_one_software_version(self) -> None:
         """Guards against streams continued at another version, after a kill too."""
 
-        async def scenario() -> Counts:
-            async with platform_fleet(4, 6, software_versions=VERSIONS) as fleet:
-                return await send_streams(fleet, SEED, kill=True)
-
-        counts = anyio.run(scenario)
+        counts = play(SEED, kill_one)
         self.assertLessEqual(sum(counts.joined.values()), MAX_JOINED, counts)
         self.assertGreaterEqual(counts.resumed, 12, counts)
         share = counts.continued / counts.resumed
         self.assertGreaterEqual(share, 0.5 * counts.begun / counts.new, counts)
 
+    def test_a_rollout_joins_no_streams(self) -> None:
+        """Guards against streams that a rollout hands to the new version."""
+        counts = play(SEED, roll_out, dict.fromkeys(VERSIONS, "v1"))
+        self.assertLessEqual(sum(counts.joined.values()), MAX_JOINED, counts)
+
+    def test_the_loss_of_all_routers_joins_no_streams(self) -> None:
+        """Guards against routers that guess which version began a stream."""
+        counts = play(SEED, kill_all)
+        self.assertLessEqual(sum(counts.joined.values()), MAX_JOINED, counts)
+
 
 if __name__ == "__main__":
     unittest.main()
