--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -49,6 +49,9 @@
     :ivar shed_count: number of requests refused because of ``remaining_sheds``.
     :ivar crash_trigger: a request with these bytes in its body crashes the worker soon
         after its start; None to disable.
+    :ivar crashing_part: id of a part of a prompt, other than its last, on which the
+        worker crashes when it begins to write; None to disable.
+    :ivar prefill_s: delay before the first event of a stream.
     :ivar crashing_request_ids: ids of the requests that crashed the worker, over all
         incarnations.
     :ivar terminated: set to terminate this incarnation, for example by a request that
@@ -73,6 +76,8 @@
     retry_after: str | None = None
     shed_count: int = 0
     crash_trigger: bytes | None = None
+    crashing_part: str | None = None
+    prefill_s: float = 0.0
     crashing_request_ids: list[str] = field(factory=list)
     terminated: anyio.Event = field(factory=anyio.Event)
     cold_rate_per_s: float = 0.0
@@ -146,18 +151,23 @@
         run = WorkerRun(attempt, fields, body)
         self.runs.append(run)
         if self.crash_trigger is not None and self.crash_trigger in body:
-            await anyio.sleep(_CRASH_DELAY_S)
-            if not self.terminated.is_set():
-                self.crashing_request_ids.append(attempt)
-            self.terminated.set()
-            # The task that runs the worker cancels it now.
-            await anyio.sleep_forever()
+            await self._crash(attempt, _CRASH_DELAY_S)
+        if self.crashing_part in _shared_parts(fields):
+            await self._crash(attempt, _CRASH_DELAY_S + self.prefill_s)
         if "endivegw-token-counts" not in fields:
             extra = f"endivegw-response-seal: s\r\ncontent-length: {len(body)}\r\n"
             await stream.send(self._response_head(200, attempt, extra) + body)
             return True
         return await self._stream(stream, run)
 
+    async def _crash(self, attempt: str, delay_s: float) -> None:
+        """Crash after a delay; the task that runs the worker cancels it then."""
+        await anyio.sleep(delay_s)
+        if not self.terminated.is_set():
+            self.crashing_request_ids.append(attempt)
+        self.terminated.set()
+        await anyio.sleep_forever()
+
     def _crashes_cold(self) -> bool:
         """Count a request; return whether it is too many for a cold worker."""
         now_s = anyio.current_time()
@@ -174,6 +184,7 @@
             "endivegw-response-seal: s\r\ncontent-type: text/event-stream\r\n"
             "transfer-encoding: chunked\r\n"
         )
+        await anyio.sleep(self.prefill_s)
         await stream.send(self._response_head(200, run.request_id, extra))
         first = int(run.fields.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
@@ -199,3 +210,9 @@
             extra += f"server-limit: {self.limit}\r\n"
         lines = f"HTTP/1.1 {status} X\r\nendivegw-attempt-id: {attempt}\r\n"
         return f"{lines}{extra}\r\n".encode()
+
+
+def _shared_parts(fields: dict[str, str]) -> list[str]:
+    """Return the ids of a prompt's parts without the last one."""
+    entries = fields.get("endivegw-prompt-prefix", "").split(",")
+    return [entry.strip().partition(":")[0] for entry in entries[:-1]]
