Quarantine parts of prompts that end their targets

Cause: requests were recognised by their whole content only, so that each deadly one was a suspect of its own, while requests that ran beside it came to three ends. Ruled out from the logs: late recognition (10 ms at one router, 0.1 s at all) and lost evidence.

Each part of a prompt but the last is now counted in the same ledger as the content. A target that ends is beside the parts of requests whose answers had not begun; an answer that begins clears its parts, so that a shared part is cleared at once and the cause is not. Parts in use when many targets end at once are not blamed, and a part that was never answered is tried once before it stays refused. Requests are checked right before each send. In the fleet with sidecars, messages are parts.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -43,7 +43,7 @@
 from endivegw.streams import StreamVersions, VersionSeen
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.exposition import RouterMetrics
-from endivegw.types import InstanceId
+from endivegw.types import InstanceId, TargetName
 
 __all__ = ["build_direct_router"]
 
@@ -142,7 +142,14 @@
             store, vm, timeout_s=_REMOVE_TIMEOUT_S
         ),
     )
-    quarantine = QuarantineManager(store, link.broadcast, rng, clock, log)
+    quarantine = QuarantineManager(
+        store,
+        link.broadcast,
+        rng,
+        clock,
+        log,
+        is_trier=lambda key: peers.coordinator(TargetName(key), clock()) is None,
+    )
     pool = TargetPool(clock)
     queue = PlacementQueue(dispatcher, clock, link.request_permits)
     context = RelayContext(
@@ -284,7 +291,7 @@
     metrics.gauge("reserved_tokens", "Prepaid tokens in use.", reserved_tokens)
     metrics.gauge(
         "quarantined_requests",
-        "Requests that no target gets any more.",
+        "Requests and prompt parts that no target gets any more.",
         lambda: len(context.quarantine.ledger.quarantined(context.clock())),
     )
     metrics.gauge("configuration_version", "Version in force; 0 for none.", version)
--- a/src/endivegw/composition/router.py
+++ b/src/endivegw/composition/router.py
@@ -7,7 +7,10 @@
 from endivegw.composition.process import Process, create_metrics, open_process
 from endivegw.configuration import Snapshot
 from endivegw.daemons.claim_client import ClaimClient
-from endivegw.daemons.evidence_broadcaster import EvidenceBroadcaster
+from endivegw.daemons.evidence_broadcaster import (
+    RESPONSIVE_WITHIN_S,
+    EvidenceBroadcaster,
+)
 from endivegw.daemons.lent_grants import StrandedGrantRecovery
 from endivegw.daemons.peer_directory import ROUTER_ROLE
 from endivegw.daemons.placement_queue import PlacementQueue
@@ -24,6 +27,7 @@
 from endivegw.membership import MembershipPolicy, Peer, PeerAddress, TargetSubset
 from endivegw.peers import SidecarClient
 from endivegw.quarantine import QuarantineManager
+from endivegw.rendezvous import rendezvous_order
 from endivegw.services.table_rows import TableRows
 from endivegw.settings import RouterSettings
 from endivegw.telemetry import EventLog
@@ -71,6 +75,7 @@
         process.rng,
         process.clock,
         process.log,
+        is_trier=lambda key: _is_first_router(process, key),
     )
     slots = SlotMapReader(process.platform.table, process.clock)
     runner = RunnerParts(
@@ -194,3 +199,10 @@
             turn_s=settings.recovery.turn_s, silence_s=settings.recovery.silence_s
         ),
     )
+
+
+def _is_first_router(process: Process, key: str) -> bool:
+    """Return whether this router comes first for a key among those that respond."""
+    local = process.identity.instance_id
+    peers = process.peer_directory.routers(RESPONSIVE_WITHIN_S)
+    return rendezvous_order(key, {local, *peers})[0] == local
--- a/src/endivegw/daemons/evidence_broadcaster.py
+++ b/src/endivegw/daemons/evidence_broadcaster.py
@@ -13,10 +13,10 @@
 from endivegw.quarantine import Evidence, RequestRecord, TargetTerminated
 from endivegw.types import InstanceId
 
-__all__ = ["EvidenceBroadcaster"]
+__all__ = ["EvidenceBroadcaster", "RESPONSIVE_WITHIN_S"]
 
 #: Routers exchange heartbeats every few seconds; one that missed three is skipped.
-_RESPONSIVE_WITHIN_S = 16.0
+RESPONSIVE_WITHIN_S = 16.0
 
 #: Short, so that an unresponsive peer does not delay the message to the next one.
 _TIMEOUT_S = 0.3
@@ -59,7 +59,7 @@
                 self._on_evidence(evidence)
 
     def _peers(self) -> list[InstanceId]:
-        return list(self._peer_directory.routers(_RESPONSIVE_WITHIN_S))
+        return list(self._peer_directory.routers(RESPONSIVE_WITHIN_S))
 
     async def _send(self, data: bytes, peer: InstanceId) -> None:
         client = self._peer_directory.router(peer)
--- a/src/endivegw/daemons/request_content.py
+++ b/src/endivegw/daemons/request_content.py
@@ -23,28 +23,41 @@
         #: None for a streamed body, whose digest covers only its start and does not
         #: identify the request.
         self._fingerprint = _fingerprint(plan) if plan.is_resendable else None
+        self._parts = plan.parts
+        self._is_trial = False
 
     def refusal(self) -> Refused | None:
         """Return the reason why no target may run the request, None if one may."""
-        if self._fingerprint is None:
+        if self._fingerprint is None or self._is_trial:
+            return None
+        found = self._quarantine.find_quarantined(self._fingerprint, *self._parts)
+        if found is None:
             return None
-        return self._quarantine.refuse(self._fingerprint)
+        self._is_trial = self._quarantine.start_trial(found)
+        return None if self._is_trial else self._quarantine.refusal(found)
 
     @property
     def is_suspect(self) -> bool:
         """Return whether the request must not be retried at a second target."""
         if self._fingerprint is None:
             return False
-        return self._quarantine.is_suspect(self._fingerprint)
+        return self._quarantine.is_suspect(self._fingerprint, *self._parts)
 
-    def target_ended(self, end: str) -> None:
+    def target_ended(self, end: str, *, begun: bool) -> None:
         """Record that a target terminated while it ran the request.
 
         :param end: identifier of the target's start that terminated.
+        :param begun: whether the target had begun to write the answer.
         """
         if self._fingerprint is not None:
             start = TargetStart(InstanceId(end), None)
-            self._quarantine.record_termination(start, [self._fingerprint])
+            parts = () if begun else self._parts
+            self._quarantine.record_termination(start, [self._fingerprint, *parts])
+
+    def answer_begun(self) -> None:
+        """Record that a target writes the answer."""
+        for part in self._parts:
+            self._quarantine.answered(part)
 
     def answered(self) -> None:
         """Record that a target completed the request."""
--- a/src/endivegw/daemons/request_plan.py
+++ b/src/endivegw/daemons/request_plan.py
@@ -14,6 +14,7 @@
     WorkItem,
     prefix_digests,
 )
+from endivegw.quarantine import Fingerprint, part_fingerprints
 from endivegw.requests.steps import RequestFacts
 from endivegw.types import RequestIdentity, TargetName
 
@@ -31,6 +32,7 @@
         for a plain service.
     :param model: the model with its adapter, or the service, that targets must serve.
     :param prefixes: digests of the prompt's leading blocks.
+    :param parts: fingerprints of the messages that other prompts may share.
     """
 
     request: RoutedRequest
@@ -38,6 +40,7 @@
     bound: RequestBound
     model: str
     prefixes: tuple[bytes, ...]
+    parts: tuple[Fingerprint, ...] = ()
 
     @property
     def is_resendable(self) -> bool:
@@ -48,6 +51,7 @@
 
 def plan_request(request: RoutedRequest) -> RequestPlan:
     """Return the plan for a request."""
+    parts: tuple[Fingerprint, ...] = ()
     match request.call:
         case EngineCall() as call:
             digest = hashlib.sha256(call.body).digest()
@@ -55,6 +59,7 @@
             bound = request_bound(call.texts, call.max_tokens, limit_tokens)
             model = f"{call.model}+{call.adapter}" if call.adapter else call.model
             prefixes = prefix_digests(call.prefix_text, PREFIX_SCHEME)
+            parts = part_fingerprints(model, [text.encode() for text in call.texts])
         case ServiceCall() as call:
             request_line = f"{call.service} {call.method} {call.path}\n"
             digest = hashlib.sha256(request_line.encode() + call.body).digest()
@@ -72,7 +77,7 @@
         deadline_s=request.deadline_s,
         streams=request.streams,
     )
-    return RequestPlan(request, facts, bound, model, prefixes)
+    return RequestPlan(request, facts, bound, model, prefixes, parts)
 
 
 def work_item(plan: RequestPlan, avoid: frozenset[TargetName]) -> WorkItem:
--- a/src/endivegw/daemons/request_run.py
+++ b/src/endivegw/daemons/request_run.py
@@ -145,6 +145,7 @@
         """Forward the next bytes of the answer."""
         if not self._data_received:
             self._data_received = True
+            self._quarantine.answer_begun()
             self._record_first_data()
         await self._sink.data(data)
 
@@ -173,7 +174,7 @@
 
         Called before the state machine processes the failure.
         """
-        self._quarantine.target_ended(end)
+        self._quarantine.target_ended(end, begun=self._data_received)
 
     def _accept_placement(self, placement: Placement) -> PlacedTarget:
         self._placement = placement
--- a/src/endivegw/quarantine/__init__.py
+++ b/src/endivegw/quarantine/__init__.py
@@ -7,7 +7,12 @@
     decode_starts,
     encode_starts,
 )
-from endivegw.quarantine.fingerprint import Fingerprint, fingerprint_of
+from endivegw.quarantine.fingerprint import (
+    Fingerprint,
+    fingerprint_of,
+    is_part,
+    part_fingerprints,
+)
 from endivegw.quarantine.ledger import Ledger, QuarantinePolicy
 from endivegw.quarantine.lost_sends import LostSends, TargetStart
 from endivegw.quarantine.manager import QuarantineManager, QuarantineOptions
@@ -28,4 +33,6 @@
     "decode_starts",
     "encode_starts",
     "fingerprint_of",
+    "is_part",
+    "part_fingerprints",
 ]
--- a/src/endivegw/quarantine/ledger.py
+++ b/src/endivegw/quarantine/ledger.py
@@ -1,4 +1,7 @@
-"""Count the target terminations during each request. The module does no I/O."""
+"""Count the target terminations during each request and beside each prompt part.
+
+The module does no I/O.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +11,7 @@
 from attrs import define, field, frozen
 
 from endivegw.quarantine.evidence import RequestRecord
-from endivegw.quarantine.fingerprint import Fingerprint
+from endivegw.quarantine.fingerprint import Fingerprint, is_part
 from endivegw.quarantine.lost_sends import TargetStart
 
 __all__ = ["Ledger", "QuarantinePolicy"]
@@ -29,7 +32,14 @@
     :param cooldown_s: seconds after its last termination during which a request stays
         in quarantine although some target has completed it before.
     :param retention_s: seconds for which a request is remembered after it last arrived.
-    :param max_requests: number of requests remembered.
+    :param trial_terminations: number of terminations from which a prompt part is not
+        tried again if they are spread over time.
+    :param trial_after_s: seconds without a termination after which a quarantined part
+        is tried once.
+    :param spread_s: seconds between the first and the last termination from which on a
+        common cause, such as the loss of a zone, is unlikely. When many targets
+        terminate at once, all parts in use are beside many terminations.
+    :param max_requests: number of requests and parts remembered.
     :param max_terminations: number of terminations remembered for one request.
     """
 
@@ -38,6 +48,9 @@
     certain_terminations: int = 6
     cooldown_s: float = 60.0
     retention_s: float = 600.0
+    trial_terminations: int = 4
+    trial_after_s: float = 10.0
+    spread_s: float = 2.0
     max_requests: int = 4096
     max_terminations: int = 16
 
@@ -48,6 +61,7 @@
     terminations: set[TargetStart] = field(factory=set)
     invalidated: set[TargetStart] = field(factory=set)
     was_answered: bool = False
+    first_termination_s: float = 0.0
     last_termination_s: float = 0.0
 
     @property
@@ -55,6 +69,11 @@
         """Return the terminations that count against the request."""
         return self.terminations - self.invalidated
 
+    @property
+    def spread_s(self) -> float:
+        """Return the time between the first and the last of these."""
+        return self.last_termination_s - self.first_termination_s
+
 
 @define
 class Ledger:
@@ -66,6 +85,10 @@
     terminations, both continue until one of them terminates a target alone. A request
     that a target has completed is unlikely to be the cause: its terminations are
     invalidated, and a higher threshold applies from then on.
+
+    The same holds for the parts of prompts, which a target has answered as soon as it
+    has begun to write on them. Parts are judged as parts of one request: those that the
+    request itself has do not explain each other.
     """
 
     policy: QuarantinePolicy = field(factory=QuarantinePolicy)
@@ -94,12 +117,18 @@
             list(new)[: self.policy.max_terminations - len(known.terminations)]
         )
         newly_invalidated = record.invalidated - known.invalidated
+        was_clear = not known.counted
         known.terminations.update(new)
         known.invalidated.update(newly_invalidated)
         newly_answered = record.was_answered and not known.was_answered
         known.was_answered |= record.was_answered
         if new:
             known.last_termination_s = now_s
+        if was_clear:
+            known.first_termination_s = now_s
+        if len(new) >= self.policy.trial_terminations:
+            # A row or a peer's record, whose terminations were collected over time.
+            known.first_termination_s = now_s - self.policy.spread_s
         for start in new:
             self._in_progress.setdefault(start, set()).add(record.fingerprint)
         if len(self._records) > self.policy.max_requests:
@@ -154,18 +183,28 @@
             return False
         return len(record.counted) >= self.policy.suspect_terminations
 
-    def is_quarantined(self, fingerprint: Fingerprint, now_s: float) -> bool:
-        """Return whether a request must be sent to no target."""
+    def is_quarantined(
+        self,
+        fingerprint: Fingerprint,
+        now_s: float,
+        beside: frozenset[Fingerprint] = frozenset(),
+    ) -> bool:
+        """Return whether a request must be sent to no target.
+
+        :param beside: fingerprints of the same request, any of which suffices.
+        """
         policy = self.policy
         counted = self._counted(fingerprint)
         if len(counted) < policy.quarantine_terminations:
             return False
         record = self._records[fingerprint]
         if not record.was_answered:
-            return self._is_cause(fingerprint)
+            return self._is_cause(fingerprint, beside)
         if now_s - record.last_termination_s >= policy.cooldown_s:
             return False
-        for name in self._concurrent(fingerprint, counted):
+        if is_part(fingerprint) and record.spread_s < policy.spread_s:
+            return False
+        for name in self._concurrent(fingerprint, counted) - beside:
             if not self._records[name].was_answered and self._is_cause(name):
                 counted = counted - self._counted(name)
         return len(counted) >= policy.certain_terminations
@@ -174,7 +213,19 @@
         """Return all quarantined requests."""
         return [name for name in self._records if self.is_quarantined(name, now_s)]
 
-    def _is_cause(self, fingerprint: Fingerprint) -> bool:
+    def trial_due_s(self, fingerprint: Fingerprint) -> float | None:
+        """Return the time from which a quarantined part may be tried, None if never."""
+        record = self._records.get(fingerprint)
+        if record is None or not is_part(fingerprint) or record.was_answered:
+            return None
+        is_certain = len(record.counted) >= self.policy.trial_terminations
+        if is_certain and record.spread_s >= self.policy.spread_s:
+            return None
+        return record.last_termination_s + self.policy.trial_after_s
+
+    def _is_cause(
+        self, fingerprint: Fingerprint, beside: frozenset[Fingerprint] = frozenset()
+    ) -> bool:
         """Return whether a request that no target completed causes terminations."""
         counted = self._counted(fingerprint)
         if len(counted) >= self.policy.certain_terminations:
@@ -182,7 +233,7 @@
         if len(counted) < self.policy.quarantine_terminations:
             return False
         unexplained = set(counted)
-        for name in self._concurrent(fingerprint, counted):
+        for name in self._concurrent(fingerprint, counted) - beside:
             if self._records[name].was_answered:
                 continue
             other_counted = self._counted(name)
--- a/src/endivegw/quarantine/manager.py
+++ b/src/endivegw/quarantine/manager.py
@@ -11,7 +11,7 @@
 from attrs import define, evolve, frozen
 
 from endivegw.quarantine.evidence import Evidence, RequestRecord, TargetTerminated
-from endivegw.quarantine.fingerprint import Fingerprint
+from endivegw.quarantine.fingerprint import Fingerprint, is_part
 from endivegw.quarantine.ledger import Ledger, QuarantinePolicy
 from endivegw.quarantine.lost_sends import TargetStart
 from endivegw.quarantine.rows import (
@@ -19,6 +19,7 @@
     decode_record,
     encode_record,
 )
+from endivegw.quarantine.trials import Trials
 from endivegw.results import Done, Reason, Refused, Unknown
 from endivegw.services.row_store import (
     Changes,
@@ -40,8 +41,9 @@
 #: Number of consecutive write conflicts on one row before the write is postponed.
 _MAX_CONFLICTS = 5
 
-#: Number of requests remembered as answered. Frequent requests are among the latest.
-_MAX_ANSWERED = 1024
+#: Number of requests and parts remembered as answered. Frequent ones are among the
+#: latest.
+_MAX_ANSWERED = 8192
 
 
 @frozen
@@ -82,6 +84,7 @@
     """Decide which requests are quarantined, and share the evidence with peers.
 
     :param broadcast: sends evidence to the peers.
+    :param is_trier: returns whether this router is the one that tries a prompt part.
     """
 
     def __init__(
@@ -93,7 +96,9 @@
         log: EventLog,
         policy: QuarantinePolicy = QuarantinePolicy(),
         options: QuarantineOptions = QuarantineOptions(),
+        is_trier: Callable[[Fingerprint], bool] = lambda fingerprint: False,
     ) -> None:
+        self._trials = Trials(policy.trial_after_s, is_trier)
         self.ledger = Ledger(policy)
         self._store = store
         self._broadcast = broadcast
@@ -118,26 +123,54 @@
 
     # Queries by requests.
 
-    def refuse(self, fingerprint: Fingerprint) -> Refused | None:
-        """Return the refusal of a quarantined request, or None if it may be sent."""
-        if fingerprint not in self.ledger:
-            return None
+    def refuse(self, *fingerprints: Fingerprint) -> Refused | None:
+        """Return the refusal of a quarantined request, or None if it may be sent.
+
+        :param fingerprints: those of the request and of the parts of its prompt.
+        """
+        found = self.find_quarantined(*fingerprints)
+        return None if found is None else self.refusal(found)
+
+    def find_quarantined(self, *fingerprints: Fingerprint) -> Fingerprint | None:
+        """Return why a request is quarantined, None if it may be sent."""
         now_s = self._clock()
-        if not self.ledger.is_quarantined(fingerprint, now_s):
+        beside = frozenset(fingerprints)
+        for fingerprint in fingerprints:
+            if fingerprint not in self.ledger:
+                continue
+            if self.ledger.is_quarantined(fingerprint, now_s, beside):
+                self.ledger.touch(fingerprint, now_s)
+                self._refresh(fingerprint, now_s)
+                return fingerprint
             if fingerprint in self._quarantined:
                 self._log_changes([fingerprint], "explained")
-            return None
-        self.ledger.touch(fingerprint, now_s)
-        self._refresh(fingerprint, now_s)
-        count = len(self.ledger.record(fingerprint).terminations)
-        detail = (
-            f"{count} targets terminated while running this request ({fingerprint})"
-        )
-        return Refused(Reason.QUARANTINED, detail, self._policy.retention_s)
+        return None
 
-    def is_suspect(self, fingerprint: Fingerprint) -> bool:
+    def refusal(self, fingerprint: Fingerprint) -> Refused:
+        """Return the refusal of a request with a quarantined fingerprint."""
+        count = len(self.ledger.record(fingerprint).terminations)
+        what = "a part of this prompt" if is_part(fingerprint) else "this request"
+        detail = f"{count} targets terminated while running {what} ({fingerprint})"
+        trial_due_s = self.ledger.trial_due_s(fingerprint)
+        retry_s = self._policy.retention_s
+        if trial_due_s is not None:
+            retry_s = max(1.0, trial_due_s - self._clock())
+        return Refused(Reason.QUARANTINED, detail, retry_s)
+
+    def start_trial(self, fingerprint: Fingerprint) -> bool:
+        """Return whether one request may show if a quarantined part is the cause.
+
+        One router tries a part. If the answer begins, the part is innocent.
+        """
+        due_s = self.ledger.trial_due_s(fingerprint)
+        if not self._trials.start(fingerprint, due_s, self._clock()):
+            return False
+        self._log.emit(events.PART_TRIED, fingerprint=fingerprint)
+        return True
+
+    def is_suspect(self, *fingerprints: Fingerprint) -> bool:
         """Return whether an attempt of a request must not try a second target."""
-        return self.ledger.is_suspect(fingerprint)
+        return any(map(self.ledger.is_suspect, fingerprints))
 
     # Reports by requests.
 
@@ -159,7 +192,7 @@
                 self._schedule_write(fingerprint)
 
     def answered(self, fingerprint: Fingerprint) -> None:
-        """Record that a target completed a request."""
+        """Record that a target completed a request, or began to write on a part."""
         self._answered[fingerprint] = None
         self._answered.move_to_end(fingerprint)
         if len(self._answered) > _MAX_ANSWERED:
@@ -168,7 +201,8 @@
         if record.terminations == record.invalidated:
             return
         self.ledger.invalidate(fingerprint, self._clock(), answered=True)
-        self._broadcast(self.ledger.record(fingerprint))
+        if self._concerns_peers(record):
+            self._broadcast(self.ledger.record(fingerprint))
         if fingerprint in self._rows:
             self._schedule_write(fingerprint)
         self._log_changes([fingerprint], "answered")
@@ -348,9 +382,21 @@
         known = self.ledger.record(fingerprint)
         if fingerprint not in self._answered or known.was_answered:
             return
+        if not self._concerns_peers(known):
+            return
         self.ledger.merge(evolve(known, was_answered=True), now_s)
         self._broadcast(self.ledger.record(fingerprint))
 
+    def _concerns_peers(self, record: RequestRecord) -> bool:
+        """Return whether peers need to know that a request was answered.
+
+        Each terminating target loses requests with many parts; almost none of them is
+        ever beside a second termination.
+        """
+        if not is_part(record.fingerprint):
+            return True
+        return len(record.terminations) >= self._policy.suspect_terminations
+
     def _log_changes(self, fingerprints: Iterable[Fingerprint], source: str) -> None:
         """Log the requests whose state has changed."""
         now_s = self._clock()
--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from endivegw.decisions import SERVICE_PREFIX, WorkItem
-from endivegw.quarantine import Fingerprint, fingerprint_of
+from endivegw.quarantine import Fingerprint, fingerprint_of, part_fingerprints
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.wire import CallerMetadata, PromptPart, WirePort
 from endivegw.results import Reason, Refused
@@ -54,6 +54,11 @@
             request.body,
         )
 
+    @property
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of the prompt's parts, except the request's own."""
+        return part_fingerprints(self.service, part_digests(self.metadata.parts))
+
     @property
     def tokens(self) -> int:
         """Return the maximum token consumption; 0 where tokens are not counted."""
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -9,6 +9,7 @@
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_run import RequestRun
+from endivegw.relay.suspicion import QuarantineCheck
 from endivegw.results import Refused
 from endivegw.telemetry.catalogue import relay as events
 
@@ -30,14 +31,13 @@
         if isinstance(admitted, Refused):
             await self._send_refusal(None, admitted, writer)
             return
-        if len(context.quarantine.ledger):
-            fingerprint = admitted.fingerprint
-            refused = context.quarantine.refuse(fingerprint)
-            if refused is not None:
-                request_id = admitted.request_id
-                await self._send_refusal(request_id, refused, writer, fingerprint)
-                return
-        await RequestRun(context, admitted, writer).run()
+        check = QuarantineCheck(context, admitted)
+        refused = check.refusal()
+        if refused is not None:
+            request_id = admitted.request_id
+            await self._send_refusal(request_id, refused, writer, check.blamed)
+            return
+        await RequestRun(context, admitted, writer, check).run()
 
     async def _send_refusal(
         self,
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -54,7 +54,11 @@
     """Run one admitted request from its token reservation to its settlement."""
 
     def __init__(
-        self, context: RelayContext, admitted: AdmittedRequest, writer: AnswerWriter
+        self,
+        context: RelayContext,
+        admitted: AdmittedRequest,
+        writer: AnswerWriter,
+        quarantine_check: QuarantineCheck,
     ) -> None:
         self._context = context
         self._admitted = admitted
@@ -62,7 +66,7 @@
         after = admitted.metadata.resume_after
         self._progress = RequestProgress(StreamProgress(EventOrder(after)))
         self._reservation: Reservation | None = None
-        self._quarantine_check = QuarantineCheck(context, admitted)
+        self._quarantine_check = quarantine_check
         self._binding = StreamBinding(context.streams, admitted)
 
     async def run(self) -> None:
@@ -189,6 +193,7 @@
             self._writer.cancel_if_caller_left,
         )
         progress.target = placement.target
+        self._quarantine_check.start_attempt()
         result: AttemptResult | None = None
         try:
             result = await attempt.run(
@@ -211,6 +216,8 @@
 
     def _start_send(self, placement: Placement) -> bool:
         """Record the send; return False if the target must not get the request."""
+        if self._quarantine_check.refusal() is not None:
+            return False
         now_s = self._progress.sent_s = self._context.clock()
         return self._context.queue.dispatcher.availability.start_send(
             self._admitted.request_id,
@@ -287,6 +294,9 @@
             ):
                 if self._progress.may_have_run:
                     return Unknown(Reason.ANSWER_LOST, "an earlier answer was lost")
+                quarantined = self._quarantine_check.refusal()
+                if quarantined is not None:
+                    return quarantined
                 retry_s = _REPLACED_RETRY_S if result.replaced else _REFUSED_RETRY_S
                 retry_s = max(retry_s, self._available_in_s())
                 return Refused(Reason.OVERLOADED, f"not run: {result.detail}", retry_s)
@@ -311,6 +321,8 @@
         If nothing was sent, it may be up to the route's limit of targets. After a lost
         or failed answer, the route must also allow a request to run twice.
         """
+        if self._quarantine_check.refusal() is not None:
+            return False
         route = self._admitted.route
         excluded = frozenset(self._progress.excluded)
         availability = self._context.queue.dispatcher.availability
@@ -346,11 +358,13 @@
         self, placement: Placement, head: TargetHead, data: bytes
     ) -> None:
         self._progress.last_relayed_s = self._context.clock()
+        self._quarantine_check.begin_answer()
         self._binding.begin(placement)
         await self._writer.start(head.status, head.fields, data)
 
     async def _relay_events(self, data: bytes) -> None:
         progress = self._progress
+        self._quarantine_check.begin_answer()
         now_s = self._context.clock()
         if progress.last_relayed_s is not None:
             progress.pauses_s.append(now_s - progress.last_relayed_s)
--- a/src/endivegw/relay/suspicion.py
+++ b/src/endivegw/relay/suspicion.py
@@ -16,12 +16,21 @@
 
 
 class QuarantineCheck:
-    """Report a request's attempts, and decide whether it may be sent again."""
+    """Report a request's attempts, and decide whether it may be sent again.
+
+    :ivar blamed: the fingerprint for which the request was refused; None if it was not.
+    """
 
     def __init__(self, context: RelayContext, admitted: AdmittedRequest) -> None:
         self._context = context
         self._admitted = admitted
         self._fingerprint: Fingerprint | None = None
+        self._parts: tuple[Fingerprint, ...] | None = None
+        #: Whether the answer of the current attempt has begun.
+        self._begun = False
+        #: Whether this request is sent to show if one of its parts is the cause.
+        self._is_trial = False
+        self.blamed: Fingerprint | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -30,26 +39,59 @@
             self._fingerprint = self._admitted.fingerprint
         return self._fingerprint
 
+    @property
+    def parts(self) -> tuple[Fingerprint, ...]:
+        """Return the fingerprints of the prompt's parts, computed only once."""
+        if self._parts is None:
+            self._parts = self._admitted.part_fingerprints
+        return self._parts
+
     def refusal(self) -> Refused | None:
         """Return the refusal of a quarantined request, None if it may be sent."""
         quarantine = self._context.quarantine
-        if not len(quarantine.ledger):
+        if self._is_trial or not len(quarantine.ledger):
+            return None
+        found = quarantine.find_quarantined(self.fingerprint, *self.parts)
+        if found is None:
+            return None
+        if quarantine.start_trial(found):
+            self._is_trial = True
             return None
-        return quarantine.refuse(self.fingerprint)
+        self.blamed = found
+        return quarantine.refusal(found)
 
     def forbids_retry(self, result: AttemptResult) -> bool:
         """Return whether a lost attempt must not be retried on a second target."""
-        return result.broken and self._context.quarantine.is_suspect(self.fingerprint)
+        quarantine = self._context.quarantine
+        return result.broken and quarantine.is_suspect(self.fingerprint, *self.parts)
+
+    def start_attempt(self) -> None:
+        """Record that the request is sent to another target."""
+        self._begun = False
+
+    def begin_answer(self) -> None:
+        """Record that the target of the current attempt writes an answer."""
+        if self._begun:
+            return
+        self._begun = True
+        for part in self.parts:
+            self._context.quarantine.answered(part)
 
     async def record_attempt(self, placement: Placement, result: AttemptResult) -> None:
         """Record the result of an attempt for the quarantine."""
         if result.broken:
             start = TargetStart(placement.instance_id, placement.started_ms)
+            suspects = (self.fingerprint,) if self._begun else self._all
             await self._context.terminations.record_lost_send(
-                start, placement.address, self.fingerprint
+                start, placement.address, suspects
             )
         elif result.outcome is AttemptOutcome.ANSWERED and _is_success(result):
             self._context.quarantine.answered(self.fingerprint)
+            self.begin_answer()
+
+    @property
+    def _all(self) -> tuple[Fingerprint, ...]:
+        return (self.fingerprint, *self.parts)
 
 
 def _is_success(result: AttemptResult) -> bool:
--- a/src/endivegw/relay/termination_detector.py
+++ b/src/endivegw/relay/termination_detector.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Callable
+from typing import Callable, Collection
 
 import anyio
 
@@ -41,14 +41,22 @@
         self._probes: dict[TargetStart, anyio.Event] = {}
 
     async def record_lost_send(
-        self, start: TargetStart, address: str, fingerprint: Fingerprint
+        self, start: TargetStart, address: str, fingerprints: Collection[Fingerprint]
     ) -> None:
         """Record that a connection broke while a request was in progress on it.
 
         Returns once the address has been probed for a listening process.
+
+        :param fingerprints: those of the request that may have terminated the target.
         """
-        if self._sends.record_loss(start, address, fingerprint, self._clock()):
-            self._report(start, "ended-before", [fingerprint])
+        now_s = self._clock()
+        late = [
+            fingerprint
+            for fingerprint in fingerprints
+            if self._sends.record_loss(start, address, fingerprint, now_s)
+        ]
+        if late:
+            self._report(start, "ended-before", late)
             return
         probe = self._probes.get(start)
         if probe is not None:
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -31,7 +31,7 @@
 class PromptPart:
     """Hold one part of a prompt, which other prompts may share.
 
-    :param part_id: identifies the text of this part and of all preceding parts.
+    :param part_id: identifies the text of this part.
     """
 
     part_id: str
--- a/src/endivegw/telemetry/catalogue/quarantine.py
+++ b/src/endivegw/telemetry/catalogue/quarantine.py
@@ -3,6 +3,7 @@
 from endivegw.telemetry.event import Event, Level
 
 __all__ = [
+    "PART_TRIED",
     "QUARANTINE_ENDED",
     "REQUEST_QUARANTINED",
     "REQUEST_SUSPECTED",
@@ -33,6 +34,14 @@
     " record expired, or other requests explain the terminations.",
     ("fingerprint", "source", "targets", "starts_ms"),
 )
+PART_TRIED = Event(
+    9205,
+    "quarantine-part-tried",
+    Level.WARNING,
+    "One request with a quarantined prompt part is sent to a target, which shows"
+    " whether the part terminates targets.",
+    ("fingerprint",),
+)
 ROW_UNREADABLE = Event(
     9204,
     "quarantine-row-unreadable",
--- a/src/endivegw_standins/quarantine_world.py
+++ b/src/endivegw_standins/quarantine_world.py
@@ -24,6 +24,7 @@
     TargetStart,
     TargetTerminated,
 )
+from endivegw.rendezvous import rendezvous_order
 from endivegw.telemetry import EventLog
 from endivegw.types import InstanceId
 from endivegw_standins.linked_world import SimulatedNetwork
@@ -92,6 +93,7 @@
             world.rng,
             anyio.current_time,
             EventLog("router", vm=self.host),
+            is_trier=lambda key: rendezvous_order(key, world.hosts())[0] == self.host,
         )
         self.scope = anyio.CancelScope()
 
@@ -164,6 +166,10 @@
         world.targets = [SimulatedTarget(name, restart_s) for name in names]
         return world
 
+    def hosts(self) -> list[str]:
+        """Return the hosts of all routers."""
+        return [router.host for router in self.routers.values()]
+
     def start(self, number: int) -> None:
         """Start a router, replacing the one with the same number."""
         if number in self.routers:
--- a/tests/test_crashing_calls.py
+++ b/tests/test_crashing_calls.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 
 import anyio
 
 from endivegw.dev.fleet import DevFleet
-from tests.test_path import chat, post, running_fleet
+from tests.test_path import MODEL, chat, post, running_fleet
 
 DEADLY = "a prompt that ends its engine"
 
@@ -69,6 +70,39 @@
 
         anyio.run(scenario)
 
+    def test_a_message_that_terminates_engines_is_quarantined(self) -> None:
+        """Guards against a message that ends engine after engine in other prompts."""
+
+        async def scenario() -> None:
+            async with running_fleet() as fleet:
+                for engine in fleet.engines.values():
+                    engine.options.crash_trigger = DEADLY
+                path = "/v1/chat/completions"
+
+                async def send(number: int, *messages: str) -> int:
+                    roles = ("system", "user", "user")
+                    prompt = [
+                        {"role": role, "content": text}
+                        for role, text in zip(roles, (*messages, f"question {number}"))
+                    ]
+                    body = json.dumps({"model": MODEL, "messages": prompt}).encode()
+                    reply = await post(
+                        fleet, path, body, router=number % 2, endivegw_deadline_s="8"
+                    )
+                    return reply.status
+
+                for number in range(12):
+                    with anyio.fail_after(20):
+                        while await send(number, "be brief") != 200:
+                            await anyio.sleep(0.05)
+                    await send(number, "be brief", DEADLY)
+                terminations = sum(
+                    engine.crash_count for engine in fleet.engines.values()
+                )
+                self.assertLessEqual(terminations, MAX_TERMINATIONS)
+
+        anyio.run(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
