--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -51,6 +51,8 @@
         after its start; None to disable.
     :ivar crashing_part: id of a part of a prompt, other than its last, on which the
         worker crashes when it begins to write; None to disable.
+    :ivar ends_with_connection: whether answers have neither a length nor chunks, and
+        end with their connection.
     :ivar prefill_s: delay before the first event of a stream.
     :ivar crashing_request_ids: ids of the requests that crashed the worker, over all
         incarnations.
@@ -77,6 +79,7 @@
     shed_count: int = 0
     crash_trigger: bytes | None = None
     crashing_part: str | None = None
+    ends_with_connection: bool = False
     prefill_s: float = 0.0
     crashing_request_ids: list[str] = field(factory=list)
     terminated: anyio.Event = field(factory=anyio.Event)
@@ -155,9 +158,9 @@
         if self.crashing_part in _shared_parts(fields):
             await self._crash(attempt, _CRASH_DELAY_S + self.prefill_s)
         if "endivegw-token-counts" not in fields:
-            extra = f"endivegw-response-seal: s\r\ncontent-length: {len(body)}\r\n"
+            extra = f"endivegw-response-seal: s\r\n{self._framing(len(body))}"
             await stream.send(self._response_head(200, attempt, extra) + body)
-            return True
+            return not self.ends_with_connection
         return await self._stream(stream, run)
 
     async def _crash(self, attempt: str, delay_s: float) -> None:
@@ -182,7 +185,7 @@
     async def _stream(self, stream: SocketStream, run: WorkerRun) -> bool:
         extra = (
             "endivegw-response-seal: s\r\ncontent-type: text/event-stream\r\n"
-            "transfer-encoding: chunked\r\n"
+            f"{self._framing(None)}"
         )
         await anyio.sleep(self.prefill_s)
         await stream.send(self._response_head(200, run.request_id, extra))
@@ -195,14 +198,30 @@
             if self.break_after_events == number - 1:
                 self.break_after_events = None
                 # The rest of the event is never sent.
-                await stream.send(b"%x\r\n%b" % (len(event), event[:5]))
+                await stream.send(self._chunk(event)[: 5 - len(event)])
                 return False
-            await stream.send(b"%x\r\n%b\r\n" % (len(event), event))
+            await stream.send(self._chunk(event))
             run.events += 1
             await anyio.sleep(self.event_pause_s)
+        if self.ends_with_connection:
+            return False
         await stream.send(b"0\r\n\r\n")
         return True
 
+    def _framing(self, length: int | None) -> str:
+        """Return the fields that say how an answer ends."""
+        if self.ends_with_connection:
+            return "connection: close\r\n"
+        if length is None:
+            return "transfer-encoding: chunked\r\n"
+        return f"content-length: {length}\r\n"
+
+    def _chunk(self, event: bytes) -> bytes:
+        """Return an event as it is sent."""
+        if self.ends_with_connection:
+            return event
+        return b"%x\r\n%b\r\n" % (len(event), event)
+
     def _response_head(self, status: int, attempt: str, extra: str) -> bytes:
         if self.leaving:
             extra += "server-leaving: 1\r\n"
