Look up bound requests and trials only where they can apply

Requests that are bound to no version no longer compare all targets of a service. Trials are asked for by the request's fingerprints, so that the quarantine's interface of refusals stays as it was.

--- a/src/endivegw/daemons/request_content.py
+++ b/src/endivegw/daemons/request_content.py
@@ -30,11 +30,12 @@
         """Return the reason why no target may run the request, None if one may."""
         if self._fingerprint is None or self._is_trial:
             return None
-        found = self._quarantine.find_quarantined(self._fingerprint, *self._parts)
-        if found is None:
-            return None
-        self._is_trial = self._quarantine.start_trial(found)
-        return None if self._is_trial else self._quarantine.refusal(found)
+        refused = self._quarantine.refuse(self._fingerprint, *self._parts)
+        if refused is not None:
+            self._is_trial = self._quarantine.start_trial(
+                self._fingerprint, *self._parts
+            )
+        return None if self._is_trial else refused
 
     @property
     def is_suspect(self) -> bool:
--- a/src/endivegw/decisions/bound_requests.py
+++ b/src/endivegw/decisions/bound_requests.py
@@ -39,6 +39,8 @@
 
     def is_bound(self, pool: Pool, item: WorkItem) -> bool:
         """Return whether some target of a pool must not run a request."""
+        if item.software_version is None:
+            return False
         return any(not item.allows(state.view) for state in pool.members)
 
     def refusal(self, pool: Pool, item: WorkItem, now_s: float) -> Refused | None:
--- a/src/endivegw/quarantine/manager.py
+++ b/src/endivegw/quarantine/manager.py
@@ -41,6 +41,10 @@
 #: Number of consecutive write conflicts on one row before the write is postponed.
 _MAX_CONFLICTS = 5
 
+#: Minimum Retry-After of a request with a part that may be tried now, by another
+#: router or by another request.
+_MIN_RETRY_S = 1.0
+
 #: Number of requests and parts remembered as answered. Frequent ones are among the
 #: latest.
 _MAX_ANSWERED = 8192
@@ -154,14 +158,17 @@
         trial_due_s = self.ledger.trial_due_s(fingerprint)
         retry_s = self._policy.retention_s
         if trial_due_s is not None:
-            retry_s = max(1.0, trial_due_s - self._clock())
+            retry_s = max(_MIN_RETRY_S, trial_due_s - self._clock())
         return Refused(Reason.QUARANTINED, detail, retry_s)
 
-    def start_trial(self, fingerprint: Fingerprint) -> bool:
-        """Return whether one request may show if a quarantined part is the cause.
+    def start_trial(self, *fingerprints: Fingerprint) -> bool:
+        """Return whether a request may show if its quarantined part is the cause.
 
         One router tries a part. If the answer begins, the part is innocent.
         """
+        fingerprint = self.find_quarantined(*fingerprints)
+        if fingerprint is None:
+            return False
         due_s = self.ledger.trial_due_s(fingerprint)
         if not self._trials.start(fingerprint, due_s, self._clock()):
             return False
--- a/src/endivegw/relay/suspicion.py
+++ b/src/endivegw/relay/suspicion.py
@@ -54,7 +54,7 @@
         found = quarantine.find_quarantined(self.fingerprint, *self.parts)
         if found is None:
             return None
-        if quarantine.start_trial(found):
+        if quarantine.start_trial(self.fingerprint, *self.parts):
             self._is_trial = True
             return None
         self.blamed = found
--- a/src/endivegw_standins/part_world.py
+++ b/src/endivegw_standins/part_world.py
@@ -106,7 +106,7 @@
         body = Fingerprint(f"body-{self._requests}")
         keys = part_fingerprints(_SERVICE, [part_id.encode() for part_id in ids])
         found = manager.find_quarantined(body, *keys)
-        if found is not None and not manager.start_trial(found):
+        if found is not None and not manager.start_trial(body, *keys):
             return "refused"
         up = [target for target in self.world.targets if target.up]
         if not up:
