Resume the streams of a split route at the service that began them

What callers saw: on a route split between two services, half of the tries that take a stream up were sent to the other service. There the version in the stream's record has no target (503), or another service goes on with it.

Cause: admission drew the service of each try anew. Ruled out: the record of the stream, which names the version and was found.

The attempt that began a stream, which each later try names, is now the seed of the draw at every router; nothing is sent or stored. Streams move only as far as the weights do. Other requests draw as before, and so does a route with one service.

Left: a route that moves to another service takes its streams along, as before.

--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -12,7 +12,13 @@
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.wire import CallerMetadata, PromptPart, WirePort
 from endivegw.results import Reason, Refused
-from endivegw.routing import ClientAccount, Route, RoutingTable, ServiceKind
+from endivegw.routing import (
+    ClientAccount,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceKind,
+)
 from endivegw.types import ClientAccountName, Priority, TargetName
 
 __all__ = ["AdmittedRequest", "admit", "model_of", "part_digests", "work_item"]
@@ -97,7 +103,7 @@
     if account is None and table.needs_key(route):
         return Refused(Reason.BAD_KEY, "no client account has this key")
     wait_s = _DEFAULT_DEADLINE_S if metadata.deadline_s is None else metadata.deadline_s
-    service = table.service(route, rng)
+    service = table.service(route, _service_rng(route, metadata, rng))
     return AdmittedRequest(
         request=request,
         metadata=metadata,
@@ -110,6 +116,24 @@
     )
 
 
+def _service_rng(
+    route: Route, metadata: CallerMetadata, rng: random.Random
+) -> random.Random:
+    """Return the generator that draws the service of a request.
+
+    The attempt that began a stream is its seed, so that every router draws the service
+    that began a stream for the tries that resume it.
+    """
+    first_attempt = metadata.resumes or metadata.request_id
+    if (
+        len(route.services) == 1
+        or route.kind is not RouteKind.RESUMABLE_STREAM
+        or first_attempt is None
+    ):
+        return rng
+    return random.Random(first_attempt)
+
+
 def work_item(
     admitted: AdmittedRequest,
     excluded: frozenset[TargetName],
