Continue streams after the loss of all routers beside several versions

What callers saw: when all routers are killed or lose power while a service has several software versions, each stream that they take up is refused with unknown_stream, until their tries are used up.

Cause: the records of which version began a stream lay in memory only, at the router that relayed the stream and at three keepers. Ruled out: the versions of the service, whose row was read, and the choice of keepers, which goes by vm and was the same after the restart.

Each router now writes the records of the last 20 s that it holds to a row of its vm, at most once a second and only while a service has several versions; the next process on that vm reads it. Ways weighed: records to the store for each stream (3,900 writes a second at 300 routers), the own streams in progress only, sent to the keepers again after a restart (a keeper that starts later misses the datagram). Nothing is guessed as before; streams that began in the last second, or whose routers come back on other vms, are refused.

With one version no row is written.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -124,6 +124,7 @@
     )
     streams = StreamVersions(
         store,
+        settings.vm,
         link.streams,
         lambda: targets.unavailable_s(),
         clock,
--- a/src/endivegw/streams/manager.py
+++ b/src/endivegw/streams/manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain, islice
 from typing import Callable, Iterable, Mapping, Protocol
 
 import anyio
@@ -18,6 +19,7 @@
 from endivegw.streams.history import VersionHistory, VersionSeen
 from endivegw.streams.records import StreamKey, StreamRecord, StreamRecords, stream_key
 from endivegw.streams.rows import VERSIONS_TABLE, decode_versions, encode_versions
+from endivegw.streams.saver import RecordSaver
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import ClientAccountName
@@ -27,6 +29,11 @@
 #: Time for which callers may resume a stream; the tries of one caller take less.
 _RETENTION_S = 60.0
 
+#: Time for which a record is saved after the stream's first event, and the maximum
+#: number of records of one row, which then takes some 30 KB.
+_SAVED_S = 20.0
+_MAX_SAVED = 1500
+
 #: Retry-after in seconds of a resumption whose version is not known. A router that
 #: holds the record may respond again by then.
 _UNKNOWN_RETRY_S = 0.5
@@ -66,12 +73,14 @@
     when its first event is relayed, since its own router may die and its caller
     continue at another one.
 
+    :param vm: name of this router's vm, whose row it writes.
     :param unavailable_s: returns for how long the registry of targets has not answered.
     """
 
     def __init__(
         self,
         store: RowsPort,
+        vm: str,
         peers: StreamPeers,
         unavailable_s: Callable[[], float],
         clock: Callable[[], float],
@@ -86,6 +95,7 @@
         #: Records that this router keeps for others.
         self._kept = StreamRecords(_RETENTION_S)
         self._own = StreamRecords(_RETENTION_S)
+        self._saver = RecordSaver(store, vm, self._unsafe_records, self.keep, log)
         #: Whether the versions in the store were read; a version that is gone by now
         #: may have begun streams before this router started.
         self._loaded = False
@@ -209,10 +219,25 @@
             return None
         return self.history.sole_version(service, self._clock())
 
+    def _unsafe_records(self) -> list[StreamRecord]:
+        """Return the records that the loss of all routers would lose."""
+        services = set(filter(self._several, self.history.services()))
+        if not services:
+            return []
+        after_s = self._clock() - _SAVED_S
+        held = chain(self._own.latest(after_s), self._kept.latest(after_s))
+        found = (record for record in held if record.service in services)
+        return list(islice(found, _MAX_SAVED))
+
     # Rows of the store.
 
     async def run(self) -> None:
         """Read the rows once, then write those that change, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._saver.run)
+            await self._run_versions()
+
+    async def _run_versions(self) -> None:
         while not await self._load():
             await anyio.sleep(_RETRY_S)
         while True:
--- a/src/endivegw/streams/records.py
+++ b/src/endivegw/streams/records.py
@@ -5,7 +5,7 @@
 import base64
 import hashlib
 from collections import OrderedDict
-from typing import NewType
+from typing import Iterator, NewType
 
 from attrs import define, field, frozen
 
@@ -87,6 +87,13 @@
             record for record, _ in self._records.values() if record.service == service
         ]
 
+    def latest(self, after_s: float) -> Iterator[StreamRecord]:
+        """Return the records that were added after a time, the latest first."""
+        for record, added_s in reversed(self._records.values()):
+            if added_s <= after_s:
+                return
+            yield record
+
     def _expire(self, now_s: float) -> None:
         while self._records:
             key, (_, added_s) = next(iter(self._records.items()))
--- a/src/endivegw/streams/rows.py
+++ b/src/endivegw/streams/rows.py
@@ -1,15 +1,27 @@
-"""Store rows of the software versions of services, which outlive every router."""
+"""Store rows of software versions and of streams, which outlive every router."""
 
 from __future__ import annotations
 
 import json
-from typing import Mapping
+from typing import Iterable, Mapping
 
-__all__ = ["VERSIONS_TABLE", "decode_versions", "encode_versions"]
+from endivegw.streams.records import StreamKey, StreamRecord
+
+__all__ = [
+    "RECORDS_TABLE",
+    "VERSIONS_TABLE",
+    "decode_records",
+    "decode_versions",
+    "encode_records",
+    "encode_versions",
+]
 
 #: Table with one row for each service that has had several versions at a time.
 VERSIONS_TABLE = "software-versions"
 
+#: Table with one row for each vm: the records that its router held lately.
+RECORDS_TABLE = "stream-records"
+
 
 def encode_versions(versions: Mapping[str, int | None]) -> bytes:
     """Return the value of a service's row.
@@ -32,3 +44,28 @@
         }
     except (TypeError, AttributeError) as error:
         raise ValueError(f"malformed row of software versions: {error!r}") from error
+
+
+def encode_records(records: Iterable[StreamRecord]) -> bytes:
+    """Return the value of a router's row."""
+    document: dict[str, dict[str, list[StreamKey]]] = {}
+    for record in records:
+        versions = document.setdefault(record.service, {})
+        versions.setdefault(record.software_version, []).append(record.key)
+    return json.dumps(document).encode()
+
+
+def decode_records(value: bytes) -> list[StreamRecord]:
+    """Decode the value of a router's row.
+
+    :raises ValueError: if the value is malformed.
+    """
+    try:
+        return [
+            StreamRecord(StreamKey(str(key)), service, version)
+            for service, versions in json.loads(value).items()
+            for version, keys in versions.items()
+            for key in keys
+        ]
+    except (TypeError, AttributeError) as error:
+        raise ValueError(f"malformed row of stream records: {error!r}") from error
--- a/src/endivegw_standins/stream_world.py
+++ b/src/endivegw_standins/stream_world.py
@@ -43,6 +43,7 @@
         self.link = _link(self)
         self.streams = StreamVersions(
             RowStoreClient(vm, world.store),
+            vm,
             self.link.streams,
             lambda: self.unavailable_s,
             anyio.current_time,
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -18,6 +18,13 @@
 STREAMS = 120
 EVENTS = 8
 
+#: Streams that callers leave and resume after a restart of all routers.
+LEFT = 16
+TRIES = 3
+
+#: Seconds after which a stream's record survives the loss of all routers.
+SAVED_WITHIN_S = 1.5
+
 #: Three targets of each of two software versions.
 VERSIONS = {f"e-{number}": "v1" if number <= 3 else "v2" for number in range(1, 7)}
 
@@ -183,6 +190,52 @@
         counts = play(SEED, kill_all)
         self.assertLessEqual(sum(counts.joined.values()), MAX_JOINED, counts)
 
+    def test_streams_go_on_after_a_restart_of_all_routers(self) -> None:
+        """Guards against streams that nobody can continue once all routers died."""
+
+        async def scenario() -> None:
+            async with platform_fleet(4, 6, software_versions=VERSIONS) as fleet:
+                begun = [await self.leave_stream(fleet, n) for n in range(LEFT)]
+                await anyio.sleep(SAVED_WITHIN_S)
+                fleet.restart_routers()
+                await fleet.wait_ready()
+                for number, (attempt_id, version) in enumerate(begun):
+                    events = await self.resume_stream(fleet, number, attempt_id)
+                    self.assertEqual({version}, {found for _, found in events})
+                    self.assertEqual(events[0][0], 3)
+
+        anyio.run(scenario)
+
+    async def leave_stream(self, fleet: ClientFleet, number: int) -> tuple[str, str]:
+        """Leave a stream after two events; return its attempt and its version."""
+        attempt_id = f"left-{number}"
+        answer = await fleet.send_request(
+            "resumable",
+            router=number % len(fleet.ports),
+            tokens=(20, 32),
+            body=attempt_id.encode(),
+            attempt_id=attempt_id,
+            leave_after_events=2,
+        )
+        return attempt_id, events_of(answer)[1][1]
+
+    async def resume_stream(
+        self, fleet: ClientFleet, number: int, attempt_id: str
+    ) -> list[tuple[int, str]]:
+        """Resume a stream at another router; return the events."""
+        for _ in range(TRIES):
+            answer = await fleet.send_request(
+                "resumable",
+                router=(number + 1) % len(fleet.ports),
+                tokens=(20, 32),
+                fields=(("last-event-id", "2"), ("resumes", attempt_id)),
+            )
+            if answer.status == 200:
+                break
+            await anyio.sleep(float(answer.fields["retry-after"]))
+        self.assertEqual(answer.status, 200)
+        return events_of(answer)
+
 
 if __name__ == "__main__":
     unittest.main()
