--- a/src/endivegw/decisions/backlog.py
+++ b/src/endivegw/decisions/backlog.py
@@ -91,7 +91,7 @@
         if evicted is None:
             return refused
         pool.queue.remove(evicted)
-        self.abandoned.append(_expired(evicted.item, refused))
+        self.abandoned.append(Expired.from_refusal(evicted.item, refused))
         return None
 
     def refuse_unavailable(self, pool: Pool, wait_s: float, now_s: float) -> Refused:
@@ -171,7 +171,7 @@
         for entry in list(pool.queue.entries()):
             pool.queue.remove(entry)
             refused = self.refuse_unavailable(pool, wait_s, now_s)
-            decided.append(_expired(entry.item, refused))
+            decided.append(Expired.from_refusal(entry.item, refused))
 
     def abandon_without_permits(
         self, pool: Pool, now_s: float, decided: list[Placement | Expired]
@@ -187,7 +187,7 @@
         for entry in overdue[: max(0, excess)]:
             pool.queue.remove(entry)
             refused = _refuse_limited(pool, wait_s, now_s)
-            decided.append(_expired(entry.item, refused))
+            decided.append(Expired.from_refusal(entry.item, refused))
 
     def abandon_expired(
         self, pool: Pool, now_s: float, decided: list[Placement | Expired]
@@ -210,8 +210,3 @@
     """Return the refusal of a request for which no target grants a permit in time."""
     retry_s = schedule_retry_s(pool, wait_s, now_s)
     return Refused(Reason.TARGET_LIMIT, TARGETS_LIMITED, retry_s)
-
-
-def _expired(item: WorkItem, refused: Refused) -> Expired:
-    """Return a refusal as the end of a queued request."""
-    return Expired(item, refused.detail, refused.retry_after_s, refused.reason)
--- a/src/endivegw/decisions/bound_requests.py
+++ b/src/endivegw/decisions/bound_requests.py
@@ -78,14 +78,7 @@
                 refused = _refuse_busy(entry.item, self.policy.bound_wait_s)
             if refused is not None:
                 self.remove(entry.item.request_id)
-                expired.append(
-                    Expired(
-                        entry.item,
-                        refused.detail,
-                        refused.retry_after_s,
-                        refused.reason,
-                    )
-                )
+                expired.append(Expired.from_refusal(entry.item, refused))
         return expired
 
     def _members(self, pool: Pool, item: WorkItem) -> list[TargetState]:
--- a/src/endivegw/decisions/work.py
+++ b/src/endivegw/decisions/work.py
@@ -8,7 +8,7 @@
 
 from endivegw.decisions.send_permits import SendLimit
 from endivegw.decisions.warm_up import WarmUp
-from endivegw.results import Reason
+from endivegw.results import Reason, Refused
 from endivegw.targets.ports import CacheChange
 from endivegw.types import (
     AvailabilityZone,
@@ -233,6 +233,11 @@
     retry_after_s: float | None
     reason: Reason = Reason.OVERLOADED
 
+    @classmethod
+    def from_refusal(cls, item: WorkItem, refused: Refused) -> Expired:
+        """Return the end of a queued request that is refused."""
+        return cls(item, refused.detail, refused.retry_after_s, refused.reason)
+
 
 class AttemptKind(enum.Enum):
     """Outcome of an attempt at a target."""
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -186,7 +186,7 @@
         Two of the responsive routers check each row, so that one router's work does not
         grow with the fleet and one of the two may fail.
         """
-        responsive = {peer.entry.vm for peer in self._responsive(now_s)} | {self.own_vm}
+        responsive = self._responsive_vms(now_s)
         return [
             vm
             for vm in self._peers
@@ -287,7 +287,7 @@
 
     def is_writer(self, key: str, now_s: float) -> bool:
         """Return whether this router is among the few that write a row for all."""
-        responsive = {peer.entry.vm for peer in self._responsive(now_s)} | {self.own_vm}
+        responsive = self._responsive_vms(now_s)
         return self.own_vm in rendezvous_order(key, responsive)[:_ROW_CHECKERS]
 
     def routers(self) -> int:
@@ -367,6 +367,10 @@
                 )
         return totals
 
+    def _responsive_vms(self, now_s: float) -> set[str]:
+        """Return the vms of the routers that reported recently, with this one's."""
+        return {peer.entry.vm for peer in self._responsive(now_s)} | {self.own_vm}
+
     def _responsive(self, now_s: float) -> list[_Peer]:
         return [
             peer
