Report why a caller's connection ended and what was left unanswered on it

Callers saw requests end without an answer, and no line told who had ended the connection: the caller, the router or an error of another party were all logged as caller-left, and requests waiting behind another were not mentioned at all. A connection now reports its cause, the whole requests that it read and did not answer, and the age of the configuration; two counters go by the cause.

--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from traceback import format_exception
-from typing import Any, Callable
+from typing import Any, Callable, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,8 +17,10 @@
 from endivegw.gossip import PeerEntry, PeerLink
 from endivegw.gossip.peers import PEERS_TABLE
 from endivegw.relay.caller_connection import AnswerWriter, CallerConnection, Handler
+from endivegw.relay.connection_end import ConnectionEnd
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
+from endivegw.results import Refused
 from endivegw.routing import CallerLimits
 from endivegw.services.relayed_rows import RELAY_PATH, RelayedRowStore
 from endivegw.services.row_store import ExpectedRow, NewRow, RowStorePort
@@ -37,6 +39,9 @@
 #: Interval at which this router's row is checked, and written if it is missing.
 _REGISTER_INTERVAL_S = 0.2
 
+#: Maximum number of requests that one log line names.
+_MAX_LOGGED_REQUESTS = 8
+
 _NO_LOAD = LocalLoad(0, 0)
 
 _OK, _BAD_REQUEST, _NOT_FOUND, _UNAVAILABLE = 200, 400, 404, 503
@@ -220,6 +225,7 @@
             self._limits,
             self._moves_callers,
             self._parts.clock,
+            self._record_connection_end,
         )
         self._connections.add(connection)
         try:
@@ -233,6 +239,34 @@
         finally:
             self._connections.discard(connection)
 
+    def _record_connection_end(self, end: ConnectionEnd) -> None:
+        """Count the end of a connection; log it if something was left unanswered."""
+        context = self._parts.context
+        context.metrics.connection_ended(end.cause.value, len(end.unanswered))
+        if not end.unanswered and (end.cause.by_caller or not end.unparsed_bytes):
+            return
+        table = context.table
+        self._parts.log.emit(
+            events.CONNECTION_UNANSWERED,
+            cause=end.cause.value,
+            by_caller=end.cause.by_caller,
+            request_ids=self._request_ids(end.unanswered[:_MAX_LOGGED_REQUESTS]),
+            unanswered=len(end.unanswered),
+            answer_bytes=end.answer_bytes,
+            unparsed_bytes=end.unparsed_bytes,
+            age_s=round(end.age_s, 3),
+            idle_s=None if end.idle_s is None else round(end.idle_s, 3),
+            version=table.version if table is not None else None,
+            version_age_s=round(self._parts.clock() - context.table_active_since_s, 3),
+            draining=context.draining,
+        )
+
+    def _request_ids(self, requests: Iterable[CallerRequest]) -> list[str | None]:
+        """Return the ids of requests; None for one that states no valid id."""
+        read = self._parts.context.wire.read_caller_fields
+        found = [read(request.fields) for request in requests]
+        return [None if isinstance(f, Refused) else f.request_id for f in found]
+
     def _moves_callers(self) -> bool:
         """Return whether callers should open new connections at other routers."""
         context = self._parts.context
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import ByteStream, SocketAttribute
 
+from endivegw.relay.connection_end import ConnectionEnd, EndCause
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
 from endivegw.relay.wire import HeaderFields
@@ -35,6 +36,8 @@
 
     :param close_after: whether the connection must close after the answer.
     :param cancel_if_caller_left: see :meth:`CallerConnection.cancel_if_caller_left`.
+    :param caller_left: returns whether the caller is known to have closed the
+        connection.
     :ivar body_bytes: size of the body so far.
     :ivar started: whether any byte of the answer may have been sent.
     :ivar finished: whether the answer was sent completely.
@@ -46,8 +49,10 @@
         request: CallerRequest,
         close_after: bool,
         cancel_if_caller_left: Callable[[], None],
+        caller_left: Callable[[], bool],
     ) -> None:
         self._stream = stream
+        self.caller_left = caller_left
         self.cancel_if_caller_left = cancel_if_caller_left
         self._chunked = request.http_version >= b"1.1"
         self._head_only = request.method == b"HEAD"
@@ -112,6 +117,7 @@
     :param handler: answers one request.
     :param limits: returns the limits that are currently configured.
     :param closing: returns whether callers should open new connections elsewhere.
+    :param on_end: called once, when the connection has ended.
     """
 
     def __init__(
@@ -121,6 +127,7 @@
         limits: Callable[[], CallerLimits],
         closing: Callable[[], bool],
         clock: Callable[[], float],
+        on_end: Callable[[ConnectionEnd], None] = lambda end: None,
     ) -> None:
         self._stream = stream
         self._handler = handler
@@ -133,6 +140,12 @@
         self._caller_left = False
         self._closing = False
         self._scope: anyio.CancelScope | None = None
+        self._on_end = on_end
+        self._cause: EndCause | None = None
+        #: The request in progress and its answer.
+        self._current: tuple[CallerRequest, AnswerWriter] | None = None
+        self._opened_s = clock()
+        self._idle_since_s: float | None = None
         #: Whether a request is being read or answered.
         self.busy = False
 
@@ -144,6 +157,7 @@
                 await self._serve_requests()
                 tasks.cancel_scope.cancel()
         finally:
+            self._report_end()
             with anyio.CancelScope(shield=True), anyio.move_on_after(_LINGER_TIMEOUT_S):
                 await self._stream.aclose()
 
@@ -166,7 +180,40 @@
         if peer_has_closed(self._stream.extra(SocketAttribute.raw_socket)):
             self._handle_caller_left()
 
+    def _record_cause(self, cause: EndCause) -> None:
+        """Record why the connection ends; the first cause counts."""
+        if self._cause is None:
+            self._cause = cause
+
+    def _report_end(self) -> None:
+        """Report the end of the connection, and what was read and not answered."""
+        unanswered: list[CallerRequest] = []
+        answer_bytes = 0
+        if self._current is not None:
+            request, writer = self._current
+            unanswered.append(request)
+            answer_bytes = writer.body_bytes
+        now_s = self._clock()
+        # The rest of malformed input cannot be split into requests.
+        while self._cause is not EndCause.MALFORMED:
+            waiting = self._parser.next_request(now_s)
+            if not isinstance(waiting, CallerRequest):
+                break
+            unanswered.append(waiting)
+        idle_since_s = self._idle_since_s
+        self._on_end(
+            ConnectionEnd(
+                self._cause or EndCause.CANCELLED,
+                tuple(unanswered),
+                answer_bytes,
+                self._parser.buffered_bytes,
+                now_s - self._opened_s,
+                None if idle_since_s is None else now_s - idle_since_s,
+            )
+        )
+
     def _handle_caller_left(self) -> None:
+        self._record_cause(EndCause.CALLER_CLOSED)
         self._caller_left = True
         self._state_changed.set()
         if self._scope is not None:
@@ -200,6 +247,7 @@
                 case None:
                     return
                 case MalformedRequest():
+                    self._record_cause(EndCause.MALFORMED)
                     await self._reject(request)
                     return
                 case CallerRequest():
@@ -220,6 +268,7 @@
                 self.busy = True
                 return request
             if self._caller_left or (self._closing and self._parser.idle):
+                self._record_cause(EndCause.STOPPING)
                 return None
             if self._parser.expects_continue:
                 self._parser.expects_continue = False
@@ -236,6 +285,7 @@
                 await self._state_changed.wait()
             if waited.cancelled_caught and not self._state_changed.is_set():
                 if self._parser.idle:
+                    self._record_cause(EndCause.IDLE_LIMIT)
                     return None
                 return MalformedRequest(
                     HTTPStatus.REQUEST_TIMEOUT,
@@ -254,7 +304,9 @@
             request,
             self._callers_should_leave(),
             self.cancel_if_caller_left,
+            lambda: self._caller_left,
         )
+        self._current = request, writer
         try:
             with anyio.CancelScope() as scope:
                 self._scope = scope
@@ -262,11 +314,22 @@
                     scope.cancel()
                 await self._handler(request, writer)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            self._record_cause(EndCause.WRITE_FAILED)
             return False
+        except Exception:
+            self._record_cause(EndCause.HANDLER_FAILED)
+            raise
         finally:
             self._scope = None
             self._read_resumed.set()
-        return writer.finished and not writer.close_after and not self._caller_left
+        if not writer.finished:
+            self._record_cause(EndCause.ANSWER_CUT)
+            return False
+        self._current = None
+        self._idle_since_s = self._clock()
+        if writer.close_after:
+            self._record_cause(EndCause.ANSWER_CLOSES)
+        return not writer.close_after and not self._caller_left
 
     async def _reject(self, malformed: MalformedRequest) -> None:
         """Answer a malformed request, then wait briefly for the caller to close."""
--- a/src/endivegw/relay/request_log.py
+++ b/src/endivegw/relay/request_log.py
@@ -16,8 +16,8 @@
 class RequestEnd:
     """Hold how a request ended, besides its progress.
 
-    :param outcome: ``answered``, ``caller-left``, ``deadline``, ``cut`` or the reason
-        of the router's own answer.
+    :param outcome: ``answered``, ``caller-left``, ``cancelled`` (the router ended the
+        connection), ``deadline``, ``cut`` or the reason of the router's own answer.
     :param cut: whether an answer was started and not finished.
     :param software_version: version of the software that ran a stream.
     """
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -73,7 +73,7 @@
     async def run(self) -> None:
         """Answer the request, and settle the tokens that it consumed."""
         left_s = self._admitted.deadline_s - self._context.clock()
-        outcome = "caller-left"
+        outcome: str | None = None
         try:
             with anyio.move_on_after(max(0.0, left_s)) as scope:
                 outcome = await self._serve()
@@ -81,6 +81,8 @@
                 outcome = "deadline"
                 await self._send_router_answer(self._deadline_result())
         finally:
+            if outcome is None:
+                outcome = "caller-left" if self._writer.caller_left() else "cancelled"
             self._settle(outcome)
 
     async def _serve(self) -> str:
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -7,6 +7,7 @@
     "CONFIGURATION_IN_FORCE",
     "CONFIGURATION_UNREADABLE",
     "CONNECTION_FAILED",
+    "CONNECTION_UNANSWERED",
     "DRAINING_STARTED",
     "FEED_LOST",
     "FEED_RECOVERED",
@@ -254,6 +255,26 @@
     " not read, because too much is held for all such peers together.",
     ("held_bytes", "limit_bytes", "blocked"),
 )
+CONNECTION_UNANSWERED = Event(
+    9132,
+    "relay-connection-unanswered",
+    Level.WARNING,
+    "The connection of a caller ended while whole requests that were read on it had no"
+    " whole answer, or in the middle of a request.",
+    (
+        "cause",
+        "by_caller",
+        "request_ids",
+        "unanswered",
+        "answer_bytes",
+        "unparsed_bytes",
+        "age_s",
+        "idle_s",
+        "version",
+        "version_age_s",
+        "draining",
+    ),
+)
 LINES_DROPPED = Event(
     9130,
     "log-lines-left-out",
--- a/src/endivegw/telemetry/exposition.py
+++ b/src/endivegw/telemetry/exposition.py
@@ -68,6 +68,19 @@
             "Sends of requests after the first; the retry budget limits their number.",
             registry=self._registry,
         )
+        self._ended_connections = Counter(
+            "endivegw_caller_connections_ended",
+            "Connections of callers that ended, by cause.",
+            ("cause",),
+            registry=self._registry,
+        )
+        self._unanswered_requests = Counter(
+            "endivegw_requests_unanswered",
+            "Requests that were read and got no whole answer, by the cause of the end"
+            " of their connection.",
+            ("cause",),
+            registry=self._registry,
+        )
         self.gauge(
             "resident_bytes", "Peak resident memory of the process.", _resident_bytes
         )
@@ -104,6 +117,14 @@
         """Count a send of a request after its first one."""
         self._retries.inc()
 
+    def connection_ended(self, cause: str, unanswered: int) -> None:
+        """Count the end of a caller's connection.
+
+        :param unanswered: requests that were read on it and got no whole answer.
+        """
+        self._ended_connections.labels(cause).inc()
+        self._unanswered_requests.labels(cause).inc(unanswered)
+
     def store_call(self, call: str, outcome: str, took_s: float) -> None:
         """Record the outcome and the duration of one call to the store."""
         self._store_calls.labels(call, outcome).observe(took_s)
