--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -63,6 +63,11 @@
     :ivar cold_crashes: number of crashes from too many requests while it was cold.
     :ivar limit: value of the field that limits the requests per second from all
         routers, which each answer has; None to omit the field.
+    :ivar silent_s: length of the silence of requests that are silent once, as a target
+        may be that goes on afterwards.
+    :ivar silent_after_events: number of events after which a stream is silent; before
+        its answer if 0. Plain answers are silent before they begin.
+    :ivar remaining_silences: number of next requests that are silent once.
     :ivar software_version: added to the data of each event; None to omit it.
     :ivar arrivals_s: times at which requests arrived, including refused ones.
     """
@@ -87,6 +92,9 @@
     cold_until_s: float = 0.0
     cold_crashes: int = 0
     limit: str | None = None
+    silent_s: float = 0.0
+    silent_after_events: int = 0
+    remaining_silences: int = 0
     software_version: str | None = None
     arrivals_s: list[float] = field(factory=list)
     _cold_arrivals_s: deque[float] = field(factory=deque)
@@ -157,11 +165,20 @@
             await self._crash(attempt, _CRASH_DELAY_S)
         if self.crashing_part in _shared_parts(fields):
             await self._crash(attempt, _CRASH_DELAY_S + self.prefill_s)
+        silent_s = self._next_silence_s()
         if "endivegw-token-counts" not in fields:
+            await anyio.sleep(silent_s)
             extra = f"endivegw-response-seal: s\r\n{self._framing(len(body))}"
             await stream.send(self._response_head(200, attempt, extra) + body)
             return not self.ends_with_connection
-        return await self._stream(stream, run)
+        return await self._stream(stream, run, silent_s)
+
+    def _next_silence_s(self) -> float:
+        """Return for how long the next request is silent once."""
+        if not self.remaining_silences:
+            return 0.0
+        self.remaining_silences -= 1
+        return self.silent_s
 
     async def _crash(self, attempt: str, delay_s: float) -> None:
         """Crash after a delay; the task that runs the worker cancels it then."""
@@ -182,12 +199,16 @@
             arrivals_s.popleft()
         return len(arrivals_s) > self.cold_rate_per_s * _COLD_OVERAGE + _COLD_SLACK
 
-    async def _stream(self, stream: SocketStream, run: WorkerRun) -> bool:
+    async def _stream(
+        self, stream: SocketStream, run: WorkerRun, silent_s: float
+    ) -> bool:
         extra = (
             "endivegw-response-seal: s\r\ncontent-type: text/event-stream\r\n"
             f"{self._framing(None)}"
         )
         await anyio.sleep(self.prefill_s)
+        if not self.silent_after_events:
+            await anyio.sleep(silent_s)
         await stream.send(self._response_head(200, run.request_id, extra))
         first = int(run.fields.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
@@ -203,6 +224,8 @@
             await stream.send(self._chunk(event))
             run.events += 1
             await anyio.sleep(self.event_pause_s)
+            if number == self.silent_after_events:
+                await anyio.sleep(silent_s)
         if self.ends_with_connection:
             return False
         await stream.send(b"0\r\n\r\n")
