Wait for a silent target, and let another one run the request beside it

Callers of a resumable stream saw it end in its middle, and callers of requests that may be repeated got 502, when a sound target was silent for 1.2 s and no second attempt was possible: no other target, none of the same software, retries or attempts used up.

Cause: an attempt that heard nothing for 1.2 s was given up before it was known whether anything better existed. Silence is no loss; only time tells.

Now silence ends no attempt. If another target has room at once, and the route's attempts, the retry budget and the quarantine allow it, the request is sent there as well; a stream goes on at the target that speaks first, a plain request is answered by the first whole answer, and the other attempt is cancelled. Otherwise the request waits until its deadline. A loser that was silent still counts as a failure of its target, as before.

--- a/src/endivegw/daemons/placement_queue.py
+++ b/src/endivegw/daemons/placement_queue.py
@@ -68,6 +68,12 @@
             case Queued():
                 return await self._wait(item)
 
+    def place_now(self, item: WorkItem) -> Placement | None:
+        """Place work on a target that has room now, or return None."""
+        placement = self.dispatcher.place_now(item, self._clock())
+        self._request_permits()
+        return placement
+
     def add_permits(
         self, target: TargetName, started_ms: int | None, permits: Permits
     ) -> None:
@@ -113,12 +119,12 @@
             if waiter.decision is None:
                 self.dispatcher.cancel(item.request_id, self._clock())
             elif not received:
-                self._release(waiter.decision)
+                self.release(waiter.decision)
         assert waiter.decision is not None
         return waiter.decision
 
-    def _release(self, decision: Placement | Refused) -> None:
-        """Release the placement of work whose caller disconnected as it was placed.
+    def release(self, decision: Placement | Refused) -> None:
+        """Release the placement of work that is not sent, as its caller disconnected.
 
         Otherwise the target would count as occupied until long after the request's
         deadline, and would receive less and less work.
@@ -134,7 +140,7 @@
         waiter = self._waiters.get(decision.item.request_id)
         if waiter is None:
             if isinstance(decision, Placement):
-                self._release(decision)
+                self.release(decision)
             return
         match decision:
             case Placement():
--- a/src/endivegw/decisions/dispatcher.py
+++ b/src/endivegw/decisions/dispatcher.py
@@ -156,15 +156,41 @@
         if self._policy.separate_prompts and item.prompt_tokens:
             pool.separation.add(item, self._s_per_token(item.model), now_s)
         self._demand.add(item.model, self._estimates.service_time_s(item, 1.0), now_s)
-        head = pool.queue.head()
-        # New requests must not overtake queued requests of the same or a higher
-        # priority, or the queue would starve in a long overload.
-        if head is None or head.best_effort or head.item.priority > item.priority:
+        if not self._must_queue(pool, item):
             choice = self._placer.choose(pool, item, now_s)
             if choice is not None:
                 return self._admit(pool, item, choice, now_s)
         return self._backlog.enqueue(pool, item, now_s)
 
+    def place_now(self, item: WorkItem, now_s: float) -> Placement | None:
+        """Place a request on a target that has room for it, or return None.
+
+        It overtakes no queued request.
+        """
+        pool = self._pools.get(item.model)
+        if pool is None or not pool.members or item.deadline_s <= now_s:
+            return None
+        pool.permits_wanted = True
+        self._sweep(now_s)
+        if self._must_queue(pool, item):
+            return None
+        choice = self._placer.choose(pool, item, now_s)
+        if choice is None:
+            return None
+        placement = self._admit(pool, item, choice, now_s)
+        return placement if isinstance(placement, Placement) else None
+
+    def _must_queue(self, pool: Pool, item: WorkItem) -> bool:
+        """Return whether a new request would overtake queued ones that go first.
+
+        These have the same or a higher priority; if it overtook them, the queue would
+        starve in a long overload.
+        """
+        head = pool.queue.head()
+        if head is None or head.best_effort:
+            return False
+        return head.item.priority <= item.priority
+
     def _submit_bound(
         self, pool: Pool, item: WorkItem, now_s: float
     ) -> Placement | Queued | Refused:
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -73,13 +73,12 @@
 class AttemptLimits:
     """Hold the limits of an attempt.
 
-    :param stall_timeout_s: seconds without the head or further stream data after which
-        a repeatable attempt is abandoned. Callers disconnect after 2 s at the earliest,
-        so another target still has time to continue the stream. Fully loaded engines
-        pause for less than this limit.
+    :param silence_s: seconds without data after which a further target may be sent a
+        repeatable request. Callers disconnect after 2 s at the earliest, so that target
+        still has time to continue the stream. Fully loaded engines pause for less.
     """
 
-    stall_timeout_s: float = 1.2
+    silence_s: float = 1.2
 
 
 @define
@@ -108,6 +107,7 @@
         answers to earlier requests on the connection, which the same target sent.
     :param cancel_if_caller_left: called right before the request is sent; cancels the
         request if its caller has disconnected.
+    :param on_silent: called whenever the target has sent nothing for some time.
     :ivar sent: whether any byte of the request may have reached the target.
     """
 
@@ -123,6 +123,7 @@
         start_send: Callable[[], bool],
         on_metadata: Callable[[AnswerMetadata], None],
         cancel_if_caller_left: Callable[[], None],
+        on_silent: Callable[[], None],
     ) -> None:
         self._pool = pool
         self._wire = wire
@@ -134,6 +135,7 @@
         self._start_send = start_send
         self._on_metadata = on_metadata
         self._cancel_if_caller_left = cancel_if_caller_left
+        self._on_silent = on_silent
         self._metadata = AnswerMetadata(None, False)
         self.sent = False
 
@@ -144,15 +146,15 @@
         *,
         require_fresh: bool,
         stream: bool,
-        stall_timeout_s: float | None,
+        silence_s: float | None,
     ) -> AttemptResult:
         """Send the request and return the result.
 
         :param require_fresh: whether the request must not run twice, so that only a
             recently used connection may be reused.
         :param stream: whether a successful answer is relayed event by event.
-        :param stall_timeout_s: limit in seconds for the wait for the head, and for each
-            pause within a stream; None if only the request's deadline applies.
+        :param silence_s: time without data after which the target counts as silent;
+            None if it never does.
         """
         try:
             connection = await self._pool.acquire(address, require_fresh)
@@ -169,7 +171,8 @@
                 )
             clean = False
             self.sent = True
-            result = await self._exchange(connection, outgoing, stream, stall_timeout_s)
+            connection.watch_silence(silence_s, self._on_silent)
+            result = await self._exchange(connection, outgoing, stream)
             clean = result.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.NOT_RUN)
             return result
         except AnswerBroken as error:
@@ -187,18 +190,11 @@
         connection: TargetConnection,
         outgoing: OutgoingRequest,
         stream: bool,
-        stall_timeout_s: float | None,
     ) -> AttemptResult:
-        try:
-            with anyio.fail_after(stall_timeout_s):
-                head = await connection.send_request(outgoing, self._matches_request)
-        except TimeoutError:
-            return AttemptResult(
-                AttemptOutcome.LOST, f"no data for {stall_timeout_s:g} s"
-            )
+        head = await connection.send_request(outgoing, self._matches_request)
         metadata = self._metadata
         if stream and head.status == _OK:
-            return await self._relay_stream(connection, head, stall_timeout_s)
+            return await self._relay_stream(connection, head)
         body = await self._read_body(connection)
         self._on_first_data()
         answer = CompleteAnswer(TargetHead(head.status, end_to_end(head.fields)), body)
@@ -235,16 +231,14 @@
         self,
         connection: TargetConnection,
         head: TargetHead,
-        stall_timeout_s: float | None,
     ) -> AttemptResult:
         """Relay complete events as they arrive, each once and in order."""
         splitter = EventSplitter()
         relayed_head = TargetHead(head.status, end_to_end(head.fields))
         while True:
-            try:
-                data = await connection.body(stall_timeout_s)
-            except TimeoutError as error:
-                return AttemptResult(AttemptOutcome.LOST, str(error))
+            data = await connection.body()
+            # Another attempt may have relayed the next events at the same moment.
+            await anyio.lowlevel.checkpoint_if_cancelled()
             if data is None:
                 break
             ready: list[bytes] = []
--- /dev/null
+++ b/src/endivegw/relay/attempt_race.py
@@ -0,0 +1,340 @@
+"""Run one request's attempts, and further ones beside a target that is silent."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import define, evolve, field
+
+from endivegw.decisions import AttemptEnd, AttemptKind, Placement
+from endivegw.relay.admission import AdmittedRequest, work_item
+from endivegw.relay.attempt import Attempt, AttemptOutcome, AttemptResult
+from endivegw.relay.caller_connection import AnswerWriter
+from endivegw.relay.context import RelayContext
+from endivegw.relay.messages import TargetHead, end_to_end
+from endivegw.relay.request_log import record_placement
+from endivegw.relay.request_progress import (
+    UNSENT_OUTCOMES,
+    RequestProgress,
+    attempt_kind,
+    is_retryable_answer,
+    lower_quartile,
+)
+from endivegw.relay.stream_binding import StreamBinding
+from endivegw.relay.suspicion import QuarantineCheck
+from endivegw.relay.target_connection import OutgoingRequest
+from endivegw.relay.target_report import apply_target_report
+from endivegw.relay.wire import SendMetadata
+from endivegw.telemetry.catalogue import relay as events
+
+__all__ = ["AttemptRace", "EndedAttempt"]
+
+#: The attempt of a race that has ended with a result, and that result.
+EndedAttempt = tuple[Placement, AttemptResult]
+
+
+@define(eq=False)
+class _RunningAttempt:
+    """Hold one attempt in progress.
+
+    :ivar silent: whether its target has said nothing for some time.
+    :ivar has_data: whether any data of its answer has arrived.
+    :ivar answering: whether a part of its answer was relayed.
+    :ivar sent_s: time at which the request was sent.
+    """
+
+    placement: Placement
+    scope: anyio.CancelScope = field(factory=anyio.CancelScope)
+    silent: bool = False
+    has_data: bool = False
+    answering: bool = False
+    sent_s: float = 0.0
+
+    @property
+    def work_id(self) -> str:
+        """Return the id under which the dispatcher knows the attempt."""
+        return self.placement.item.request_id
+
+
+class AttemptRace:
+    """Run the attempts of one request; the first that answers ends the others.
+
+    A sound target may be silent for a second or so and go on, and only time shows
+    whether it does. Silence therefore ends no attempt. If the request may run twice and
+    another target has room, it is sent there as well, and goes on at the target that
+    speaks first. Otherwise it waits.
+    """
+
+    def __init__(
+        self,
+        context: RelayContext,
+        admitted: AdmittedRequest,
+        writer: AnswerWriter,
+        progress: RequestProgress,
+        quarantine_check: QuarantineCheck,
+        binding: StreamBinding,
+    ) -> None:
+        self._context = context
+        self._admitted = admitted
+        self._writer = writer
+        self._progress = progress
+        self._quarantine_check = quarantine_check
+        self._binding = binding
+        self._running: list[_RunningAttempt] = []
+        self._ended: list[EndedAttempt] = []
+        self._decided = False
+        self._error: Exception | None = None
+        #: Runs the attempts beside the first; None if there must be none.
+        self._tasks: TaskGroup | None = None
+        self._attempt_count = 0
+
+    async def run(self, placement: Placement) -> list[EndedAttempt]:
+        """Attempt a target, and others beside it while it is silent.
+
+        :returns: the attempts that ended by themselves in the order of their ends; none
+            of them is still running.
+        """
+        self._ended = []
+        if self._admitted.route.kind.may_repeat:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                await self._run_attempt(placement)
+            self._tasks = None
+        else:
+            await self._run_attempt(placement)
+        if self._error is not None:
+            raise self._error
+        return self._ended
+
+    async def _run_attempt(self, placement: Placement) -> None:
+        """Run one attempt; record its result unless another one has decided."""
+        self._attempt_count += 1
+        running = _RunningAttempt(placement)
+        self._running.append(running)
+        result: AttemptResult | None = None
+        try:
+            with running.scope:
+                result = await self._attempt(running)
+        except Exception as error:
+            # The task group would hide the error among others.
+            self._error = error
+            self._cancel_others(running)
+        finally:
+            self._running.remove(running)
+        if result is None or self._decided:
+            return
+        self._ended.append((placement, result))
+        if self._is_final(result):
+            self._decided = True
+            self._cancel_others(running)
+
+    def _is_final(self, result: AttemptResult) -> bool:
+        if result.outcome is not AttemptOutcome.ANSWERED:
+            return False
+        answer = result.answer
+        return answer is None or not is_retryable_answer(self._admitted.route, answer)
+
+    def _cancel_others(self, running: _RunningAttempt) -> None:
+        for other in self._running:
+            if other is not running:
+                other.scope.cancel()
+
+    async def _attempt(self, running: _RunningAttempt) -> AttemptResult:
+        context = self._context
+        admitted = self._admitted
+        kind = admitted.route.kind
+        placement = running.placement
+        attempt = Attempt(
+            context.pool,
+            context.wire,
+            admitted.request_id,
+            self._progress.stream_progress,
+            lambda head, data: self._relay_head(running, head, data),
+            lambda data: self._relay_events(running, data),
+            lambda: self._record_first_data(running),
+            lambda: self._start_send(running),
+            lambda metadata: apply_target_report(
+                context, admitted.request_id, placement, metadata, running.sent_s
+            ),
+            self._writer.cancel_if_caller_left,
+            lambda: self._handle_silence(running),
+        )
+        self._progress.target = placement.target
+        result: AttemptResult | None = None
+        try:
+            result = await attempt.run(
+                placement.address,
+                self._build_request(placement),
+                require_fresh=not kind.may_repeat,
+                stream=kind.is_stream,
+                silence_s=context.limits.silence_s if kind.may_repeat else None,
+            )
+        finally:
+            if result is None:
+                # The attempt was cancelled. An unsent request is not charged.
+                end = AttemptOutcome.LOST if attempt.sent else AttemptOutcome.NOT_SENT
+                self.report(running, AttemptResult(end, "cancelled"), False)
+        self.report(running, result, True)
+        await self._quarantine_check.record_attempt(
+            placement, result, running.answering
+        )
+        return result
+
+    def _handle_silence(self, running: _RunningAttempt) -> None:
+        """Let another target run the request beside one that is silent, if possible."""
+        running.silent = True
+        placement = self._place_beside()
+        self._context.log.emit(
+            events.TARGET_SILENT,
+            request_id=self._admitted.request_id,
+            target=running.placement.target,
+            events=self._progress.stream_progress.events,
+            beside=placement.target if placement is not None else None,
+        )
+        if placement is not None:
+            assert self._tasks is not None
+            self._tasks.start_soon(self._run_attempt, placement)
+
+    def _place_beside(self) -> Placement | None:
+        """Place the request on a further target; None if it must wait or none is free.
+
+        A prompt that may have terminated a target gets no second one: a target that it
+        terminates may fall silent first.
+        """
+        progress = self._progress
+        route = self._admitted.route
+        running = self._running
+        if self._tasks is None or any(not other.silent for other in running):
+            return None
+        if progress.target_count + len(running) >= route.max_targets:
+            return None
+        check = self._quarantine_check
+        if check.refusal() is not None or check.is_suspect():
+            return None
+        targets = progress.excluded.union(at.placement.target for at in running)
+        now_s = self._context.clock()
+        item = work_item(
+            self._admitted, frozenset(targets), now_s, self._binding.software_version
+        )
+        # The dispatcher knows each request once at a time.
+        item = evolve(item, request_id=f"{item.request_id}/{self._attempt_count}")
+        queue = self._context.queue
+        placement = queue.place_now(item)
+        if placement is None:
+            return None
+        if self._context.retries.may_retry(now_s) is not True:
+            queue.release(placement)
+            return None
+        record_placement(self._context, self._admitted, placement, 0)
+        self._context.metrics.record_retry()
+        return placement
+
+    def _start_send(self, running: _RunningAttempt) -> bool:
+        """Record the send; return False if the target must not get the request."""
+        if self._quarantine_check.refusal() is not None:
+            return False
+        now_s = running.sent_s = self._context.clock()
+        placement = running.placement
+        return self._context.queue.dispatcher.availability.start_send(
+            running.work_id, placement.target, now_s, placement.software_version
+        )
+
+    def _build_request(self, placement: Placement) -> OutgoingRequest:
+        admitted = self._admitted
+        request = admitted.request
+        metadata = SendMetadata(
+            instance_id=placement.instance_id,
+            client_account=admitted.account.name if admitted.account else None,
+            deadline_s=admitted.deadline_s - self._context.clock(),
+            resume_after=self._progress.stream_progress.order.last_id,
+            copy_from=placement.copy_from,
+        )
+        fields = self._context.wire.write_target_fields(
+            end_to_end(request.fields), metadata
+        )
+        return OutgoingRequest(request.method, request.target, fields, request.body)
+
+    def report(
+        self, running: _RunningAttempt, result: AttemptResult, done: bool
+    ) -> None:
+        """Report the result of an attempt to the dispatcher, and count the attempt.
+
+        :param done: whether the attempt ended without being cancelled.
+        """
+        context = self._context
+        progress = self._progress
+        placement = running.placement
+        if result.outcome not in UNSENT_OUTCOMES:
+            progress.send_count += 1
+            progress.replaced_count += result.replaced
+        if result.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.LOST):
+            progress.may_have_run = True
+        kind = attempt_kind(result, done)
+        if not done and running.silent:
+            kind = AttemptKind.FAILED
+        pauses_s = progress.pauses_s
+        end = AttemptEnd(
+            kind,
+            output_tokens=self.output_tokens(),
+            longest_pause_s=max(pauses_s, default=None),
+            usual_pause_s=lower_quartile(pauses_s),
+        )
+        context.queue.dispatcher.ended(
+            running.work_id, placement.target, end, context.clock()
+        )
+        context.queue.wake()
+        if done and result.outcome is not AttemptOutcome.ANSWERED:
+            context.log.emit(
+                events.ATTEMPT_FAILED,
+                request_id=self._admitted.request_id,
+                target=placement.target,
+                address=placement.address,
+                end=result.outcome.value,
+                detail=result.detail,
+                events=progress.stream_progress.events,
+                fingerprint=(
+                    self._quarantine_check.fingerprint if result.broken else None
+                ),
+            )
+
+    def output_tokens(self) -> int:
+        """Return the maximum number of tokens that the caller was sent."""
+        table = self._context.table
+        per_event = table.configuration.tokens_per_event if table else 1
+        sent = self._progress.stream_progress.events * per_event
+        return min(sent, self._admitted.metadata.max_output_tokens)
+
+    async def _relay_head(
+        self, running: _RunningAttempt, head: TargetHead, data: bytes
+    ) -> None:
+        self._take_over(running)
+        self._progress.last_relayed_s = self._context.clock()
+        self._binding.begin(running.placement)
+        await self._writer.start(head.status, head.fields, data)
+
+    async def _relay_events(self, running: _RunningAttempt, data: bytes) -> None:
+        self._take_over(running)
+        progress = self._progress
+        now_s = self._context.clock()
+        if progress.last_relayed_s is not None:
+            progress.pauses_s.append(now_s - progress.last_relayed_s)
+        progress.last_relayed_s = now_s
+        await self._writer.send_chunk(data)
+
+    def _take_over(self, running: _RunningAttempt) -> None:
+        """Let a stream go on at the target that has just sent its next events."""
+        running.silent = False
+        if not running.answering:
+            running.answering = True
+            self._quarantine_check.begin_answer()
+        if len(self._running) > 1:
+            self._cancel_others(running)
+
+    def _record_first_data(self, running: _RunningAttempt) -> None:
+        if running.has_data:
+            return
+        running.has_data = True
+        now_s = self._context.clock()
+        if self._progress.first_data_s is None:
+            self._progress.first_data_s = now_s
+        self._context.queue.dispatcher.first_token(running.work_id, now_s)
--- a/src/endivegw/relay/request_log.py
+++ b/src/endivegw/relay/request_log.py
@@ -4,12 +4,13 @@
 
 from attrs import frozen
 
+from endivegw.decisions import Placement
 from endivegw.relay.admission import AdmittedRequest
 from endivegw.relay.context import RelayContext
 from endivegw.relay.request_progress import RequestProgress
 from endivegw.telemetry.catalogue import relay as events
 
-__all__ = ["RequestEnd", "record_request_end"]
+__all__ = ["RequestEnd", "record_placement", "record_request_end"]
 
 
 @frozen
@@ -29,6 +30,31 @@
     software_version: str | None
 
 
+def record_placement(
+    context: RelayContext,
+    admitted: AdmittedRequest,
+    placement: Placement,
+    reserved_tokens: int,
+) -> None:
+    """Count the placement of a request on a target, and log it."""
+    figures = placement.figures
+    context.metrics.queued(figures.queued_s)
+    context.log.emit(
+        events.REQUEST_PLACED,
+        request_id=admitted.request_id,
+        client_account=admitted.account_name,
+        target=placement.target,
+        why=placement.why,
+        load=round(figures.load, 3),
+        cached_tokens=figures.cached_tokens,
+        copied_tokens=figures.copied_tokens,
+        queued_s=round(figures.queued_s, 4),
+        finish_s=round(figures.finish_s, 3),
+        reserved_tokens=reserved_tokens,
+        software_version=placement.software_version or None,
+    )
+
+
 def record_request_end(
     context: RelayContext,
     admitted: AdmittedRequest,
--- a/src/endivegw/relay/request_progress.py
+++ b/src/endivegw/relay/request_progress.py
@@ -5,19 +5,30 @@
 from attrs import define, field
 
 from endivegw.decisions import AttemptKind
-from endivegw.relay.attempt import AttemptOutcome, AttemptResult, StreamProgress
+from endivegw.relay.attempt import (
+    AttemptOutcome,
+    AttemptResult,
+    CompleteAnswer,
+    StreamProgress,
+)
+from endivegw.routing import Route, RouteKind
 from endivegw.types import TargetName
 
 __all__ = [
     "MIN_SERVER_ERROR_STATUS",
     "RequestProgress",
+    "UNSENT_OUTCOMES",
     "attempt_kind",
+    "is_retryable_answer",
     "lower_quartile",
 ]
 
 #: The lowest HTTP status that reports a failure of the target.
 MIN_SERVER_ERROR_STATUS = 500
 
+#: Outcomes of attempts that sent nothing.
+UNSENT_OUTCOMES = (AttemptOutcome.NOT_SENT, AttemptOutcome.HELD_BACK)
+
 #: Minimum number of pauses in an answer from which a target's speed is estimated.
 _MIN_PAUSES = 8
 
@@ -33,7 +44,6 @@
     :ivar excluded: targets that must not receive the request again.
     :ivar first_data_s: time at which the first data of an answer arrived.
     :ivar last_relayed_s: time at which events were last relayed.
-    :ivar sent_s: time at which the latest attempt was sent.
     :ivar pauses_s: pauses between relayed batches of events.
     :ivar target: target of the latest attempt.
     """
@@ -45,7 +55,6 @@
     excluded: set[TargetName] = field(factory=set)
     first_data_s: float | None = None
     last_relayed_s: float | None = None
-    sent_s: float = 0.0
     pauses_s: list[float] = field(factory=list)
     target: str = ""
 
@@ -62,6 +71,12 @@
     return sorted(pauses_s)[len(pauses_s) // 4]
 
 
+def is_retryable_answer(route: Route, answer: CompleteAnswer) -> bool:
+    """Return whether a server error may be retried on another target."""
+    failed = answer.head.status >= MIN_SERVER_ERROR_STATUS
+    return failed and route.kind is RouteKind.REPEATABLE
+
+
 def attempt_kind(result: AttemptResult, done: bool) -> AttemptKind:
     """Return the kind of an attempt as it is reported to the dispatcher.
 
--- a/src/endivegw/relay/suspicion.py
+++ b/src/endivegw/relay/suspicion.py
@@ -26,8 +26,6 @@
         self._admitted = admitted
         self._fingerprint: Fingerprint | None = None
         self._parts: tuple[Fingerprint, ...] | None = None
-        #: Whether the answer of the current attempt has begun.
-        self._begun = False
         #: Whether this request is sent to show if one of its parts is the cause.
         self._is_trial = False
         self.blamed: Fingerprint | None = None
@@ -60,34 +58,37 @@
         self.blamed = found
         return quarantine.refusal(found)
 
-    def forbids_retry(self, result: AttemptResult) -> bool:
-        """Return whether a lost attempt must not be retried on a second target."""
+    def is_suspect(self) -> bool:
+        """Return whether the request may have terminated a target."""
         quarantine = self._context.quarantine
-        return result.broken and quarantine.is_suspect(self.fingerprint, *self.parts)
+        return quarantine.is_suspect(self.fingerprint, *self.parts)
 
-    def start_attempt(self) -> None:
-        """Record that the request is sent to another target."""
-        self._begun = False
+    def forbids_retry(self, result: AttemptResult) -> bool:
+        """Return whether a lost attempt must not be retried on a second target."""
+        return result.broken and self.is_suspect()
 
     def begin_answer(self) -> None:
-        """Record that the target of the current attempt writes an answer."""
-        if self._begun:
-            return
-        self._begun = True
+        """Record that the target of an attempt writes an answer."""
         for part in self.parts:
             self._context.quarantine.answered(part)
 
-    async def record_attempt(self, placement: Placement, result: AttemptResult) -> None:
-        """Record the result of an attempt for the quarantine."""
+    async def record_attempt(
+        self, placement: Placement, result: AttemptResult, begun: bool
+    ) -> None:
+        """Record the result of an attempt for the quarantine.
+
+        :param begun: whether the target had begun its answer.
+        """
         if result.broken:
             start = TargetStart(placement.instance_id, placement.started_ms)
-            suspects = (self.fingerprint,) if self._begun else self._all
+            suspects = (self.fingerprint,) if begun else self._all
             await self._context.terminations.record_lost_send(
                 start, placement.address, suspects
             )
         elif result.outcome is AttemptOutcome.ANSWERED and _is_success(result):
             self._context.quarantine.answered(self.fingerprint)
-            self.begin_answer()
+            if not begun:
+                self.begin_answer()
 
     @property
     def _all(self) -> tuple[Fingerprint, ...]:
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -69,6 +69,18 @@
         self.used = False
         self._parser = AnswerParser()
         self._sent = True
+        self._on_silent: Callable[[], None] = lambda: None
+
+    def watch_silence(
+        self, silence_s: float | None, on_silent: Callable[[], None]
+    ) -> None:
+        """Report silences of the target while an answer is awaited or read.
+
+        :param silence_s: time without data after which ``on_silent`` is called, and
+            again after each further such time; None to disable.
+        """
+        self._stream.idle_timeout_s = silence_s
+        self._on_silent = on_silent
 
     @property
     def reusable(self) -> bool:
@@ -109,12 +121,10 @@
         except _CONNECTION_ERRORS as error:
             raise AnswerBroken(f"{type(error).__name__} before an answer") from error
 
-    async def body(self, idle_timeout_s: float | None = None) -> bytes | None:
+    async def body(self) -> bytes | None:
         """Return what has arrived of the answer's body, None at its end.
 
-        :param idle_timeout_s: maximum wait for data; None for no limit.
         :raises AnswerBroken: if the body is incomplete.
-        :raises TimeoutError: if no data came in time.
         """
         try:
             while True:
@@ -123,9 +133,7 @@
                     return data
                 if self._parser.complete:
                     return None
-                await self._receive(idle_timeout_s)
-        except TimeoutError:
-            raise
+                await self._receive()
         except _CONNECTION_ERRORS as error:
             raise AnswerBroken(f"{type(error).__name__} within an answer") from error
 
@@ -201,17 +209,19 @@
             head = self._parser.head()
             if head is not None:
                 return head
-            await self._receive(None)
+            await self._receive()
 
-    async def _receive(self, idle_timeout_s: float | None) -> None:
+    async def _receive(self) -> None:
         """Parse the next received bytes."""
-        self._stream.idle_timeout_s = idle_timeout_s
-        try:
-            data = await self._stream.receive()
-        except anyio.EndOfStream:
-            self._parser.feed_eof()
-        else:
-            self._parser.feed(data)
+        while True:
+            try:
+                self._parser.feed(await self._stream.receive())
+            except TimeoutError:
+                self._on_silent()
+                continue
+            except anyio.EndOfStream:
+                self._parser.feed_eof()
+            return
 
     def _record_keep_alive(self, head: TargetHead) -> None:
         for name, value in head.fields:
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -24,6 +24,7 @@
     "STORE_PATH_CHANGED",
     "TARGET_CHANGED",
     "TARGET_REPORTED",
+    "TARGET_SILENT",
     "TARGET_TERMINATED",
     "TARGET_WARMING_UP",
     "ZONE_CHANGED",
@@ -134,6 +135,14 @@
     " requests for a time.",
     ("request_id", "target", "leaving", "pause_s"),
 )
+TARGET_SILENT = Event(
+    9133,
+    "relay-target-silent",
+    Level.INFO,
+    "A target has sent nothing of an answer for some time. The request waits for it,"
+    " and is also sent to the target beside it, unless this is null.",
+    ("request_id", "target", "events", "beside"),
+)
 TARGET_WARMING_UP = Event(
     9117,
     "relay-target-warming-up",
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -12,6 +12,9 @@
 #: Longer than the pause after which a router looks for another target.
 _SILENT_S = 1.6
 
+#: Time before the first event of a slow target, shorter than that pause.
+_PREFILL_S = 1.0
+
 #: Longer than any request waits.
 _FOR_EVER_S = 60.0
 
@@ -145,6 +148,23 @@
 
         _run(scenario, engines=2)
 
+    # Guards against events that come twice when a silent target goes on first.
+    def test_a_stream_stays_at_a_target_that_speaks_first(self) -> None:
+        async def scenario(fleet: ClientFleet) -> None:
+            for worker in fleet.workers.values():
+                worker.silent_s, worker.remaining_silences = _SILENT_S, 1
+                worker.silent_after_events = 2
+                worker.prefill_s = _PREFILL_S
+            (answer,) = await _stream(fleet)
+            self.assertEqual((answer.status, answer.complete), (200, True))
+            self.assertEqual(answer.body.count(b"id: "), 5)
+            engines = [fleet.workers[name].runs for name in ("e-1", "e-2")]
+            self.assertEqual(sorted(map(len, engines)), [1, 1])
+            beside = min(engines, key=lambda runs: runs[0].events)[0]
+            self.assertEqual(beside.fields["last-event-id"], "2")
+
+        _run(scenario, engines=2)
+
 
 if __name__ == "__main__":
     unittest.main()
