Answer the requests received behind an answer before a connection closes

Callers that sent several whole requests at once got an answer to the first only when the router stopped or moved its callers: the answer said that the connection closes, and the others, read and parsed, ended with it without a word.

Cause: whether an answer closes the connection was decided when its request began, by the router's state alone. Now it is decided when the head is written, and only if no byte of a next request has arrived, read or still in the kernel. A stop or an idle limit closes no connection with such bytes either.

--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -6,14 +6,19 @@
 from typing import Awaitable, Callable
 
 import anyio
-from anyio.abc import ByteStream, SocketAttribute
+from anyio.abc import SocketAttribute
 
 from endivegw.relay.connection_end import ConnectionEnd, EndCause
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
 from endivegw.relay.wire import HeaderFields
 from endivegw.routing import CallerLimits
-from endivegw.sockets import last_input_age_s, peer_has_closed
+from endivegw.sockets import (
+    has_no_pending_input,
+    last_input_age_s,
+    peer_has_closed,
+)
+from endivegw.tcp_stream import TcpStream
 
 __all__ = ["AnswerWriter", "CallerConnection", "Handler"]
 
@@ -34,7 +39,8 @@
 class AnswerWriter:
     """Write one answer to a caller.
 
-    :param close_after: whether the connection must close after the answer.
+    :param closing: returns whether the connection closes after the answer; called when
+        its head is written, which tells the caller so.
     :param cancel_if_caller_left: see :meth:`CallerConnection.cancel_if_caller_left`.
     :param caller_left: returns whether the caller is known to have closed the
         connection.
@@ -45,9 +51,9 @@
 
     def __init__(
         self,
-        stream: ByteStream,
+        stream: TcpStream,
         request: CallerRequest,
-        close_after: bool,
+        closing: Callable[[], bool],
         cancel_if_caller_left: Callable[[], None],
         caller_left: Callable[[], bool],
     ) -> None:
@@ -56,7 +62,8 @@
         self.cancel_if_caller_left = cancel_if_caller_left
         self._chunked = request.http_version >= b"1.1"
         self._head_only = request.method == b"HEAD"
-        self.close_after = close_after or request.close_after
+        self._closing = closing
+        self.close_after = request.close_after
         self.body_bytes = 0
         self.started = False
         self.finished = False
@@ -74,7 +81,7 @@
     ) -> None:
         """Write a complete answer."""
         length = [(b"content-length", str(len(body)).encode())]
-        head = _encode_head(status, fields + length, self.close_after)
+        head = self._encode_head(status, fields + length)
         self.started = True
         self.body_bytes = len(body)
         await self._stream.send(head if self._head_only else head + body)
@@ -88,7 +95,7 @@
             self.close_after = True
         self.started = True
         self.body_bytes = len(body)
-        head = _encode_head(status, fields, self.close_after)
+        head = self._encode_head(status, fields)
         await self._stream.send(head + self._encode_chunk(body))
 
     async def send_chunk(self, body: bytes) -> None:
@@ -102,6 +109,10 @@
             await self._stream.send(b"0\r\n\r\n")
         self.finished = True
 
+    def _encode_head(self, status: int, fields: HeaderFields) -> bytes:
+        self.close_after = self.close_after or self._closing()
+        return _encode_head(status, fields, self.close_after)
+
     def _encode_chunk(self, body: bytes) -> bytes:
         if not self._chunked or not body:
             return body
@@ -122,7 +133,7 @@
 
     def __init__(
         self,
-        stream: ByteStream,
+        stream: TcpStream,
         handler: Handler,
         limits: Callable[[], CallerLimits],
         closing: Callable[[], bool],
@@ -267,14 +278,14 @@
             if request is not None:
                 self.busy = True
                 return request
-            if self._caller_left or (self._closing and self._parser.idle):
+            if self._caller_left or (self._closing and self._is_idle()):
                 self._record_cause(EndCause.STOPPING)
                 return None
             if self._parser.expects_continue:
                 self._parser.expects_continue = False
                 await self._stream.send(_CONTINUE)
+            self.busy = not self._is_idle()
             if not self._parser.idle:
-                self.busy = True
                 now_s = self._clock()
                 if head_due_s is None:
                     head_due_s = now_s + limits.head_timeout_s
@@ -283,7 +294,9 @@
                     timeout_s = limits.idle_timeout_s
             with anyio.move_on_after(timeout_s) as waited:
                 await self._state_changed.wait()
-            if waited.cancelled_caught and not self._state_changed.is_set():
+            if not waited.cancelled_caught or self._state_changed.is_set():
+                continue
+            if not self._has_unread_input():
                 if self._parser.idle:
                     self._record_cause(EndCause.IDLE_LIMIT)
                     return None
@@ -297,12 +310,35 @@
         raw_socket = self._stream.extra(SocketAttribute.raw_socket)
         return self._clock() - last_input_age_s(raw_socket)
 
+    def _is_idle(self) -> bool:
+        """Return whether no byte of a next request has arrived, read or not."""
+        return self._parser.idle and not self._has_unread_input()
+
+    def _has_unread_input(self) -> bool:
+        """Return whether data or an end of the stream has arrived and is not read yet.
+
+        After the process was paused, a wait may be over although what it waits for has
+        arrived in time.
+        """
+        if self._stream.has_input:
+            return True
+        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
+        return raw_socket.fileno() >= 0 and not has_no_pending_input(raw_socket)
+
+    def _closes_after_answer(self) -> bool:
+        """Return whether an answer that begins now is the connection's last.
+
+        Requests that were received behind it are answered first: the caller would
+        never learn whether they ran.
+        """
+        return self._callers_should_leave() and self._is_idle()
+
     async def _handle_request(self, request: CallerRequest) -> bool:
         """Answer one request; return whether the connection stays open."""
         writer = AnswerWriter(
             self._stream,
             request,
-            self._callers_should_leave(),
+            self._closes_after_answer,
             self.cancel_if_caller_left,
             lambda: self._caller_left,
         )
