Apply the limits in force to connections that wait for their caller

Callers that reused a connection within the configured idle time found it closed: the limit was read once, when the connection fell idle, and a longer one reached it only with its next request. A body that the newest configuration allows was refused by the limit before.

Cause: a limit that was copied into a wait. Now each wait goes by the limits in force. A longer one applies at once; a shorter one counts from its change, as the caller relied on the longer one until then; a request that has begun may be as large as any limit since then allowed. Connections are woken when limits change.

--- a/src/endivegw/daemons/direct_readers.py
+++ b/src/endivegw/daemons/direct_readers.py
@@ -101,6 +101,7 @@
         table = self._context.table
         if table is not None and configuration.version <= table.version:
             return
+        limits = table.limits if table is not None else None
         self._context.table = RoutingTable(configuration)
         self._context.table_active_since_s = self._context.clock()
         self._log.emit(
@@ -113,6 +114,8 @@
             prepaid_tokens=_changed_budgets(table, self._context.table),
         )
         self._on_change()
+        if self._context.table.limits != limits:
+            self._context.on_new_limits()
 
     def on_unavailable(self) -> None:
         """Do nothing: the version in force stays."""
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -99,6 +99,7 @@
         self._stopped = anyio.Event()
         #: Cancelled to stop accepting connections from callers.
         self._accepting: anyio.CancelScope | None = None
+        parts.context.on_new_limits = self._apply_limits
         parts.context.metrics.gauge(
             "caller_connections",
             "Open connections of callers.",
@@ -273,6 +274,11 @@
         moved = context.capacity is not None and context.capacity.moves_callers
         return context.draining or moved
 
+    def _apply_limits(self) -> None:
+        """Apply new limits to callers' connections, most of which are idle."""
+        for connection in self._connections:
+            connection.handle_new_limits()
+
     def _limits(self) -> CallerLimits:
         table = self._parts.context.table
         return table.limits if table is not None else CallerLimits()
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -11,6 +11,7 @@
 from endivegw.relay.connection_end import ConnectionEnd, EndCause
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
+from endivegw.relay.request_wait import RequestPhase, RequestWait
 from endivegw.relay.wire import HeaderFields
 from endivegw.routing import CallerLimits
 from endivegw.sockets import (
@@ -33,6 +34,9 @@
 #: would reset the connection before the caller has read the answer.
 _LINGER_TIMEOUT_S = 0.3
 
+#: Minimum wait for input that has arrived and is about to be read.
+_MIN_WAIT_S = 0.01
+
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -156,7 +160,8 @@
         #: The request in progress and its answer.
         self._current: tuple[CallerRequest, AnswerWriter] | None = None
         self._opened_s = clock()
-        self._idle_since_s: float | None = None
+        self._answered_s: float | None = None
+        self._last_input_s = self._opened_s
         #: Whether a request is being read or answered.
         self.busy = False
 
@@ -177,6 +182,10 @@
         self._closing = True
         self._state_changed.set()
 
+    def handle_new_limits(self) -> None:
+        """Apply limits that have just come into force to the wait for the caller."""
+        self._state_changed.set()
+
     def cancel_if_caller_left(self) -> None:
         """Cancel the request in progress if its caller has closed the connection.
 
@@ -211,7 +220,7 @@
             if not isinstance(waiting, CallerRequest):
                 break
             unanswered.append(waiting)
-        idle_since_s = self._idle_since_s
+        answered_s = self._answered_s
         self._on_end(
             ConnectionEnd(
                 self._cause or EndCause.CANCELLED,
@@ -219,7 +228,7 @@
                 answer_bytes,
                 self._parser.buffered_bytes,
                 now_s - self._opened_s,
-                None if idle_since_s is None else now_s - idle_since_s,
+                None if answered_s is None else now_s - answered_s,
             )
         )
 
@@ -239,6 +248,7 @@
             while True:
                 await self._wait_buffered_requests()
                 self._parser.feed(await self._stream.receive())
+                self._last_input_s = self._clock()
                 self._state_changed.set()
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
             self._handle_caller_left()
@@ -267,43 +277,49 @@
 
     async def _next_request(self) -> CallerRequest | MalformedRequest | None:
         """Return the next request, None if the connection delivers no more."""
-        limits = self._limits()
-        self._parser.limits = limits
         self.busy = False
-        timeout_s = limits.idle_timeout_s
-        head_due_s: float | None = None
+        idle_since_s = self._clock()
+        head_since_s: float | None = None
+        wait = RequestWait(self._limits())
         while True:
             self._state_changed = anyio.Event()
+            if self._parser.idle:
+                phase, since_s = RequestPhase.IDLE, idle_since_s
+            elif self._parser.in_body:
+                phase, since_s = RequestPhase.BODY, self._last_input_s
+            else:
+                head_since_s = self._clock() if head_since_s is None else head_since_s
+                phase, since_s = RequestPhase.HEAD, head_since_s
+            wait.update(phase, since_s, self._limits(), self._clock())
+            self._parser.limits = wait.limits
             request = self._parser.next_request(self._arrived_s())
             if request is not None:
                 self.busy = True
                 return request
-            if self._caller_left or (self._closing and self._is_idle()):
+            if self._caller_left:
+                return None
+            if self._closing and self._is_idle():
                 self._record_cause(EndCause.STOPPING)
                 return None
+            left_s = wait.due_s - self._clock()
+            if left_s <= 0.0 and not self._has_unread_input():
+                return self._time_out()
             if self._parser.expects_continue:
                 self._parser.expects_continue = False
                 await self._stream.send(_CONTINUE)
             self.busy = not self._is_idle()
-            if not self._parser.idle:
-                now_s = self._clock()
-                if head_due_s is None:
-                    head_due_s = now_s + limits.head_timeout_s
-                timeout_s = max(0.0, head_due_s - now_s)
-                if self._parser.in_body:
-                    timeout_s = limits.idle_timeout_s
-            with anyio.move_on_after(timeout_s) as waited:
+            with anyio.move_on_after(max(_MIN_WAIT_S, left_s)):
                 await self._state_changed.wait()
-            if not waited.cancelled_caught or self._state_changed.is_set():
-                continue
-            if not self._has_unread_input():
-                if self._parser.idle:
-                    self._record_cause(EndCause.IDLE_LIMIT)
-                    return None
-                return MalformedRequest(
-                    HTTPStatus.REQUEST_TIMEOUT,
-                    "the request was not received completely in time",
-                )
+
+    def _time_out(self) -> MalformedRequest | None:
+        """Return the answer to a request that is late, None if none has begun."""
+        if self._parser.idle:
+            self._record_cause(EndCause.IDLE_LIMIT)
+            return None
+        return MalformedRequest(
+            HTTPStatus.REQUEST_TIMEOUT,
+            "the request was not received completely in time",
+        )
 
     def _arrived_s(self) -> float:
         """Return when the last data arrived, which may have been unread since then."""
@@ -362,7 +378,7 @@
             self._record_cause(EndCause.ANSWER_CUT)
             return False
         self._current = None
-        self._idle_since_s = self._clock()
+        self._answered_s = self._clock()
         if writer.close_after:
             self._record_cause(EndCause.ANSWER_CLOSES)
         return not writer.close_after and not self._caller_left
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -36,6 +36,8 @@
     :ivar draining: whether the router accepts no new requests because it stops.
     :ivar capacity: admits requests while the machine can carry them; None if its
         capacity is not known.
+    :ivar on_new_limits: called after a configuration with other limits for callers has
+        come into force.
     :ivar on_replaced: called with the instance id and start time of a target when
         another instance answered at its address.
     :ivar on_leaving: called with a target that announces its shutdown, and with the
@@ -64,6 +66,7 @@
     unknown_answer_fields: set[bytes] = field(factory=set)
     draining: bool = False
     capacity: CapacityWatch | None = None
+    on_new_limits: Callable[[], None] = lambda: None
     on_replaced: Callable[[InstanceId, int | None], None] = lambda name, start: None
     on_leaving: Callable[[TargetStart, str], None] = lambda start, source: None
     on_warm_up: Callable[[TargetStart, float], None] = lambda start, warm_up_s: None
--- a/src/endivegw/routing/model.py
+++ b/src/endivegw/routing/model.py
@@ -116,6 +116,15 @@
     head_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
+    def widened(self, other: CallerLimits) -> CallerLimits:
+        """Return limits that allow what either of two allows."""
+        return CallerLimits(
+            max(self.head_bytes, other.head_bytes),
+            max(self.body_bytes, other.body_bytes),
+            max(self.head_timeout_s, other.head_timeout_s),
+            max(self.idle_timeout_s, other.idle_timeout_s),
+        )
+
 
 @frozen
 class FleetConfiguration:
