Answer a caller whose request ends by an error of another party

Any broken connection or system error below the handler was taken for a caller that had left: its connection closed without an answer and without a line. Any other exception closed it as well.

Cause: the errors of the caller's own connection and those of all others had the same types. Writes of an answer now raise an error of their own. Every other one ends the request with a line and with 502, or 503 if nothing was sent.

A request whose scope ends without a result is one whose deadline passed, however the scope says it ended. A connection that this process closed because too much was held for slow readers is reported as such.

--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -16,7 +16,8 @@
 from endivegw.decisions import LoadFigures, LocalLoad
 from endivegw.gossip import PeerEntry, PeerLink
 from endivegw.gossip.peers import PEERS_TABLE
-from endivegw.relay.caller_connection import AnswerWriter, CallerConnection, Handler
+from endivegw.relay.answer_writer import AnswerWriter
+from endivegw.relay.caller_connection import CallerConnection, Handler
 from endivegw.relay.connection_end import ConnectionEnd
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -8,8 +8,8 @@
 
 from endivegw.decisions import AttemptEnd, AttemptKind, Placement
 from endivegw.relay.admission import AdmittedRequest, work_item
+from endivegw.relay.answer_writer import AnswerWriter
 from endivegw.relay.attempt import Attempt, AttemptOutcome, AttemptResult
-from endivegw.relay.caller_connection import AnswerWriter
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import TargetHead, end_to_end
 from endivegw.relay.request_log import record_placement
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import contextlib
 from http import HTTPStatus
 from typing import Awaitable, Callable
 
 import anyio
 from anyio.abc import SocketAttribute
 
+from endivegw.relay.answer_writer import (
+    CONNECTION_ERRORS,
+    AnswerWriter,
+    CallerGone,
+    encode_head,
+)
 from endivegw.relay.connection_end import ConnectionEnd, EndCause
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
 from endivegw.relay.request_wait import RequestPhase, RequestWait
-from endivegw.relay.wire import HeaderFields
 from endivegw.routing import CallerLimits
 from endivegw.sockets import (
     has_no_pending_input,
@@ -21,7 +27,7 @@
 )
 from endivegw.tcp_stream import TcpStream
 
-__all__ = ["AnswerWriter", "CallerConnection", "Handler"]
+__all__ = ["CallerConnection", "Handler"]
 
 #: Maximum bytes of pipelined requests that are buffered while a request is answered.
 #: Beyond it, reading from the caller pauses until the answer is finished.
@@ -40,89 +46,6 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class AnswerWriter:
-    """Write one answer to a caller.
-
-    :param closing: returns whether the connection closes after the answer; called when
-        its head is written, which tells the caller so.
-    :param cancel_if_caller_left: see :meth:`CallerConnection.cancel_if_caller_left`.
-    :param caller_left: returns whether the caller is known to have closed the
-        connection.
-    :ivar body_bytes: size of the body so far.
-    :ivar started: whether any byte of the answer may have been sent.
-    :ivar finished: whether the answer was sent completely.
-    """
-
-    def __init__(
-        self,
-        stream: TcpStream,
-        request: CallerRequest,
-        closing: Callable[[], bool],
-        cancel_if_caller_left: Callable[[], None],
-        caller_left: Callable[[], bool],
-    ) -> None:
-        self._stream = stream
-        self.caller_left = caller_left
-        self.cancel_if_caller_left = cancel_if_caller_left
-        self._chunked = request.http_version >= b"1.1"
-        self._head_only = request.method == b"HEAD"
-        self._closing = closing
-        self.close_after = request.close_after
-        self.body_bytes = 0
-        self.started = False
-        self.finished = False
-
-    @property
-    def truncated(self) -> bool:
-        """Return whether the answer was started but not finished.
-
-        The connection then closes without the marker of a complete answer.
-        """
-        return self.started and not self.finished
-
-    async def send_complete(
-        self, status: int, fields: HeaderFields, body: bytes
-    ) -> None:
-        """Write a complete answer."""
-        length = [(b"content-length", str(len(body)).encode())]
-        head = self._encode_head(status, fields + length)
-        self.started = True
-        self.body_bytes = len(body)
-        await self._stream.send(head if self._head_only else head + body)
-        self.finished = True
-
-    async def start(self, status: int, fields: HeaderFields, body: bytes) -> None:
-        """Write the head and the first chunk of an answer of unknown length."""
-        if self._chunked:
-            fields = fields + [(b"transfer-encoding", b"chunked")]
-        else:
-            self.close_after = True
-        self.started = True
-        self.body_bytes = len(body)
-        head = self._encode_head(status, fields)
-        await self._stream.send(head + self._encode_chunk(body))
-
-    async def send_chunk(self, body: bytes) -> None:
-        """Write a further chunk of the answer."""
-        self.body_bytes += len(body)
-        await self._stream.send(self._encode_chunk(body))
-
-    async def finish(self) -> None:
-        """Finish an answer of unknown length."""
-        if self._chunked:
-            await self._stream.send(b"0\r\n\r\n")
-        self.finished = True
-
-    def _encode_head(self, status: int, fields: HeaderFields) -> bytes:
-        self.close_after = self.close_after or self._closing()
-        return _encode_head(status, fields, self.close_after)
-
-    def _encode_chunk(self, body: bytes) -> bytes:
-        if not self._chunked or not body:
-            return body
-        return b"%x\r\n%b\r\n" % (len(body), body)
-
-
 Handler = Callable[[CallerRequest, AnswerWriter], Awaitable[None]]
 
 
@@ -252,6 +175,10 @@
                 self._state_changed.set()
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
             self._handle_caller_left()
+        except anyio.ClosedResourceError:
+            # This process closed the connection.
+            self._record_cause(EndCause.READER_CLOSED)
+            self._handle_caller_left()
 
     async def _wait_buffered_requests(self) -> None:
         """Wait while too much is buffered; detect a disconnect meanwhile."""
@@ -304,9 +231,7 @@
             left_s = wait.due_s - self._clock()
             if left_s <= 0.0 and not self._has_unread_input():
                 return self._time_out()
-            if self._parser.expects_continue:
-                self._parser.expects_continue = False
-                await self._stream.send(_CONTINUE)
+            await self._invite_body()
             self.busy = not self._is_idle()
             with anyio.move_on_after(max(_MIN_WAIT_S, left_s)):
                 await self._state_changed.wait()
@@ -321,11 +246,6 @@
             "the request was not received completely in time",
         )
 
-    def _arrived_s(self) -> float:
-        """Return when the last data arrived, which may have been unread since then."""
-        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
-        return self._clock() - last_input_age_s(raw_socket)
-
     def _is_idle(self) -> bool:
         """Return whether no byte of a next request has arrived, read or not."""
         return self._parser.idle and not self._has_unread_input()
@@ -341,6 +261,20 @@
         raw_socket = self._stream.extra(SocketAttribute.raw_socket)
         return raw_socket.fileno() >= 0 and not has_no_pending_input(raw_socket)
 
+    async def _invite_body(self) -> None:
+        """Tell a caller that waits for it to send the body of its request."""
+        if not self._parser.expects_continue:
+            return
+        self._parser.expects_continue = False
+        with contextlib.suppress(*CONNECTION_ERRORS):
+            # A caller that has left is noticed by the task that reads.
+            await self._stream.send(_CONTINUE)
+
+    def _arrived_s(self) -> float:
+        """Return when the last data arrived, which may have been unread since then."""
+        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
+        return self._clock() - last_input_age_s(raw_socket)
+
     def _closes_after_answer(self) -> bool:
         """Return whether an answer that begins now is the connection's last.
 
@@ -365,11 +299,12 @@
                 if self._caller_left:
                     scope.cancel()
                 await self._handler(request, writer)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+        except CallerGone:
             self._record_cause(EndCause.WRITE_FAILED)
             return False
         except Exception:
             self._record_cause(EndCause.HANDLER_FAILED)
+            await self._answer_failure(writer)
             raise
         finally:
             self._scope = None
@@ -383,31 +318,27 @@
             self._record_cause(EndCause.ANSWER_CLOSES)
         return not writer.close_after and not self._caller_left
 
+    async def _answer_failure(self, writer: AnswerWriter) -> None:
+        """Answer a request whose handler failed; it may have run."""
+        if writer.started:
+            return
+        writer.close_after = True
+        with contextlib.suppress(CallerGone):
+            await writer.send_complete(HTTPStatus.BAD_GATEWAY, [], b"")
+            self._current = None
+
     async def _reject(self, malformed: MalformedRequest) -> None:
         """Answer a malformed request, then wait briefly for the caller to close."""
         body = f"{malformed.detail}\n".encode()
         fields = [(b"content-type", b"text/plain")]
         fields.append((b"content-length", str(len(body)).encode()))
-        head = _encode_head(malformed.status, fields, True)
+        head = encode_head(malformed.status, fields, True)
         try:
             await self._stream.send(head + body)
             await self._stream.send_eof()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+        except CONNECTION_ERRORS:
             return
         with anyio.move_on_after(_LINGER_TIMEOUT_S):
             while not self._caller_left:
                 await self._state_changed.wait()
                 self._state_changed = anyio.Event()
-
-
-def _encode_head(status: int, fields: HeaderFields, close_after: bool) -> bytes:
-    try:
-        phrase = HTTPStatus(status).phrase
-    except ValueError:
-        phrase = ""
-    lines = [f"HTTP/1.1 {status} {phrase}\r\n".encode("latin-1")]
-    lines += [b"%b: %b\r\n" % field for field in fields]
-    if close_after:
-        lines.append(b"connection: close\r\n")
-    lines.append(b"\r\n")
-    return b"".join(lines)
--- a/src/endivegw/relay/connection_end.py
+++ b/src/endivegw/relay/connection_end.py
@@ -30,6 +30,8 @@
     STOPPING = "stopping"
     #: The router stopped or closed the connection while it was in use.
     CANCELLED = "cancelled"
+    #: Too much was held for peers that read slowly, of which this was one.
+    READER_CLOSED = "reader-closed"
     #: The handler of a request raised an exception.
     HANDLER_FAILED = "handler-failed"
 
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -4,8 +4,8 @@
 
 from endivegw.quarantine import Fingerprint
 from endivegw.relay.admission import NO_ACCOUNT, AdmittedRequest, admit
+from endivegw.relay.answer_writer import AnswerWriter
 from endivegw.relay.answers import router_answer
-from endivegw.relay.caller_connection import AnswerWriter
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_run import RequestRun
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
+from traceback import format_exception
 
 import anyio
 
 from endivegw.allowances import Reservation
 from endivegw.decisions import Placement
 from endivegw.relay.admission import AdmittedRequest, model_of, work_item
+from endivegw.relay.answer_writer import AnswerWriter, CallerGone
 from endivegw.relay.answers import router_answer
 from endivegw.relay.attempt import (
     AttemptOutcome,
@@ -17,7 +19,6 @@
     StreamProgress,
 )
 from endivegw.relay.attempt_race import AttemptRace
-from endivegw.relay.caller_connection import AnswerWriter
 from endivegw.relay.context import RelayContext
 from endivegw.relay.events import EventOrder
 from endivegw.relay.request_log import (
@@ -33,6 +34,7 @@
 from endivegw.relay.stream_binding import StreamBinding
 from endivegw.relay.suspicion import QuarantineCheck
 from endivegw.results import Reason, Refused, Unknown
+from endivegw.telemetry.catalogue import relay as events
 
 __all__ = ["RequestRun"]
 
@@ -77,11 +79,22 @@
         left_s = self._admitted.deadline_s - self._context.clock()
         outcome: str | None = None
         try:
-            with anyio.move_on_after(max(0.0, left_s)) as scope:
+            with anyio.move_on_after(max(0.0, left_s)):
                 outcome = await self._serve()
-            if scope.cancelled_caught:
+            if outcome is None:
                 outcome = "deadline"
                 await self._send_router_answer(self._deadline_result())
+        except CallerGone:
+            outcome = "caller-left"
+            raise
+        except Exception as error:
+            outcome = "failed"
+            self._context.log.emit(
+                events.REQUEST_FAILED,
+                request_id=self._admitted.request_id,
+                detail="".join(format_exception(error)),
+            )
+            await self._send_router_answer(self._failed_result())
         finally:
             if outcome is None:
                 outcome = "caller-left" if self._writer.caller_left() else "cancelled"
@@ -229,6 +242,12 @@
         await self._writer.send_complete(head.status, head.fields, answer.body)
         return "answered"
 
+    def _failed_result(self) -> Refused | Unknown:
+        """Return the result of a request that an unexpected error ended."""
+        if self._progress.may_have_run:
+            return Unknown(Reason.ANSWER_LOST, "an internal error")
+        return Refused(Reason.NOT_READY, "an internal error")
+
     def _deadline_result(self) -> Refused | Unknown:
         """Return the result of a request whose deadline has passed."""
         if self._progress.may_have_run:
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -16,6 +16,7 @@
     "PROCESS_STOPPED",
     "READER_CLOSED",
     "REQUEST_ENDED",
+    "REQUEST_FAILED",
     "REQUEST_PLACED",
     "REQUEST_REFUSED",
     "ROTATION_CHANGED",
@@ -90,6 +91,14 @@
         "software_version",
     ),
 )
+REQUEST_FAILED = Event(
+    9134,
+    "relay-request-failed",
+    Level.ERROR,
+    "An unexpected exception ended a request; its caller got an answer of the router if"
+    " no answer had begun.",
+    ("request_id", "detail"),
+)
 CONFIGURATION_IN_FORCE = Event(
     9110,
     "relay-configuration-in-force",
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -7,7 +7,8 @@
 
 import anyio
 
-from endivegw.relay.caller_connection import AnswerWriter, CallerConnection
+from endivegw.relay.answer_writer import AnswerWriter
+from endivegw.relay.caller_connection import CallerConnection
 from endivegw.relay.messages import CallerRequest
 from endivegw.routing import CallerLimits
 from endivegw.tcp_stream import TcpStream, connect_tcp, serve_tcp
