Answer what is still in progress when the time for a shutdown has passed

Callers of requests that were queued, or at a target that did not answer, saw their connections end without a word 7.4 s after SIGTERM: the end of the shutdown cancelled all tasks. Each such request is now ended with an answer, 503 if it was not sent and 502 if it may have run; what is read after that is refused.

--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -56,11 +56,14 @@
         connections: the load balancer checks it once a second and stops using it
         after two failed checks.
     :param stop_within_s: maximum duration of the shutdown in seconds.
+    :param last_answers_s: time in seconds for the answers to requests that are still in
+        progress then.
     :param write_timeout_s: timeout in seconds for writes of this router's row.
     """
 
     stop_after_s: float = 2.6
     stop_within_s: float = 7.4
+    last_answers_s: float = 0.2
     write_timeout_s: float = 1.0
 
 
@@ -191,9 +194,20 @@
             # The row is removed only after the tokens were returned: until then
             # it shows the other routers whose tokens they may have to take over.
             await self._unregister()
+        await self._answer_rest()
         await self._parts.allowances.send_final_statement()
         self._stopped.set()
 
+    async def _answer_rest(self) -> None:
+        """Answer the requests that are still in progress at the end of a shutdown."""
+        context = self._parts.context
+        context.stopped = True
+        for request in list(context.running):
+            request.stop()
+        with anyio.move_on_after(self._options.last_answers_s):
+            while any(connection.busy for connection in self._connections):
+                await anyio.sleep(0.01)
+
     async def _listen(
         self,
         address: Address,
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import Callable
+from typing import Callable, Protocol
 
 from attrs import define, field
 
@@ -22,7 +22,14 @@
 from endivegw.telemetry.exposition import RouterMetrics
 from endivegw.types import InstanceId
 
-__all__ = ["RelayContext"]
+__all__ = ["RelayContext", "StoppableRequest"]
+
+
+class StoppableRequest(Protocol):
+    """A request in progress."""
+
+    def stop(self) -> None:
+        """End the request now with an answer that states whether it may have run."""
 
 
 @define
@@ -36,6 +43,8 @@
     :ivar draining: whether the router accepts no new requests because it stops.
     :ivar capacity: admits requests while the machine can carry them; None if its
         capacity is not known.
+    :ivar running: the requests in progress that were admitted.
+    :ivar stopped: whether no request may begin any more.
     :ivar on_new_limits: called after a configuration with other limits for callers has
         come into force.
     :ivar on_replaced: called with the instance id and start time of a target when
@@ -66,6 +75,8 @@
     unknown_answer_fields: set[bytes] = field(factory=set)
     draining: bool = False
     capacity: CapacityWatch | None = None
+    running: set[StoppableRequest] = field(factory=set)
+    stopped: bool = False
     on_new_limits: Callable[[], None] = lambda: None
     on_replaced: Callable[[InstanceId, int | None], None] = lambda name, start: None
     on_leaving: Callable[[TargetStart, str], None] = lambda start, source: None
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -10,7 +10,7 @@
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_run import RequestRun
 from endivegw.relay.suspicion import QuarantineCheck
-from endivegw.results import Refused
+from endivegw.results import Reason, Refused
 from endivegw.telemetry.catalogue import relay as events
 
 __all__ = ["RequestHandler"]
@@ -25,6 +25,10 @@
     async def handle(self, request: CallerRequest, writer: AnswerWriter) -> None:
         """Handle one request and write its answer."""
         context = self._context
+        if context.stopped:
+            stopped = Refused(Reason.NOT_READY, "the router stops")
+            await self._send_refusal(None, stopped, writer)
+            return
         admitted = admit(
             request, context.table, context.wire, context.rng, context.clock()
         )
--- a/src/endivegw/relay/request_log.py
+++ b/src/endivegw/relay/request_log.py
@@ -18,7 +18,7 @@
     """Hold how a request ended, besides its progress.
 
     :param outcome: ``answered``, ``caller-left``, ``cancelled`` (the router ended the
-        connection), ``failed``, ``deadline``, ``cut`` or the reason of the
+        connection), ``stopped``, ``failed``, ``deadline``, ``cut`` or the reason of the
         router's own answer.
     :param cut: whether an answer was started and not finished.
     :param software_version: version of the software that ran a stream.
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -65,6 +65,8 @@
         self._reservation: Reservation | None = None
         self._quarantine_check = quarantine_check
         self._binding = StreamBinding(context.streams, admitted)
+        self._scope: anyio.CancelScope | None = None
+        self._stopping = False
         self._race = AttemptRace(
             context,
             admitted,
@@ -78,12 +80,13 @@
         """Answer the request, and settle the tokens that it consumed."""
         left_s = self._admitted.deadline_s - self._context.clock()
         outcome: str | None = None
+        self._context.running.add(self)
         try:
-            with anyio.move_on_after(max(0.0, left_s)):
+            with anyio.move_on_after(max(0.0, left_s)) as self._scope:
                 outcome = await self._serve()
             if outcome is None:
-                outcome = "deadline"
-                await self._send_router_answer(self._deadline_result())
+                outcome = "stopped" if self._stopping else "deadline"
+                await self._send_router_answer(self._unfinished_result())
         except CallerGone:
             outcome = "caller-left"
             raise
@@ -96,10 +99,17 @@
             )
             await self._send_router_answer(self._failed_result())
         finally:
+            self._context.running.discard(self)
             if outcome is None:
                 outcome = "caller-left" if self._writer.caller_left() else "cancelled"
             self._settle(outcome)
 
+    def stop(self) -> None:
+        """End the request now with an answer that states whether it may have run."""
+        self._stopping = True
+        if self._scope is not None:
+            self._scope.cancel()
+
     async def _serve(self) -> str:
         refused = await self._binding.find() or await self._reserve()
         if refused is None:
@@ -248,8 +258,12 @@
             return Unknown(Reason.ANSWER_LOST, "an internal error")
         return Refused(Reason.NOT_READY, "an internal error")
 
-    def _deadline_result(self) -> Refused | Unknown:
-        """Return the result of a request whose deadline has passed."""
+    def _unfinished_result(self) -> Refused | Unknown:
+        """Return the result of a request that its deadline or a shutdown ended."""
+        if self._stopping and self._progress.may_have_run:
+            return Unknown(Reason.ANSWER_LOST, "the router stops")
+        if self._stopping:
+            return Refused(Reason.NOT_READY, "the router stops")
         if self._progress.may_have_run:
             return Unknown(Reason.TIMEOUT, "no answer before the request's deadline")
         return Refused(
