--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -181,6 +181,8 @@
             # This also runs if the caller disconnected: closing the connection makes
             # the target stop generating.
             if clean:
+                # A pooled connection must not keep the request in memory.
+                connection.watch_silence(None)
                 await self._pool.release(connection)
             else:
                 await connection.close()
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -53,6 +53,10 @@
     body: bytes
 
 
+def _ignore_silence() -> None:
+    """Do nothing about a silent target."""
+
+
 class TargetConnection:
     """Speak HTTP/1.1 with one target, one request at a time.
 
@@ -69,10 +73,12 @@
         self.used = False
         self._parser = AnswerParser()
         self._sent = True
-        self._on_silent: Callable[[], None] = lambda: None
+        self._on_silent = _ignore_silence
 
     def watch_silence(
-        self, silence_s: float | None, on_silent: Callable[[], None]
+        self,
+        silence_s: float | None,
+        on_silent: Callable[[], None] = _ignore_silence,
     ) -> None:
         """Report silences of the target while an answer is awaited or read.
 
