--- a/src/endivegw/telemetry/request_trace.py
+++ b/src/endivegw/telemetry/request_trace.py
@@ -26,6 +26,9 @@
 _OUTCOME_TEXTS = {
     "answered": "The caller received the target's complete answer.",
     "caller-left": "The caller disconnected before its answer was complete.",
+    "cancelled": "The router ended the connection before the answer was complete.",
+    "stopped": "The time for the router's shutdown passed first.",
+    "failed": "An internal error ended it.",
     "deadline": "The request's deadline passed first.",
     "insufficient_quota": (
         "Refused (402): the account's prepaid budget did not cover it. It did not run."
@@ -128,7 +131,7 @@
     """
     all_lines = sorted(lines, key=lambda line: line.at)
     ids = _ids_of_stream(request_id, all_lines)
-    request_lines = [line for line in all_lines if line.fields.get("request_id") in ids]
+    request_lines = [line for line in all_lines if ids.intersection(_ids_of(line))]
     if not request_lines:
         return RequestTrace(request_id)
     steps = request_lines + list(_context_lines(request_lines, all_lines))
@@ -137,6 +140,12 @@
     return RequestTrace(request_id, tuple(trace), _cause(request_lines, steps))
 
 
+def _ids_of(line: LogLine) -> list[str]:
+    """Return the ids of the requests that a line names."""
+    named = line.fields.get("request_ids") or [line.fields.get("request_id")]
+    return [request_id for request_id in named if request_id]
+
+
 def _ids_of_stream(request_id: str, lines: list[LogLine]) -> set[str]:
     """Return the ids of all tries at the stream of a request."""
     tries = [line.fields for line in lines if line.fields.get("resumes")]
@@ -191,7 +200,7 @@
     accounts = {line.fields.get("client_account") for line in request_lines} - {None}
     targets = {line.fields.get("target") for line in request_lines} - {None, ""}
     for line in all_lines:
-        if "request_id" in line.fields or not start_s <= line.at_s <= end_s:
+        if _ids_of(line) or not start_s <= line.at_s <= end_s:
             continue
         if line.vm not in vms:
             continue
@@ -205,6 +214,9 @@
 def _cause(request_lines: list[LogLine], steps: list[LogLine]) -> str:
     ends = [line for line in request_lines if line.event in (9101, 9104)]
     end = ends[-1] if ends else None
+    unanswered = [line for line in request_lines if line.event == 9132]
+    if end is None and unanswered:
+        return describe(unanswered[-1])
     if end is None:
         return "No line says how it ended: its router ended before it did."
     outcome = str(end.fields.get("outcome") or end.fields.get("reason"))
@@ -296,6 +308,25 @@
     )
 
 
+def _unanswered(fields: Mapping[str, Any]) -> str:
+    ended_by = "The caller" if fields["by_caller"] else "The router"
+    return (
+        f"{ended_by} ended the connection ({fields['cause']}) after {fields['age_s']}"
+        " s:"
+        f" {fields['unanswered']} requests that were read on it had no whole answer,"
+        f" {fields['answer_bytes']} bytes of one were sent. Configuration"
+        f" {fields['version']} had been in force for {fields['version_age_s']} s."
+    )
+
+
+def _silent(fields: Mapping[str, Any]) -> str:
+    beside = fields["beside"]
+    other = (
+        f"it was also sent to {beside}" if beside else "no other target could run it"
+    )
+    return f"{fields['target']} sent nothing for some time; {other}."
+
+
 def _suspected(fields: Mapping[str, Any]) -> str:
     targets = ", ".join(fields["targets"])
     return (
@@ -318,6 +349,9 @@
     9102: _placed,
     9103: _failed,
     9104: _ended,
+    9132: _unanswered,
+    9133: _silent,
+    9134: lambda fields: f"An internal error ended it: {fields['detail']}",
     9115: lambda fields: (
         f"Target {fields['target']} terminated ({fields['source']}), with "
         f"{fields['lost']} requests of this router."
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -98,6 +98,25 @@
     )
 ]
 
+WAITING = [
+    line(6.0, 9133, request_id="r-4", target="e-1", events=2, beside=None),
+    line(
+        6.5,
+        9132,
+        cause="cancelled",
+        by_caller=False,
+        request_ids=["r-4", "r-5"],
+        unanswered=2,
+        answer_bytes=40,
+        unparsed_bytes=0,
+        age_s=3.2,
+        idle_s=None,
+        version=14,
+        version_age_s=1.6,
+        draining=True,
+    ),
+]
+
 NOISE = ["no json\n", "{broken\n", '{"event": 1}\n', line(2.1, 9005, tokens=5)]
 
 
@@ -106,7 +125,8 @@
 
     def explain(self, request_id: str, *arguments: str, code: int = 0) -> str:
         """Run the command on all lines, which are not in order of time."""
-        text = "".join(PAUSED + TRUNCATED + NOISE + TOKENS_REFUSED)
+        lines = PAUSED + WAITING + TRUNCATED + NOISE + TOKENS_REFUSED
+        text = "".join(lines)
         result = CliRunner().invoke(main, ["explain", request_id, *arguments], text)
         self.assertEqual(result.exit_code, code, result.output)
         return result.output
@@ -133,6 +153,15 @@
         cause = self.explain("r-3").splitlines()[-1]
         self.assertIn("longest pause was 0.346 s", cause)
 
+    def test_request_that_was_read_and_never_handled(self) -> None:
+        """A request waited behind another one on a connection that ended."""
+        output = self.explain("r-5")
+        self.assertNotIn("sent nothing", output)
+        cause = output.splitlines()[-1]
+        self.assertIn("The router ended the connection (cancelled)", cause)
+        self.assertIn("Configuration 14 had been in force for 1.6 s", cause)
+        self.assertIn("e-1 sent nothing for some time", self.explain("r-4"))
+
     def test_request_without_end_is_attributed_to_its_router(self) -> None:
         """A router was killed during the request, so that no line shows its end."""
         trace = trace_request("r-2", read_log_lines(TRUNCATED[:1]))
