Take a pause of the router itself neither for silence nor for idleness

Callers on kept connections saw a whole request end with the connection, and requests went to a second target for nothing, when the router's process had been paused while data arrived for it. After a pause the event loop's wait is interrupted: timers expire first, and what the kernel holds is read after them.

Cause: a timer alone decided that nothing had come.

--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -94,10 +94,11 @@
         return self._sent and self._parser.keeps_connection
 
     def has_no_input(self) -> bool:
-        """Return whether nothing was received while the connection was idle.
+        """Return whether nothing is received that was not read yet.
 
-        Received bytes cannot belong to a future answer. An end of stream means that
-        the target has closed the connection, and a request sent now would be lost.
+        On an idle connection, received bytes cannot belong to a future answer. An end
+        of stream means that the target has closed the connection, and a request sent
+        now would be lost.
         """
         return not self._stream.has_input and has_no_pending_input(
             self._stream.extra(SocketAttribute.raw_socket)
@@ -223,7 +224,10 @@
             try:
                 self._parser.feed(await self._stream.receive())
             except TimeoutError:
-                self._on_silent()
+                # After a pause of this process, timers may expire before data is read
+                # that arrived meanwhile.
+                if self.has_no_input():
+                    self._on_silent()
                 continue
             except anyio.EndOfStream:
                 self._parser.feed_eof()
