Relay the events before a gap in a stream

A target that skips an event sends, in one read, events that are in order before the gap. They were accepted and never relayed; the next target went on behind them, and the stream ended as complete with events missing.

tests.test_attempt_races ...events_before_a_gap... failed before (it comes with the other tests of attempts beside silent targets).

--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -244,16 +244,20 @@
             if data is None:
                 break
             ready: list[bytes] = []
+            has_gap = False
             for event in splitter.feed(data):
                 accepted = self._stream_progress.order.accept(event)
                 if accepted is None:
-                    return AttemptResult(
-                        AttemptOutcome.LOST, "an event is missing from the stream"
-                    )
+                    has_gap = True
+                    break
                 if accepted:
                     ready.append(event.data)
             if ready:
                 await self._relay_batch(relayed_head, ready)
+            if has_gap:
+                return AttemptResult(
+                    AttemptOutcome.LOST, "an event is missing from the stream"
+                )
         if splitter.has_partial_event:
             return AttemptResult(
                 AttemptOutcome.LOST, "the stream ended in the middle of an event"
