Skip blank lines behind a request, and send no chunks in an answer to HEAD

A blank line behind a request hid that the connection was idle: the last answer of a stop did not say that the connection closes, and the time for the next head began with the blank line (408). An answer to HEAD on a stream ended in a chunk, which the caller would read as the next answer.

--- a/src/endivegw/relay/answer_writer.py
+++ b/src/endivegw/relay/answer_writer.py
@@ -80,18 +80,22 @@
             fields = fields + [(b"transfer-encoding", b"chunked")]
         else:
             self.close_after = True
-        self.body_bytes = len(body)
         head = self._encode_head(status, fields)
-        await self._send(head + self._encode_chunk(body))
+        if not self._head_only:
+            self.body_bytes = len(body)
+            head += self._encode_chunk(body)
+        await self._send(head)
 
     async def send_chunk(self, body: bytes) -> None:
         """Write a further chunk of the answer."""
+        if self._head_only:
+            return
         self.body_bytes += len(body)
         await self._send(self._encode_chunk(body))
 
     async def finish(self) -> None:
         """Finish an answer of unknown length."""
-        if self._chunked:
+        if self._chunked and not self._head_only:
             await self._send(b"0\r\n\r\n")
         self.finished = True
 
--- a/src/endivegw/relay/request_parser.py
+++ b/src/endivegw/relay/request_parser.py
@@ -68,6 +68,7 @@
     def feed(self, data: bytes) -> None:
         """Add received bytes to the buffer."""
         self._buffer += data
+        self._skip_blank_lines()
 
     def next_request(self, now_s: float) -> CallerRequest | MalformedRequest | None:
         """Return the next request, None if more bytes are needed."""
@@ -83,11 +84,14 @@
         except h11.RemoteProtocolError as error:
             return MalformedRequest(error.error_status_hint, str(error))
 
+    def _skip_blank_lines(self) -> None:
+        """Skip blank lines before a request line (RFC 9112, section 2.2)."""
+        if self._parser is None:
+            while self._buffer[:2] == b"\r\n":
+                del self._buffer[:2]
+
     def _parse_head(self) -> MalformedRequest | None:
         """Parse the head once it has been received completely."""
-        while self._buffer[:2] == b"\r\n":
-            # Blank lines before a request line are allowed (RFC 9112, section 2.2).
-            del self._buffer[:2]
         end = self._buffer.find(_HEAD_END)
         head = self._buffer if end < 0 else self._buffer[: end + len(_HEAD_END)]
         if len(head) > self.limits.head_bytes:
@@ -152,6 +156,7 @@
         rest, _ = self._parser.trailing_data
         self._buffer += rest
         self._parser = None
+        self._skip_blank_lines()
         self._head = None
         self._body = bytearray()
         self.expects_continue = False
