Let only an answer decide between attempts beside a silent target

Also: a target that still reads a large body is not silent, no target is asked while the retry budget is used up, and the end of a request names the target that answered.

--- a/src/endivegw/decisions/retry.py
+++ b/src/endivegw/decisions/retry.py
@@ -47,9 +47,14 @@
         """Credit the share of one first attempt."""
         self._tokens = min(self._policy.burst, self._tokens + self._policy.share)
 
+    @property
+    def exhausted(self) -> bool:
+        """Return whether no retry is left at present."""
+        return self._tokens < 1.0
+
     def may_retry(self, now_s: float) -> bool | Refused:
         """Spend one retry, or return a refusal if the budget is used up."""
-        if self._tokens < 1.0:
+        if self.exhausted:
             return Refused(Reason.OVERLOADED, "the retry budget is used up")
         self._tokens -= 1.0
         return True
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -14,10 +14,10 @@
 from endivegw.relay.messages import TargetHead, end_to_end
 from endivegw.relay.request_log import record_placement
 from endivegw.relay.request_progress import (
+    MIN_SERVER_ERROR_STATUS,
     UNSENT_OUTCOMES,
     RequestProgress,
     attempt_kind,
-    is_retryable_answer,
     lower_quartile,
 )
 from endivegw.relay.stream_binding import StreamBinding
@@ -86,7 +86,8 @@
         self._error: Exception | None = None
         #: Runs the attempts beside the first; None if there must be none.
         self._tasks: TaskGroup | None = None
-        self._attempt_count = 0
+        #: Number of attempts beside others, over all races of the request.
+        self._beside_count = 0
 
     async def run(self, placement: Placement) -> list[EndedAttempt]:
         """Attempt a target, and others beside it while it is silent.
@@ -95,22 +96,39 @@
             of them is still running.
         """
         self._ended = []
+        first = self._add(placement)
         if self._admitted.route.kind.may_repeat:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
-                await self._run_attempt(placement)
+                await self._run_attempt(first)
             self._tasks = None
         else:
-            await self._run_attempt(placement)
+            await self._run_attempt(first)
         if self._error is not None:
             raise self._error
         return self._ended
 
-    async def _run_attempt(self, placement: Placement) -> None:
-        """Run one attempt; record its result unless another one has decided."""
-        self._attempt_count += 1
+    def is_final(self, result: AttemptResult) -> bool:
+        """Return whether a result decides the request while other attempts run.
+
+        A failure of the target does not, as another one may still answer. Nor does an
+        answer that cannot be relayed, because a stream has begun.
+        """
+        if result.outcome is not AttemptOutcome.ANSWERED:
+            return False
+        answer = result.answer
+        if answer is None:
+            return True
+        failed = answer.head.status >= MIN_SERVER_ERROR_STATUS
+        return not failed and not self._writer.started
+
+    def _add(self, placement: Placement) -> _RunningAttempt:
         running = _RunningAttempt(placement)
         self._running.append(running)
+        return running
+
+    async def _run_attempt(self, running: _RunningAttempt) -> None:
+        """Run one attempt; record its result unless another one has decided."""
         result: AttemptResult | None = None
         try:
             with running.scope:
@@ -121,18 +139,23 @@
             self._cancel_others(running)
         finally:
             self._running.remove(running)
-        if result is None or self._decided:
+        if result is None or self._decided or running.scope.cancel_called:
             return
-        self._ended.append((placement, result))
-        if self._is_final(result):
+        self._ended.append((running.placement, result))
+        if self.is_final(result):
             self._decided = True
+            self._progress.target = running.placement.target
             self._cancel_others(running)
+        elif result.outcome is AttemptOutcome.ANSWERED:
+            self._progress.fallback = result.answer
 
-    def _is_final(self, result: AttemptResult) -> bool:
-        if result.outcome is not AttemptOutcome.ANSWERED:
-            return False
-        answer = result.answer
-        return answer is None or not is_retryable_answer(self._admitted.route, answer)
+    def _end_if_answered(self) -> None:
+        """End the race if it has an answer and only silent targets are left."""
+        if self._writer.started or self._progress.fallback is None:
+            return
+        if all(other.silent for other in self._running):
+            for other in self._running:
+                other.scope.cancel()
 
     def _cancel_others(self, running: _RunningAttempt) -> None:
         for other in self._running:
@@ -183,17 +206,27 @@
     def _handle_silence(self, running: _RunningAttempt) -> None:
         """Let another target run the request beside one that is silent, if possible."""
         running.silent = True
-        placement = self._place_beside()
+        if self._decided or running.scope.cancel_called:
+            return
+        beside = self._run_beside()
         self._context.log.emit(
             events.TARGET_SILENT,
             request_id=self._admitted.request_id,
             target=running.placement.target,
             events=self._progress.stream_progress.events,
-            beside=placement.target if placement is not None else None,
+            beside=beside.placement.target if beside is not None else None,
         )
-        if placement is not None:
-            assert self._tasks is not None
-            self._tasks.start_soon(self._run_attempt, placement)
+        if beside is None:
+            self._end_if_answered()
+
+    def _run_beside(self) -> _RunningAttempt | None:
+        """Run an attempt beside those that are silent; None if there can be none."""
+        placement = self._place_beside()
+        if placement is None or self._tasks is None:
+            return None
+        running = self._add(placement)
+        self._tasks.start_soon(self._run_attempt, running)
+        return running
 
     def _place_beside(self) -> Placement | None:
         """Place the request on a further target; None if it must wait or none is free.
@@ -208,6 +241,8 @@
             return None
         if progress.target_count + len(running) >= route.max_targets:
             return None
+        if self._context.retries.exhausted:
+            return None
         check = self._quarantine_check
         if check.refusal() is not None or check.is_suspect():
             return None
@@ -217,21 +252,24 @@
             self._admitted, frozenset(targets), now_s, self._binding.software_version
         )
         # The dispatcher knows each request once at a time.
-        item = evolve(item, request_id=f"{item.request_id}/{self._attempt_count}")
+        self._beside_count += 1
+        item = evolve(item, request_id=f"{item.request_id}/{self._beside_count}")
         queue = self._context.queue
         placement = queue.place_now(item)
         if placement is None:
             return None
-        if self._context.retries.may_retry(now_s) is not True:
-            queue.release(placement)
-            return None
+        self._context.retries.may_retry(now_s)
         record_placement(self._context, self._admitted, placement, 0)
         self._context.metrics.record_retry()
         return placement
 
     def _start_send(self, running: _RunningAttempt) -> bool:
         """Record the send; return False if the target must not get the request."""
-        if self._quarantine_check.refusal() is not None:
+        check = self._quarantine_check
+        if check.refusal() is not None:
+            return False
+        # A target may have terminated since this one was chosen beside it.
+        if len(self._running) + len(self._ended) > 1 and check.is_suspect():
             return False
         now_s = running.sent_s = self._context.clock()
         placement = running.placement
@@ -264,6 +302,7 @@
         context = self._context
         progress = self._progress
         placement = running.placement
+        progress.excluded.add(placement.target)
         if result.outcome not in UNSENT_OUTCOMES:
             progress.send_count += 1
             progress.replaced_count += result.replaced
@@ -324,6 +363,7 @@
     def _take_over(self, running: _RunningAttempt) -> None:
         """Let a stream go on at the target that has just sent its next events."""
         running.silent = False
+        self._progress.target = running.placement.target
         if not running.answering:
             running.answering = True
             self._quarantine_check.begin_answer()
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -84,6 +84,8 @@
         try:
             with anyio.move_on_after(max(0.0, left_s)) as self._scope:
                 outcome = await self._serve()
+            if outcome is None:
+                outcome = await self._relay_fallback()
             if outcome is None:
                 outcome = "stopped" if self._stopping else "deadline"
                 await self._send_router_answer(self._unfinished_result())
@@ -141,33 +143,28 @@
     async def _run_attempts(self) -> str | Refused | Unknown:
         """Attempt targets until one answers or no further attempt is allowed."""
         self._context.retries.first_attempt(self._context.clock())
+        route = self._admitted.route
         last_result: Refused | Unknown | None = None
-        fallback: CompleteAnswer | None = None
         while True:
             placement = await self._place()
             if isinstance(placement, Refused):
-                if fallback is not None:
-                    return await self._relay_answer(fallback)
-                return last_result or placement
+                return await self._relay_fallback() or last_result or placement
             ended = await self._race.run(placement)
             for at, result in ended:
                 if result.outcome is not AttemptOutcome.ANSWERED:
                     last_result = self._evaluate(at, result)
-                    continue
-                self._progress.excluded.add(at.target)
-                answer = result.answer
-                if answer is None:
+                elif result.answer is None:
                     await self._writer.finish()
                     self._binding.end()
                     return "answered"
-                if not is_retryable_answer(self._admitted.route, answer):
-                    return await self._relay_answer(answer)
-                fallback = answer
-            if not self._may_send_again(ended[-1][1]):
-                if fallback is not None:
-                    return await self._relay_answer(fallback)
-                assert last_result is not None
-                return last_result
+                elif self._race.is_final(result):
+                    return await self._relay_answer(result.answer)
+            fallback = self._progress.fallback
+            may_retry = fallback is None or is_retryable_answer(route, fallback)
+            if not may_retry or not self._may_send_again([end for _, end in ended]):
+                outcome = await self._relay_fallback() or last_result
+                assert outcome is not None
+                return outcome
 
     async def _place(self) -> Placement | Refused:
         context = self._context
@@ -192,7 +189,6 @@
         self, placement: Placement, result: AttemptResult
     ) -> Refused | Unknown:
         """Return how the request ends if no attempt follows one without an answer."""
-        self._progress.excluded.add(placement.target)
         if result.replaced:
             self._context.on_replaced(placement.instance_id, placement.started_ms)
         if result.outcome is AttemptOutcome.LOST:
@@ -213,9 +209,11 @@
         back_s = availability.available_in_s(model, self._context.clock())
         return back_s if math.isfinite(back_s) else 0.0
 
-    def _may_send_again(self, result: AttemptResult) -> bool:
+    def _may_send_again(self, results: list[AttemptResult]) -> bool:
         """Return whether the request may be sent to another target.
 
+        :param results: those of the attempts that have just ended.
+
         If nothing was sent, it may be up to the route's limit of targets. After a lost
         or failed answer, the route must also allow a request to run twice.
         """
@@ -229,22 +227,26 @@
             model_of(self._admitted), excluded, now_s, self._binding.software_version
         ):
             return False
+        outcomes = {result.outcome for result in results}
         if (
-            result.outcome in UNSENT_OUTCOMES
+            outcomes.issubset(UNSENT_OUTCOMES)
             and self._progress.target_count < route.max_targets
         ):
             return True
         if self._progress.target_count >= route.max_targets:
             return False
-        if (
-            result.outcome in (AttemptOutcome.LOST, AttemptOutcome.ANSWERED)
-            and not route.kind.may_repeat
-        ):
+        may_have_run = {AttemptOutcome.LOST, AttemptOutcome.ANSWERED} & outcomes
+        if may_have_run and not route.kind.may_repeat:
             return False
-        if self._quarantine_check.forbids_retry(result):
+        if any(map(self._quarantine_check.forbids_retry, results)):
             return False
         return self._context.retries.may_retry(now_s) is True
 
+    async def _relay_fallback(self) -> str | None:
+        """Relay the failure that a target answered; return None if there is none."""
+        fallback = self._progress.fallback
+        return None if fallback is None else await self._relay_answer(fallback)
+
     async def _relay_answer(self, answer: CompleteAnswer) -> str:
         if self._writer.started:
             return "cut"
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -82,6 +82,8 @@
     ) -> None:
         """Report silences of the target while an answer is awaited or read.
 
+        A target that still reads the request is not silent.
+
         :param silence_s: time without data after which ``on_silent`` is called, and
             again after each further such time; None to disable.
         """
@@ -226,7 +228,7 @@
             except TimeoutError:
                 # After a pause of this process, timers may expire before data is read
                 # that arrived meanwhile.
-                if self.has_no_input():
+                if self._sent and self.has_no_input():
                     self._on_silent()
                 continue
             except anyio.EndOfStream:
