Answer what is in progress when the time for a drain of a router has passed

Callers saw streams end without their last chunk, and answers of status 500 without an outcome, when the configured time for a drain had passed: the HTTP server cancelled all tasks. Each request in progress is now ended as at its deadline, with what is known about it: 503 if it did not run, otherwise 502, or the error event of a stream. A request that may not be repeated runs on, and a retry finds its answer.

--- a/src/endivegw/daemons/request_driver.py
+++ b/src/endivegw/daemons/request_driver.py
@@ -113,6 +113,8 @@
         self._machine = machine
         self._ports = ports
         self._clock = clock
+        self._stop_reason = Reason.DEADLINE
+        self._scope: anyio.CancelScope | None = None
 
     async def run(self) -> Ending:
         """Execute the request and return how it ended.
@@ -121,9 +123,15 @@
         called to end the attempt.
         """
         remaining_s = self._machine.facts.deadline_s - self._clock()
-        with anyio.move_on_after(max(0.0, remaining_s)):
+        with anyio.move_on_after(max(0.0, remaining_s)) as self._scope:
             return await self._run_steps(self._machine.start(self._clock()))
-        return await self.stop(Reason.DEADLINE)
+        return await self.stop(self._stop_reason)
+
+    def interrupt(self, reason: Reason) -> None:
+        """Let :meth:`run` end the request now, as if its deadline had passed."""
+        if self._scope is not None and not self._scope.cancel_called:
+            self._stop_reason = reason
+            self._scope.cancel()
 
     async def stop(self, reason: Reason) -> Ending:
         """End the request after its deadline or the caller's disconnect."""
--- a/src/endivegw/daemons/request_run.py
+++ b/src/endivegw/daemons/request_run.py
@@ -71,6 +71,10 @@
         """End the request after its caller has disconnected."""
         self._finish(await self._driver.stop(Reason.CANCELLED))
 
+    def interrupt(self) -> None:
+        """Let :meth:`run` end the request now, because this router stops."""
+        self._driver.interrupt(Reason.DRAINING)
+
     # Implementation of RequestPorts.
 
     async def place(self, avoid: frozenset[TargetName]) -> PlacedTarget | Refused:
--- a/src/endivegw/daemons/request_runner.py
+++ b/src/endivegw/daemons/request_runner.py
@@ -64,6 +64,7 @@
         self._parts = parts
         self._background = background
         self._retries = RetryBudget(parts.retry_policy)
+        self._runs: set[RequestRun] = set()
         self.attempt_resolver = AttemptResolver(
             parts.budget_manager,
             parts.sidecars,
@@ -76,15 +77,22 @@
     async def run(self, request: RoutedRequest, sink: AnswerSink) -> RequestEnd:
         """Write the answer to the sink and return how the request ended."""
         run = self._new_run(request, sink)
+        self._runs.add(run)
         try:
             return await run.run()
         finally:
+            self._runs.remove(run)
             if not run.ended:
                 # The caller disconnected, and this task is being cancelled. A
                 # background task cancels the attempt, releases the placement and the
                 # tokens, and writes the bill.
                 self._background.start_soon(run.abandon)
 
+    def interrupt(self) -> None:
+        """End all requests in progress now, so that each is answered."""
+        for run in self._runs:
+            run.interrupt()
+
     def _new_run(self, request: RoutedRequest, sink: AnswerSink) -> RequestRun:
         parts = self._parts
         plan = plan_request(request)
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -41,6 +41,10 @@
 #: and the load balancer's next try goes to another router.
 _DRAIN_NOTICE_S = 1.0
 
+#: How long requests that are ended at the end of a drain may take to be answered. It
+#: covers the cancellation of their attempts at the targets.
+_INTERRUPT_TIMEOUT_S = 2.0
+
 #: Timeout for settling and returning grants at the end of a graceful shutdown.
 _CLOSE_TIMEOUT_S = 10.0
 
@@ -77,6 +81,7 @@
         self._draining = False
         self._stopped = anyio.Event()
         self._frontend: HttpFrontend | None = None
+        self._runner: RequestRunner | None = None
 
     @property
     def ready(self) -> bool:
@@ -145,6 +150,7 @@
 
         Aborting an answer would cost the caller its request, so the time limit
         ``drain_bound_s`` is long; it only serves to stop an answer that never ends.
+        What is in progress then is answered with an error.
         """
         parts = self._parts
         self._draining = True
@@ -156,9 +162,12 @@
         )
         await anyio.sleep(_DRAIN_NOTICE_S)
         with anyio.move_on_after(parts.settings.process.drain_bound_s):
-            while self.in_progress:
-                await anyio.sleep(_DRAIN_POLL_S)
+            await self._wait_idle()
         aborted = self.in_progress
+        if self._runner is not None:
+            self._runner.interrupt()
+        with anyio.move_on_after(_INTERRUPT_TIMEOUT_S):
+            await self._wait_idle()
         with anyio.move_on_after(_CLOSE_TIMEOUT_S):
             await parts.budget_manager.close(parts.clock())
         parts.log.emit(
@@ -169,6 +178,10 @@
         )
         self._stopped.set()
 
+    async def _wait_idle(self) -> None:
+        while self.in_progress:
+            await anyio.sleep(_DRAIN_POLL_S)
+
     async def _serve_frontend(
         self, ip: str, port: int, *, task_status: TaskStatus[ServedAddress]
     ) -> None:
@@ -196,8 +209,10 @@
 
     def _build_frontend(self, background: TaskGroup) -> HttpFrontend:
         parts = self._parts
+        runner = RequestRunner(parts.runner, Background(background, parts.log))
+        self._runner = runner
         return HttpFrontend(
-            RequestRunner(parts.runner, Background(background, parts.log)),
+            runner,
             lambda: parts.configuration.snapshot,
             lambda: self.ready,
             # If most targets are unreachable, the fault is most likely at this router,
--- a/src/endivegw/requests/attempts.py
+++ b/src/endivegw/requests/attempts.py
@@ -280,7 +280,10 @@
         )
 
     def stop(self, reason: Reason, now_s: float) -> Step:
-        """End the request because the deadline passed or the caller disconnected."""
+        """End the request early.
+
+        :param reason: the deadline passed, the caller left, or this router stops.
+        """
         attempt = self._attempt
         if attempt is None or attempt.foreign:
             return self._finish_stopped(reason)
@@ -288,7 +291,7 @@
             # The order was not written; the tokens of the attempt can be released.
             self._record.record_not_run(attempt)
             return self._finish_stopped(reason)
-        if reason is Reason.CANCELLED and not self.facts.repeatable:
+        if reason is not Reason.DEADLINE and not self.facts.repeatable:
             # A non-repeatable operation that is stopped halfway is of no use, so it
             # runs on and its answer is retained for the caller's retry.
             return self._finish_stopped(reason)
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -37,7 +37,7 @@
 [process]
 vm = {vm}
 availability_zone = {zone}
-drain_bound_s = 20
+drain_bound_s = {drain_bound_s}
 [peers]
 listen = {address}:{peer_port}
 router_port = {peer_port}
@@ -87,8 +87,10 @@
         level: str,
         router_profile: pathlib.Path | None,
         fast_recovery: bool,
+        drain_bound_s: float,
     ) -> None:
         self.folder = folder
+        self.drain_bound_s = drain_bound_s
         self.fast_recovery = fast_recovery
         self.router_profile = router_profile
         self.level = level
@@ -202,6 +204,7 @@
             "platform": self.platform_url,
             "key_file": self.key_file,
             "level": self.level,
+            "drain_bound_s": self.drain_bound_s,
         }
 
     def _start(self, command: str, name: str, text: str) -> subprocess.Popen[bytes]:
@@ -232,16 +235,23 @@
     level: str = "info",
     router_profile: pathlib.Path | None = None,
     fast_recovery: bool = True,
+    drain_bound_s: float = 20,
 ) -> Iterator[ProcessFleet]:
     """Run stand-ins and processes; yield when every router is ready.
 
     :param router_profile: path to which each router writes a profile when it exits.
     :param fast_recovery: whether routers check for terminated routers every second
         instead of at the default interval.
+    :param drain_bound_s: how long a stopped process waits for work in progress.
     """
     with tempfile.TemporaryDirectory() as folder, start_blocking_portal() as portal:
         fleet = ProcessFleet(
-            pathlib.Path(folder), routers, level, router_profile, fast_recovery
+            pathlib.Path(folder),
+            routers,
+            level,
+            router_profile,
+            fast_recovery,
+            drain_bound_s,
         )
         served, _ = portal.start_task(fleet.serve_standins)
         try:
