Answer the whole requests before one that cannot be read

Callers that sent whole requests and one with a malformed or too large head on one connection got no answer to the whole ones: the connection was closed at once, or the error was written in the middle of an answer.

The error is now sent after the answers to the requests before it, and nothing more is read meanwhile. A request with a malformed body that waits behind others is dropped.

tests.test_pipelined_errors failed before (no answer to either whole request).

--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -14,11 +14,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Mapping
+from typing import Any, Mapping, cast
 
 import httptools
 from attrs import frozen
-from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    STATUS_LINE,
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from endivegw.sockets import last_input_age_s, peer_has_closed
 
@@ -36,6 +40,7 @@
 _READING_STOPPED = "reading_stopped"
 _ARRIVED_S = "arrived_s"
 
+_BAD_REQUEST = 400
 _TOO_LARGE = 431
 
 _CONNECT = b"CONNECT"
@@ -117,7 +122,11 @@
         self._buffered_bytes = 0
         self._progressed = False
         self._in_message = False
-        self._refused = False
+        #: Response to a request that cannot be read, sent after those before it.
+        self._last_response: bytes | None = None
+        self._in_body = False
+        #: The request that is being answered, or was answered last.
+        self._answering: RequestResponseCycle | None = None
         #: Whether the header section just parsed offers to change the protocol.
         self._offers_upgrade = False
         #: Set once a pipelined request has stopped reading. From then on uvicorn
@@ -126,7 +135,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and count those that the parser only buffers."""
-        if self._refused:
+        if self._last_response is not None:
             return
         self._progressed = False
         self._parse(data)
@@ -148,6 +157,7 @@
         }
         self._field_bytes = 0
         self._in_message = True
+        self._in_body = False
         self._record_progress()
 
     def on_url(self, url: bytes) -> None:
@@ -167,6 +177,7 @@
             self._offers_upgrade = True
             return
         super().on_headers_complete()
+        self._in_body = True
         if self.pipeline:
             self._reading_stopped.set()
 
@@ -180,15 +191,22 @@
         if self._offers_upgrade:
             return
         self._in_message = False
+        self._in_body = False
         self._record_progress()
         super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Answer the next request, or the one that cannot be read."""
+        super().on_response_complete()
+        if self._last_response is not None:
+            self._close_when_answered()
+
     def send_400_response(self, msg: str) -> None:
         """Respond to a request that is malformed or exceeds the limit."""
         if self._field_bytes > self._limit.max_bytes:
             self._refuse()
             return
-        super().send_400_response(msg)
+        self._end_with(_bad_request_response(msg))
 
     def _parse(self, data: bytes) -> None:
         """Parse received bytes; parse each header section with an offer once more."""
@@ -258,19 +276,56 @@
         if self._field_bytes > self._limit.max_bytes:
             raise _HeaderTooLarge
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        self._answering = cycle
+        super()._start_asgi_task(cycle, app)
+
     def _refuse(self) -> None:
-        self._refused = True
-        if self.cycle is None or self.cycle.response_complete:
-            self.transport.write(_error_response(self._limit))
-        # A response that has already started can only be truncated.
-        self.transport.close()
+        limit = self._limit
+        self._end_with(_closing_response(_TOO_LARGE, limit.fields, limit.body))
+
+    def _end_with(self, response: bytes) -> None:
+        """Respond to the request being received, which cannot be read, and close.
+
+        The requests before it are whole, and are answered first.
+        """
+        self._last_response = response
+        if self._in_body and self.pipeline:
+            # The latest request will never be whole; uvicorn reports a disconnect to
+            # the latest one only.
+            self.pipeline.popleft()
+            last = self.pipeline[0][0] if self.pipeline else self._answering
+            self.cycle = cast(RequestResponseCycle, last)
+        elif self._in_body and not self.cycle.response_complete:
+            if not self.cycle.response_started:
+                self.transport.write(response)
+            # A response that has already started can only be truncated.
+            self.transport.close()
+            return
+        self._close_when_answered()
+
+    def _close_when_answered(self) -> None:
+        answering = self._answering
+        if self._last_response is None or self.transport.is_closing():
+            return
+        if answering is None or answering.response_complete:
+            self._unset_keepalive_if_required()
+            self.transport.write(self._last_response)
+            self.transport.close()
+
+
+def _bad_request_response(detail: str) -> bytes:
+    fields = (("content-type", "text/plain; charset=utf-8"),)
+    return _closing_response(_BAD_REQUEST, fields, detail.encode())
 
 
-def _error_response(limit: HeaderLimit) -> bytes:
+def _closing_response(
+    status: int, fields: tuple[tuple[str, str], ...], body: bytes
+) -> bytes:
     fields = (
-        *limit.fields,
-        ("content-length", str(len(limit.body))),
+        *fields,
+        ("content-length", str(len(body))),
         ("connection", "close"),
     )
     lines = [f"{name}: {value}\r\n".encode("latin-1") for name, value in fields]
-    return b"".join([STATUS_LINE[_TOO_LARGE], *lines, b"\r\n", limit.body])
+    return b"".join([STATUS_LINE[status], *lines, b"\r\n", body])
