Answer and report requests that end by an error that nothing expects

Any error of a router with sidecars besides its own classes reached the HTTP server: its callers got a bare 500 without an outcome, streams ended in their middle, and no line was written. The same in the cleanup after a caller left ended the whole daemon, and with it the requests of all callers.

Each such error is now logged and ends only its request, with 502 or the error event.

--- a/src/endivegw/daemons/background.py
+++ b/src/endivegw/daemons/background.py
@@ -8,7 +8,7 @@
 
 from endivegw.exceptions import EndivegwError
 from endivegw.telemetry import EventLog
-from endivegw.telemetry.catalogue.daemons import INVARIANT_BROKEN
+from endivegw.telemetry.catalogue.daemons import INVARIANT_BROKEN, UNEXPECTED_ERROR
 
 __all__ = ["Background"]
 
@@ -18,7 +18,7 @@
 
     An error that escapes from a task cancels its whole task group, which here is
     the whole daemon. The cleanup of one request after its caller disconnected must
-    therefore not raise when an internal check fails, or it would end the requests
+    therefore not raise, whatever fails, or it would end the requests
     of all other callers.
     """
 
@@ -27,7 +27,7 @@
         self._log = log
 
     def start_soon(self, run: Callable[..., Awaitable[Any]], *arguments: Any) -> None:
-        """Start a task; an :class:`EndivegwError` is logged and ends only that task."""
+        """Start a task; an error is logged and ends only that task."""
         self._tasks.start_soon(self._run, run, arguments)
 
     async def _run(
@@ -37,3 +37,5 @@
             await run(*arguments)
         except EndivegwError as error:
             self._log.emit(INVARIANT_BROKEN, detail=error.message)
+        except Exception as error:
+            self._log.emit(UNEXPECTED_ERROR, detail=repr(error))
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -49,7 +49,7 @@
 from endivegw.results import Reason, Refused, Unknown
 from endivegw.settings import HttpLimits
 from endivegw.telemetry import EventLog
-from endivegw.telemetry.catalogue.daemons import INVARIANT_BROKEN
+from endivegw.telemetry.catalogue.daemons import INVARIANT_BROKEN, UNEXPECTED_ERROR
 
 __all__ = ["HttpFrontend", "RunRequest"]
 
@@ -355,6 +355,9 @@
             # default error page would not state that the request may have run.
             self._log.emit(INVARIANT_BROKEN, detail=error.message)
             return Unknown(Reason.TARGET_FAILED, "an internal check failed")
+        except Exception as error:
+            self._log.emit(UNEXPECTED_ERROR, detail=repr(error))
+            return Unknown(Reason.TARGET_FAILED, "an internal error occurred")
 
 
 async def _refuse(send: Send, refused: Refused, keyed: bool = False) -> None:
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -13,6 +13,7 @@
 from endivegw.daemons.background import Background
 from endivegw.daemons.evidence_broadcaster import EvidenceBroadcaster
 from endivegw.daemons.http_front import HttpFrontend
+from endivegw.daemons.http_guard import AnswerGuard
 from endivegw.daemons.http_messages import header_limit
 from endivegw.daemons.lent_grants import StrandedGrantRecovery
 from endivegw.daemons.peer_directory import PeerDirectory
@@ -185,8 +186,9 @@
     async def _serve_frontend(
         self, ip: str, port: int, *, task_status: TaskStatus[ServedAddress]
     ) -> None:
+        assert self._frontend is not None
         await serve_asgi(
-            self._frontend,
+            AnswerGuard(self._frontend, self._parts.log),
             ip,
             port,
             # The graceful shutdown has already waited for the answers in progress.
--- a/src/endivegw/telemetry/catalogue/daemons.py
+++ b/src/endivegw/telemetry/catalogue/daemons.py
@@ -2,7 +2,13 @@
 
 from endivegw.telemetry.event import Event, Level
 
-__all__ = ["DAEMON_DRAINING", "DAEMON_STARTED", "DAEMON_STOPPED", "INVARIANT_BROKEN"]
+__all__ = [
+    "DAEMON_DRAINING",
+    "DAEMON_STARTED",
+    "DAEMON_STOPPED",
+    "INVARIANT_BROKEN",
+    "UNEXPECTED_ERROR",
+]
 
 DAEMON_STARTED = Event(
     8001,
@@ -32,3 +38,11 @@
     "An internal invariant check failed; the operation was aborted.",
     ("detail",),
 )
+UNEXPECTED_ERROR = Event(
+    8005,
+    "unexpected-error",
+    Level.ERROR,
+    "A request or its cleanup failed with an error that nothing expects. A caller that"
+    " waits is told that the request may have run.",
+    ("detail",),
+)
