Let a router that stops send the rest of whole answers to slow callers

A router ended its process a moment after the last answer had been handed to its connections. What a slow caller had not read, and the kernel had no place for, was discarded, and the answer was cut. The end of a drain now gives connections 5 s.

tests.test_server_stop failed before (the caller's read timed out before the whole answer).

--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -46,6 +46,10 @@
 #: covers the cancellation of their attempts at the targets.
 _INTERRUPT_TIMEOUT_S = 2.0
 
+#: How long a stopped server may take to send what it holds of answers to slow callers,
+#: and to refuse requests that were received meanwhile.
+CLOSE_CONNECTIONS_S = 5
+
 #: Timeout for settling and returning grants at the end of a graceful shutdown.
 _CLOSE_TIMEOUT_S = 10.0
 
@@ -191,8 +195,7 @@
             AnswerGuard(self._frontend, self._parts.log),
             ip,
             port,
-            # The graceful shutdown has already waited for the answers in progress.
-            graceful_s=0,
+            graceful_s=CLOSE_CONNECTIONS_S,
             header_limit=header_limit(self._parts.settings.http.max_header_bytes),
             task_status=task_status,
         )
