Answer requests received behind others before a stopped server closes

When a router stopped, the last request read on a connection closed it with its answer, though more requests had been received behind it and waited in the kernel while reading was paused. An idle connection was closed with such bytes as well.

Whether an answer closes the connection is now decided when its request is run, and only if no next request was received.

--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -24,7 +24,11 @@
     RequestResponseCycle,
 )
 
-from endivegw.sockets import last_input_age_s, peer_has_closed
+from endivegw.sockets import (
+    has_no_pending_input,
+    last_input_age_s,
+    peer_has_closed,
+)
 
 __all__ = [
     "BoundedHttpProtocol",
@@ -125,6 +129,7 @@
         #: Response to a request that cannot be read, sent after those before it.
         self._last_response: bytes | None = None
         self._in_body = False
+        self._is_shutting_down = False
         #: The request that is being answered, or was answered last.
         self._answering: RequestResponseCycle | None = None
         #: Whether the header section just parsed offers to change the protocol.
@@ -200,6 +205,16 @@
         super().on_response_complete()
         if self._last_response is not None:
             self._close_when_answered()
+        elif self._is_shutting_down:
+            self._close_if_idle()
+
+    def shutdown(self) -> None:
+        """Close the connection once every request received by then is answered."""
+        self._is_shutting_down = True
+        if self._answering is not None and not self._answering.response_complete:
+            self._announce_close(self._answering)
+        else:
+            self._close_if_idle()
 
     def send_400_response(self, msg: str) -> None:
         """Respond to a request that is malformed or exceeds the limit."""
@@ -278,6 +293,8 @@
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         self._answering = cycle
+        if self._is_shutting_down:
+            self._announce_close(cycle)
         super()._start_asgi_task(cycle, app)
 
     def _refuse(self) -> None:
@@ -304,6 +321,20 @@
             return
         self._close_when_answered()
 
+    def _announce_close(self, cycle: RequestResponseCycle) -> None:
+        """Let the response close the connection unless other requests follow it."""
+        if not self.pipeline and self._has_no_pending_input():
+            cycle.keep_alive = False
+
+    def _close_if_idle(self) -> None:
+        answering = self._answering
+        if answering is None or answering.response_complete:
+            if self._has_no_pending_input():
+                self.transport.close()
+
+    def _has_no_pending_input(self) -> bool:
+        return has_no_pending_input(self.transport.get_extra_info("socket"))
+
     def _close_when_answered(self) -> None:
         answering = self._answering
         if self._last_response is None or self.transport.is_closing():
--- a/tests/test_server_stop.py
+++ b/tests/test_server_stop.py
@@ -97,6 +97,25 @@
                 received = read_to_end(caller)
         self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), ANSWER_BYTES)
 
+    # Guards against a stop that forgets requests received behind one in progress.
+    def test_requests_behind_one_in_progress_are_answered(self):
+        application = Application()
+        with stopping_server(application) as (address, stop):
+            with socket.create_connection(address, LIMIT_S) as caller:
+                caller.sendall(REQUEST % 1)
+                application.started.wait(LIMIT_S)
+                caller.sendall(REQUEST % 2)
+                time.sleep(0.1)
+                # Reading has stopped: this one waits in the kernel.
+                caller.sendall(REQUEST % 3)
+                time.sleep(0.1)
+                stop.set()
+                time.sleep(0.3)
+                application.may_answer.set()
+                received = read_to_end(caller)
+        paths = [part[-2:] for part in received.split(b"HTTP/1.1 200")[1:]]
+        self.assertEqual(paths, [b"/1", b"/2", b"/3"])
+
 
 if __name__ == "__main__":
     unittest.main()
