Close no idle connection of a sidecar fleet's router with an unread request

The keep-alive timer of the HTTP server closed a connection on which a request had arrived while the process was paused: timers expire before such data is read.

--- a/src/endivegw/daemons/http_guard.py
+++ b/src/endivegw/daemons/http_guard.py
@@ -1,4 +1,4 @@
-"""Answer and report requests that end by an error that nothing expects."""
+"""Answer and report requests that fail with an unexpected error."""
 
 from __future__ import annotations
 
--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -216,6 +216,14 @@
         else:
             self._close_if_idle()
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, unless a request has arrived that is not read yet.
+
+        After a pause of the process, timers may expire before such a request is read.
+        """
+        if self._has_no_pending_input():
+            super().timeout_keep_alive_handler()
+
     def send_400_response(self, msg: str) -> None:
         """Respond to a request that is malformed or exceeds the limit."""
         if self._field_bytes > self._limit.max_bytes:
--- a/src/endivegw/telemetry/catalogue/daemons.py
+++ b/src/endivegw/telemetry/catalogue/daemons.py
@@ -42,7 +42,7 @@
     8005,
     "unexpected-error",
     Level.ERROR,
-    "A request or its cleanup failed with an error that nothing expects. A caller that"
-    " waits is told that the request may have run.",
+    "A request or its cleanup failed with an unexpected error. A caller that waits is"
+    " told that the request may have run.",
     ("detail",),
 )
--- a/tests/test_paused_process.py
+++ b/tests/test_paused_process.py
@@ -62,11 +62,18 @@
 
     # Guards against an idle limit that closes a connection with an unread request.
     def test_a_request_that_arrived_in_a_pause_is_answered(self) -> None:
-        port = reserve_port()
-        with _process("router", port) as process, _connect(port) as caller:
-            time.sleep(_DELIVERY_S)
-            _stop_while_sending(process, caller, _REQUEST)
-            self.assertIn(b" 200 ", caller.recv(1000))
+        for role in ("router", "server"):
+            port = reserve_port()
+            with (
+                self.subTest(role),
+                _process(role, port) as process,
+                _connect(port) as caller,
+            ):
+                caller.sendall(_REQUEST)
+                self.assertIn(b" 200 ", caller.recv(1000))
+                time.sleep(_DELIVERY_S)
+                _stop_while_sending(process, caller, _REQUEST)
+                self.assertIn(b" 200 ", caller.recv(1000))
 
     # Guards against the process's own pause taken for the silence of a target.
     def test_an_answer_that_arrived_in_a_pause_is_no_silence(self) -> None:
