Wait for the rest of a body when a connection is woken without input

Callers that send a request in two parts got 400 "peer closed connection without sending complete message body" when a stop, or since limits are followed a new configuration, came between the parts.

Cause: the request parser passed its buffer to h11 also when nothing had been received since the last call, and h11 takes empty input for the end of the connection.

--- a/src/endivegw/relay/request_parser.py
+++ b/src/endivegw/relay/request_parser.py
@@ -77,7 +77,8 @@
                 refusal = self._parse_head()
                 if refusal is not None or self._parser is None:
                     return refusal
-            else:
+            elif self._buffer:
+                # h11 takes empty input for the end of the connection.
                 self._parser.receive_data(bytes(self._buffer))
                 self._buffer.clear()
             return self._read_body(now_s)
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -108,6 +108,18 @@
         return received
 
 
+async def _wait_in_body(router: Router) -> None:
+    """Wait until the router has read a part of a request."""
+    while not any(connection.busy for connection in router.connections):
+        await anyio.sleep(0.01)
+
+
+async def _let_run() -> None:
+    """Let the tasks of all connections run until they wait again."""
+    for _ in range(10):
+        await anyio.sleep(0)
+
+
 class PipelinedRequestTests(unittest.TestCase):
     """Two whole requests are read before the router closes the connection."""
 
@@ -139,6 +151,36 @@
         _run(scenario)
 
 
+class PartialRequestTests(unittest.TestCase):
+    """A connection is woken while a part of a request's body is still to come."""
+
+    def _woken(self, wake: Callable[[Router], None]) -> _Scenario:
+        async def scenario(router: Router, stream: TcpStream) -> None:
+            router.may_answer.set()
+            await stream.send((_BODY % 1)[:-1])
+            await _wait_in_body(router)
+            wake(router)
+            await _let_run()
+            await stream.send((_BODY % 1)[-1:])
+            answer = await stream.receive()
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200 "), answer)
+            self.assertEqual(router.answered, ["/1"])
+
+        return scenario
+
+    # Guards against requests rejected by a new configuration that comes in their body.
+    def test_a_new_configuration_rejects_no_request_in_its_body(self) -> None:
+        def wake(router: Router) -> None:
+            for connection in router.connections:
+                connection.handle_new_limits()
+
+        _run(self._woken(wake))
+
+    # Guards against requests rejected by a stop that comes in their body.
+    def test_a_stop_rejects_no_request_in_its_body(self) -> None:
+        _run(self._woken(Router.drain))
+
+
 class IdleLimitTests(unittest.TestCase):
     """The idle limit changes while a connection is idle."""
 
--- a/tests/test_relay_parsing.py
+++ b/tests/test_relay_parsing.py
@@ -34,6 +34,17 @@
 class RequestParserTests(unittest.TestCase):
     """Valid requests are parsed however they are split; others are rejected."""
 
+    # Guards against requests that end because their next part has not yet come.
+    def test_a_request_without_a_new_part_is_still_incomplete(self) -> None:
+        for data in (GOOD, CHUNKED):
+            parser = RequestParser(CallerLimits())
+            found = []
+            for start in range(len(data)):
+                parser.feed(data[start : start + 1])
+                found += [parser.next_request(0.0), parser.next_request(0.0)]
+            requests = [request for request in found if request is not None]
+            self.assertEqual([type(request) for request in requests], [CallerRequest])
+
     def test_requests_split_anywhere(self) -> None:
         """Two pipelined requests are parsed from received chunks of any size."""
         for size in (1, 2, 7, 1000):
