Contain the failure of a datagram in its handling

One datagram that no router sends ended the process, and with it all answers in progress: a number outside the range of a type, a document that is nested too deeply, a list in place of a name. So did any error while a message was applied.

Cause: an exception in the task that receives datagrams cancels the task group, which is the process. Such a datagram is now left out, with a line, and what does not decode is dropped like other malformed datagrams.

--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -42,6 +42,7 @@
 from endivegw.gossip.stream_exchange import StreamExchange
 from endivegw.rendezvous import rendezvous_order
 from endivegw.streams import StreamKey, StreamRecord
+from endivegw.supervision import record_failure
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId, TargetName
 
@@ -125,6 +126,7 @@
             tuple[InstanceId, dict[InstanceId, Statement]] | None
         ) = None
         self._clock = clock
+        self._log = log
         self._on_broadcast = on_broadcast
         rng = rng or random.Random()
         self._gossip = GossipQueue(self._send_data, peers.entries, rng)
@@ -299,58 +301,71 @@
     async def _listen(self, tasks: TaskGroup) -> None:
         assert self._socket is not None
         async for data, (host, port) in self._socket:
-            message = decode(data)
-            match message:
-                case PeerState():
-                    self.peers.receive_state(message, self._clock())
-                case PrefixesRead(_, prefixes):
-                    self._on_prefixes_read(prefixes)
-                case Limits(sender, statement):
-                    self.peers.record_statement(sender, statement)
-                    reply = Acknowledgement(self.entry.instance_id, statement.sequence)
-                    await self._send_to(encode(reply), host, port)
-                case LoanRequest():
-                    tasks.start_soon(self._answer, message, host, port)
-                case LoanResponse():
-                    self._loans.receive(message)
-                case Acknowledgement():
-                    self._on_acknowledgement(message.sender, message.sequence)
-                    self._acknowledged.set()
-                    self._acknowledged = anyio.Event()
-                case StatementRequest(sender, about):
-                    last_statement = self.peers.last_statement(about)
-                    answer = StatementResponse(
-                        self.entry.instance_id, about, last_statement
-                    )
-                    await self._send_to(encode(answer), host, port)
-                case PermitQuery():
-                    permit_response = self._permits.respond(message)
-                    if permit_response is not None:
-                        await self._send_to(encode(permit_response), host, port)
-                case PermitResponse():
-                    self._permits.receive(message)
-                case StreamsBegun(_, records):
-                    self._on_streams(records)
-                case StreamQuery(_, number, key):
-                    version = self._find_stream(key)
-                    found = StreamResponse(self.entry.instance_id, number, version)
-                    await self._send_to(encode(found), host, port)
-                case StreamResponse():
-                    self.streams.receive(message)
-                case BroadcastMessage(_, update):
-                    self._on_broadcast(update)
-                case StatementResponse(sender, about, statement):
-                    if (
-                        self._statement_responses
-                        and self._statement_responses[0] == about
-                    ):
-                        self._statement_responses[1][sender] = statement
+            try:
+                await self._handle(data, host, port, tasks)
+            except Exception as error:
+                self._record_failure(error, host)
+
+    async def _handle(
+        self, data: bytes, host: str, port: int, tasks: TaskGroup
+    ) -> None:
+        """Handle one datagram."""
+        message = decode(data)
+        match message:
+            case PeerState():
+                self.peers.receive_state(message, self._clock())
+            case PrefixesRead(_, prefixes):
+                self._on_prefixes_read(prefixes)
+            case Limits(sender, statement):
+                self.peers.record_statement(sender, statement)
+                reply = Acknowledgement(self.entry.instance_id, statement.sequence)
+                await self._send_to(encode(reply), host, port)
+            case LoanRequest():
+                tasks.start_soon(self._answer, message, host, port)
+            case LoanResponse():
+                self._loans.receive(message)
+            case Acknowledgement():
+                self._on_acknowledgement(message.sender, message.sequence)
+                self._acknowledged.set()
+                self._acknowledged = anyio.Event()
+            case StatementRequest(sender, about):
+                last_statement = self.peers.last_statement(about)
+                answer = StatementResponse(
+                    self.entry.instance_id, about, last_statement
+                )
+                await self._send_to(encode(answer), host, port)
+            case PermitQuery():
+                permit_response = self._permits.respond(message)
+                if permit_response is not None:
+                    await self._send_to(encode(permit_response), host, port)
+            case PermitResponse():
+                self._permits.receive(message)
+            case StreamsBegun(_, records):
+                self._on_streams(records)
+            case StreamQuery(_, number, key):
+                version = self._find_stream(key)
+                found = StreamResponse(self.entry.instance_id, number, version)
+                await self._send_to(encode(found), host, port)
+            case StreamResponse():
+                self.streams.receive(message)
+            case BroadcastMessage(_, update):
+                self._on_broadcast(update)
+            case StatementResponse(sender, about, statement):
+                if self._statement_responses and self._statement_responses[0] == about:
+                    self._statement_responses[1][sender] = statement
 
     async def _answer(self, request: LoanRequest, host: str, port: int) -> None:
-        response = await self._loans.answer(request)
+        try:
+            response = await self._loans.answer(request)
+        except Exception as error:
+            self._record_failure(error, host)
+            return
         if response is not None:
             await self._send_to(encode(response), host, port)
 
+    def _record_failure(self, error: Exception, host: str) -> None:
+        record_failure(self._log, "datagrams of routers", error, host)
+
     async def _send_state(self, interval_s: float) -> None:
         """Report this router's figures and the reporting interval to all routers."""
         self._sequence += 1
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -174,6 +174,18 @@
     return json.dumps(document, separators=(",", ":")).encode()
 
 
+#: Exceptions that decoding arbitrary bytes may raise, including documents that are
+#: nested too deeply or hold numbers outside the range of a type.
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 def decode(data: bytes) -> Message | None:
     """Return the message of a datagram, None if it is malformed."""
     try:
@@ -256,7 +268,9 @@
                 seen = VersionSeen(str(service), str(version))
                 return BroadcastMessage(name, seen)
             case "zone", [zone, bool(evacuated), revision]:
-                change = ZoneChange(AvailabilityZone(zone), evacuated, int(revision))
+                change = ZoneChange(
+                    AvailabilityZone(str(zone)), evacuated, int(revision)
+                )
                 return BroadcastMessage(name, change)
             case "ended", [start, fingerprints]:
                 (ended_start,) = decode_starts([start])
@@ -274,7 +288,7 @@
                     bool(answered),
                 )
                 return BroadcastMessage(name, record)
-    except (ValueError, TypeError, AttributeError):
+    except _DECODE_ERRORS:
         return None
     return None
 
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -28,6 +28,7 @@
     "TARGET_SILENT",
     "TARGET_TERMINATED",
     "TARGET_WARMING_UP",
+    "TASK_FAILED",
     "ZONE_CHANGED",
 ]
 
@@ -293,6 +294,14 @@
         "draining",
     ),
 )
+TASK_FAILED = Event(
+    9135,
+    "relay-task-failed",
+    Level.ERROR,
+    "A task of the process met an unexpected error. It leaves out what it handled, or"
+    " is started again.",
+    ("task", "item", "detail"),
+)
 LINES_DROPPED = Event(
     9130,
     "log-lines-left-out",
