Go on when a background task of a router fails

An unexpected error in any background task ended the process, and cut all answers in progress: a row of the store that a reader fails on, a report of loads, a request in the queue, a write of token accounts.

Cause: an exception that escapes from a task cancels the task group, which is the process. A row that cannot be handled is now left out, so that it does not hold up others, and a task that fails is started again, each with relay-task-failed (9135). Two keep ending the process. The receiver of datagrams does if its socket breaks. The accounting of tokens does, since going on without the outcome of a write could spend tokens twice, but only after a shutdown in which the answers are completed. An error within a shutdown no longer keeps the rest from being answered.

--- a/src/endivegw/daemons/direct_readers.py
+++ b/src/endivegw/daemons/direct_readers.py
@@ -10,6 +10,7 @@
 from endivegw.relay.context import RelayContext
 from endivegw.routing import DirectTarget, FleetConfiguration, RoutingTable
 from endivegw.services.row_store import ExpectedRow, RowsPort, StoredRow
+from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import AvailabilityZone, ClientAccountName
@@ -87,7 +88,7 @@
     def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
         """Apply all rows of the table."""
         for row in rows:
-            self.on_row(row)
+            contain(self._log, "configuration", self.on_row, row, row.key)
 
     def on_row(self, row: StoredRow) -> None:
         """Apply the configuration's row; ignore any other."""
@@ -155,7 +156,7 @@
         if self._local_entry.vm not in names:
             self.own_revision, self.registered = 0, False
         for row in rows:
-            self.on_row(row)
+            contain(self._log, "routers", self.on_row, row, row.key)
 
     def on_row(self, row: StoredRow) -> None:
         """Apply one row."""
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from traceback import format_exception
-from typing import Any, Callable, Iterable
+from typing import Any, Awaitable, Callable, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -26,6 +26,7 @@
 from endivegw.services.relayed_rows import RELAY_PATH, RelayedRowStore
 from endivegw.services.row_store import ExpectedRow, NewRow, RowStorePort
 from endivegw.settings.reader import Address
+from endivegw.supervision import keep_running, record_failure
 from endivegw.tcp_stream import TcpStream, TrafficMeter, serve_tcp
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
@@ -129,17 +130,11 @@
         parts = self._parts
         self._accepting = anyio.CancelScope()
         async with anyio.create_task_group() as tasks:
-            for feed in parts.feeds:
-                tasks.start_soon(feed.run)
-            tasks.start_soon(parts.allowances.run)
-            tasks.start_soon(parts.context.queue.run)
+            for name, run in self._background_tasks():
+                tasks.start_soon(keep_running, name, run, parts.log)
+            tasks.start_soon(self._run_allowances)
+            # Without its socket, the link must not seem to run.
             tasks.start_soon(parts.link.run)
-            tasks.start_soon(parts.context.quarantine.run)
-            tasks.start_soon(parts.context.streams.run)
-            tasks.start_soon(self._maintain_registration)
-            tasks.start_soon(self._report_load)
-            if parts.context.capacity is not None:
-                tasks.start_soon(parts.context.capacity.run)
             tasks.start_soon(
                 self._listen, parts.ready_address, self._serve_readiness, tasks, None
             )
@@ -172,6 +167,38 @@
             tasks.cancel_scope.cancel()
         parts.log.emit(events.PROCESS_STOPPED, connections=len(self._connections))
 
+    def _background_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
+        """Return the tasks, by name, that run as long as the router."""
+        parts = self._parts
+        context = parts.context
+        found: list[tuple[str, Callable[[], Awaitable[None]]]] = [
+            (feed.name, feed.run) for feed in parts.feeds
+        ]
+        found += [
+            ("queue", context.queue.run),
+            ("quarantine", context.quarantine.run),
+            ("streams", context.streams.run),
+            ("registration", self._maintain_registration),
+            ("load", self._report_load),
+        ]
+        if context.capacity is not None:
+            found.append(("capacity", context.capacity.run))
+        return found
+
+    async def _run_allowances(self) -> None:
+        """Account for tokens; shut the router down if that fails.
+
+        Going on without the outcome of a write could spend tokens twice. The process
+        that follows this one takes over its row.
+        """
+        parts = self._parts
+        try:
+            await parts.allowances.run()
+        except Exception as error:
+            record_failure(parts.log, "allowances", error)
+            await self.drain()
+            raise
+
     async def drain(self) -> None:
         """Finish running requests, return tokens, then let :meth:`run` return."""
         options = self._options
@@ -179,24 +206,33 @@
         self._parts.log.emit(
             events.DRAINING_STARTED, connections=len(self._connections)
         )
-        with anyio.move_on_after(options.stop_within_s):
-            await anyio.sleep(options.stop_after_s)
-            # A load balancer with too few other routers keeps sending callers to
-            # this one. A connection accepted late would be closed by the
-            # shutdown, whereas a refused one goes to another router at once.
-            if self._accepting is not None:
-                self._accepting.cancel()
-            for connection in list(self._connections):
-                connection.close_when_idle()
-            while any(connection.busy for connection in self._connections):
-                await anyio.sleep(0.05)
-            await self._parts.allowances.stop()
-            # The row is removed only after the tokens were returned: until then
-            # it shows the other routers whose tokens they may have to take over.
-            await self._unregister()
+        try:
+            with anyio.move_on_after(options.stop_within_s):
+                await self._finish_requests()
+        except Exception as error:
+            record_failure(self._parts.log, "shutdown", error)
         await self._answer_rest()
-        await self._parts.allowances.send_final_statement()
-        self._stopped.set()
+        try:
+            await self._parts.allowances.send_final_statement()
+        finally:
+            self._stopped.set()
+
+    async def _finish_requests(self) -> None:
+        """Wait for running requests while callers move on, then return the tokens."""
+        await anyio.sleep(self._options.stop_after_s)
+        # A load balancer with too few other routers keeps sending callers to
+        # this one. A connection accepted late would be closed by the
+        # shutdown, whereas a refused one goes to another router at once.
+        if self._accepting is not None:
+            self._accepting.cancel()
+        for connection in list(self._connections):
+            connection.close_when_idle()
+        while any(connection.busy for connection in self._connections):
+            await anyio.sleep(0.05)
+        await self._parts.allowances.stop()
+        # The row is removed only after the tokens were returned: until then
+        # it shows the other routers whose tokens they may have to take over.
+        await self._unregister()
 
     async def _answer_rest(self) -> None:
         """Answer the requests that are still in progress at the end of a shutdown."""
--- a/src/endivegw/daemons/row_feed.py
+++ b/src/endivegw/daemons/row_feed.py
@@ -8,6 +8,7 @@
 
 from endivegw.results import Done, Refused, Unknown
 from endivegw.services.row_store import Changes, HistoryGone, RowStorePort, StoredRow
+from endivegw.supervision import contain, record_failure
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 
@@ -76,7 +77,12 @@
 
 
 class RowFeed:
-    """Keep a reader up to date with one table."""
+    """Keep a reader up to date with one table.
+
+    A row that the reader fails to handle is left out and logged.
+
+    :ivar name: name of the feed's task in the log.
+    """
 
     def __init__(
         self,
@@ -91,6 +97,7 @@
         self._reader = reader
         self._clock = clock
         self._log = log
+        self.name = f"feed of {table}"
         self._revision: int | None = None
         self._listed_s = 0.0
         self._unavailable_since_s: float | None = None
@@ -113,11 +120,18 @@
             self._on_failure(result)
             return False
         self._on_answer(result.value)
-        self._reader.on_listing(result.value.rows, result.value.timestamp.revision)
+        self._deliver_listing(result.value)
         self._listed_s = self._clock()
         self._revision = result.value.timestamp.revision
         return True
 
+    def _deliver_listing(self, changes: Changes) -> None:
+        try:
+            self._reader.on_listing(changes.rows, changes.timestamp.revision)
+        except Exception as error:
+            # The next listing is soon; until then, single rows are followed.
+            record_failure(self._log, self.name, error)
+
     async def _watch(self, revision: int) -> bool:
         result = await self._store.watch(
             self._table, revision, wait_s=_WAIT_S, timeout_s=_WAIT_S + _ANSWER_TIMEOUT_S
@@ -126,7 +140,7 @@
             case Done(changes):
                 self._on_answer(changes)
                 for row in changes.rows:
-                    self._reader.on_row(row)
+                    contain(self._log, self.name, self._reader.on_row, row, row.key)
                 self._revision = max(revision, changes.timestamp.revision)
                 if self._clock() - self._listed_s > _LIST_INTERVAL_S:
                     self._revision = None
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -27,6 +27,7 @@
     ZoneEvacuations,
 )
 from endivegw.services.row_store import StoredRow
+from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import AvailabilityZone, InstanceId, TargetName
@@ -95,7 +96,7 @@
         missing = set(self.view.targets)
         for row in rows:
             missing.discard(InstanceId(row.key))
-            self._apply_row(row)
+            contain(self._log, "targets", self._apply_row, row, row.key)
         now_s = self._clock()
         for instance_id in missing:
             self.view.remove(instance_id, now_s)
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -42,7 +42,7 @@
 from endivegw.gossip.stream_exchange import StreamExchange
 from endivegw.rendezvous import rendezvous_order
 from endivegw.streams import StreamKey, StreamRecord
-from endivegw.supervision import record_failure
+from endivegw.supervision import keep_running, record_failure
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId, TargetName
 
@@ -177,14 +177,24 @@
         ) as self._socket:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._listen, tasks)
-                tasks.start_soon(self._send_statements_on_demand)
-                tasks.start_soon(self._gossip.run)
-                tasks.start_soon(self._permits.run)
-                tasks.start_soon(self.streams.run)
-                while True:
-                    interval_s = self.interval_s()
-                    await self._send_state(interval_s)
-                    await anyio.sleep(interval_s)
+                tasks.start_soon(
+                    keep_running,
+                    "statements",
+                    self._send_statements_on_demand,
+                    self._log,
+                )
+                tasks.start_soon(keep_running, "gossip", self._gossip.run, self._log)
+                tasks.start_soon(keep_running, "permits", self._permits.run, self._log)
+                tasks.start_soon(
+                    keep_running, "records of streams", self.streams.run, self._log
+                )
+                await keep_running("reports to routers", self._send_states, self._log)
+
+    async def _send_states(self) -> None:
+        while True:
+            interval_s = self.interval_s()
+            await self._send_state(interval_s)
+            await anyio.sleep(interval_s)
 
     # Interface for the allowance manager.
 
--- a/tests/test_row_feed.py
+++ b/tests/test_row_feed.py
@@ -65,6 +65,20 @@
         """Ignore answers."""
 
 
+class FailingReader(Reader):
+    """Fail to handle a listing and one row."""
+
+    def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
+        """Fail."""
+        raise LookupError("an unexpected error")
+
+    def on_row(self, row: StoredRow) -> None:
+        """Fail on the second version."""
+        if row.value == b"2":
+            raise LookupError("an unexpected error")
+        super().on_row(row)
+
+
 class RowFeedTests(unittest.TestCase):
     """The newest state must arrive even if single answers time out."""
 
@@ -91,3 +105,20 @@
                 tasks.cancel_scope.cancel()
 
         anyio.run(scenario)
+
+    # Guards against a row that keeps all further rows from a reader.
+    def test_a_row_that_cannot_be_handled_is_left_out(self) -> None:
+        async def scenario() -> None:
+            store, reader = SlowLinkStore(), FailingReader()
+            feed = RowFeed(store, "op", reader, anyio.current_time, EventLog("r"))
+            with anyio.fail_after(5):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(feed.run)
+                    for version in (2, 3):
+                        await anyio.sleep(0.05)
+                        store.version = version
+                    while reader.newest != b"3":
+                        await anyio.sleep(0.01)
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
