Refuse numbers of callers that no float holds

A request with a deadline or token count of some hundreds of digits ended with 502, or with 503 for an internal error, where 400 is the answer to a malformed field.

Cause: such a number is an integer, but raises OverflowError once it meets a float, in the decoding of the field or later in the placement. Numbers are now bounded.

tests.test_platform_adapter.WireTests.test_numbers_out_of_range_are_refused failed before.

--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -69,6 +69,9 @@
     }
 )
 
+#: Limit of the integers that callers state.
+_MAX_INTEGER = 2**63 - 1
+
 #: Status that is returned if another instance now listens at the target's address.
 _MISDIRECTED = 421
 
@@ -178,12 +181,23 @@
     return _decode_text(values.pop() if values else None) or None
 
 
+def _bounded_integer(text: bytes | str) -> int:
+    """Return an integer; raise :exc:`ValueError` for one outside a plausible range.
+
+    Sums and products of the numbers that are accepted fit into a float.
+    """
+    number = int(text)
+    if abs(number) > _MAX_INTEGER:
+        raise ValueError(f"a number of {len(text)} digits")
+    return number
+
+
 def _parse_integer(value: bytes | None) -> int | None:
-    return None if value is None else int(value)
+    return None if value is None else _bounded_integer(value)
 
 
 def _parse_milliseconds(value: bytes | None) -> float | None:
-    return None if value is None else int(value) / 1000.0
+    return None if value is None else _bounded_integer(value) / 1000.0
 
 
 def _parse_pause_s(value: bytes | None) -> float | None:
@@ -228,7 +242,7 @@
     if value is None:
         return None
     prompt, _, output = value.partition(b",")
-    counts = int(prompt), int(output)
+    counts = _bounded_integer(prompt), _bounded_integer(output)
     if min(counts) < 0:
         raise ValueError(f"negative token count in {value!r}")
     return counts
@@ -240,5 +254,5 @@
     found = []
     for entry in value.decode("latin-1").split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        found.append(PromptPart(part_id, int(tokens)))
+        found.append(PromptPart(part_id, _bounded_integer(tokens)))
     return tuple(found)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -29,7 +29,7 @@
 )
 from endivegw.platform.wire import PlatformWire
 from endivegw.relay.wire import CallerMetadata, SendMetadata
-from endivegw.results import Refused
+from endivegw.results import Reason, Refused
 from endivegw.routing import RouteKind, ServiceKind
 from endivegw.types import ClientAccountName, InstanceId, TargetName, TransferId
 from endivegw_standins.platform_target import TARGET_ENTRY
@@ -158,6 +158,21 @@
         ):
             self.assertIsInstance(wire.read_caller_fields([field]), Refused, field)
 
+    # Guards against numbers that no float holds, which ended requests without a reason.
+    def test_numbers_out_of_range_are_refused(self) -> None:
+        number = b"9" * 400
+        for name, value in (
+            (b"endivegw-deadline-ms", number),
+            (b"endivegw-token-counts", number + b",1"),
+            (b"endivegw-token-counts", b"1," + number),
+            (b"endivegw-prompt-prefix", b"p:" + number),
+            (b"last-event-id", number),
+        ):
+            with self.subTest(name):
+                read = PlatformWire().read_caller_fields([(name, value)])
+                assert isinstance(read, Refused)
+                self.assertIs(read.reason, Reason.BAD_REQUEST)
+
 
 class DatagramTests(unittest.TestCase):
     """Encode and decode the datagrams between routers."""
