Let an unexpected error end one attempt instead of its request

A request got 502 although another target could have answered it, or was answering it, and a complete answer was cut because its record for the quarantine failed.

Cause: an error below an attempt ended all attempts of the request. It is now the result of that attempt: not sent, or lost with the error as its detail.

tests.test_contained_failures.AttemptTests failed before (502; answer cut).

--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from traceback import format_exception
+
 import anyio
 from anyio.abc import TaskGroup
 from attrs import define, evolve, field
 
 from endivegw.decisions import AttemptEnd, AttemptKind, Placement
 from endivegw.relay.admission import AdmittedRequest, work_item
-from endivegw.relay.answer_writer import AnswerWriter
+from endivegw.relay.answer_writer import AnswerWriter, CallerGone
 from endivegw.relay.attempt import Attempt, AttemptOutcome, AttemptResult
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import TargetHead, end_to_end
@@ -25,6 +27,7 @@
 from endivegw.relay.target_connection import OutgoingRequest
 from endivegw.relay.target_report import apply_target_report
 from endivegw.relay.wire import SendMetadata
+from endivegw.supervision import record_failure
 from endivegw.telemetry.catalogue import relay as events
 
 __all__ = ["AttemptRace", "EndedAttempt"]
@@ -192,15 +195,25 @@
                 stream=kind.is_stream,
                 silence_s=context.limits.silence_s if kind.may_repeat else None,
             )
+        except CallerGone:
+            raise
+        except Exception as error:
+            # Another attempt may still answer, or follow.
+            end = AttemptOutcome.LOST if attempt.sent else AttemptOutcome.NOT_SENT
+            detail = "".join(format_exception(error))
+            result = AttemptResult(end, detail)
         finally:
             if result is None:
                 # The attempt was cancelled. An unsent request is not charged.
                 end = AttemptOutcome.LOST if attempt.sent else AttemptOutcome.NOT_SENT
                 self.report(running, AttemptResult(end, "cancelled"), False)
         self.report(running, result, True)
-        await self._quarantine_check.record_attempt(
-            placement, result, running.answering
-        )
+        try:
+            await self._quarantine_check.record_attempt(
+                placement, result, running.answering
+            )
+        except Exception as error:
+            record_failure(context.log, "record of an attempt", error)
         return result
 
     def _handle_silence(self, running: _RunningAttempt) -> None:
--- a/tests/test_contained_failures.py
+++ b/tests/test_contained_failures.py
@@ -149,5 +149,44 @@
         self.assertEqual((answers[0].status, answers[0].complete), (200, True))
 
 
+class AttemptTests(unittest.TestCase):
+    """An unexpected error ends an attempt, or the record of one."""
+
+    def check_answered(self, fail: Callable[[ClientFleet], None]) -> None:
+        """Check that a request is answered during a failure."""
+
+        async def scenario() -> None:
+            async with platform_fleet(engines=2) as fleet:
+                fail(fleet)
+                answer = await fleet.send_request("resumable", tokens=_TOKENS)
+                self.assertEqual((answer.status, answer.complete), (200, True))
+
+        anyio.run(scenario)
+
+    # Guards against a request that gets 502 although another target can answer it.
+    def test_another_target_gets_the_request(self) -> None:
+        def fail_once(fleet: ClientFleet) -> None:
+            context = fleet.routers[0]._parts.context
+            read = context.wire.read_answer_fields
+
+            def fail(*arguments: object) -> None:
+                context.wire.read_answer_fields = read
+                raise LookupError("an unexpected error")
+
+            context.wire.read_answer_fields = fail
+
+        self.check_answered(fail_once)
+
+    # Guards against a complete answer that is lost because its record fails.
+    def test_an_answer_is_complete_without_its_record(self) -> None:
+        def fail_always(fleet: ClientFleet) -> None:
+            def fail(*arguments: object) -> None:
+                raise LookupError("an unexpected error")
+
+            fleet.routers[0]._parts.context.quarantine.answered = fail
+
+        self.check_answered(fail_always)
+
+
 if __name__ == "__main__":
     unittest.main()
