Close peers that read nothing before those that read slowly

Callers that read a large answer steadily were the first to be closed once too much was held for slow readers: the wait for the whole answer counted as one block, and all of the answer as held until its end.

What is held is now counted again in each sample once half of the limit is reached, and a peer that has read something since goes to the end of the order.

tests.test_slow_readers.SlowReaderTests.test_a_caller_that_reads_is_not_closed failed before (the reader was closed).

--- a/src/endivegw/daemons/capacity_watch.py
+++ b/src/endivegw/daemons/capacity_watch.py
@@ -33,6 +33,10 @@
 #: come back before would be sent here again.
 _CLOSE_AFTER_S = 1.0
 
+#: Share of the limit on what is held from which on it is counted again in each sample,
+#: so that the readers that make progress are known before any must be closed.
+_UPDATED_SHARE = 0.5
+
 _NO_DEMAND = Headroom(0.0, 0.0)
 
 
@@ -111,6 +115,8 @@
         The target of a closed reader's stream stops generating.
         """
         meter = self._meter
+        if meter.held_bytes > self._max_held_bytes * _UPDATED_SHARE:
+            meter.update()
         while meter.held_bytes > self._max_held_bytes and meter.blocked:
             slowest = next(iter(meter.blocked))
             self._log.emit(
--- a/src/endivegw/tcp_stream.py
+++ b/src/endivegw/tcp_stream.py
@@ -29,13 +29,21 @@
     :ivar open_connections: number of connections that are open now.
     :ivar held_bytes: bytes that were received and not yet read by their task, and bytes
         that the kernel has not yet taken from a sender.
-    :ivar blocked: connections whose peer does not read, the longest blocked first.
+    :ivar blocked: connections whose peer does not read, or not yet all; as of the last
+        :meth:`update`, those whose peer has read nothing for the longest time first.
     """
 
     open_connections: int = 0
     held_bytes: int = 0
     blocked: dict[TcpStream, None] = field(factory=dict)
 
+    def update(self) -> None:
+        """Count what peers have read since the last call of what was held for them."""
+        for stream in list(self.blocked):
+            if stream.update_unsent():
+                del self.blocked[stream]
+                self.blocked[stream] = None
+
 
 class _ClosedSocket:
     """Stand in for the socket of a closed connection."""
@@ -145,6 +153,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def update_unsent(self) -> bool:
+        """Count what is still unsent; return whether the peer has read some of it."""
+        if self._writer is None or self._transport is None:
+            return False
+        read_bytes = self._unsent_bytes - self._transport.get_write_buffer_size()
+        self._unsent_bytes -= read_bytes
+        self._meter.held_bytes -= read_bytes
+        return read_bytes > 0
+
     # Interface for the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -21,6 +21,11 @@
 _LIMIT_BYTES = 1_000_000
 _TIMEOUT_S = 10.0
 
+#: Answers that exceed a fifth of the memory together, and not alone; the kernel takes a
+#: few MB of each.
+_LARGE_BYTES = 16_000_000
+_LARGE_CAPACITY = RouterCapacity(memory_mb=100.0)
+
 
 class SlowReaderTests(unittest.TestCase):
     """Many callers open a stream and read nothing of it."""
@@ -112,6 +117,58 @@
 
         anyio.run(scenario)
 
+    # Guards against a caller that reads a large answer closed before one that does not.
+    def test_a_caller_that_reads_is_not_closed(self) -> None:
+        async def scenario() -> None:
+            meter = TrafficMeter()
+            log = EventLog("router", vm="vm")
+            watch = CapacityWatch(
+                "vm", _LARGE_CAPACITY, list, meter, anyio.current_time, log
+            )
+            accepted: list[TcpStream] = []
+            closed: list[TcpStream] = []
+            port = reserve_port()
+
+            async def send(stream: TcpStream) -> None:
+                accepted.append(stream)
+                try:
+                    await stream.send(b"x" * _LARGE_BYTES)
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    closed.append(stream)
+
+            def unsent_bytes() -> int:
+                transport = accepted[0]._transport
+                assert transport is not None
+                return transport.get_write_buffer_size()
+
+            async with anyio.create_task_group() as tasks:
+
+                async def listen() -> None:
+                    await serve_tcp(
+                        send, "127.0.0.1", port, backlog=8, tasks=tasks, meter=meter
+                    )
+
+                tasks.start_soon(listen)
+                await anyio.sleep(0.05)
+                reader = await connect_tcp("127.0.0.1", port)
+                with anyio.fail_after(_TIMEOUT_S):
+                    while not meter.blocked:
+                        await anyio.sleep(0.01)
+                    # Each connection is kept open by its variable.
+                    idle = [await connect_tcp("127.0.0.1", port) for _ in range(3)]
+                    while len(meter.blocked) <= len(idle):
+                        await anyio.sleep(0.01)
+                    held_bytes = unsent_bytes()
+                    while unsent_bytes() == held_bytes:
+                        await reader.receive()
+                    tasks.start_soon(watch.run)
+                    while not closed:
+                        await anyio.sleep(0.01)
+                self.assertNotIn(accepted[0], closed)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+
 
 if __name__ == "__main__":
     unittest.main()
