Tell requests apart that are queued with the same id

Callers that sent several requests with one id while the queue was not empty all waited for their deadline and got 503, although slots were free, and a slot of the target stayed occupied until half a minute after it.

Cause: the queue and the dispatcher know work by the id that the caller chose. Each caller's request should have its own, but one that does not must not hold a slot. Work is now known by the id and a number; targets and logs see the id as before.

--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import random
-from itertools import accumulate
+from itertools import accumulate, count
 
-from attrs import frozen
+from attrs import field, frozen
 
 from endivegw.decisions import SERVICE_PREFIX, WorkItem
 from endivegw.quarantine import Fingerprint, fingerprint_of, part_fingerprints
@@ -26,12 +26,16 @@
 #: Deadline of a request that does not state one.
 _DEFAULT_DEADLINE_S = 60.0
 
+_work_numbers = count()
+
 
 @frozen
 class AdmittedRequest:
     """Hold a request that the configuration allows.
 
     :param deadline_s: time on the router's clock by which the answer must be complete.
+    :param work_number: tells requests with the same id apart, which a caller should not
+        send.
     """
 
     request: CallerRequest
@@ -42,6 +46,7 @@
     account: ClientAccount | None
     deadline_s: float
     request_id: str
+    work_number: int = field(factory=lambda: next(_work_numbers), eq=False)
 
     @property
     def account_name(self) -> ClientAccountName | None:
@@ -159,7 +164,7 @@
     """
     metadata = admitted.metadata
     return WorkItem(
-        request_id=admitted.request_id,
+        request_id=f"{admitted.request_id}#{admitted.work_number}",
         client_account=admitted.account_name or NO_ACCOUNT,
         priority=admitted.priority,
         weight=1.0,
