--- a/src/endivegw_standins/platform_target.py
+++ b/src/endivegw_standins/platform_target.py
@@ -31,6 +31,7 @@
         its entry from the store. The port is closed meanwhile; the next incarnation
         starts afterwards.
     :ivar starts: number of starts so far.
+    :ivar ended_s: when each incarnation ended.
     :ivar zone: availability zone that it registers.
     :ivar warm_up_s: how long each incarnation is cold after its start.
     :ivar software_version: version of the software that the next incarnation runs.
@@ -42,6 +43,7 @@
     port: int = field(factory=reserve_port)
     restart_delay_s: float = 0.3
     starts: int = 0
+    ended_s: list[float] = field(factory=list)
     zone: str = "z"
     warm_up_s: float = 0.0
     software_version: str = "v1"
@@ -89,6 +91,7 @@
             tasks.start_soon(listener.serve, self.worker.serve)
             tasks.start_soon(self._register, store, name, entry)
             await self.worker.terminated.wait()
+            self.ended_s.append(anyio.current_time())
             tasks.cancel_scope.cancel()
 
     async def _register(
--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -56,6 +56,7 @@
     :ivar prefill_s: delay before the first event of a stream.
     :ivar crashing_request_ids: ids of the requests that crashed the worker, over all
         incarnations.
+    :ivar broken_request_ids: ids of the requests whose stream broke.
     :ivar terminated: set to terminate this incarnation, for example by a request that
         crashes it.
     :ivar cold_rate_per_s: requests per second that it bears while it is cold.
@@ -87,6 +88,7 @@
     ends_with_connection: bool = False
     prefill_s: float = 0.0
     crashing_request_ids: list[str] = field(factory=list)
+    broken_request_ids: list[str] = field(factory=list)
     terminated: anyio.Event = field(factory=anyio.Event)
     cold_rate_per_s: float = 0.0
     cold_until_s: float = 0.0
@@ -218,6 +220,7 @@
             event = f"id: {number}\ndata: {data}\n\n".encode()
             if self.break_after_events == number - 1:
                 self.break_after_events = None
+                self.broken_request_ids.append(run.request_id)
                 # The rest of the event is never sent.
                 await stream.send(self._chunk(event)[: 5 - len(event)])
                 return False
