--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -107,6 +107,7 @@
         answers to earlier requests on the connection, which the same target sent.
     :param cancel_if_caller_left: called right before the request is sent; cancels the
         request if its caller has disconnected.
+    :param is_cancelled: returns whether another attempt was preferred to this one.
     :param on_silent: called whenever the target has sent nothing for some time.
     :ivar sent: whether any byte of the request may have reached the target.
     """
@@ -123,6 +124,7 @@
         start_send: Callable[[], bool],
         on_metadata: Callable[[AnswerMetadata], None],
         cancel_if_caller_left: Callable[[], None],
+        is_cancelled: Callable[[], bool],
         on_silent: Callable[[], None],
     ) -> None:
         self._pool = pool
@@ -135,6 +137,7 @@
         self._start_send = start_send
         self._on_metadata = on_metadata
         self._cancel_if_caller_left = cancel_if_caller_left
+        self._is_cancelled = is_cancelled
         self._on_silent = on_silent
         self._metadata = AnswerMetadata(None, False)
         self.sent = False
@@ -240,7 +243,8 @@
         while True:
             data = await connection.body()
             # Another attempt may have relayed the next events at the same moment.
-            await anyio.lowlevel.checkpoint_if_cancelled()
+            if self._is_cancelled():
+                await anyio.lowlevel.checkpoint()
             if data is None:
                 break
             ready: list[bytes] = []
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -183,6 +183,7 @@
                 context, admitted.request_id, placement, metadata, running.sent_s
             ),
             self._writer.cancel_if_caller_left,
+            lambda: running.scope.cancel_called,
             lambda: self._handle_silence(running),
         )
         self._progress.target = placement.target
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -85,8 +85,7 @@
         self._opened_s = clock()
         self._answered_s: float | None = None
         self._last_input_s = self._opened_s
-        #: Whether a request is being read or answered.
-        self.busy = False
+        self._in_request = False
 
     async def serve(self) -> None:
         """Read and answer requests one after the other."""
@@ -100,6 +99,11 @@
             with anyio.CancelScope(shield=True), anyio.move_on_after(_LINGER_TIMEOUT_S):
                 await self._stream.aclose()
 
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being received, read or answered."""
+        return self._in_request or not self._is_idle()
+
     def close_when_idle(self) -> None:
         """Close the connection now, or after the request in progress."""
         self._closing = True
@@ -204,7 +208,7 @@
 
     async def _next_request(self) -> CallerRequest | MalformedRequest | None:
         """Return the next request, None if the connection delivers no more."""
-        self.busy = False
+        self._in_request = False
         idle_since_s = self._clock()
         head_since_s: float | None = None
         wait = RequestWait(self._limits())
@@ -221,7 +225,7 @@
             self._parser.limits = wait.limits
             request = self._parser.next_request(self._arrived_s())
             if request is not None:
-                self.busy = True
+                self._in_request = True
                 return request
             if self._caller_left:
                 return None
@@ -232,7 +236,6 @@
             if left_s <= 0.0 and not self._has_unread_input():
                 return self._time_out()
             await self._invite_body()
-            self.busy = not self._is_idle()
             with anyio.move_on_after(max(_MIN_WAIT_S, left_s)):
                 await self._state_changed.wait()
 
