--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -207,8 +207,8 @@
             if result is None:
                 # The attempt was cancelled. An unsent request is not charged.
                 end = AttemptOutcome.LOST if attempt.sent else AttemptOutcome.NOT_SENT
-                self.report(running, AttemptResult(end, "cancelled"), False)
-        self.report(running, result, True)
+                self._report(running, AttemptResult(end, "cancelled"), False)
+        self._report(running, result, True)
         try:
             await self._quarantine_check.record_attempt(
                 placement, result, running.answering
@@ -306,7 +306,7 @@
         )
         return OutgoingRequest(request.method, request.target, fields, request.body)
 
-    def report(
+    def _report(
         self, running: _RunningAttempt, result: AttemptResult, done: bool
     ) -> None:
         """Report the result of an attempt to the dispatcher, and count the attempt.
--- a/src/endivegw/relay/connection_end.py
+++ b/src/endivegw/relay/connection_end.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from attrs import field, frozen
+from attrs import frozen
 
 from endivegw.relay.messages import CallerRequest
 
@@ -58,4 +58,4 @@
     answer_bytes: int = 0
     unparsed_bytes: int = 0
     age_s: float = 0.0
-    idle_s: float | None = field(default=None)
+    idle_s: float | None = None
--- a/src/endivegw/relay/request_wait.py
+++ b/src/endivegw/relay/request_wait.py
@@ -4,7 +4,7 @@
 
 import enum
 
-from attrs import define, field
+from attrs import define
 
 from endivegw.routing import CallerLimits
 
@@ -33,7 +33,7 @@
     limits: CallerLimits
     due_s: float = 0.0
     _phase: RequestPhase | None = None
-    _since_s: float = field(default=0.0)
+    _since_s: float = 0.0
 
     def update(
         self, phase: RequestPhase, since_s: float, limits: CallerLimits, now_s: float
