--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Settings files change, with SIGHUP, while routers start."""
+"""A router is stopped while configurations arrive and the store is slow."""
 
 from __future__ import annotations
 
@@ -7,73 +7,66 @@
 import signal
 import time
 
-from fleet import Fleet, Record, Router, run_case
+from budget import Clients, accounts, configuration
+from fleet import Fleet, Record, run_case
 
-#: Waves of changed settings, and the time between them.
-WAVES = 3
-WAVE_GAP_S = 0.8
+#: The dose of ``platform_slow`` and ``config_storm`` in the site file.
+SLOW_X, SLOW_S = 97.0, 5.5
+STORM_GAP_S, STORM_S = 0.33, 4.0
 
-#: Machines of each wave: half of them, where the site file has up to 0.8.
-MACHINES = 2
 
-#: Delay between the first start of the processes and the first wave.
-AFTER_START_S = 0.15
+async def stop_and_start(fleet: Fleet, record: Record, number: int) -> None:
+    """Stop a router like the platform, and start it again."""
+    router = fleet.routers[number]
+    record.add(f"SIGTERM to {router.name}")
+    router.signal(signal.SIGTERM)
+    code = await router.wait_end(8.0)
+    record.add(f"{router.name} ended with {code}")
+    if code is None:
+        await router.kill()
+    await router.start()
 
-#: Delay after which the platform starts a process again that has ended.
-RESTART_S = 0.5
-
-
-async def supervise(router: Router, record: Record, started: asyncio.Event) -> None:
-    """Start a process again whenever it ends, like the platform."""
-    while True:
-        await router.start()
-        started.set()
-        assert router.process is not None
-        code = await router.process.wait()
-        started.clear()
-        router.exits.append(code)
-        record.add(f"{router.name} ended by itself with {code}")
-        await asyncio.sleep(RESTART_S)
 
+async def case(fleet: Fleet, record: Record, trouble: bool) -> int:
+    """Stop one router in order, then use up the budget."""
+    if not await fleet.start(configuration(1), routers=4, workers=3):
+        record.add("not every router became ready")
+        return 2
+    await asyncio.sleep(4.0)
+    clients = Clients(fleet, record)
+    for number in range(8):
+        await clients.send(number % 4)
+    if clients.answers[200] != 8:
+        record.add(f"no calm start: {dict(clients.answers)}")
+        return 2
+    record.add(accounts(fleet))
 
-async def change_settings(
-    router: Router, record: Record, started: asyncio.Event, trouble: bool
-) -> None:
-    """Write the settings file again, and tell the process, in each wave."""
-    await started.wait()
-    first_s = time.monotonic() + AFTER_START_S
-    for wave in range(WAVES):
-        await asyncio.sleep(max(0.0, first_s + wave * WAVE_GAP_S - time.monotonic()))
-        if trouble and started.is_set():
-            router.write_settings()
-            router.signal(signal.SIGHUP)
-            record.add(f"SIGHUP to {router.name}")
+    async def storm() -> None:
+        await asyncio.sleep(1.0)
+        version = 1
+        end_s = time.monotonic() + STORM_S
+        while time.monotonic() < end_s:
+            version += 1
+            fleet.store.put("op", "config", configuration(version))
+            await asyncio.sleep(STORM_GAP_S)
+        record.add(f"{version - 1} configurations were written")
 
+    async def slow() -> None:
+        fleet.store.slow_x = SLOW_X if trouble else 1.0
+        record.add(f"the store answers {fleet.store.slow_x:g} times slower")
+        await asyncio.sleep(SLOW_S)
+        fleet.store.slow_x = 1.0
+        record.add("the store is calm")
 
-async def case(fleet: Fleet, record: Record, trouble: bool) -> int:
-    """Count the processes that end by themselves."""
-    await fleet.store.start()
-    tasks = []
-    changes = []
-    for number in range(4):
-        router = Router(f"front-{number}", fleet.folder, fleet.store.port)
-        fleet.routers.append(router)
-        started = asyncio.Event()
-        tasks.append(asyncio.create_task(supervise(router, record, started)))
-        if number < MACHINES:
-            changes.append(change_settings(router, record, started, trouble))
-    await asyncio.gather(*changes)
-    await asyncio.sleep(6.0)
-    for task in tasks:
-        task.cancel()
-    ends = {router.name: len(router.exits) for router in fleet.routers}
-    record.add(f"ends by themselves: {ends}")
-    running = [r.name for r in fleet.routers if r.process and r.process.returncode is None]
-    record.add(f"running at the end: {running}")
-    if len(running) < 4:
+    await asyncio.gather(storm(), slow(), stop_and_start(fleet, record, 0))
+    if not await fleet.routers[0].wait_ready():
+        record.add("the router did not come back")
         return 2
-    # A tenth of the machines in use, two at least; three times.
-    return int(sum(count >= 3 for count in ends.values()) >= 2)
+    # ContactMs, so that all machines are in touch.
+    await asyncio.sleep(4.0)
+    record.add(accounts(fleet))
+    await clients.use_up()
+    return clients.judge()
 
 
 run_case(pathlib.Path(__file__).resolve().parent, case)
