--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -178,6 +178,8 @@
     ) -> None:
         try:
             while (request := await read_message(reader)) is not None:
+                if not request.complete:
+                    break
                 self.calls += 1
                 delay_s = STORE_ANSWER_S * self.slow_x
                 status, document = await self._answer(request, delay_s)
