--- a/src/endivegw/allowances/takeover.py
+++ b/src/endivegw/allowances/takeover.py
@@ -170,14 +170,17 @@
         )
         report = witness_report(holder.witnesses, statements, _expires_ms(holder))
         used_tokens = max_used_tokens(holder, report, self._options.growth)
+        as_of_ms = max((terms.as_of_ms for terms in holder.terms.values()), default=0)
         self._log.emit(
             events.ROW_SETTLED,
             owner=vm,
             predecessor=holder.instance_id,
+            lived_s=round((report.alive_until_ms - as_of_ms) / 1000.0, 3),
             witnesses=len(holder.witnesses),
             answered=len(statements),
             drawn={name: terms.drawn_tokens for name, terms in holder.terms.items()},
             limits={name: terms.limit_tokens for name, terms in holder.terms.items()},
+            stated=[dict(statement.limits) for statement in statements.values()],
             used=used_tokens,
         )
         return settled_row(holder, used_tokens)
--- a/src/endivegw/telemetry/catalogue/allowances.py
+++ b/src/endivegw/telemetry/catalogue/allowances.py
@@ -106,5 +106,15 @@
     Level.WARNING,
     "A router settled the row of an unresponsive router: the maximum that the"
     " latter may have used counts as used, and the rest goes back to the budgets.",
-    ("owner", "predecessor", "witnesses", "answered", "drawn", "limits", "used"),
+    (
+        "owner",
+        "predecessor",
+        "lived_s",
+        "witnesses",
+        "answered",
+        "drawn",
+        "limits",
+        "stated",
+        "used",
+    ),
 )
