All witnesses of a router acknowledge what it uses

Cause: two of three witnesses sufficed for a use, so that a single survivor cannot tell how far a lost router went, and the reader counted the row's limit with 15 s of growth. Ruled out: the lead of the limits (limits and statements differ by 100), loans counted twice. Why it works: each use is acknowledged by all witnesses of each row that a reader may find, so that any one answer bounds it. Rows say how many had to acknowledge. The store decides who is a witness: a silent one is left out of the next row; a row that holds outright serves requests and loans meanwhile. In an outage, a witness whose successor acknowledges at its address has ended, answers nobody, and is not waited for. The test of one dead witness of three is replaced: what it allowed is the fault. Its purpose, limits that go on when a witness is killed in an outage, is held by the test of a restarted witness. Found with it: a witness's statement older than the row bounded less than was used.

--- a/src/endivegw/allowances/ledger.py
+++ b/src/endivegw/allowances/ledger.py
@@ -271,7 +271,7 @@
 
         :param routers: number of routers that share the budgets; 0 if it is not known
             yet, in which case nothing is drawn ahead of requests.
-        :param witnesses: routers that currently receive this router's statements.
+        :param witnesses: routers that can be this router's witnesses.
         :param draws: whether the write may draw on budgets. Without draws it can only
             conflict with another write to this router's own row.
         """
@@ -295,12 +295,31 @@
             funds.pending = self._terms(account, funds, drawn, store_ms, now_s)
             terms[account] = funds.pending
         self._sequence += 1
-        outright = not self.witnesses.has_majority(store_ms)
-        self.witnesses.plan(witnesses, outright)
-        name, validity_s = self.instance_id, self.options.validity_s
-        row = HolderRow(name, self._sequence, terms, witnesses, outright, validity_s)
+        named = self.witnesses.select(witnesses, store_ms)
+        outright = not self.witnesses.has_all(store_ms) or self._lacks_witnesses()
+        self.witnesses.plan(named, outright)
+        row = HolderRow(
+            self.instance_id,
+            self._sequence,
+            terms,
+            named,
+            outright,
+            self.options.validity_s,
+            needed=len(named),
+        )
         return PlannedWrite(row, budgets, expected, is_complete)
 
+    def _lacks_witnesses(self) -> bool:
+        """Return whether requests wait for more than the witnesses acknowledged.
+
+        A row whose limits hold outright serves them even if a witness has just died.
+        """
+        return any(
+            tokens > self.witnesses.limit_tokens(account) - self.of(account).used_tokens
+            for account, tokens in self.wanted_tokens.items()
+            if tokens > 0
+        )
+
     def commit(self, write: PlannedWrite, revision: int) -> None:
         """Apply a write that took effect."""
         self.witnesses.commit()
--- a/src/endivegw/allowances/manager.py
+++ b/src/endivegw/allowances/manager.py
@@ -134,6 +134,10 @@
         covered_tokens = min(loan_tokens, extender.row_available_tokens(account))
         if covered_tokens > 0 and extender.available_tokens(account) < covered_tokens:
             await extender.send_statement(account, covered_tokens)
+            is_short = extender.available_tokens(account) < covered_tokens
+            if is_short and not extender.is_store_unavailable():
+                # A witness may have died; a row that holds outright covers the loan.
+                await extender.write(account, covered_tokens)
         if extender.is_expired(account):
             return 0
         store_ms = self.store_clock.now_ms(self._clock())
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -219,7 +219,7 @@
         statements = await self._peers.request_statements(
             holder.witnesses, holder.instance_id, timeout_s=_STATEMENTS_TIMEOUT_S
         )
-        report = witness_report(holder.witnesses, statements, ended_ms)
+        report = witness_report(holder.witnesses, statements, ended_ms, holder.needed)
         used_tokens = self._ledger.succeed(holder, report)
         as_of_ms = max((terms.as_of_ms for terms in holder.terms.values()), default=0)
         self._log.emit(
--- a/src/endivegw/allowances/rows.py
+++ b/src/endivegw/allowances/rows.py
@@ -6,9 +6,10 @@
 import math
 from typing import Any, Mapping
 
-from attrs import field, frozen
+from attrs import Factory, field, frozen
 
 from endivegw.allowances.funds import Terms
+from endivegw.allowances.witnesses import majority
 from endivegw.types import ClientAccountName, InstanceId
 
 __all__ = [
@@ -44,8 +45,10 @@
         answer is recognised when it is read back.
     :param witnesses: routers that know what this one may have used.
     :param outright: whether the router may use its recorded limits without the
-        acknowledgement of a majority of the witnesses. Set while too few acknowledge.
+        acknowledgement of its witnesses. Set while too few acknowledge.
     :param validity_s: how long after the time of its terms the row may still be used.
+    :param needed: how many of the witnesses must acknowledge each use; a majority in
+        rows that do not state it.
     """
 
     instance_id: InstanceId
@@ -54,6 +57,7 @@
     witnesses: tuple[InstanceId, ...] = ()
     outright: bool = False
     validity_s: float = math.inf
+    needed: int = Factory(lambda self: majority(len(self.witnesses)), takes_self=True)
 
 
 @frozen
@@ -92,6 +96,7 @@
         "sequence": row.sequence,
         "as_of_ms": as_of_ms,
         "witnesses": row.witnesses,
+        "needed": row.needed,
         "outright": row.outright,
         "lasts_ms": (
             int(row.validity_s * 1000) if math.isfinite(row.validity_s) else None
@@ -122,6 +127,7 @@
             witnesses,
             bool(document["outright"]),
             math.inf if lasts_ms is None else int(lasts_ms) / 1000.0,
+            int(document.get("needed", majority(len(witnesses)))),
         )
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise RowError(f"malformed row of a token holder: {error!r}") from error
--- a/src/endivegw/allowances/succession.py
+++ b/src/endivegw/allowances/succession.py
@@ -4,8 +4,6 @@
 
 import math
 
-from attrs import evolve
-
 from endivegw.allowances.funds import Growth, Terms
 from endivegw.allowances.rows import HolderRow
 from endivegw.allowances.witnesses import WitnessReport
@@ -29,7 +27,11 @@
         permitted_tokens = terms.limit_at_tokens(report.alive_until_ms, growth)
         outright_tokens = terms.limit_tokens if row.outright else -math.inf
         used_tokens[account] = report.used_tokens(
-            account, outright_tokens, permitted_tokens
+            account,
+            outright_tokens,
+            permitted_tokens,
+            terms.as_of_ms,
+            terms.limit_tokens,
         )
     return used_tokens
 
@@ -47,6 +49,6 @@
         for account, recorded in row.terms.items()
         if recorded.drawn_tokens > used_tokens[account]
     }
-    return evolve(
-        row, instance_id=NOBODY, sequence=0, terms=terms, witnesses=(), outright=True
+    return HolderRow(
+        NOBODY, 0, terms, outright=True, validity_s=row.validity_s, needed=0
     )
--- a/src/endivegw/allowances/takeover.py
+++ b/src/endivegw/allowances/takeover.py
@@ -168,7 +168,9 @@
         statements = await self._peers.request_statements(
             holder.witnesses, holder.instance_id, timeout_s=_STATEMENTS_TIMEOUT_S
         )
-        report = witness_report(holder.witnesses, statements, _expires_ms(holder))
+        report = witness_report(
+            holder.witnesses, statements, _expires_ms(holder), holder.needed
+        )
         used_tokens = max_used_tokens(holder, report, self._options.growth)
         as_of_ms = max((terms.as_of_ms for terms in holder.terms.values()), default=0)
         self._log.emit(
--- a/src/endivegw/allowances/witnesses.py
+++ b/src/endivegw/allowances/witnesses.py
@@ -8,10 +8,11 @@
 
 A router therefore also sends its limits to a few other routers, its witnesses, ten
 times a second, whenever a request needs more, and whenever a peer lent it tokens. It
-uses no more than a majority of the witnesses has acknowledged. The successor asks the
-witnesses: any group that overlaps every majority knows all that was used, to within a
-tenth of a second. While too few witnesses acknowledge, the router records in its row
-that the row's limits hold outright, and its successor counts those limits in full.
+uses no more than all of them have acknowledged, so that any one that survives knows all
+that was used, to within a tenth of a second. A witness that stops acknowledging is left
+out of the next row, and one whose process was replaced is not waited for. While not all
+acknowledge, the router records in its row that the row's limits hold outright, and its
+successor counts those limits in full.
 """
 
 from __future__ import annotations
@@ -24,7 +25,14 @@
 
 from endivegw.types import ClientAccountName, InstanceId
 
-__all__ = ["GRACE_MS", "Statement", "Witnesses", "WitnessReport", "witness_report"]
+__all__ = [
+    "GRACE_MS",
+    "Statement",
+    "Witnesses",
+    "WitnessReport",
+    "majority",
+    "witness_report",
+]
 
 #: How far limits grow beyond the last acknowledged time. Two statements and their
 #: acknowledgements may be lost before growth pauses.
@@ -64,20 +72,30 @@
         return self.limits.get(account, math.inf)
 
 
+#: A statement that limits nothing.
+_UNBOUNDED = Statement(1, math.inf)
+
+
 @define
 class Witnesses:
     """The witnesses of this router, the statements sent, and the acknowledgements.
 
     :ivar confirmed: witnesses named by the row in the store.
     :ivar pending: witnesses named by a write without an answer; None without one.
+    :ivar candidates: routers that receive statements and are named once they
+        acknowledge them.
     """
 
     confirmed: tuple[InstanceId, ...] = ()
     pending: tuple[InstanceId, ...] | None = None
+    candidates: tuple[InstanceId, ...] = ()
     _confirmed_outright: bool = False
     _pending_outright: bool = False
     _sent: deque[Statement] = field(factory=lambda: deque(maxlen=_MAX_SENT_STATEMENTS))
     _acknowledged: dict[InstanceId, int] = field(factory=dict)
+    #: Witnesses that ended. They answer no successor, so nobody relies on what they
+    #: acknowledged.
+    _ended: set[InstanceId] = field(factory=set)
 
     def record_sent(self, statement: Statement) -> None:
         """Record a statement that is being sent."""
@@ -88,6 +106,15 @@
         if sequence > self._acknowledged.get(witness, 0):
             self._acknowledged[witness] = sequence
 
+    def record_replacement(self, witness: InstanceId, sequence: int) -> None:
+        """Record that another process acknowledged a statement in a witness's place.
+
+        The witness has ended if it had acknowledged an earlier statement. Otherwise the
+        acknowledgement may be a late one of its predecessor.
+        """
+        if 0 < self._acknowledged.get(witness, 0) < sequence:
+            self._ended.add(witness)
+
     @property
     def outright(self) -> bool:
         """Return whether the limits of every possible row hold outright."""
@@ -95,19 +122,37 @@
             return self._confirmed_outright
         return self._confirmed_outright and self._pending_outright
 
-    def has_majority(self, store_ms: float) -> bool:
-        """Return whether a majority acknowledged within the grace period."""
+    def has_all(self, store_ms: float) -> bool:
+        """Return whether all witnesses acknowledged within the grace period."""
         return self._growth_until_ms(self.confirmed, store_ms) >= store_ms
 
+    def select(
+        self, candidates: tuple[InstanceId, ...], store_ms: float
+    ) -> tuple[InstanceId, ...]:
+        """Return the witnesses that the next write should name.
+
+        A candidate that does not acknowledge statements would only keep the limits from
+        growing. All are named if none acknowledges.
+        """
+        self.candidates = candidates
+        current = tuple(
+            name
+            for name in candidates
+            if name not in self._ended
+            and self._received_by(name)[0] + GRACE_MS >= store_ms
+        )
+        return current or candidates
+
     def plan(self, witnesses: tuple[InstanceId, ...], outright: bool) -> None:
         """Record the witnesses that the next write names, and its ``outright`` flag."""
         self.pending = witnesses
         self._pending_outright = outright
-        retained = {*self.confirmed, *witnesses}
+        retained = {*self.confirmed, *witnesses, *self.candidates}
         self._acknowledged = {
             name: self._acknowledged[name]
             for name in retained & set(self._acknowledged)
         }
+        self._ended &= retained
 
     def commit(self) -> None:
         """Apply a write that took effect."""
@@ -121,8 +166,9 @@
         self.pending = None
 
     def named(self) -> tuple[InstanceId, ...]:
-        """Return all routers whose acknowledgement may count."""
-        return tuple(dict.fromkeys(self.confirmed + (self.pending or ())))
+        """Return all routers whose acknowledgement may count, now or soon."""
+        names = self.confirmed + (self.pending or ()) + self.candidates
+        return tuple(dict.fromkeys(names))
 
     def growth_until_ms(self, store_ms: float) -> float:
         """Return the time on the store's clock until which limits have grown."""
@@ -131,7 +177,7 @@
         )
 
     def limit_tokens(self, account: ClientAccountName) -> float:
-        """Return the limit that a majority knows, for every possible row.
+        """Return the limit that all witnesses know, for every possible row.
 
         Infinity if there are no witnesses, so that the row alone binds.
         """
@@ -147,21 +193,23 @@
         if not names:
             return store_ms
         last_ms = [self._received_by(name)[0] for name in names]
-        return min(store_ms, _reached_by_majority(last_ms) + GRACE_MS)
+        return min(store_ms, min(last_ms) + GRACE_MS)
 
     def _limit_tokens(
         self, names: tuple[InstanceId, ...], account: ClientAccountName
     ) -> float:
         if not names:
             return math.inf
-        limits = [self._limit_known_to(name, account) for name in names]
-        return _reached_by_majority(limits)
+        return min(self._limit_known_to(name, account) for name in names)
 
     def _received_by(self, name: InstanceId) -> tuple[float, list[Statement]]:
         """Return the time of the last acknowledged statement, and the possible ones.
 
-        The witness received the acknowledged statement and possibly any later one.
+        The witness received the acknowledged statement and possibly any later one. One
+        that ended does not limit the use.
         """
+        if name in self._ended:
+            return math.inf, [_UNBOUNDED]
         sequence = self._acknowledged.get(name, 0)
         possible = [sent for sent in self._sent if sent.sequence >= sequence]
         if not possible or possible[0].sequence != sequence:
@@ -183,27 +231,43 @@
         alive.
     :param statements: the last statement received by each witness that answered; empty
         if too few answered, so that only the row is known.
+    :param overlap: how many of the witnesses that answered had at least acknowledged
+        each use.
     """
 
     alive_until_ms: float
     statements: tuple[Statement, ...] = ()
+    overlap: int = 1
 
     def used_tokens(
-        self, account: ClientAccountName, outright_tokens: float, row_limit_tokens: int
+        self,
+        account: ClientAccountName,
+        outright_tokens: float,
+        row_limit_tokens: int,
+        as_of_ms: float = -math.inf,
+        recorded_tokens: float = -math.inf,
     ) -> int:
         """Return the most that the dead router can have used of an account.
 
         :param outright_tokens: what its row allowed regardless of acknowledgements;
             minus infinity if witnesses had to acknowledge first.
         :param row_limit_tokens: what the row's limit had grown to when it died.
+        :param as_of_ms: time of the row on the store's clock.
+        :param recorded_tokens: the row's limit at that time.
         """
         for statement in self.statements:
             if statement.final and account in statement.limits:
                 return statement.limits[account]
         if not self.statements:
             return row_limit_tokens
-        stated_tokens = max(last.limit_tokens(account) for last in self.statements)
-        usable_tokens = max(outright_tokens, stated_tokens)
+        limits = []
+        for statement in self.statements:
+            limit = statement.limit_tokens(account)
+            # A row has whole milliseconds. What was used before it was written need
+            # not be covered by what its witnesses received before.
+            is_older = statement.clock_ms < as_of_ms + 1.0
+            limits.append(max(limit, recorded_tokens) if is_older else limit)
+        usable_tokens = max(outright_tokens, _reached_by(self.overlap, limits))
         return (
             row_limit_tokens
             if usable_tokens == -math.inf
@@ -215,27 +279,32 @@
     witnesses: tuple[InstanceId, ...],
     received: Mapping[InstanceId, Statement],
     ended_ms: float,
+    needed: int | None = None,
 ) -> WitnessReport:
     """Combine the answers of the witnesses of a dead router.
 
     :param received: the last statement of each witness that answered.
     :param ended_ms: a time on the store's clock at which it was certainly dead.
+    :param needed: how many witnesses had to acknowledge each use; by default a
+        majority.
     """
     statements = tuple(received[name] for name in witnesses if name in received)
     if any(statement.final for statement in statements):
         return WitnessReport(ended_ms, statements)
-    needed = len(witnesses) - _majority(len(witnesses)) + 1
-    if not witnesses or len(statements) < needed:
+    if needed is None:
+        needed = majority(len(witnesses))
+    overlap = needed - (len(witnesses) - len(statements))
+    if not witnesses or overlap < 1:
         return WitnessReport(ended_ms)
-    last_ms = max(statement.clock_ms for statement in statements)
-    return WitnessReport(min(ended_ms, last_ms + GRACE_MS), statements)
+    last_ms = _reached_by(overlap, [statement.clock_ms for statement in statements])
+    return WitnessReport(min(ended_ms, last_ms + GRACE_MS), statements, overlap)
 
 
-def _majority(count: int) -> int:
+def majority(count: int) -> int:
+    """Return the smallest number that is more than half."""
     return count // 2 + 1
 
 
-def _reached_by_majority(values: list[float]) -> float:
-    """Return the largest value that a majority reaches."""
-    ranked = sorted(values, reverse=True)
-    return ranked[_majority(len(ranked)) - 1]
+def _reached_by(count: int, values: list[float]) -> float:
+    """Return the largest value that a number of them reach."""
+    return sorted(values, reverse=True)[count - 1]
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -131,6 +131,9 @@
         on_acknowledgement=lambda peer, number: (
             allowances.ledger.witnesses.acknowledge(peer, number)
         ),
+        on_replacement=lambda witness, number: (
+            allowances.ledger.witnesses.record_replacement(witness, number)
+        ),
         make_statement=lambda sequence: allowances.next_statement(sequence),
         named_witnesses=lambda: allowances.ledger.witnesses.named(),
         clock=clock,
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -51,8 +51,8 @@
 #: Interval at which a router of a small fleet reports its figures.
 _MIN_STATE_INTERVAL_S = 0.1
 
-#: Number of witnesses of a router. With three, limits continue to grow if one of them
-#: dies during an outage of the store, and a successor learns everything from any two.
+#: Number of witnesses of a router. Any one of them that survives a loss of several
+#: routers knows what it used; each receives all statements.
 MAX_WITNESSES = 3
 
 
@@ -79,6 +79,8 @@
     :param headroom: returns what this router can carry beyond its load; None if its
         capacity is not known.
     :param reaches_store: returns whether the store answers this router's calls.
+    :param on_replacement: called with a witness and the sequence of a statement that
+        another process acknowledged at the witness's address.
     """
 
     def __init__(
@@ -108,6 +110,9 @@
         max_witnesses: int = MAX_WITNESSES,
         headroom: Callable[[], Headroom | None] = lambda: None,
         reaches_store: Callable[[], bool] = lambda: True,
+        on_replacement: Callable[
+            [InstanceId, int], None
+        ] = lambda witness, sequence: None,
         rng: random.Random | None = None,
     ) -> None:
         self.entry = entry
@@ -120,6 +125,7 @@
         self._pop_prefixes = pop_prefixes
         self._on_prefixes_read = on_prefixes_read
         self._on_acknowledgement = on_acknowledgement
+        self._on_replacement = on_replacement
         self._make_statement = make_statement
         self._named_witnesses = named_witnesses
         self._statement_responses: (
@@ -335,7 +341,7 @@
             case LoanResponse():
                 self._loans.receive(message)
             case Acknowledgement():
-                self._on_acknowledgement(message.sender, message.sequence)
+                self._receive_acknowledgement(message, host, port)
                 self._acknowledged.set()
                 self._acknowledged = anyio.Event()
             case StatementRequest(sender, about):
@@ -364,6 +370,20 @@
                 if self._statement_responses and self._statement_responses[0] == about:
                     self._statement_responses[1][sender] = statement
 
+    def _receive_acknowledgement(
+        self, message: Acknowledgement, host: str, port: int
+    ) -> None:
+        """Apply an acknowledgement, possibly of a witness's successor.
+
+        During an outage of the store, the successor's own row cannot be read.
+        """
+        self._on_acknowledgement(message.sender, message.sequence)
+        if message.sender in self._named_witnesses():
+            return
+        for peer in self.peers.entries():
+            if (peer.host, peer.port) == (host, port):
+                self._on_replacement(peer.instance_id, message.sequence)
+
     async def _answer(self, request: LoanRequest, host: str, port: int) -> None:
         try:
             response = await self._loans.answer(request)
--- a/src/endivegw_standins/allowance_world.py
+++ b/src/endivegw_standins/allowance_world.py
@@ -232,10 +232,10 @@
         self._sequence += 1
         statement = self.allowances.next_statement(self._sequence)
         await anyio.sleep(_LATENCY_S)
+        witnesses = self.allowances.ledger.witnesses
+        named_vms = {self.world.vm_of(name): name for name in witnesses.named()}
         reachable = [
-            router
-            for router in self.reachable_routers()
-            if router.instance_id in self.allowances.ledger.witnesses.named()
+            router for router in self.reachable_routers() if router.vm in named_vms
         ]
         for router in reachable:
             known = router.received_statements.get(self.instance_id)
@@ -243,8 +243,9 @@
                 router.received_statements[self.instance_id] = statement
         await anyio.sleep(_LATENCY_S)
         for router in reachable:
-            witnesses = self.allowances.ledger.witnesses
             witnesses.acknowledge(router.instance_id, statement.sequence)
+            if named_vms[router.vm] != router.instance_id:
+                witnesses.record_replacement(named_vms[router.vm], statement.sequence)
 
 
 @define(eq=False)
@@ -289,6 +290,10 @@
         self.routers[vm] = router
         self.tasks.start_soon(router.run)
 
+    def vm_of(self, name: InstanceId) -> str:
+        """Return the vm of a process."""
+        return name.rpartition("-")[0]
+
     def new_router(self, vm: str, name: InstanceId) -> SimulatedRouter:
         """Return a router that knows all others."""
         return SimulatedRouter(self, vm, name, self.clock_of(vm))
--- a/src/endivegw_standins/linked_world.py
+++ b/src/endivegw_standins/linked_world.py
@@ -188,6 +188,9 @@
         on_acknowledgement=lambda peer, sequence: (
             router.allowances.ledger.witnesses.acknowledge(peer, sequence)
         ),
+        on_replacement=lambda witness, sequence: (
+            router.allowances.ledger.witnesses.record_replacement(witness, sequence)
+        ),
         make_statement=lambda sequence: router.allowances.next_statement(sequence),
         named_witnesses=lambda: router.allowances.ledger.witnesses.named(),
         clock=world.clock,
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -6,7 +6,13 @@
 import random
 import unittest
 
-from endivegw.allowances import AllowanceLedger, Reservation, Shortage, Terms
+from endivegw.allowances import (
+    AllowanceLedger,
+    AllowanceOptions,
+    Reservation,
+    Shortage,
+    Terms,
+)
 from endivegw.allowances.rows import (
     BudgetTotal,
     HolderRow,
@@ -15,6 +21,7 @@
     encode_holder,
 )
 from endivegw.allowances.store_clock import StoreClock
+from endivegw.allowances.succession import max_used_tokens
 from endivegw.allowances.witnesses import (
     GRACE_MS,
     Statement,
@@ -26,7 +33,7 @@
 
 ACCOUNT = ClientAccountName("airline")
 PREPAID = 100_000
-B, C = InstanceId("b"), InstanceId("c")
+B, C, D = (InstanceId(name) for name in "bcd")
 
 
 def send(witnesses: Witnesses, sequence: int, clock_ms: float, limit: int) -> None:
@@ -330,14 +337,91 @@
         witnesses.acknowledge(InstanceId("stranger"), 2)
         self.assertEqual(witnesses.growth_until_ms(9000.0), 2000.0 + GRACE_MS)
 
-    def test_one_dead_witness_of_three_is_tolerated(self) -> None:
-        """A witness is killed during an outage; two others still get statements."""
-        witnesses = Witnesses(confirmed=(B, C, InstanceId("d")))
+    # Guards against a use that the only survivor of a loss of routers does not know.
+    def test_all_of_three_witnesses_must_acknowledge(self) -> None:
+        """A router uses nothing that one of its three witnesses may not know."""
+        witnesses = Witnesses(confirmed=(B, C, D))
         send(witnesses, 1, 2000.0, 700)
         witnesses.acknowledge(B, 1)
         witnesses.acknowledge(C, 1)
+        self.assertEqual(witnesses.limit_tokens(ACCOUNT), -math.inf)
+        witnesses.acknowledge(D, 1)
         self.assertEqual(witnesses.limit_tokens(ACCOUNT), 700)
 
+    # Guards against limits that wait for a witness whose process has ended.
+    def test_a_restarted_witness_is_not_waited_for(self) -> None:
+        """A witness restarts in an outage, so that no row can name its new process."""
+        witnesses = Witnesses(confirmed=(B, C))
+        send(witnesses, 1, 2000.0, 700)
+        witnesses.acknowledge(B, 1)
+        witnesses.acknowledge(C, 1)
+        send(witnesses, 2, 3000.0, 900)
+        witnesses.acknowledge(B, 2)
+        witnesses.record_replacement(C, 2)
+        self.assertEqual(witnesses.limit_tokens(ACCOUNT), 900)
+        self.assertEqual(witnesses.growth_until_ms(3100.0), 3100.0)
+
+    # Guards against a living witness that counts as ended because of a late datagram.
+    def test_a_late_acknowledgement_does_not_end_a_witness(self) -> None:
+        """The predecessor's acknowledgement arrives after its successor is named."""
+        witnesses = Witnesses(confirmed=(B, C))
+        send(witnesses, 4, 2000.0, 700)
+        witnesses.record_replacement(C, 3)
+        witnesses.acknowledge(B, 4)
+        self.assertEqual(witnesses.limit_tokens(ACCOUNT), -math.inf)
+        witnesses.acknowledge(C, 4)
+        witnesses.record_replacement(C, 4)
+        send(witnesses, 5, 2100.0, 900)
+        witnesses.acknowledge(B, 5)
+        self.assertEqual(witnesses.limit_tokens(ACCOUNT), 700)
+
+    # Guards against limits that wait for a witness that the store could replace.
+    def test_a_silent_witness_is_left_out_of_the_next_row(self) -> None:
+        """It is named again once it acknowledges statements."""
+        witnesses = Witnesses(confirmed=(B, C))
+        send(witnesses, 1, 2000.0, 700)
+        witnesses.acknowledge(B, 1)
+        witnesses.acknowledge(C, 1)
+        self.assertEqual(witnesses.select((B, C), 2100.0), (B, C))
+        send(witnesses, 2, 2600.0, 900)
+        witnesses.acknowledge(B, 2)
+        self.assertEqual(witnesses.select((B, C), 2600.0), (B,))
+        witnesses.plan((B,), False)
+        witnesses.commit()
+        self.assertIn(C, witnesses.named())
+        witnesses.acknowledge(C, 2)
+        self.assertEqual(witnesses.select((B, C), 2700.0), (B, C))
+        self.assertEqual(witnesses.select((B, C), 9000.0), (B, C))
+
+    # Guards against an old statement of a witness that a row names again.
+    def test_a_statement_older_than_the_row_bounds_nothing(self) -> None:
+        """What was used before the row was written is covered by its limit."""
+        old = Statement(4, 1500.0, {ACCOUNT: 700})
+        row = HolderRow(
+            InstanceId("a"),
+            9,
+            {ACCOUNT: Terms(90_000, 5000, 400, 3000)},
+            (B,),
+            needed=1,
+        )
+        report = witness_report(row.witnesses, {B: old}, 9000.0, row.needed)
+        used = max_used_tokens(row, report, AllowanceOptions().growth)
+        self.assertEqual(used[ACCOUNT], 5000)
+
+    # Guards against requests that are refused until a dead witness is left out.
+    def test_requests_are_served_when_a_witness_dies(self) -> None:
+        """While the store answers, a row that holds outright replaces its word."""
+        router = ledger("a")
+        write(router, 1000.0, witnesses=(B, C))
+        send(router.witnesses, 1, 1000.0, 0)
+        router.witnesses.acknowledge(B, 1)
+        router.witnesses.acknowledge(C, 1)
+        write(router, 1010.0, witnesses=(B, C))
+        router.wanted_tokens[ACCOUNT] = 900
+        self.assertIs(router.reserve(ACCOUNT, 900, 1020.0), Shortage.LIMIT)
+        write(router, 1020.0, witnesses=(B, C))
+        self.assertIsInstance(router.reserve(ACCOUNT, 900, 1020.0), Reservation)
+
     def test_lower_statement_applies_before_it_is_acknowledged(self) -> None:
         """A router lowers its limit after a large request ended.
 
@@ -437,7 +521,8 @@
             for name in names
             if rng.random() < 0.9
         }
-        report = witness_report(names, answered, now_ms + rng.random() * 3000)
+        ended_ms = now_ms + rng.random() * 3000
+        report = witness_report(names, answered, ended_ms, row.needed)
         used = ledger("new").succeed(row, report)[ACCOUNT]
         self.assertGreaterEqual(used, router.of(ACCOUNT).used_tokens)
         return used - router.of(ACCOUNT).used_tokens
--- a/tests/test_allowances_fleet.py
+++ b/tests/test_allowances_fleet.py
@@ -259,6 +259,39 @@
         self.assertLess(refused / asked, 0.04)
 
 
+class WitnessLossTests(unittest.TestCase):
+    """A witness of the other routers dies while the store answers."""
+
+    # Guards against loans that fail until a dead witness is left out of the row.
+    def test_peers_lend_right_after_a_witness_died(self) -> None:
+        """A router lends more than its witnesses have acknowledged."""
+
+        async def scenario(world: AllowanceWorld) -> None:
+            allowances = world.routers["b"].allowances
+            now_s = anyio.current_time()
+            allowances.ledger.of(ACCOUNT).record_demand(300_000, now_s, 8.0)
+            await anyio.sleep(0.3)
+            world.kill("d")
+            lent = [await allowances.lend(ACCOUNT, 8_000, 8_000) for _ in range(8)]
+            self.assertEqual(lent, [8_000] * 8)
+
+        run(scenario)
+
+    # Guards against requests that are refused until a dead witness is left out.
+    def test_requests_are_served_right_after_a_witness_died(self) -> None:
+        """Each of twenty requests lacks the acknowledgement of the dead witness."""
+
+        async def scenario(world: AllowanceWorld) -> None:
+            world.kill("d")
+            allowances = world.routers["b"].allowances
+            for _ in range(20):
+                reservation = await allowances.reserve(ACCOUNT, 5_000)
+                self.assertIsInstance(reservation, Reservation)
+                await anyio.sleep(0.03)
+
+        run(scenario)
+
+
 class SafetyTests(unittest.TestCase):
     """Budgets are never overspent, whatever is killed or isolated."""
 
--- a/tests/test_allowances_takeover.py
+++ b/tests/test_allowances_takeover.py
@@ -181,8 +181,8 @@
 
     # Guards against tokens that stay drawn by a router that never comes back.
     def test_a_lost_router_loses_few_tokens(self) -> None:
-        """One, and two of four; the others continue."""
-        for removed in (("a",), ("b", "c")):
+        """One, two and three of four; the others continue."""
+        for removed in (("a",), ("b", "c"), ("a", "b", "d")):
             with self.subTest(removed=removed):
                 lost, rows = anyio.run(
                     _lose_machines,
