Event 9011 says what a removed row had drawn, used and returned

Without it, a return that was undone, a conflict and a settlement by another router leave the same log.

--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -327,6 +327,8 @@
                 self.last_write_s = now_s - sent_s
                 self._record_answer(timestamp.now_ms, now_s, sent_s)
                 self._commit(write, timestamp.revision)
+                if deletes:
+                    self._log_removed(write, timestamp.revision)
                 return True
             case Conflict(rows, timestamp):
                 self._record_answer(timestamp.now_ms, now_s, sent_s)
@@ -341,6 +343,17 @@
         if write.budgets:
             self._log.emit(events.TOKENS_DRAWN, totals=write.budgets, revision=revision)
 
+    def _log_removed(self, write: PlannedWrite, revision: int) -> None:
+        ledger = self._ledger
+        self._log.emit(
+            events.ROW_REMOVED,
+            revision=revision,
+            drawn={name: terms.drawn_tokens for name, terms in write.row.terms.items()},
+            used={name: ledger.of(name).used_tokens for name in write.row.terms},
+            returned_to=write.budgets,
+            prepaid=ledger.prepaid_tokens,
+        )
+
     async def _resolve(
         self,
         write: PlannedWrite,
--- a/src/endivegw/telemetry/catalogue/allowances.py
+++ b/src/endivegw/telemetry/catalogue/allowances.py
@@ -3,6 +3,7 @@
 from endivegw.telemetry.event import Event, Level
 
 __all__ = [
+    "ROW_REMOVED",
     "ROW_SETTLED",
     "ROW_UNREADABLE",
     "STORE_RECOVERED",
@@ -118,3 +119,11 @@
         "used",
     ),
 )
+ROW_REMOVED = Event(
+    9011,
+    "row-removed",
+    Level.INFO,
+    "A router that stops removed its row; tokens drawn beyond the use are lost unless"
+    " the same write returned them.",
+    ("revision", "drawn", "used", "returned_to", "prepaid"),
+)
