A row is deleted only by a write that returns all that it holds

Cause: the mark "return all" was kept in the budgets in force. A configuration that came into force while the stop read the budgets overwrote it; the write returned nothing and deleted the row. Ruled out: a lost conflict (prepaid would be -1), a settlement by another router (no event 9010). Why it works: returning is a state that nothing takes back, and the plan of a write itself says whether it leaves nothing unused; only then the same transaction deletes the row. Tokens that become free after that plan are returned by a further write before the stop is complete.

--- a/src/endivegw/allowances/ledger.py
+++ b/src/endivegw/allowances/ledger.py
@@ -50,12 +50,14 @@
     """Record one router's share of all budgets.
 
     :ivar prepaid_tokens: total tokens that each account may consume, by the active
-        configuration; negative for an account whose tokens are all to be returned.
+        configuration.
     :ivar totals: tokens drawn by all routers, as last read from the store.
     :ivar wanted_tokens: tokens that waiting requests need, by account.
     :ivar is_holder: whether this router draws on an account's budget ahead of
         requests. A router that is not a holder borrows what a request lacks.
     :ivar ended: whether this router has stopped using tokens.
+    :ivar is_returning: whether each further write returns all unused tokens, whatever
+        configuration is active.
     """
 
     instance_id: InstanceId
@@ -68,6 +70,7 @@
     witnesses: Witnesses = field(factory=Witnesses)
     is_holder: Callable[[ClientAccountName], bool] = lambda account: True
     ended: bool = False
+    is_returning: bool = False
     _sequence: int = 0
 
     def set_prepaid(self, prepaid: dict[ClientAccountName, int]) -> None:
@@ -307,7 +310,11 @@
             self.options.validity_s,
             needed=len(named),
         )
-        return PlannedWrite(row, budgets, expected, is_complete)
+        is_last = self.is_returning and all(
+            recorded.drawn_tokens <= self.of(account).used_tokens
+            for account, recorded in terms.items()
+        )
+        return PlannedWrite(row, budgets, expected, is_complete, is_last)
 
     def _lacks_witnesses(self) -> bool:
         """Return whether requests wait for more than the witnesses acknowledged.
@@ -355,8 +362,13 @@
         return used
 
     def return_all(self) -> None:
-        """Have the next write return all unused tokens and record the exact use."""
-        self.prepaid_tokens = dict.fromkeys(self.prepaid_tokens, -1)
+        """Have all further writes return unused tokens and record the exact use."""
+        self.is_returning = True
+
+    @property
+    def has_unused(self) -> bool:
+        """Return whether tokens are drawn that are not in use."""
+        return any(funds.hand_tokens > 0 for funds in self.funds.values())
 
     def _change(
         self, account: ClientAccountName, funds: Funds, routers: int, draws: bool
@@ -375,7 +387,7 @@
         can draw. Each first draws an equal share of the whole budget, so that a router
         whose writes lose every conflict is not left without tokens.
         """
-        if account in self.prepaid_tokens and self.prepaid_tokens[account] < 0:
+        if self.is_returning:
             return -max(0, funds.hand_tokens)
         left = self.left_tokens(account)
         if left < 0:
@@ -420,7 +432,7 @@
     ) -> Terms:
         """Return the terms that the next write records for an account."""
         options = self.options
-        if self.prepaid_tokens.get(account, 0) < 0:
+        if self.is_returning:
             return Terms(drawn_tokens, funds.used_tokens, 0, int(store_ms))
         demand = funds.demand_tokens_per_s(now_s, options.demand_s)
         held = max(0, drawn_tokens - funds.used_tokens)
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -96,9 +96,8 @@
         self.last_write_s = 0.0
         #: Earliest time of the next draw after a draw that lost a conflict.
         self._draws_resume_at_s = 0.0
-        self._is_stopping = False
-        #: Whether the write in progress returns all tokens and deletes the row.
-        self._is_last = False
+        #: Whether the last write deleted this router's row.
+        self._is_removed = False
         #: Whether the last write left nothing to draw or to return.
         self._is_complete = True
         self.stopped = anyio.Event()
@@ -129,7 +128,7 @@
 
     async def stop(self) -> None:
         """Return all unused tokens; completes once that is written."""
-        self._is_stopping = True
+        self._ledger.return_all()
         self.wake()
         await self.stopped.wait()
 
@@ -147,19 +146,15 @@
                 with anyio.move_on_after(self._pause_s()):
                     await self._wakeup.wait()
             self._wakeup = anyio.Event()
-            is_stopping = self._is_stopping
-            self._is_last = is_stopping
-            if is_stopping:
-                self._ledger.return_all()
             age_s = self.budgets_age_s(self._clock())
             if age_s >= self._options.budgets_every_s:
                 await self._read_budgets()
             succeeded = await self._write()
             conflicted = not succeeded
-            if succeeded and not self._is_complete:
-                self.wake()
-            elif succeeded and is_stopping:
+            if self._is_removed and not self._ledger.has_unused:
                 self.stopped.set()
+            elif succeeded and (self._ledger.is_returning or not self._is_complete):
+                self.wake()
             self._attempted.set()
             self._attempted = anyio.Event()
 
@@ -293,6 +288,10 @@
             draws=now_s >= self._draws_resume_at_s,
         )
         self._is_complete = write.is_complete
+        self._is_removed = False
+        if write.is_last and not self._revision and not write.budgets:
+            self._remove(write, 0)
+            return True
         while True:
             outcome = await self._attempt(write)
             if outcome is not None:
@@ -312,7 +311,7 @@
             puts.append(NewRow(BUDGETS_TABLE, account, encode_budget(drawn_tokens)))
         sent_s = self._clock()
         deletes: tuple[ExpectedRow, ...] = ()
-        if self._is_last and write.is_complete and self._revision:
+        if write.is_last and self._revision:
             # The row contains nothing more that a successor would need.
             deletes, expected, puts = (expected[0],), expected[1:], puts[1:]
         result = await self._store.transact(
@@ -328,7 +327,7 @@
                 self._record_answer(timestamp.now_ms, now_s, sent_s)
                 self._commit(write, timestamp.revision)
                 if deletes:
-                    self._log_removed(write, timestamp.revision)
+                    self._remove(write, timestamp.revision)
                 return True
             case Conflict(rows, timestamp):
                 self._record_answer(timestamp.now_ms, now_s, sent_s)
@@ -343,7 +342,10 @@
         if write.budgets:
             self._log.emit(events.TOKENS_DRAWN, totals=write.budgets, revision=revision)
 
-    def _log_removed(self, write: PlannedWrite, revision: int) -> None:
+    def _remove(self, write: PlannedWrite, revision: int) -> None:
+        """Record that this router has no row; what it gets later needs a new one."""
+        self._revision = 0
+        self._is_removed = True
         ledger = self._ledger
         self._log.emit(
             events.ROW_REMOVED,
@@ -371,8 +373,10 @@
             if row.table == BUDGETS_TABLE and not row.deleted:
                 self._apply_budget(row)
         if own_row is None or own_row.deleted:
-            if self._is_last and self._revision:
+            if write.is_last and self._revision:
                 # An earlier copy of the last write took effect.
+                self._commit(write, 0)
+                self._remove(write, 0)
                 return True
             if self._revision:
                 self._reset(None)
--- a/src/endivegw/allowances/rows.py
+++ b/src/endivegw/allowances/rows.py
@@ -76,12 +76,15 @@
     :param expected: the revisions that the budgets' rows must have.
     :param is_complete: whether it draws and returns all that it should; a transaction
         holds a limited number of budgets.
+    :param is_last: whether the router stops, and its row would have nothing unused.
+        Only such a write deletes the row.
     """
 
     row: HolderRow
     budgets: dict[ClientAccountName, int]
     expected: dict[ClientAccountName, int]
     is_complete: bool = True
+    is_last: bool = False
 
 
 def encode_holder(row: HolderRow) -> bytes:
