--- a/src/endivegw/allowances/takeover.py
+++ b/src/endivegw/allowances/takeover.py
@@ -197,15 +197,15 @@
         """Return tokens to some budgets; return the remaining row, None on failure.
 
         After a conflict over a budget, the row is returned unchanged and ``totals`` is
-        updated.
+        updated. Tokens of a budget whose own row cannot be read stay in the row.
         """
-        returned, remaining = _split(holder)
+        returned, remaining = _split(holder, totals)
+        if remaining and not returned:
+            return None
         own_row = ExpectedRow(HOLDERS_TABLE, vm, revision, self._partition(vm))
         expected, puts = [], []
         for account, terms in returned.items():
-            total = totals.get(account)
-            if total is None:
-                continue
+            total = totals[account]
             drawn = total.drawn_tokens - (terms.drawn_tokens - terms.limit_tokens)
             expected.append(ExpectedRow(BUDGETS_TABLE, account, total.revision))
             puts.append(NewRow(BUDGETS_TABLE, account, encode_budget(drawn)))
@@ -256,13 +256,13 @@
 
 
 def _split(
-    holder: HolderRow,
+    holder: HolderRow, totals: dict[ClientAccountName, BudgetTotal]
 ) -> tuple[dict[ClientAccountName, Terms], dict[ClientAccountName, Terms]]:
     """Return the accounts that one transaction covers, and the others."""
-    names = list(holder.terms)
-    returned = {name: holder.terms[name] for name in names[:_MAX_BUDGETS_PER_WRITE]}
+    known = [name for name in holder.terms if name in totals]
+    returned = {name: holder.terms[name] for name in known[:_MAX_BUDGETS_PER_WRITE]}
     return returned, {
-        name: holder.terms[name] for name in names[_MAX_BUDGETS_PER_WRITE:]
+        name: terms for name, terms in holder.terms.items() if name not in returned
     }
 
 
--- a/tests/test_allowances_takeover.py
+++ b/tests/test_allowances_takeover.py
@@ -9,9 +9,10 @@
 from typing import AsyncIterator
 
 import anyio
+from attrs import evolve
 
 from endivegw.allowances import AllowanceOptions, Reservation
-from endivegw.allowances.rows import HOLDERS_TABLE
+from endivegw.allowances.rows import BUDGETS_TABLE, HOLDERS_TABLE
 from endivegw.types import ClientAccountName
 from endivegw_standins.allowance_world import AllowanceWorld, Load
 from endivegw_standins.virtual_time import VirtualLoop
@@ -206,6 +207,26 @@
         self.assertLessEqual(lost, max_lost_share)
         self.assertEqual(rows, 3)
 
+    # Guards against a row that is removed with tokens of a budget that is unreadable.
+    def test_tokens_of_an_unreadable_budget_stay_in_the_row(self) -> None:
+        """They are returned once the budget's row can be read again."""
+        rows: list[int] = []
+
+        async def simulate() -> None:
+            async with running_world(PREPAID, 1) as world:
+                budget = world.store.rows[BUDGETS_TABLE, ACCOUNT]
+                world.kill("a")
+                unreadable = evolve(budget, value=b"?")
+                world.store.rows[BUDGETS_TABLE, ACCOUNT] = unreadable
+                await anyio.sleep(OPTIONS.validity_s + 6.0)
+                rows.append(len(world.store.listed(HOLDERS_TABLE).rows))
+                world.store.rows[BUDGETS_TABLE, ACCOUNT] = budget
+                await anyio.sleep(3.0)
+                rows.append(len(world.store.listed(HOLDERS_TABLE).rows))
+
+        anyio.run(simulate, backend_options={"loop_factory": VirtualLoop})
+        self.assertEqual(rows, [len(_VMS), len(_VMS) - 1])
+
     # Guards against a router that still uses tokens that others have returned.
     def test_a_router_uses_nothing_after_its_row_expired(self) -> None:
         """It refuses until it reaches the store again, then uses what others lend."""
