Limit answers of targets that send bytes without end

What callers saw (own plays, router and target on loopback): a plain answer's body or a failure's without end took 2 GB of a router's memory before 504 at the deadline; a stream without an event, or of tiny events, held up the event loop (12 callers beside three sound targets: 139 and 7 of some 2,500 requests served in 6 s, p95 2.5 s and 15 s); informational heads took the deadline as well. Cause: bodies that are read whole, unfinished events, bodies of answers to other requests and informational heads had no limit; each read of a stream searched all that was unfinished again, and once for each event. Why it works: a body has a limit, and all bodies that are read share one, above which the largest is given up; an unfinished event, a foreign body and the heads before a final one have a limit; an event is searched for once; a stream yields to other requests after 16 KB; it has no more events than the request has tokens, twice, and 1,000. The caller gets 502 (may have run), a request that may be repeated another target, and the attempt counts as failed, so that the target is avoided.

--- a/src/endivegw/relay/answer_parser.py
+++ b/src/endivegw/relay/answer_parser.py
@@ -12,8 +12,8 @@
 
 __all__ = ["AnswerBroken", "AnswerParser"]
 
-#: Maximum size of an answer's head, of its trailers and of other data that is neither
-#: body nor the end of a message.
+#: Maximum size of an answer's head with the informational ones before it, of its
+#: trailers and of other data that is neither body nor the end of a message.
 _MAX_HEAD_BYTES = 16384
 
 _INFORMATIONAL = range(100, 200)
@@ -142,7 +142,6 @@
 
     def on_headers_complete(self) -> None:
         """Record the head of an answer."""
-        self._progress = True
         answer = self._answers[-1]
         names = dict(answer.fields)
         encoding = names.get(b"transfer-encoding")
@@ -151,6 +150,8 @@
         status = self._parser.get_status_code()
         if status == _SWITCHING_PROTOCOLS:
             raise AnswerBroken("the target switched protocols without a request to")
+        # Informational heads may come without end.
+        self._progress = status not in _INFORMATIONAL
         answer.head = TargetHead(status, answer.fields)
         answer.open_ended = encoding is None and b"content-length" not in names
         answer.complete = self._head_only and status not in _INFORMATIONAL
@@ -162,10 +163,10 @@
 
     def on_message_complete(self) -> None:
         """Complete an answer; informational ones are dropped."""
-        self._progress = True
         answer = self._answers[-1]
         if answer.head is not None and answer.head.status in _INFORMATIONAL:
             self._answers.pop()
             return
+        self._progress = True
         answer.complete = True
         answer.keep_alive = self._parser.should_keep_alive()
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -8,7 +8,8 @@
 import anyio
 from attrs import define, frozen
 
-from endivegw.relay.events import EventOrder, EventSplitter
+from endivegw.relay.events import EventOrder, EventSplitter, StreamEvent
+from endivegw.relay.held_answers import HeldAnswers
 from endivegw.relay.messages import TargetHead, end_to_end
 from endivegw.relay.target_connection import (
     AnswerBroken,
@@ -28,6 +29,14 @@
 
 _OK = 200
 
+#: Number of bytes of a stream after which other requests get their turn. A sound target
+#: sends far less at once.
+_SLICE_BYTES = 16384
+
+#: Events that a stream may have beyond twice its tokens: some carry no token, and some
+#: keep the connection alive.
+_SPARE_EVENTS = 1000
+
 
 class AttemptOutcome(enum.Enum):
     """Outcome of an attempt."""
@@ -86,14 +95,29 @@
     """Track the part of a stream that was relayed to the caller, over all attempts.
 
     :ivar order: sequence check that drops repeated events.
+    :ivar max_tokens: most tokens that the answer may have; 0 if that is not known.
     :ivar started: whether the head of the answer was relayed.
     :ivar events: number of events that were relayed.
     """
 
     order: EventOrder
+    max_tokens: int = 0
     started: bool = False
     events: int = 0
 
+    def count(self, events: int) -> None:
+        """Count events that are about to be relayed.
+
+        :raises AnswerBroken: if they are more than an answer to the request can have.
+        """
+        self.events += events
+        max_events = 2 * self.max_tokens + _SPARE_EVENTS
+        if self.max_tokens and self.events > max_events:
+            raise AnswerBroken(
+                f"got {self.events} events for {self.max_tokens} tokens, the limit is "
+                f"{max_events}"
+            )
+
 
 class Attempt:
     """Send a request once, and read or relay the answer.
@@ -109,6 +133,7 @@
         request if its caller has disconnected.
     :param is_cancelled: returns whether another attempt was preferred to this one.
     :param on_silent: called whenever the target has sent nothing for some time.
+    :param held_answers: bounds the answers that are read whole.
     :ivar sent: whether any byte of the request may have reached the target.
     """
 
@@ -126,6 +151,7 @@
         cancel_if_caller_left: Callable[[], None],
         is_cancelled: Callable[[], bool],
         on_silent: Callable[[], None],
+        held_answers: HeldAnswers,
     ) -> None:
         self._pool = pool
         self._wire = wire
@@ -139,6 +165,7 @@
         self._cancel_if_caller_left = cancel_if_caller_left
         self._is_cancelled = is_cancelled
         self._on_silent = on_silent
+        self._held_answers = held_answers
         self._metadata = AnswerMetadata(None, False)
         self.sent = False
 
@@ -227,10 +254,10 @@
         return metadata.request_id == self._request_id
 
     async def _read_body(self, connection: TargetConnection) -> bytes:
-        parts: list[bytes] = []
-        while (part := await connection.body()) is not None:
-            parts.append(part)
-        return b"".join(parts)
+        with self._held_answers.open() as held:
+            while (part := await connection.body()) is not None:
+                held.add(part)
+            return held.body()
 
     async def _relay_stream(
         self,
@@ -247,21 +274,14 @@
                 await anyio.lowlevel.checkpoint()
             if data is None:
                 break
-            ready: list[bytes] = []
-            has_gap = False
-            for event in splitter.feed(data):
-                accepted = self._stream_progress.order.accept(event)
-                if accepted is None:
-                    has_gap = True
-                    break
-                if accepted:
-                    ready.append(event.data)
-            if ready:
-                await self._relay_batch(relayed_head, ready)
-            if has_gap:
-                return AttemptResult(
-                    AttemptOutcome.LOST, "an event is missing from the stream"
-                )
+            for at in range(0, len(data), _SLICE_BYTES):
+                if at:
+                    await anyio.lowlevel.checkpoint()
+                events = splitter.feed(data[at : at + _SLICE_BYTES])
+                if not await self._relay_in_order(relayed_head, events):
+                    return AttemptResult(
+                        AttemptOutcome.LOST, "an event is missing from the stream"
+                    )
         if splitter.has_partial_event:
             return AttemptResult(
                 AttemptOutcome.LOST, "the stream ended in the middle of an event"
@@ -270,10 +290,27 @@
             await self._relay_batch(relayed_head, [])
         return AttemptResult(AttemptOutcome.ANSWERED, f"status {head.status}")
 
+    async def _relay_in_order(
+        self, head: TargetHead, events: list[StreamEvent]
+    ) -> bool:
+        """Relay the events that are due; return False if one is missing."""
+        ready: list[bytes] = []
+        has_gap = False
+        for event in events:
+            accepted = self._stream_progress.order.accept(event)
+            if accepted is None:
+                has_gap = True
+                break
+            if accepted:
+                ready.append(event.data)
+        if ready:
+            await self._relay_batch(head, ready)
+        return not has_gap
+
     async def _relay_batch(self, head: TargetHead, events: list[bytes]) -> None:
         # Events are counted before they are sent, because a caller that disconnects
         # during the send may have received them.
-        self._stream_progress.events += len(events)
+        self._stream_progress.count(len(events))
         self._on_first_data()
         data = b"".join(events)
         if self._stream_progress.started:
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -185,6 +185,7 @@
             self._writer.cancel_if_caller_left,
             lambda: running.scope.cancel_called,
             lambda: self._handle_silence(running),
+            context.held_answers,
         )
         self._progress.target = placement.target
         result: AttemptResult | None = None
--- a/src/endivegw/relay/context.py
+++ b/src/endivegw/relay/context.py
@@ -13,6 +13,7 @@
 from endivegw.decisions import RetryBudget
 from endivegw.quarantine import QuarantineManager, TargetStart
 from endivegw.relay.attempt import AttemptLimits
+from endivegw.relay.held_answers import HeldAnswers
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.termination_detector import TerminationDetector
 from endivegw.relay.wire import WirePort
@@ -38,6 +39,7 @@
 
     :ivar table: the active configuration; None until the first one is loaded.
     :ivar table_active_since_s: time at which that configuration became active.
+    :ivar held_answers: bounds the answers that are read whole.
     :ivar unknown_answer_fields: names of fields that targets sent and the adapter does
         not read, as far as they were logged.
     :ivar draining: whether the router accepts no new requests because it stops.
@@ -69,6 +71,7 @@
     clock: Callable[[], float]
     log: EventLog
     limits: AttemptLimits = field(factory=AttemptLimits)
+    held_answers: HeldAnswers = field(factory=HeldAnswers)
     metrics: RouterMetrics = field(factory=RouterMetrics)
     table: RoutingTable | None = None
     table_active_since_s: float = 0.0
--- a/src/endivegw/relay/events.py
+++ b/src/endivegw/relay/events.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+import re
+
 from attrs import define, field, frozen
 
+from endivegw.relay.answer_parser import AnswerBroken
+
 __all__ = ["EventSplitter", "EventOrder", "StreamEvent"]
 
-_EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+
+#: Bytes of an unfinished end of an event.
+_PARTIAL_END_BYTES = 3
+
+#: Maximum size of one event, which is held until it is complete.
+_MAX_EVENT_BYTES = 1024 * 1024
 
 
 @frozen
@@ -27,6 +37,8 @@
     """
 
     _buffer: bytearray = field(factory=bytearray)
+    #: Number of buffered bytes that contain no end of an event.
+    _scanned: int = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -34,24 +46,25 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that are complete with this data."""
-        self._buffer += data
+        """Return the events that are complete with this data.
+
+        :raises AnswerBroken: if an event is too large.
+        """
+        buffer = self._buffer
+        buffer += data
         found: list[StreamEvent] = []
-        while True:
-            end = self._find_event_end()
-            if end < 0:
-                return found
-            event = bytes(self._buffer[:end])
-            del self._buffer[:end]
+        begin = 0
+        for match in _EVENT_END.finditer(buffer, self._scanned):
+            event = bytes(buffer[begin : match.end()])
+            begin = match.end()
             found.append(StreamEvent(event, _event_id(event)))
-
-    def _find_event_end(self) -> int:
-        ends = [
-            at + len(mark)
-            for mark in _EVENT_TERMINATORS
-            if (at := self._buffer.find(mark)) >= 0
-        ]
-        return min(ends, default=-1)
+        del buffer[:begin]
+        if len(buffer) > _MAX_EVENT_BYTES:
+            raise AnswerBroken(
+                f"got {len(buffer)} bytes of an event, the limit is {_MAX_EVENT_BYTES}"
+            )
+        self._scanned = max(0, len(buffer) - _PARTIAL_END_BYTES)
+        return found
 
 
 @define
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -61,7 +61,9 @@
         self._admitted = admitted
         self._writer = writer
         after = admitted.metadata.resume_after
-        self._progress = RequestProgress(StreamProgress(EventOrder(after)))
+        self._progress = RequestProgress(
+            StreamProgress(EventOrder(after), admitted.metadata.max_output_tokens)
+        )
         self._reservation: Reservation | None = None
         self._quarantine_check = quarantine_check
         self._binding = StreamBinding(context.streams, admitted)
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -28,6 +28,9 @@
 #: fails.
 _MAX_STALE_ANSWERS = 2
 
+#: Maximum size of the body of such an answer.
+_MAX_STALE_BODY_BYTES = 1024 * 1024
+
 #: Methods whose requests state a length even if they have no body.
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
 
@@ -208,11 +211,21 @@
             if matches_request(head.status, head.fields):
                 self._record_keep_alive(head)
                 return head
-            while await self.body() is not None:
-                pass
+            await self._discard_body()
             self._parser.skip_answer()
         raise AnswerBroken("received only answers to other requests")
 
+    async def _discard_body(self) -> None:
+        """Read the body of an answer to another request."""
+        size = 0
+        while (part := await self.body()) is not None:
+            size += len(part)
+            if size > _MAX_STALE_BODY_BYTES:
+                raise AnswerBroken(
+                    f"got {size} bytes of an answer to another request, the limit is "
+                    f"{_MAX_STALE_BODY_BYTES}"
+                )
+
     async def _read_head(self) -> TargetHead:
         while True:
             head = self._parser.head()
