Limit what a sidecar reads of an engine's answer

Ways that need none, by reading: bodies of plain services are passed on in parts, calls to the store and to object stores end at 16 MB, messages between processes at 8 MB. Tests: tests.test_endless_answers.SidecarTests, both fail on the code before.

--- a/src/endivegw/targets/http_common.py
+++ b/src/endivegw/targets/http_common.py
@@ -9,11 +9,18 @@
 __all__ = [
     "HOP_BY_HOP",
     "MAX_CONNECTIONS",
+    "AnswerTooLarge",
     "default_pool",
     "request_was_not_sent",
     "error_reason",
+    "read_body",
 ]
 
+
+class AnswerTooLarge(Exception):
+    """Raised when an answer exceeds the limit on its size."""
+
+
 #: Header fields that apply to a single connection and are not forwarded.
 HOP_BY_HOP = frozenset(
     {
@@ -47,6 +54,22 @@
     )
 
 
+async def read_body(response: httpcore.Response, max_bytes: int) -> bytes:
+    """Return the body of an answer.
+
+    :raises AnswerTooLarge: if it has more than ``max_bytes``.
+    """
+    received = bytearray()
+    async for part in response.aiter_stream():
+        received += part
+        if len(received) > max_bytes:
+            raise AnswerTooLarge(
+                f"got {len(received)} bytes of an answer's body, the limit is "
+                f"{max_bytes}"
+            )
+    return bytes(received)
+
+
 def request_was_not_sent(error: Exception) -> bool:
     """Return whether the target cannot have received the request.
 
--- a/src/endivegw/targets/openai_engine.py
+++ b/src/endivegw/targets/openai_engine.py
@@ -23,8 +23,10 @@
     prepare_body,
 )
 from endivegw.targets.http_common import (
+    AnswerTooLarge,
     default_pool,
     error_reason,
+    read_body,
     request_was_not_sent,
 )
 from endivegw.targets.ports import (
@@ -62,6 +64,13 @@
 #: Time-out for cancelling an abandoned answer.
 _CANCEL_TIMEOUT_S = 1.0
 
+#: Maximum size of the body of a failure, and of one line of a stream.
+_MAX_FAILURE_BYTES = 65536
+_MAX_LINE_BYTES = 1024 * 1024
+
+#: Maximum size of the answer to a JSON call; a report of load lists cache changes.
+_MAX_REPORT_BYTES = 4 * 1024 * 1024
+
 #: Statuses by which an engine reports that it did not start the request.
 _NOT_STARTED_REASONS = {
     400: Reason.BAD_REQUEST,
@@ -228,10 +237,14 @@
                     if anyio.current_time() > deadline_s:
                         yield _incomplete(progress, Reason.DEADLINE, "deadline passed")
                         return
-        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            yield _transport_failure(progress, error)
+        except AnswerTooLarge as error:
+            yield _incomplete(progress, Reason.TARGET_FAILED, str(error))
             return
-        except httpcore.TimeoutException as error:
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
             yield _transport_failure(progress, error)
             return
         yield _incomplete(
@@ -244,13 +257,16 @@
         """Make one JSON call."""
         content = None if fields is None else json.dumps(fields).encode()
         try:
-            response = await self._pool.request(
+            async with self._pool.stream(
                 method,
                 self._base_url + path,
                 headers={"content-type": "application/json"},
                 content=content,
                 extensions=_timeouts(timeout_s),
-            )
+            ) as response:
+                body = await read_body(response, _MAX_REPORT_BYTES)
+        except AnswerTooLarge as error:
+            return Unknown(Reason.TARGET_FAILED, str(error))
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -259,7 +275,7 @@
             if request_was_not_sent(error):
                 return Refused(error_reason(error), repr(error))
             return Unknown(error_reason(error), repr(error))
-        return _json_result(response.status, response.content)
+        return _json_result(response.status, body)
 
 
 def _headers(request: EngineRequest) -> dict[bytes | str, bytes | str]:
@@ -282,10 +298,22 @@
 
 
 async def _server_sent_data(response: httpcore.Response) -> AsyncIterator[bytes]:
-    """Yield the data of each server-sent event."""
-    rest = b""
+    """Yield the data of each server-sent event.
+
+    :raises AnswerTooLarge: if a line is too long.
+    """
+    rest = bytearray()
     async for received in response.aiter_stream():
-        *lines, rest = (rest + received).split(b"\n")
+        if b"\n" not in received:
+            lines = []
+            rest += received
+        else:
+            *lines, last = bytes(rest + received).split(b"\n")
+            rest = bytearray(last)
+        if len(rest) > _MAX_LINE_BYTES:
+            raise AnswerTooLarge(
+                f"got {len(rest)} bytes of a line, the limit is {_MAX_LINE_BYTES}"
+            )
         for line in lines:
             if line.startswith(_DATA_PREFIX):
                 yield line[len(_DATA_PREFIX) :].strip()
@@ -335,7 +363,8 @@
 
 async def _status_failure(response: httpcore.Response) -> EngineFailed:
     """Return the failure for an answer whose status is not 200."""
-    detail = (await response.aread())[:500].decode(errors="replace")
+    body = await read_body(response, _MAX_FAILURE_BYTES)
+    detail = body[:500].decode(errors="replace")
     reason = _NOT_STARTED_REASONS.get(response.status)
     if reason is None:
         # A 500 may occur after the engine started, so it proves nothing.
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 import unittest
-from typing import AsyncIterator
+from typing import AsyncIterator, Awaitable, Callable
 
 import anyio
 from attrs import define
@@ -14,8 +14,11 @@
 from endivegw.relay.answer_parser import AnswerBroken, AnswerParser
 from endivegw.relay.events import EventSplitter
 from endivegw.relay.held_answers import HeldAnswers
+from endivegw.results import Unknown
+from endivegw.targets import EngineFailed, OpenAiEngine
 from endivegw_standins.platform_target import TARGET_ENTRY
 from tests.platform_fleet import ClientFleet, platform_fleet
+from tests.test_answers_without_length import ENGINE_REQUEST
 
 MEGABYTE = 1024 * 1024
 
@@ -65,6 +68,7 @@
 
     def __init__(self, first: bytes, rest: bytes) -> None:
         self._first, self._rest = first, rest
+        self.request_ends = (b"hello", b"}", b"\r\n\r\n")
         self.sent_bytes = 0
         self.requests = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -83,7 +87,7 @@
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
             received = b""
-            while not received.endswith(b"hello"):
+            while not received.endswith(self.request_ends):
                 data = connection.recv(65536)
                 if not data:
                     return
@@ -217,6 +221,48 @@
         self.assertLess(requests[0], 10)
 
 
+class SidecarTests(unittest.TestCase):
+    """A sidecar ends such answers of its engine."""
+
+    def run_call(
+        self, form: str, call: Callable[[OpenAiEngine], Awaitable[object]]
+    ) -> tuple[object, int]:
+        """Return the result of a call, and the bytes that the engine sent."""
+        found: list[object] = []
+        target = EndlessTarget(*BODIES[form])
+
+        async def scenario() -> None:
+            engine = OpenAiEngine(f"http://{target.address}")
+            found.append(await call(engine))
+            await engine.aclose()
+
+        anyio.run(scenario)
+        target.listener.close()
+        return found[0], target.sent_bytes
+
+    # Guards against memory that an endless line or failure of an engine takes.
+    def test_endless_streams_of_an_engine_are_cut(self) -> None:
+        """The request may have run."""
+
+        async def generate(engine: OpenAiEngine) -> list[object]:
+            return [event async for event in engine.generate(ENGINE_REQUEST)]
+
+        for form in BODIES:
+            with self.subTest(form=form):
+                events, sent_bytes = self.run_call(form, generate)
+                assert isinstance(events, list)
+                self.assertEqual([type(event) for event in events], [EngineFailed])
+                self.assertTrue(events[0].started)
+                self.assertLessEqual(sent_bytes, BUFFERED_BYTES)
+
+    # Guards against memory that an endless report of an engine takes.
+    def test_endless_reports_of_an_engine_are_cut(self) -> None:
+        """The state of the engine is unknown."""
+        state, sent_bytes = self.run_call("chunks", OpenAiEngine.state)
+        self.assertIsInstance(state, Unknown)
+        self.assertLessEqual(sent_bytes, 2 * BUFFERED_BYTES)
+
+
 class ParserTests(unittest.TestCase):
     """The parts of a router that bound an answer."""
 
