--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -38,6 +38,7 @@
 from endivegw.quarantine import QuarantineManager, TargetStart
 from endivegw.relay.context import RelayContext
 from endivegw.relay.handler import RequestHandler
+from endivegw.relay.held_answers import MEGABYTE, HeldAnswers
 from endivegw.relay.target_pool import TargetPool
 from endivegw.relay.termination_detector import TerminationDetector
 from endivegw.relay.wire import WirePort
@@ -59,6 +60,9 @@
 
 __all__ = ["build_direct_router"]
 
+#: How many of the largest answers are held at once where the memory is not stated.
+_MAX_ANSWERS = 4
+
 #: Part of the grace period that remains unused when the router exits by itself.
 _STOP_MARGIN_S = 0.6
 
@@ -196,6 +200,7 @@
         log=log,
         metrics=metrics,
         capacity=capacity,
+        held_answers=_held_answers(settings),
     )
     evacuations = ZoneEvacuations()
     targets = TargetReader(
@@ -346,6 +351,15 @@
     return options
 
 
+def _held_answers(settings: DirectRouterSettings) -> HeldAnswers:
+    """Return the bounds of answers that are read whole."""
+    max_bytes = int(settings.max_answer_mb * MEGABYTE)
+    max_total_bytes = _MAX_ANSWERS * max_bytes
+    if settings.capacity is not None and settings.capacity.memory_mb is not None:
+        max_total_bytes = int(settings.capacity.max_held_bytes)
+    return HeldAnswers(min(max_bytes, max_total_bytes), max_total_bytes)
+
+
 def _placement_policy(mechanisms: Mechanisms) -> Policy:
     """Return the placement policy for targets that are called directly.
 
--- a/src/endivegw/relay/held_answers.py
+++ b/src/endivegw/relay/held_answers.py
@@ -9,9 +9,9 @@
 
 from endivegw.relay.answer_parser import AnswerBroken
 
-__all__ = ["HeldAnswer", "HeldAnswers"]
+__all__ = ["MEGABYTE", "HeldAnswer", "HeldAnswers"]
 
-_MEGABYTE = 1024 * 1024
+MEGABYTE = 1024 * 1024
 
 
 @define(eq=False)
@@ -64,8 +64,8 @@
     :ivar total_bytes: size of what is held now.
     """
 
-    max_answer_bytes: int = 16 * _MEGABYTE
-    max_total_bytes: int = 64 * _MEGABYTE
+    max_answer_bytes: int = 16 * MEGABYTE
+    max_total_bytes: int = 64 * MEGABYTE
     total_bytes: int = 0
     _open: set[HeldAnswer] = field(factory=set)
 
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -33,6 +33,7 @@
         partitions; the row of each router is then in a partition of its own.
     :param row_lasts_s: how long a router that cannot write to the store continues to
         use the tokens that it drew; other routers then return the remaining tokens.
+    :param max_answer_mb: largest body of an answer that is read whole.
     :param mechanisms: optional mechanisms that are enabled.
     :param capacity: limits of the machine; None if the settings state none, so that
         the router takes on every request.
@@ -51,6 +52,7 @@
     metrics: Address | None = None
     spread_rows: bool = False
     row_lasts_s: float = 20.0
+    max_answer_mb: float = 16.0
     mechanisms: Mechanisms = Mechanisms()
     capacity: RouterCapacity | None = None
 
@@ -75,6 +77,9 @@
         row_lasts_s=reader.number(
             "budgets", "row_lasts_s", 20.0, minimum=2.0, maximum=3600.0
         ),
+        max_answer_mb=reader.number(
+            "answers", "max_mb", 16.0, minimum=1.0, maximum=1024.0
+        ),
         mechanisms=read_mechanisms(reader),
         capacity=_read_capacity(reader),
         metrics=reader.optional_address("metrics", "address"),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -129,6 +129,14 @@
         found = self.load("[mechanisms]\ncopies = no\n").mechanisms
         self.assertEqual(found, Mechanisms(copies=False))
 
+    def test_the_limit_on_answers_is_read(self):
+        """A limit that would refuse every answer, or none, is refused."""
+        self.assertEqual(self.load("").max_answer_mb, 16.0)
+        self.assertEqual(self.load("[answers]\nmax_mb = 40\n").max_answer_mb, 40.0)
+        for value in ("0", "-1", "inf", "much"):
+            with self.subTest(value=value), self.assertRaises(SettingsError):
+                self.load(f"[answers]\nmax_mb = {value}\n")
+
     def test_invalid_switches_are_refused_in_one_line(self):
         """A misspelt switch would otherwise leave its mechanism enabled."""
         for section, part in (
