--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,13 +7,16 @@
 import threading
 import unittest
 from typing import AsyncIterator, Awaitable, Callable
+from unittest.mock import AsyncMock, MagicMock
 
 import anyio
 from attrs import define
 
 from endivegw.relay.answer_parser import AnswerBroken, AnswerParser
-from endivegw.relay.events import EventSplitter
+from endivegw.relay.attempt import Attempt, StreamProgress
+from endivegw.relay.events import EventOrder, EventSplitter
 from endivegw.relay.held_answers import HeldAnswers
+from endivegw.relay.messages import TargetHead
 from endivegw.results import Unknown
 from endivegw.targets import EngineFailed, OpenAiEngine
 from endivegw_standins.platform_target import TARGET_ENTRY
@@ -301,6 +304,48 @@
             for _ in range(40):
                 splitter.feed(65536 * b"x")
 
+    # Guards against callers who wait while a router reads events without end.
+    def test_a_stream_gives_other_requests_their_turn(self) -> None:
+        """One read brings 16,384 events, of which none is relayed as one batch."""
+        batches: list[int] = []
+        turns: list[int] = [0]
+
+        async def relay(data: bytes) -> None:
+            batches.append(len(data))
+
+        async def scenario() -> None:
+            attempt = Attempt(
+                pool=MagicMock(),
+                wire=MagicMock(),
+                request_id="a-1",
+                stream_progress=StreamProgress(EventOrder()),
+                relay_head=lambda head, data: relay(data),
+                relay_events=relay,
+                on_first_data=lambda: None,
+                start_send=lambda: True,
+                on_metadata=lambda metadata: None,
+                cancel_if_caller_left=lambda: None,
+                is_cancelled=lambda: False,
+                on_silent=lambda: None,
+                held_answers=HeldAnswers(),
+            )
+            connection = MagicMock()
+            connection.body = AsyncMock(side_effect=[16384 * b":x\n\n", None])
+            head = TargetHead(200, [])
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._count_turns, turns)
+                await attempt._relay_stream(connection, head)
+                tasks.cancel_scope.cancel()
+
+        anyio.run(scenario)
+        self.assertEqual(sum(batches), 65536)
+        self.assertGreaterEqual(turns[0], 2)
+
+    async def _count_turns(self, turns: list[int]) -> None:
+        while True:
+            await anyio.lowlevel.checkpoint()
+            turns[0] += 1
+
     # Guards against answers that fit one by one and not together.
     def test_answers_are_limited_together(self) -> None:
         """The largest one is given up; the others are read to their end."""
