--- a/src/endivegw/platform/command.py
+++ b/src/endivegw/platform/command.py
@@ -32,6 +32,7 @@
     DirectRouterSettings,
     load_direct_router_settings,
 )
+from endivegw.startup_hangup import defer_hangup, take_hangup
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.bounded import BoundedLineBuffer, bounded_handler
 from endivegw.telemetry.catalogue.relay import SETTINGS_READ
@@ -78,6 +79,7 @@
     SIGTERM drains the router: it finishes its requests, returns its tokens and
     exits.
     """
+    defer_hangup()
     if settings_path is None:
         raise click.UsageError(f"neither --settings nor ${_SETTINGS_VARIABLE} is given")
     try:
@@ -146,9 +148,12 @@
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as signals:
+        if take_hangup():
+            check_changed_settings()
         async for number in signals:
             if number == signal.SIGHUP:
                 check_changed_settings()
                 continue
             await router.drain()
-            return
+            # Until the process ends, a signal must not end it in another way.
+            await anyio.sleep_forever()
