Close idle connections to targets that cannot be reused

What callers would see: 503 from a router that ran out of descriptors after some 155 replaced targets. Cause: an idle connection was looked at only when the next request went to its address; those to an address that is no longer registered stayed open for good. Why it works: every 2 s the pool closes the connections that have been idle for longer than a request may reuse them, which is the time after which an acquire would close them. Nothing is opened more often.

--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -176,6 +176,7 @@
         ]
         found += [
             ("queue", context.queue.run),
+            ("idle connections", context.pool.run),
             ("quarantine", context.quarantine.run),
             ("streams", context.streams.run),
             ("registration", self._maintain_registration),
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -35,6 +35,8 @@
         without any indication whether it ran.
     :param max_fresh_idle_s: maximum idle time for requests that must not run twice.
     :param max_idle_connections: maximum number of idle connections per target.
+    :param sweep_every_s: interval at which idle connections that cannot be reused are
+        closed.
     """
 
     connect_timeout_s: float = 0.25
@@ -44,6 +46,7 @@
     keep_alive_share: float = 0.7
     max_fresh_idle_s: float = 1.0
     max_idle_connections: int = 24
+    sweep_every_s: float = 2.0
 
 
 @define
@@ -113,6 +116,26 @@
         for connection in self._idle.get(address, []):
             connection.idle_since_s = -math.inf
 
+    async def run(self) -> None:
+        """Close idle connections that cannot be reused, until cancelled.
+
+        Without that, those to a target that has gone would stay open for good.
+        """
+        while True:
+            await anyio.sleep(self.limits.sweep_every_s)
+            await self.sweep()
+
+    async def sweep(self) -> None:
+        """Close the idle connections that are too old to be reused."""
+        for address, pooled in list(self._idle.items()):
+            kept = [item for item in pooled if self._usable(item, False)]
+            closed = [connection for connection in pooled if connection not in kept]
+            pooled[:] = kept
+            if not kept:
+                del self._idle[address]
+            for connection in closed:
+                await connection.close()
+
     async def close(self) -> None:
         """Close all idle connections."""
         for address in list(self._idle):
