Record SIGHUP in a router for as long as its process lives

The handler is now the process's own from the first import on, a task looks for what it recorded, and the signal is ignored once the event loop has ended. The test sends SIGHUP until the process is gone (ended by signal 1 before, 0 now).

--- a/src/endivegw/platform/command.py
+++ b/src/endivegw/platform/command.py
@@ -16,6 +16,7 @@
 from endivegw.composition.direct_router import build_direct_router
 from endivegw.daemons.direct_router import DirectRouter
 from endivegw.exceptions import EndivegwError
+from endivegw.hangups import ignore_hangups, record_hangups, take_hangup
 from endivegw.platform.configuration import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -32,7 +33,6 @@
     DirectRouterSettings,
     load_direct_router_settings,
 )
-from endivegw.startup_hangup import defer_hangup, take_hangup
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.bounded import BoundedLineBuffer, bounded_handler
 from endivegw.telemetry.catalogue.relay import SETTINGS_READ
@@ -43,6 +43,10 @@
 #: Environment variable in which the platform passes the path of the settings file.
 _SETTINGS_VARIABLE = "ENDIVEGW_SETTINGS"
 
+#: Interval at which SIGHUP is looked for. An event loop's own handler would leave the
+#: default action, which ends the process, before the loop runs and after it.
+_HANGUP_INTERVAL_S = 0.5
+
 
 class PlatformDecoder:
     """Decode the platform's rows."""
@@ -79,7 +83,7 @@
     SIGTERM drains the router: it finishes its requests, returns its tokens and
     exits.
     """
-    defer_hangup()
+    record_hangups()
     if settings_path is None:
         raise click.UsageError(f"neither --settings nor ${_SETTINGS_VARIABLE} is given")
     try:
@@ -109,6 +113,7 @@
             check_changed_settings,
             backend_options={"use_uvloop": True},
         )
+    ignore_hangups()
     lines.flush()
 
 
@@ -133,27 +138,29 @@
 ) -> None:
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(lines.run)
-        tasks.start_soon(_watch_signals, router, check_changed_settings)
+        tasks.start_soon(_watch_signals, router)
+        tasks.start_soon(_watch_hangups, check_changed_settings)
         await router.run()
         tasks.cancel_scope.cancel()
 
 
-async def _watch_signals(
-    router: DirectRouter, check_changed_settings: Callable[[], None]
-) -> None:
-    """Drain on SIGTERM or SIGINT; validate the settings file on SIGHUP.
+async def _watch_signals(router: DirectRouter) -> None:
+    """Drain on SIGTERM or SIGINT.
+
+    A signal that comes after that does not end the process in another way.
+    """
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            await router.drain()
+            await anyio.sleep_forever()
+
+
+async def _watch_hangups(check_changed_settings: Callable[[], None]) -> None:
+    """Validate the settings file after SIGHUP.
 
     Changed settings take effect with the next restart.
     """
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
+    while True:
         if take_hangup():
             check_changed_settings()
-        async for number in signals:
-            if number == signal.SIGHUP:
-                check_changed_settings()
-                continue
-            await router.drain()
-            # Until the process ends, a signal must not end it in another way.
-            await anyio.sleep_forever()
+        await anyio.sleep(_HANGUP_INTERVAL_S)
--- a/tests/test_hangup_at_start.py
+++ b/tests/test_hangups.py
@@ -1,4 +1,4 @@
-"""SIGHUP that arrives while a router starts."""
+"""SIGHUP that arrives while a router starts or ends."""
 
 from __future__ import annotations
 
@@ -39,7 +39,7 @@
     """A router is told that its settings file changed before its event loop runs."""
 
     # Guards against a process that ends by SIGHUP while it imports libraries.
-    def test_no_library_is_imported_before_hangups_are_deferred(self) -> None:
+    def test_no_library_is_imported_before_hangups_are_recorded(self) -> None:
         printed = subprocess.run(
             [sys.executable, "-c", _UP_TO_A_LIBRARY],
             cwd=ROOT,
@@ -49,7 +49,7 @@
         )
         self.assertEqual(printed.stdout, "False\n", printed.stderr)
 
-    # Guards against a change of the settings that is not noticed.
+    # Guards against a process that ends by SIGHUP, and a change that is not noticed.
     def test_the_settings_are_checked_after_the_start(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "router.ini"
@@ -65,6 +65,12 @@
                 _wait_handled(process.pid)
                 process.send_signal(signal.SIGHUP)
                 self.assertTrue(_has_event(process, "relay-settings-read"))
+                process.send_signal(signal.SIGTERM)
+                self.assertTrue(_has_event(process, "relay-stopped"))
+                while process.poll() is None:
+                    process.send_signal(signal.SIGHUP)
+                    time.sleep(0.001)
+                self.assertEqual(process.returncode, 0)
             finally:
                 process.kill()
                 process.communicate()
