A stopping router leaves a row to the process that has taken it over

Also: a witness counts as ended only if another process acknowledged a statement that was sent after the witness was known (an acknowledgement of its predecessor may be late by any time), and never by its own; a row that states more acknowledgements than witnesses is read like one that needs all. Tests: tests.test_allowances_stop (fails before), tests.test_allowances (late acknowledgements).

--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -290,6 +290,7 @@
         self._is_complete = write.is_complete
         self._is_removed = False
         if write.is_last and not self._revision and not write.budgets:
+            self._ledger.commit(write, 0)
             self._remove(write, 0)
             return True
         while True:
@@ -393,6 +394,9 @@
             self._revision = own_row.revision
             if self._has_written and holder.instance_id != NOBODY:
                 self._reset(holder)
+                if self._ledger.is_returning:
+                    # The row is the other process's to delete.
+                    self._revision = 0
             else:
                 await self._succeed(holder, own_row.revision, store_ms, sent_s)
             return False
--- a/src/endivegw/allowances/witnesses.py
+++ b/src/endivegw/allowances/witnesses.py
@@ -93,6 +93,8 @@
     _pending_outright: bool = False
     _sent: deque[Statement] = field(factory=lambda: deque(maxlen=_MAX_SENT_STATEMENTS))
     _acknowledged: dict[InstanceId, int] = field(factory=dict)
+    #: Sequence of the last statement sent before a witness was known.
+    _known_since: dict[InstanceId, int] = field(factory=dict)
     #: Witnesses that ended. They answer no successor, so nobody relies on what they
     #: acknowledged.
     _ended: set[InstanceId] = field(factory=set)
@@ -109,10 +111,11 @@
     def record_replacement(self, witness: InstanceId, sequence: int) -> None:
         """Record that another process acknowledged a statement in a witness's place.
 
-        The witness has ended if it had acknowledged an earlier statement. Otherwise the
-        acknowledgement may be a late one of its predecessor.
+        If the statement was sent after the witness was known, that process is a later
+        one, and the witness has ended. Otherwise it may be the witness's predecessor,
+        whose acknowledgement is late.
         """
-        if 0 < self._acknowledged.get(witness, 0) < sequence:
+        if sequence > self._known_since.get(witness, sequence):
             self._ended.add(witness)
 
     @property
@@ -135,6 +138,9 @@
         growing. All are named if none acknowledges.
         """
         self.candidates = candidates
+        last_sequence = self._sent[-1].sequence if self._sent else 0
+        for name in candidates:
+            self._known_since.setdefault(name, last_sequence)
         current = tuple(
             name
             for name in candidates
@@ -152,6 +158,9 @@
             name: self._acknowledged[name]
             for name in retained & set(self._acknowledged)
         }
+        self._known_since = {
+            name: self._known_since[name] for name in retained & set(self._known_since)
+        }
         self._ended &= retained
 
     def commit(self) -> None:
@@ -293,7 +302,7 @@
         return WitnessReport(ended_ms, statements)
     if needed is None:
         needed = majority(len(witnesses))
-    overlap = needed - (len(witnesses) - len(statements))
+    overlap = min(needed, len(witnesses)) - (len(witnesses) - len(statements))
     if not witnesses or overlap < 1:
         return WitnessReport(ended_ms)
     last_ms = _reached_by(overlap, [statement.clock_ms for statement in statements])
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -381,7 +381,8 @@
         if message.sender in self._named_witnesses():
             return
         for peer in self.peers.entries():
-            if (peer.host, peer.port) == (host, port):
+            is_sender = peer.instance_id == message.sender
+            if (peer.host, peer.port) == (host, port) and not is_sender:
                 self._on_replacement(peer.instance_id, message.sequence)
 
     async def _answer(self, request: LoanRequest, host: str, port: int) -> None:
--- a/tests/test_allowances_stop.py
+++ b/tests/test_allowances_stop.py
@@ -125,6 +125,36 @@
         worlds = [self.run_seed(seed, False) for seed in range(SEEDS)]
         self.assertTrue(all(world.is_stopped for world in worlds))
 
+    # Guards against the row of another process that a stopping router deletes.
+    def test_a_row_of_another_process_stays(self) -> None:
+        """A process stops right after another one has taken its row over."""
+        lost: list[int] = []
+
+        async def simulate() -> None:
+            load = Load(ACCOUNT, PREPAID, 20.0, (1.0,))
+            async with anyio.create_task_group() as tasks:
+                world = AllowanceWorld(
+                    (load,),
+                    AllowanceOptions(),
+                    random.Random(1),
+                    anyio.current_time,
+                    tasks,
+                    ("a",),
+                )
+                world.start("a")
+                await anyio.sleep(3.0)
+                before = world.routers["a"].allowances
+                world.start("a")
+                while not world.routers["a"].allowances.ready:
+                    await anyio.sleep(0.001)
+                await before.stop()
+                await anyio.sleep(0.5)
+                lost.append(lost_tokens(world, 0))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(simulate, backend_options={"loop_factory": VirtualLoop})
+        self.assertEqual(lost, [0])
+
     # Guards against tokens lost by a slow store, lost answers, conflicts, late ends.
     def test_nothing_is_lost_in_any_order(self) -> None:
         """A stop that completes has returned all; one that cannot keeps its row."""
