--- a/tests/test_allowances_takeover.py
+++ b/tests/test_allowances_takeover.py
@@ -139,7 +139,7 @@
     """Start one fault, or end some."""
     store = world.store
     vm = rng.choice(sorted(world.routers) or [name])
-    match rng.randrange(11):
+    match rng.randrange(12):
         case 0:
             # The machine never comes back.
             world.kill(vm)
@@ -165,6 +165,12 @@
         case 8:
             store.cut.add(vm)
             world.unresponsive.add(vm)
+        case 9:
+            # All but one are lost for good; another machine is added.
+            for lost_vm in sorted(set(world.routers) - {vm}):
+                world.kill(lost_vm)
+            world.clock_rates[name] = 1.0 + 0.008 * (2.0 * rng.random() - 1.0)
+            world.start(name)
         case _:
             if rng.random() < 0.5:
                 for vms_affected in (
