--- a/tests/test_allowances_fleets.py
+++ b/tests/test_allowances_fleets.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 import anyio
 from benchmarks.allowance_fleets import Figures, run_startup
 
+from endivegw.allowances import AllowanceManager, AllowanceOptions
+from endivegw.gossip.peers import PeerEntry
+from endivegw.types import ClientAccountName
+from endivegw_standins.allowance_world import Load
+from endivegw_standins.linked_world import LinkedWorld
 from endivegw_standins.virtual_time import VirtualLoop
 
 SMALL, LARGE = 4, 29
@@ -26,6 +32,54 @@
     return figures
 
 
+class _OutageWorld(LinkedWorld):
+    """Routers that learn no address during an outage of the store."""
+
+    async def _announce(self, entry: PeerEntry) -> None:
+        if not self.store.cut:
+            await super()._announce(entry)
+
+
+class OutageTests(unittest.TestCase):
+    """A router restarts while no router reaches the store."""
+
+    # Guards against limits that wait for a witness whose process has ended.
+    def test_limits_grow_on_when_a_witness_restarts(self) -> None:
+        """The new process is at the same address, and no row can name it."""
+        grown: list[bool] = []
+
+        async def simulate() -> None:
+            rng = random.Random(1)
+            async with anyio.create_task_group() as tasks:
+                load = Load(ClientAccountName("hotel"), 1_000_000, 4.0, (0.25,) * 4)
+                world = _OutageWorld(
+                    (load,), AllowanceOptions(), rng, anyio.current_time, tasks
+                )
+                for vm in world.vms:
+                    world.start(vm)
+                await anyio.sleep(3.0)
+                world.store.cut = set(world.vms)
+                await anyio.sleep(1.0)
+                allowances = world.routers["a"].allowances
+                for kill in (lambda: None, lambda: world.kill("d")):
+                    kill()
+                    await anyio.sleep(1.0)
+                    grown.append(_grows(allowances))
+                world.start("d")
+                await anyio.sleep(0.5)
+                grown.append(_grows(allowances))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(simulate, backend_options={"loop_factory": VirtualLoop})
+        self.assertEqual(grown, [True, False, True])
+
+
+def _grows(allowances: AllowanceManager) -> bool:
+    """Return whether a router's limits grow now."""
+    store_ms = allowances.store_clock.now_ms(anyio.current_time())
+    return allowances.ledger.witnesses.growth_until_ms(store_ms) == store_ms
+
+
 class FleetTests(unittest.TestCase):
     """
     Many routers share each account's budget, and each draws an equal share of it. A
