An answer that was given up for its size does not end as a whole one

Found on reading the change; no caller reported it. If all bodies together exceeded their bound, the largest one was released; where it had received its last part by then, its end was taken for that of a whole answer, and the caller would have got a 200 with an empty body. Asking for the body of an answer that was given up now breaks it, like a further part does. Test: tests.test_endless_answers, failed before (AnswerBroken not raised).

--- a/src/endivegw/relay/held_answers.py
+++ b/src/endivegw/relay/held_answers.py
@@ -31,19 +31,22 @@
 
         :raises AnswerBroken: if the answer is too large, alone or beside the others.
         """
-        if not self._given_up:
-            self._parts.append(part)
-            self.held_bytes += len(part)
-            self.answers.add(len(part), self)
-        if self._given_up:
-            raise AnswerBroken("the bodies of all answers together are too large")
+        self._raise_if_given_up()
+        self._parts.append(part)
+        self.held_bytes += len(part)
+        self.answers.add(len(part), self)
+        self._raise_if_given_up()
 
     def body(self) -> bytes:
-        """Return what was received."""
+        """Return what was received.
+
+        :raises AnswerBroken: if the answer was given up after its last part.
+        """
+        self._raise_if_given_up()
         return b"".join(self._parts)
 
     def give_up(self) -> None:
-        """Release what was received; the next part breaks the answer."""
+        """Release what was received; the answer is broken."""
         self._given_up = True
         self.release()
 
@@ -53,6 +56,10 @@
         self.held_bytes = 0
         self._parts.clear()
 
+    def _raise_if_given_up(self) -> None:
+        if self._given_up:
+            raise AnswerBroken("the bodies of all answers together are too large")
+
 
 @define
 class HeldAnswers:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -361,6 +361,17 @@
                 small.add(300 * b"y")
         self.assertEqual(held.total_bytes, 0)
 
+    # Guards against an answer without its body that a caller takes for a whole one.
+    def test_an_answer_that_was_given_up_does_not_end(self) -> None:
+        """It has received all its parts, and another answer needs the room."""
+        held = HeldAnswers(max_answer_bytes=1000, max_total_bytes=1500)
+        with held.open() as large, held.open() as small:
+            large.add(900 * b"x")
+            small.add(800 * b"y")
+            with self.assertRaises(AnswerBroken):
+                large.body()
+            self.assertEqual(small.body(), 800 * b"y")
+
 
 if __name__ == "__main__":
     unittest.main()
