Test retries that are used up with targets that have room for all streams

Traced: the two targets run 8 requests each, so that 8 of the 24 streams waited for the first 16 and went silent after them. The test ended at 3.3 s; the route's TimeoutMs, 4 s, bound the requests, not the 8 s that the test states. Nor did the test do what its name says: with all slots taken, no stream was retried, and the retry budget of 10 was never used up. Now the targets have room for all streams and for each a second time, the silence lasts for two of the pauses after which a router looks for another target, and the test checks that some streams were retried, at most as many as the budget allows. The route's time-out is that of the test. Stricter: the streams that get no retry must still be whole.

--- a/src/endivegw_standins/platform_fleet.py
+++ b/src/endivegw_standins/platform_fleet.py
@@ -8,6 +8,7 @@
 import contextlib
 import pathlib
 import tempfile
+from functools import partial
 from typing import Any, AsyncIterator
 
 import anyio
@@ -37,7 +38,7 @@
 
 PREPAID = 100_000
 
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     "Version": 1,
     "Routes": [
         {
@@ -79,6 +80,8 @@
     :ivar zones: availability zone of each target; ``z`` if it is not named.
     :ivar software_versions: software version of each target that adds it to its events.
     :ivar link_mbps: rate of the link that the routers' settings state; None for none.
+    :ivar slots: number of requests that each target runs at once.
+    :ivar route_timeout_ms: time within which each request must be answered.
     """
 
     store: PlatformStoreApp = field(factory=PlatformStoreApp)
@@ -93,6 +96,8 @@
     zones: dict[str, str] = field(factory=dict)
     software_versions: dict[str, str] = field(factory=dict)
     link_mbps: float | None = None
+    slots: int = 8
+    route_timeout_ms: int = 4000
     tasks: TaskGroup | None = None
     _scopes: list[anyio.CancelScope] = field(factory=list)
     _removed_count: int = 0
@@ -202,8 +207,10 @@
             worker.software_version = fleet.software_versions.get(name)
             target.software_version = worker.software_version or target.software_version
             fleet.targets[name] = target
-            tasks.start_soon(target.run, fleet.store)
-        fleet.store.put("op", "config", CONFIGURATION)
+            tasks.start_soon(partial(target.run, fleet.store, slots=fleet.slots))
+        timeout = {"TimeoutMs": fleet.route_timeout_ms}
+        routes = [{**route, **timeout} for route in CONFIGURATION["Routes"]]
+        fleet.store.put("op", "config", {**CONFIGURATION, "Routes": routes})
         fleet.store_port = store_port
         fleet.tasks = tasks
         for _ in range(routers):
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -147,6 +147,8 @@
     zones: dict[str, str] | None = None,
     software_versions: dict[str, str] | None = None,
     link_mbps: float | None = None,
+    slots: int = 8,
+    route_timeout_ms: int = 4000,
 ) -> AsyncIterator[ClientFleet]:
     """Run a fleet; yield when every router is ready."""
     fleet = ClientFleet(
@@ -154,6 +156,8 @@
         zones=zones or {},
         software_versions=software_versions or {},
         link_mbps=link_mbps,
+        slots=slots,
+        route_timeout_ms=route_timeout_ms,
     )
     async with run_platform_fleet(fleet, routers, engines):
         yield fleet
--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -7,11 +7,15 @@
 
 import anyio
 
+from endivegw.decisions import RetryPolicy
 from tests.platform_fleet import Answer, ClientFleet, platform_fleet
 
 #: Longer than the pause after which a router looks for another target.
 _SILENT_S = 1.6
 
+#: Long enough for several such pauses.
+_LONG_SILENT_S = 3.0
+
 #: Time before the first event of a slow target, shorter than that pause.
 _PREFILL_S = 1.0
 
@@ -26,10 +30,14 @@
     scenario: Callable[[ClientFleet], Awaitable[None]],
     engines: int = 1,
     software_versions: dict[str, str] | None = None,
+    slots: int = 8,
 ) -> None:
     async def run() -> None:
         async with platform_fleet(
-            engines=engines, software_versions=software_versions
+            engines=engines,
+            software_versions=software_versions,
+            slots=slots,
+            route_timeout_ms=_DEADLINE_MS,
         ) as fleet:
             await scenario(fleet)
 
@@ -106,14 +114,19 @@
 
     # Guards against streams cut by one pause of many streams, more than may be retried.
     def test_streams_wait_when_the_retries_are_used_up(self) -> None:
+        streams = 24
+
         async def scenario(fleet: ClientFleet) -> None:
-            for name in ("e-1", "e-2"):
-                worker = fleet.workers[name]
-                worker.silent_s, worker.remaining_silences = _SILENT_S, 24
+            workers = [fleet.workers[name] for name in ("e-1", "e-2")]
+            for worker in workers:
+                worker.silent_s, worker.remaining_silences = _LONG_SILENT_S, streams
                 worker.silent_after_events = 2
-            self.check_streams(await _stream(fleet, 24))
+            self.check_streams(await _stream(fleet, streams))
+            retries = sum(len(worker.runs) for worker in workers) - streams
+            self.assertGreater(retries, 0)
+            self.assertLessEqual(retries, RetryPolicy().burst)
 
-        _run(scenario, engines=2)
+        _run(scenario, engines=2, slots=2 * streams)
 
     # Guards against a cut stream when only targets of other software are left.
     def test_a_stream_waits_for_the_only_target_of_its_version(self) -> None:
