Witnesses that have lost the store are not waited for

Cause: since each use waits for all three witnesses, and no row can leave out the dark one while the store is away. Why it works: waiting for a witness is needed only where a reader may rely on it alone. A witness that the store does not answer itself waives: it says so with its acknowledgement and keeps it beside the statement, and a reader relies on it only together with a majority. A waiver applies to rows older than its statement. One that reaches the store never waives, so that any one survivor of a loss with the store calm still bounds the use. Compatible: acknowledgements are as before, the waiver is a datagram of its own; a reader of older software cannot decode the answer of a witness that waived, and counts without it.

--- a/src/endivegw/allowances/ledger.py
+++ b/src/endivegw/allowances/ledger.py
@@ -19,7 +19,8 @@
 from endivegw.allowances.reservation import Reservation
 from endivegw.allowances.rows import BudgetTotal, HolderRow, PlannedWrite
 from endivegw.allowances.succession import max_used_tokens
-from endivegw.allowances.witnesses import Statement, Witnesses, WitnessReport
+from endivegw.allowances.witness_reports import WitnessReport
+from endivegw.allowances.witnesses import Statement, Witnesses
 from endivegw.types import ClientAccountName, InstanceId
 
 __all__ = ["AllowanceLedger", "Shortage"]
@@ -299,8 +300,8 @@
             terms[account] = funds.pending
         self._sequence += 1
         named = self.witnesses.select(witnesses, store_ms)
-        outright = not self.witnesses.has_all(store_ms) or self._lacks_witnesses()
-        self.witnesses.plan(named, outright)
+        outright = not self.witnesses.has_enough(store_ms) or self._lacks_witnesses()
+        self.witnesses.plan(named, outright, store_ms)
         row = HolderRow(
             self.instance_id,
             self._sequence,
--- a/src/endivegw/allowances/manager.py
+++ b/src/endivegw/allowances/manager.py
@@ -195,6 +195,14 @@
         await self.send_final_statement()
         await self._writer.stop()
 
+    def waives(self) -> bool:
+        """Return whether routers need not wait for this one as their witness.
+
+        While the store does not answer this router, it may not answer them either, and
+        no row can leave this router out if it is lost.
+        """
+        return self._extender.is_store_unavailable()
+
     async def send_final_statement(self) -> None:
         """Stop using tokens and send the witnesses a final statement."""
         self.ledger.ended = True
--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -27,7 +27,7 @@
 )
 from endivegw.allowances.store_clock import StoreClock
 from endivegw.allowances.succession import NOBODY
-from endivegw.allowances.witnesses import witness_report
+from endivegw.allowances.witness_reports import witness_report
 from endivegw.results import Done
 from endivegw.services.row_store import (
     Conflict,
@@ -214,9 +214,11 @@
         statements = await self._peers.request_statements(
             holder.witnesses, holder.instance_id, timeout_s=_STATEMENTS_TIMEOUT_S
         )
-        report = witness_report(holder.witnesses, statements, ended_ms, holder.needed)
+        as_of_ms = holder.as_of_ms
+        report = witness_report(
+            holder.witnesses, statements, ended_ms, holder.needed, as_of_ms
+        )
         used_tokens = self._ledger.succeed(holder, report)
-        as_of_ms = max((terms.as_of_ms for terms in holder.terms.values()), default=0)
         self._log.emit(
             events.TOKENS_INHERITED,
             predecessor=holder.instance_id,
@@ -225,6 +227,7 @@
             lived_s=round((report.alive_until_ms - as_of_ms) / 1000.0, 3),
             witnesses=len(holder.witnesses),
             answered=len(statements),
+            waived=sum(last.waived_since(as_of_ms) for last in statements.values()),
             final=any(statement.final for statement in statements.values()),
             drawn={name: terms.drawn_tokens for name, terms in holder.terms.items()},
             limits={name: terms.limit_tokens for name, terms in holder.terms.items()},
--- a/src/endivegw/allowances/rows.py
+++ b/src/endivegw/allowances/rows.py
@@ -59,6 +59,11 @@
     validity_s: float = math.inf
     needed: int = Factory(lambda self: majority(len(self.witnesses)), takes_self=True)
 
+    @property
+    def as_of_ms(self) -> int:
+        """Return the time of its terms, which is the same for all accounts."""
+        return max((terms.as_of_ms for terms in self.terms.values()), default=0)
+
 
 @frozen
 class BudgetTotal:
@@ -88,8 +93,7 @@
 
 
 def encode_holder(row: HolderRow) -> bytes:
-    """Return the row's value; ``as_of_ms`` is the same for all accounts."""
-    as_of_ms = max((terms.as_of_ms for terms in row.terms.values()), default=0)
+    """Return the row's value."""
     accounts = {
         account: [terms.drawn_tokens, terms.limit_tokens, terms.growth_tokens_per_s]
         for account, terms in row.terms.items()
@@ -97,7 +101,7 @@
     document = {
         "instance": row.instance_id,
         "sequence": row.sequence,
-        "as_of_ms": as_of_ms,
+        "as_of_ms": row.as_of_ms,
         "witnesses": row.witnesses,
         "needed": row.needed,
         "outright": row.outright,
--- a/src/endivegw/allowances/succession.py
+++ b/src/endivegw/allowances/succession.py
@@ -6,7 +6,7 @@
 
 from endivegw.allowances.funds import Growth, Terms
 from endivegw.allowances.rows import HolderRow
-from endivegw.allowances.witnesses import WitnessReport
+from endivegw.allowances.witness_reports import WitnessReport
 from endivegw.types import ClientAccountName, InstanceId
 
 __all__ = ["NOBODY", "settled_row", "max_used_tokens"]
--- a/src/endivegw/allowances/takeover.py
+++ b/src/endivegw/allowances/takeover.py
@@ -32,7 +32,7 @@
     encode_holder,
 )
 from endivegw.allowances.succession import NOBODY, max_used_tokens, settled_row
-from endivegw.allowances.witnesses import witness_report
+from endivegw.allowances.witness_reports import witness_report
 from endivegw.results import Done
 from endivegw.services.row_store import (
     Conflict,
@@ -168,11 +168,11 @@
         statements = await self._peers.request_statements(
             holder.witnesses, holder.instance_id, timeout_s=_STATEMENTS_TIMEOUT_S
         )
+        as_of_ms = holder.as_of_ms
         report = witness_report(
-            holder.witnesses, statements, _expires_ms(holder), holder.needed
+            holder.witnesses, statements, _expires_ms(holder), holder.needed, as_of_ms
         )
         used_tokens = max_used_tokens(holder, report, self._options.growth)
-        as_of_ms = max((terms.as_of_ms for terms in holder.terms.values()), default=0)
         self._log.emit(
             events.ROW_SETTLED,
             owner=vm,
@@ -180,6 +180,7 @@
             lived_s=round((report.alive_until_ms - as_of_ms) / 1000.0, 3),
             witnesses=len(holder.witnesses),
             answered=len(statements),
+            waived=sum(last.waived_since(as_of_ms) for last in statements.values()),
             drawn={name: terms.drawn_tokens for name, terms in holder.terms.items()},
             limits={name: terms.limit_tokens for name, terms in holder.terms.items()},
             stated=[dict(statement.limits) for statement in statements.values()],
--- a/src/endivegw/allowances/witnesses.py
+++ b/src/endivegw/allowances/witnesses.py
@@ -13,6 +13,11 @@
 out of the next row, and one whose process was replaced is not waited for. While not all
 acknowledge, the router records in its row that the row's limits hold outright, and its
 successor counts those limits in full.
+
+In an outage of the store no row can leave out a witness. A witness that has lost the
+store itself therefore waives: until the next row, the router need not wait for it as
+long as a majority acknowledges. A witness that reaches the store never waives. If it is
+the only one to survive, it still knows all that was used.
 """
 
 from __future__ import annotations
@@ -29,9 +34,8 @@
     "GRACE_MS",
     "Statement",
     "Witnesses",
-    "WitnessReport",
     "majority",
-    "witness_report",
+    "reached_by",
 ]
 
 #: How far limits grow beyond the last acknowledged time. Two statements and their
@@ -54,12 +58,15 @@
         statement. An account that is not named is bound by the row alone.
     :param final: whether it has stopped using tokens; the limits are then its exact
         use.
+    :param waived_ms: at a witness, the clock of the last statement for which it waived;
+        minus infinity if it never did.
     """
 
     sequence: int
     clock_ms: float
     limits: Mapping[ClientAccountName, int] = field(factory=dict)
     final: bool = False
+    waived_ms: float = -math.inf
 
     def limit_tokens(self, account: ClientAccountName) -> float:
         """Return the limit of an account, infinity if it is not named.
@@ -71,6 +78,10 @@
             return -math.inf
         return self.limits.get(account, math.inf)
 
+    def waived_since(self, as_of_ms: float) -> bool:
+        """Return whether the witness waived after a row was written."""
+        return math.isfinite(self.waived_ms) and self.waived_ms >= as_of_ms
+
 
 #: A statement that limits nothing.
 _UNBOUNDED = Statement(1, math.inf)
@@ -91,6 +102,9 @@
     candidates: tuple[InstanceId, ...] = ()
     _confirmed_outright: bool = False
     _pending_outright: bool = False
+    #: Times of the two rows on the store's clock. Earlier waivers do not apply to them.
+    _confirmed_as_of_ms: float = math.inf
+    _pending_as_of_ms: float = math.inf
     _sent: deque[Statement] = field(factory=lambda: deque(maxlen=_MAX_SENT_STATEMENTS))
     _acknowledged: dict[InstanceId, int] = field(factory=dict)
     #: Sequence of the last statement sent before a witness was known.
@@ -98,6 +112,8 @@
     #: Witnesses that ended. They answer no successor, so nobody relies on what they
     #: acknowledged.
     _ended: set[InstanceId] = field(factory=set)
+    #: Clock of the last statement for which each witness waived.
+    _waived_ms: dict[InstanceId, float] = field(factory=dict)
 
     def record_sent(self, statement: Statement) -> None:
         """Record a statement that is being sent."""
@@ -108,6 +124,13 @@
         if sequence > self._acknowledged.get(witness, 0):
             self._acknowledged[witness] = sequence
 
+    def record_waiver(self, witness: InstanceId, sequence: int) -> None:
+        """Record that a witness waived when it acknowledged a statement."""
+        for sent in self._sent:
+            if sent.sequence == sequence:
+                known_ms = self._waived_ms.get(witness, -math.inf)
+                self._waived_ms[witness] = max(known_ms, sent.clock_ms)
+
     def record_replacement(self, witness: InstanceId, sequence: int) -> None:
         """Record that another process acknowledged a statement in a witness's place.
 
@@ -125,9 +148,10 @@
             return self._confirmed_outright
         return self._confirmed_outright and self._pending_outright
 
-    def has_all(self, store_ms: float) -> bool:
-        """Return whether all witnesses acknowledged within the grace period."""
-        return self._growth_until_ms(self.confirmed, store_ms) >= store_ms
+    def has_enough(self, store_ms: float) -> bool:
+        """Return whether all that are waited for acknowledged in the grace period."""
+        row = (self.confirmed, self._confirmed_as_of_ms)
+        return self._growth_until_ms(*row, store_ms) >= store_ms
 
     def select(
         self, candidates: tuple[InstanceId, ...], store_ms: float
@@ -149,10 +173,19 @@
         )
         return current or candidates
 
-    def plan(self, witnesses: tuple[InstanceId, ...], outright: bool) -> None:
-        """Record the witnesses that the next write names, and its ``outright`` flag."""
+    def plan(
+        self,
+        witnesses: tuple[InstanceId, ...],
+        outright: bool,
+        as_of_ms: float = math.inf,
+    ) -> None:
+        """Record the witnesses that the next write names, and its ``outright`` flag.
+
+        :param as_of_ms: time of the row on the store's clock.
+        """
         self.pending = witnesses
         self._pending_outright = outright
+        self._pending_as_of_ms = as_of_ms
         retained = {*self.confirmed, *witnesses, *self.candidates}
         self._acknowledged = {
             name: self._acknowledged[name]
@@ -161,6 +194,9 @@
         self._known_since = {
             name: self._known_since[name] for name in retained & set(self._known_since)
         }
+        self._waived_ms = {
+            name: self._waived_ms[name] for name in retained & set(self._waived_ms)
+        }
         self._ended &= retained
 
     def commit(self) -> None:
@@ -168,6 +204,7 @@
         if self.pending is not None:
             self.confirmed = self.pending
             self._confirmed_outright = self._pending_outright
+            self._confirmed_as_of_ms = self._pending_as_of_ms
         self.pending = None
 
     def roll_back(self) -> None:
@@ -181,35 +218,52 @@
 
     def growth_until_ms(self, store_ms: float) -> float:
         """Return the time on the store's clock until which limits have grown."""
-        return min(
-            self._growth_until_ms(names, store_ms) for names in self._witness_sets()
-        )
+        return min(self._growth_until_ms(*row, store_ms) for row in self._rows())
 
     def limit_tokens(self, account: ClientAccountName) -> float:
-        """Return the limit that all witnesses know, for every possible row.
+        """Return the limit that the witnesses know, for every possible row.
 
         Infinity if there are no witnesses, so that the row alone binds.
         """
-        return min(self._limit_tokens(names, account) for names in self._witness_sets())
+        return min(self._limit_tokens(*row, account) for row in self._rows())
 
-    def _witness_sets(self) -> list[tuple[InstanceId, ...]]:
-        """Return the witnesses of each row that a successor may read."""
-        if self.pending is None:
-            return [self.confirmed]
-        return [self.confirmed, self.pending]
+    def _rows(self) -> list[tuple[tuple[InstanceId, ...], float]]:
+        """Return the witnesses and the time of each row that a successor may read."""
+        rows = [(self.confirmed, self._confirmed_as_of_ms)]
+        if self.pending is not None:
+            rows.append((self.pending, self._pending_as_of_ms))
+        return rows
 
-    def _growth_until_ms(self, names: tuple[InstanceId, ...], store_ms: float) -> float:
+    def _growth_until_ms(
+        self, names: tuple[InstanceId, ...], as_of_ms: float, store_ms: float
+    ) -> float:
         if not names:
             return store_ms
-        last_ms = [self._received_by(name)[0] for name in names]
-        return min(store_ms, min(last_ms) + GRACE_MS)
+        last_ms = {name: self._received_by(name)[0] for name in names}
+        return min(store_ms, self._reached(last_ms, as_of_ms) + GRACE_MS)
 
     def _limit_tokens(
-        self, names: tuple[InstanceId, ...], account: ClientAccountName
+        self,
+        names: tuple[InstanceId, ...],
+        as_of_ms: float,
+        account: ClientAccountName,
     ) -> float:
         if not names:
             return math.inf
-        return min(self._limit_known_to(name, account) for name in names)
+        limits = {name: self._limit_known_to(name, account) for name in names}
+        return self._reached(limits, as_of_ms)
+
+    def _reached(self, values: Mapping[InstanceId, float], as_of_ms: float) -> float:
+        """Return the value that a majority reaches, and each that has not waived.
+
+        A waiver applies if its statement is later than the row by at least the
+        millisecond to which a row's time is rounded.
+        """
+        bounds = [reached_by(majority(len(values)), list(values.values()))]
+        for name, value in values.items():
+            if self._waived_ms.get(name, -math.inf) < as_of_ms + 1.0:
+                bounds.append(value)
+        return min(bounds)
 
     def _received_by(self, name: InstanceId) -> tuple[float, list[Statement]]:
         """Return the time of the last acknowledged statement, and the possible ones.
@@ -232,88 +286,11 @@
         return min(statement.limit_tokens(account) for statement in possible)
 
 
-@frozen
-class WitnessReport:
-    """Combined report of the witnesses of a dead router.
-
-    :param alive_until_ms: latest time, on the store's clock, at which it may have been
-        alive.
-    :param statements: the last statement received by each witness that answered; empty
-        if too few answered, so that only the row is known.
-    :param overlap: how many of the witnesses that answered had at least acknowledged
-        each use.
-    """
-
-    alive_until_ms: float
-    statements: tuple[Statement, ...] = ()
-    overlap: int = 1
-
-    def used_tokens(
-        self,
-        account: ClientAccountName,
-        outright_tokens: float,
-        row_limit_tokens: int,
-        as_of_ms: float = -math.inf,
-        recorded_tokens: float = -math.inf,
-    ) -> int:
-        """Return the most that the dead router can have used of an account.
-
-        :param outright_tokens: what its row allowed regardless of acknowledgements;
-            minus infinity if witnesses had to acknowledge first.
-        :param row_limit_tokens: what the row's limit had grown to when it died.
-        :param as_of_ms: time of the row on the store's clock.
-        :param recorded_tokens: the row's limit at that time.
-        """
-        for statement in self.statements:
-            if statement.final and account in statement.limits:
-                return statement.limits[account]
-        if not self.statements:
-            return row_limit_tokens
-        limits = []
-        for statement in self.statements:
-            limit = statement.limit_tokens(account)
-            # A row has whole milliseconds. What was used before it was written need
-            # not be covered by what its witnesses received before.
-            is_older = statement.clock_ms < as_of_ms + 1.0
-            limits.append(max(limit, recorded_tokens) if is_older else limit)
-        usable_tokens = max(outright_tokens, _reached_by(self.overlap, limits))
-        return (
-            row_limit_tokens
-            if usable_tokens == -math.inf
-            else int(min(row_limit_tokens, usable_tokens))
-        )
-
-
-def witness_report(
-    witnesses: tuple[InstanceId, ...],
-    received: Mapping[InstanceId, Statement],
-    ended_ms: float,
-    needed: int | None = None,
-) -> WitnessReport:
-    """Combine the answers of the witnesses of a dead router.
-
-    :param received: the last statement of each witness that answered.
-    :param ended_ms: a time on the store's clock at which it was certainly dead.
-    :param needed: how many witnesses had to acknowledge each use; by default a
-        majority.
-    """
-    statements = tuple(received[name] for name in witnesses if name in received)
-    if any(statement.final for statement in statements):
-        return WitnessReport(ended_ms, statements)
-    if needed is None:
-        needed = majority(len(witnesses))
-    overlap = min(needed, len(witnesses)) - (len(witnesses) - len(statements))
-    if not witnesses or overlap < 1:
-        return WitnessReport(ended_ms)
-    last_ms = _reached_by(overlap, [statement.clock_ms for statement in statements])
-    return WitnessReport(min(ended_ms, last_ms + GRACE_MS), statements, overlap)
-
-
 def majority(count: int) -> int:
     """Return the smallest number that is more than half."""
     return count // 2 + 1
 
 
-def _reached_by(count: int, values: list[float]) -> float:
+def reached_by(count: int, values: list[float]) -> float:
     """Return the largest value that a number of them reach."""
     return sorted(values, reverse=True)[count - 1]
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -135,6 +135,10 @@
         on_acknowledgement=lambda peer, number: (
             allowances.ledger.witnesses.acknowledge(peer, number)
         ),
+        waives=lambda: not relayed_store.reachable or allowances.waives(),
+        on_waiver=lambda witness, number: (
+            allowances.ledger.witnesses.record_waiver(witness, number)
+        ),
         on_replacement=lambda witness, number: (
             allowances.ledger.witnesses.record_replacement(witness, number)
         ),
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -32,6 +32,7 @@
     StreamResponse,
     StreamsBegun,
     Update,
+    Waiver,
     decode,
     encode,
     prefix_datagrams,
@@ -79,6 +80,10 @@
     :param headroom: returns what this router can carry beyond its load; None if its
         capacity is not known.
     :param reaches_store: returns whether the store answers this router's calls.
+    :param waives: returns whether routers that this one is a witness of need not wait
+        for it, because the store does not answer it.
+    :param on_waiver: called with a witness and the sequence of the statement for which
+        it waived.
     :param on_replacement: called with a witness and the sequence of a statement that
         another process acknowledged at the witness's address.
     """
@@ -110,6 +115,8 @@
         max_witnesses: int = MAX_WITNESSES,
         headroom: Callable[[], Headroom | None] = lambda: None,
         reaches_store: Callable[[], bool] = lambda: True,
+        waives: Callable[[], bool] = lambda: False,
+        on_waiver: Callable[[InstanceId, int], None] = lambda witness, sequence: None,
         on_replacement: Callable[
             [InstanceId, int], None
         ] = lambda witness, sequence: None,
@@ -125,6 +132,8 @@
         self._pop_prefixes = pop_prefixes
         self._on_prefixes_read = on_prefixes_read
         self._on_acknowledgement = on_acknowledgement
+        self._waives = waives
+        self._on_waiver = on_waiver
         self._on_replacement = on_replacement
         self._make_statement = make_statement
         self._named_witnesses = named_witnesses
@@ -333,17 +342,17 @@
             case PrefixesRead(_, prefixes):
                 self._on_prefixes_read(prefixes)
             case Limits(sender, statement):
-                self.peers.record_statement(sender, statement)
-                reply = Acknowledgement(self.entry.instance_id, statement.sequence)
-                await self._send_to(encode(reply), host, port)
+                await self._acknowledge(sender, statement, host, port)
             case LoanRequest():
                 tasks.start_soon(self._answer, message, host, port)
             case LoanResponse():
                 self._loans.receive(message)
             case Acknowledgement():
                 self._receive_acknowledgement(message, host, port)
-                self._acknowledged.set()
-                self._acknowledged = anyio.Event()
+                self._wake_statement_senders()
+            case Waiver(sender, sequence):
+                self._on_waiver(sender, sequence)
+                self._wake_statement_senders()
             case StatementRequest(sender, about):
                 last_statement = self.peers.last_statement(about)
                 answer = StatementResponse(
@@ -370,6 +379,21 @@
                 if self._statement_responses and self._statement_responses[0] == about:
                     self._statement_responses[1][sender] = statement
 
+    async def _acknowledge(
+        self, sender: InstanceId, statement: Statement, host: str, port: int
+    ) -> None:
+        """Retain a statement and acknowledge it, with a waiver if there is one."""
+        waives = self._waives()
+        self.peers.record_statement(sender, statement, waives)
+        own_name, sequence = self.entry.instance_id, statement.sequence
+        await self._send_to(encode(Acknowledgement(own_name, sequence)), host, port)
+        if waives:
+            await self._send_to(encode(Waiver(own_name, sequence)), host, port)
+
+    def _wake_statement_senders(self) -> None:
+        self._acknowledged.set()
+        self._acknowledged = anyio.Event()
+
     def _receive_acknowledgement(
         self, message: Acknowledgement, host: str, port: int
     ) -> None:
--- a/src/endivegw/gossip/message_types.py
+++ b/src/endivegw/gossip/message_types.py
@@ -36,6 +36,7 @@
     "StreamsBegun",
     "TargetLeaving",
     "Update",
+    "Waiver",
 ]
 
 
@@ -77,6 +78,14 @@
     sequence: int
 
 
+@frozen
+class Waiver:
+    """States that the sender of a statement need not wait for this router."""
+
+    sender: InstanceId
+    sequence: int
+
+
 @frozen
 class StatementRequest:
     """Asks for the last statement received from a process that has ended."""
@@ -214,6 +223,7 @@
     | PrefixesRead
     | Limits
     | Acknowledgement
+    | Waiver
     | StatementRequest
     | StatementResponse
     | LoanRequest
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -34,6 +34,7 @@
     StreamsBegun,
     TargetLeaving,
     Update,
+    Waiver,
 )
 from endivegw.quarantine import (
     Fingerprint,
@@ -76,6 +77,7 @@
     "StreamsBegun",
     "TargetLeaving",
     "Update",
+    "Waiver",
 ]
 
 #: Maximum size of a datagram. Larger ones would be fragmented, and the loss of one
@@ -116,10 +118,15 @@
             document = ["limits", sender, *_encode_statement(statement)]
         case Acknowledgement(sender, sequence):
             document = ["heard", sender, sequence]
+        case Waiver(sender, sequence):
+            document = ["waived", sender, sequence]
         case StatementRequest(sender, about):
             document = ["inquiry", sender, about]
         case StatementResponse(sender, about, statement):
             document = ["testimony", sender, about, *_encode_statement(statement)]
+            if math.isfinite(statement.waived_ms):
+                # A reader that does not know of waivers must not use the statement.
+                document.append(int(statement.waived_ms))
         case LoanRequest():
             document = [
                 "ask",
@@ -214,10 +221,14 @@
                 )
             case "heard", [sequence]:
                 return Acknowledgement(name, int(sequence))
+            case "waived", [sequence]:
+                return Waiver(name, int(sequence))
             case "inquiry", [about]:
                 return StatementRequest(name, InstanceId(str(about)))
-            case "testimony", [about, sequence, clock_ms, limits, final]:
+            case "testimony", [about, sequence, clock_ms, limits, final, *waived]:
                 received = _decode_statement(sequence, clock_ms, limits, final)
+                if waived:
+                    received = evolve(received, waived_ms=float(waived[0]))
                 return StatementResponse(name, InstanceId(str(about)), received)
             case "ask", [transfer_id, account, min_tokens, wanted_tokens]:
                 return LoanRequest(
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -130,11 +130,21 @@
                 surplus = {**peer.state.surplus_tokens, account: left_tokens}
                 peer.state = evolve(peer.state, surplus_tokens=surplus)
 
-    def record_statement(self, sender: InstanceId, statement: Statement) -> None:
-        """Retain a router's statement of its limits, unless a later one is known."""
-        if statement.sequence >= self.last_statement(sender).sequence:
-            self._statements[sender] = statement
-            self._statements.move_to_end(sender)
+    def record_statement(
+        self, sender: InstanceId, statement: Statement, waives: bool
+    ) -> None:
+        """Retain a router's statement of its limits, unless a later one is known.
+
+        :param waives: whether this router waives with its acknowledgement.
+        """
+        last = self.last_statement(sender)
+        waived_ms = last.waived_ms
+        if waives:
+            waived_ms = max(waived_ms, statement.clock_ms)
+        if statement.sequence >= last.sequence:
+            last = statement
+            self._statements.pop(sender, None)
+        self._statements[sender] = evolve(last, waived_ms=waived_ms)
         if len(self._statements) > _MAX_STATEMENTS:
             self._statements.popitem(last=False)
 
--- a/src/endivegw_standins/linked_world.py
+++ b/src/endivegw_standins/linked_world.py
@@ -188,6 +188,10 @@
         on_acknowledgement=lambda peer, sequence: (
             router.allowances.ledger.witnesses.acknowledge(peer, sequence)
         ),
+        waives=lambda: router.allowances.waives(),
+        on_waiver=lambda witness, sequence: (
+            router.allowances.ledger.witnesses.record_waiver(witness, sequence)
+        ),
         on_replacement=lambda witness, sequence: (
             router.allowances.ledger.witnesses.record_replacement(witness, sequence)
         ),
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -35,6 +35,7 @@
     "allowances/reservation.py",
     "allowances/rows.py",
     "allowances/store_clock.py",
+    "allowances/witness_reports.py",
     "allowances/witnesses.py",
     "gossip/message_types.py",
     "gossip/messages.py",
