A waiver of a witness lasts for four seconds

A waiver that held until the next row let a lost router's limits grow through the rest of an outage, 15 s at most.

--- a/src/endivegw/allowances/witness_reports.py
+++ b/src/endivegw/allowances/witness_reports.py
@@ -7,7 +7,13 @@
 
 from attrs import frozen
 
-from endivegw.allowances.witnesses import GRACE_MS, Statement, majority, reached_by
+from endivegw.allowances.witnesses import (
+    GRACE_MS,
+    WAIVER_MS,
+    Statement,
+    majority,
+    reached_by,
+)
 from endivegw.types import ClientAccountName, InstanceId
 
 __all__ = ["WitnessReport", "witness_report"]
@@ -32,8 +38,8 @@
 class WitnessReport:
     """Combined report of the witnesses of a dead router.
 
-    :param alive_until_ms: latest time, on the store's clock, at which it may have been
-        alive.
+    :param alive_until_ms: latest time, on the store's clock, through which it may have
+        used what its limits grew by.
     :param final_statements: final statements; each is the exact use.
     :param groups: groups of witnesses, each of which bounds the use; empty if too few
         answered, so that only the row is known.
@@ -116,4 +122,8 @@
     for found in groups:
         last_ms = found.reached_by([last.clock_ms for last in found.statements])
         alive_until_ms = min(alive_until_ms, last_ms + GRACE_MS)
+    for last in statements:
+        if last.waived_since(as_of_ms):
+            last_ms = max(last.clock_ms + GRACE_MS, last.waived_ms + WAIVER_MS)
+            alive_until_ms = min(alive_until_ms, last_ms)
     return WitnessReport(alive_until_ms, (), tuple(groups))
--- a/src/endivegw/allowances/witnesses.py
+++ b/src/endivegw/allowances/witnesses.py
@@ -15,7 +15,7 @@
 successor counts those limits in full.
 
 In an outage of the store no row can leave out a witness. A witness that has lost the
-store itself therefore waives: until the next row, the router need not wait for it as
+store itself therefore waives: for some seconds, the router need not wait for it as
 long as a majority acknowledges. A witness that reaches the store never waives. If it is
 the only one to survive, it still knows all that was used.
 """
@@ -33,6 +33,7 @@
 __all__ = [
     "GRACE_MS",
     "Statement",
+    "WAIVER_MS",
     "Witnesses",
     "majority",
     "reached_by",
@@ -42,6 +43,10 @@
 #: acknowledgements may be lost before growth pauses.
 GRACE_MS = 500.0
 
+#: How long a waiver lasts, as long as most machines take to return. If only witnesses
+#: that waived survive, the growth in this time counts as used.
+WAIVER_MS = 4000.0
+
 #: Statements retained for a witness that acknowledges slowly: half a second's worth at
 #: a busy router, which also sends its limits for single requests. A witness further
 #: behind counts as having received nothing.
@@ -239,8 +244,14 @@
     ) -> float:
         if not names:
             return store_ms
-        last_ms = {name: self._received_by(name)[0] for name in names}
-        return min(store_ms, self._reached(last_ms, as_of_ms) + GRACE_MS)
+        last_ms = [self._received_by(name)[0] for name in names]
+        until_ms = reached_by(majority(len(names)), last_ms) + GRACE_MS
+        for name, received_ms in zip(names, last_ms):
+            bound_ms = received_ms + GRACE_MS
+            if self._has_waived(name, as_of_ms):
+                bound_ms = max(bound_ms, self._waived_ms[name] + WAIVER_MS)
+            until_ms = min(until_ms, bound_ms)
+        return min(store_ms, until_ms)
 
     def _limit_tokens(
         self,
@@ -250,20 +261,20 @@
     ) -> float:
         if not names:
             return math.inf
-        limits = {name: self._limit_known_to(name, account) for name in names}
-        return self._reached(limits, as_of_ms)
-
-    def _reached(self, values: Mapping[InstanceId, float], as_of_ms: float) -> float:
-        """Return the value that a majority reaches, and each that has not waived.
-
-        A waiver applies if its statement is later than the row by at least the
-        millisecond to which a row's time is rounded.
+        limits = [self._limit_known_to(name, account) for name in names]
+        waited_for = [
+            limit
+            for name, limit in zip(names, limits)
+            if not self._has_waived(name, as_of_ms)
+        ]
+        return min([reached_by(majority(len(names)), limits), *waited_for])
+
+    def _has_waived(self, name: InstanceId, as_of_ms: float) -> bool:
+        """Return whether a witness waived after a row was written.
+
+        A row's time is rounded to a millisecond.
         """
-        bounds = [reached_by(majority(len(values)), list(values.values()))]
-        for name, value in values.items():
-            if self._waived_ms.get(name, -math.inf) < as_of_ms + 1.0:
-                bounds.append(value)
-        return min(bounds)
+        return self._waived_ms.get(name, -math.inf) >= as_of_ms + 1.0
 
     def _received_by(self, name: InstanceId) -> tuple[float, list[Statement]]:
         """Return the time of the last acknowledged statement, and the possible ones.
