--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -23,7 +23,7 @@
 from endivegw.allowances.store_clock import StoreClock
 from endivegw.allowances.succession import max_used_tokens
 from endivegw.allowances.witness_reports import WitnessReport, witness_report
-from endivegw.allowances.witnesses import GRACE_MS, Statement, Witnesses
+from endivegw.allowances.witnesses import GRACE_MS, WAIVER_MS, Statement, Witnesses
 from endivegw.types import ClientAccountName, InstanceId
 
 ACCOUNT = ClientAccountName("airline")
@@ -373,7 +373,11 @@
         witnesses.acknowledge(C, 2)
         self.assertEqual(witnesses.limit_tokens(ACCOUNT), 900)
         self.assertEqual(witnesses.growth_until_ms(3100.0), 3100.0)
-        witnesses.plan((B, C, D), False, 3100.0)
+        send(witnesses, 3, 9000.0, 900)
+        for name in (B, C):
+            witnesses.acknowledge(name, 3)
+        self.assertEqual(witnesses.growth_until_ms(9000.0), 2100.0 + WAIVER_MS)
+        witnesses.plan((B, C, D), False, 9000.0)
         self.assertEqual(witnesses.limit_tokens(ACCOUNT), 700)
 
     # Guards against tokens counted as unused on the word of a witness that waived.
