Wait for an answering store as long as a refused caller would have to wait

Cause: waits of .02, .06, .12 and .06 s for witnesses, write, peers and last write pass in a loop that is held up before an answer is handled; without drawn tokens there was no last write. Evidence: event 9004 of the refused requests: hand 45,790 and 27,211 tokens for 70, the store's last answer .045 s old, also 5 s after the pause. Ruled out: the target's limit (no refusal names it), spent tokens, first draws alone. Why it works: the last write is waited for while the store answers, at most for the time that a refused caller would be told to stay away, so that nobody is answered later than by a retry. An answer that arrived during a pause is read before the store counts as unavailable. Plans of writes, limits and leases are unchanged. Test: tests.test_allowances_slow_store (an answer of .4 s), failed before with (1, False).

--- a/src/endivegw/allowances/fetching.py
+++ b/src/endivegw/allowances/fetching.py
@@ -18,6 +18,9 @@
 #: Maximum number of steps in a round; each one yields tokens or rules out a source.
 _MAX_STEPS = 6
 
+#: Time in which the event loop reads what arrived while this process was paused.
+_READ_INPUT_S = 0.005
+
 
 @define(eq=False)
 class _Waiter:
@@ -41,6 +44,7 @@
     """The sources tried for the requests that were waiting when the round started."""
 
     members: list[_Waiter]
+    is_input_read: bool = False
     is_statement_sent: bool = False
     is_write_tried: bool = False
     is_loan_tried: bool = False
@@ -152,6 +156,11 @@
         current.steps += 1
         if current.steps > _MAX_STEPS:
             return False
+        if self._extender.is_store_unavailable() and not current.is_input_read:
+            # The store's answer may be unread because this process was paused.
+            current.is_input_read = True
+            await anyio.sleep(_READ_INPUT_S)
+            return True
         covered_tokens = _fitting(waiting, self._extender.row_available_tokens(account))
         if covered_tokens and not current.is_statement_sent:
             await self._extender.send_statement(account, covered_tokens)
@@ -178,10 +187,12 @@
                 await self._borrow(account, sum(waiter.tokens for waiter in waiting))
             current.is_loan_tried = True
             return True
-        if not held_tokens or is_unavailable or current.is_final_write_tried:
+        covered_tokens = _fitting(waiting, hand_tokens + left_tokens)
+        if not covered_tokens or is_unavailable or current.is_final_write_tried:
             return False
-        # The event loop may have been blocked, leaving an answer of the store unread.
-        await self._extender.write(account, held_tokens)
+        # A refused caller would have to wait as long before it may retry.
+        wait_s = self._extender.min_retry_s()
+        await self._extender.write(account, covered_tokens, wait_s)
         current.is_final_write_tried = True
         return True
 
--- a/src/endivegw/allowances/limit_extender.py
+++ b/src/endivegw/allowances/limit_extender.py
@@ -66,20 +66,41 @@
                 timeout_s=self._ledger.options.statement_timeout_s,
             )
 
-    async def write(self, account: ClientAccountName, tokens: int) -> None:
+    def min_retry_s(self) -> float:
+        """Return the shortest delay after which a refused caller should retry.
+
+        A write may be in progress, and the next one covers the request.
+        """
+        return max(self._ledger.options.min_retry_s, 2.0 * self._writer.last_write_s)
+
+    async def write(
+        self, account: ClientAccountName, tokens: int, wait_s: float | None = None
+    ) -> None:
         """Write until the row covers the tokens, while another write may help.
 
         Routers that draw on the same budget at once conflict, and a write that lost
         such a conflict does not return the tokens left in the budget.
+
+        :param wait_s: how long to wait while the store answers; by default the time
+            after which other sources are tried.
         """
-        wait_s = self._ledger.options.wait_s
-        with self.wanting(account, tokens), anyio.move_on_after(wait_s):
-            while True:
-                await self._writer.write_now()
+        if wait_s is None:
+            wait_s = self._ledger.options.wait_s
+        deadline_s = self._clock() + wait_s
+        with self.wanting(account, tokens):
+            while (left_s := self._wait_left_s(deadline_s)) > 0.0:
+                with anyio.move_on_after(left_s):
+                    await self._writer.write_now()
                 covered = self.row_available_tokens(account) >= tokens
                 if covered or not self._may_succeed(account, tokens):
                     return
 
+    def _wait_left_s(self, deadline_s: float) -> float:
+        """Return how long to wait for a write that the store may still answer."""
+        now_s = self._clock()
+        answers_s = _UNAVAILABLE_AFTER_S - self._writer.store_age_s(now_s)
+        return min(deadline_s - now_s, answers_s)
+
     @contextlib.contextmanager
     def wanting(self, account: ClientAccountName, tokens: int) -> Iterator[None]:
         """Include tokens in statements and writes while a request waits for them."""
--- a/src/endivegw/allowances/manager.py
+++ b/src/endivegw/allowances/manager.py
@@ -25,10 +25,6 @@
 
 __all__ = ["AllowanceManager"]
 
-#: Shortest delay after which a refused caller should retry; by then several more writes
-#: and loans have been tried.
-_MIN_RETRY_S = 0.4
-
 #: Longest retry delay sent to a caller. Few callers wait longer, and the store may
 #: respond before then. The spread is added to it.
 _MAX_RETRY_S = 3.0
@@ -333,15 +329,13 @@
         :param unresponsive_s: for how long a router that may hold the missing tokens
             has been unresponsive.
         """
-        # A write may be in progress, and the next one covers the request.
-        wait_s = max(_MIN_RETRY_S, 2.0 * self._writer.last_write_s, unresponsive_s)
-        wait_s = min(wait_s, _MAX_RETRY_S)
+        wait_s = min(max(self._extender.min_retry_s(), unresponsive_s), _MAX_RETRY_S)
         if self._extender.is_store_unavailable():
             store_ms = self.store_clock.now_ms(now_s)
             covered_s = self.ledger.covered_in_s(account, tokens, store_ms)
             if covered_s is None:
                 wait_s = max(wait_s, self._writer.store_age_s(now_s))
             else:
-                wait_s = max(_MIN_RETRY_S, covered_s)
+                wait_s = max(self.options.min_retry_s, covered_s)
             wait_s = min(wait_s, _MAX_RETRY_S)
         return wait_s * (1.0 + _RETRY_SPREAD * self._rng.random())
--- a/src/endivegw/allowances/options.py
+++ b/src/endivegw/allowances/options.py
@@ -24,6 +24,8 @@
         usual, so that writes still succeed there.
     :param wait_s: how long one request waits for a write. A healthy store answers
         within a tenth of it; the request then turns to peers.
+    :param min_retry_s: shortest delay after which a refused caller should retry; by
+        then several more writes and loans have been tried.
     :param expected_retry_s: how long limits cover a request that was refused for lack
         of a limit.
     :param lead_s: seconds of demand by which the limit exceeds the use, equal to two
@@ -79,6 +81,7 @@
     write_every_s: float = 0.15
     write_timeout_s: float = 1.0
     wait_s: float = 0.06
+    min_retry_s: float = 0.4
     expected_retry_s: float = 2.0
     lead_s: float = 0.3
     stated_lead_s: float = 0.25
--- a/tests/test_allowances_slow_store.py
+++ b/tests/test_allowances_slow_store.py
@@ -49,6 +49,14 @@
         """An answer takes longer than a request waits at first."""
         self.assertEqual(self.request_until_served(0.08, 1), (1, True))
 
+    # Guards against a refusal of a request that another write would cover sooner than
+    # its caller may retry.
+    def test_requests_wait_as_long_as_a_refused_caller_would(self) -> None:
+        """The write in progress is answered first, then the one that covers them."""
+        for answer_s in (0.2, 0.4):
+            with self.subTest(answer_s=answer_s):
+                self.assertEqual(self.request_until_served(answer_s, 1), (1, True))
+
     # Guards against a caller that retries as told and is refused each time.
     def test_a_caller_that_retries_as_told_is_served(self) -> None:
         """Answers take longer than a request can wait; the second try is served."""
