The budget test of two routers sends its callers back as they are told

Known red: 76,800, 65,280 and 53,760 of 100,000 tokens were used where more than 80,000 were to be. Traced: with a pause of .3 s in the half second in which the store is down, 69 of 72 requests were refused (held tokens not covered by a limit, or a budget nobody could draw on), each caller asked again at once, twelve times, and left. The 20 requests that followed were all served, too few for the bound. The refusals were honest; the test counted on a time.

--- a/tests/test_direct_router.py
+++ b/tests/test_direct_router.py
@@ -150,7 +150,8 @@
         """Callers of one account use two routers until its budget is exhausted.
 
         All of it can be spent through any of the routers, and no token more, even if
-        the store is unavailable for some of the time.
+        the store is unavailable for some of the time. Callers that are told to retry do
+        so as they are told.
         """
 
         async def scenario() -> None:
@@ -162,6 +163,17 @@
                             "chat", router=number % 2, tokens=(1900, 100)
                         )
 
+                async def spend_rest(router: int) -> None:
+                    for _ in range(200):
+                        answer = await fleet.send_request(
+                            "chat", router=router, tokens=(1900, 100)
+                        )
+                        if answer.status == 402:
+                            return
+                        if answer.status == 503:
+                            await anyio.sleep(float(answer.fields["retry-after"]))
+                    self.fail(f"the budget is not spent at router {router}")
+
                 async with anyio.create_task_group() as tasks:
                     for number in range(6):
                         tasks.start_soon(caller, number)
@@ -171,15 +183,10 @@
                     fleet.store.down = False
                 await anyio.sleep(0.5)
                 for router in (0, 1):
-                    for _ in range(10):
-                        await fleet.send_request(
-                            "chat", router=router, tokens=(1900, 100)
-                        )
+                    await spend_rest(router)
                 used = fleet.consumed_tokens()
                 self.assertLessEqual(used, PREPAID)
-                self.assertGreater(used, PREPAID * 0.8)
-                last = await fleet.send_request("chat", tokens=(30_000, 100))
-                self.assertEqual(last.status, 402)
+                self.assertGreater(used, PREPAID * 0.95)
 
         anyio.run(scenario)
 
