A request that waits for a write writes at a pace, and not with a wait that has run out

Found by benchmarks.allowances, which did not end: a rest of a wait below the resolution of the clock fired at once and was waited for again, for ever in virtual time. No caller was affected; a real clock moves on. A wait of less than a millisecond is over now. A request that waits longer than usual also asked for a write each few milliseconds; it pauses between them for as long as four routers need to draw in turn. Tests: tests.test_allowances_slow_store, _fetching, _queue, _fleet.

--- a/src/endivegw/allowances/limit_extender.py
+++ b/src/endivegw/allowances/limit_extender.py
@@ -19,6 +19,13 @@
 #: lack answers by then.
 _UNAVAILABLE_AFTER_S = 0.5
 
+#: Shortest wait for a write; the store takes longer for any answer.
+_MIN_WAIT_S = 0.001
+
+#: Pause between the writes of a request that waits longer than usual; the routers that
+#: draw on a budget need as long for one write each.
+_LONG_WAIT_PAUSE_S = 0.04
+
 
 class LimitExtender:
     """Extend a router's limits before it uses or lends tokens."""
@@ -84,16 +91,18 @@
         :param wait_s: how long to wait while the store answers; by default the time
             after which other sources are tried.
         """
+        pause_s = 0.0 if wait_s is None else _LONG_WAIT_PAUSE_S
         if wait_s is None:
             wait_s = self._ledger.options.wait_s
         deadline_s = self._clock() + wait_s
         with self.wanting(account, tokens):
-            while (left_s := self._wait_left_s(deadline_s)) > 0.0:
+            while (left_s := self._wait_left_s(deadline_s)) > _MIN_WAIT_S:
                 with anyio.move_on_after(left_s):
                     await self._writer.write_now()
                 covered = self.row_available_tokens(account) >= tokens
                 if covered or not self._may_succeed(account, tokens):
                     return
+                await anyio.sleep(pause_s)
 
     def _wait_left_s(self, deadline_s: float) -> float:
         """Return how long to wait for a write that the store may still answer."""
