Count the millisecond that datagrams do not carry of a witness's clock

No caller reported it; found on reading the change. A statement's clock is cut to whole milliseconds on its way, while its sender's limits grow by the whole clock. A reader could count up to a millisecond of growth too little as used, and hand these tokens out again (225 of 125,225 in the test), where the growth binds and not the stated limit: with the grace period since witnesses were introduced, and with a waiver. The reader adds a millisecond to each bound that follows from a witness's clock, and never counts beyond the certain end. Test: test_a_rounded_clock_hides_no_growth, failed before (125000 not greater than or equal to 125225). The time expected by test_too_few_witnesses_leave_the_full_growth is a millisecond later for the same reason.

--- a/src/endivegw/allowances/witness_reports.py
+++ b/src/endivegw/allowances/witness_reports.py
@@ -118,12 +118,15 @@
         overlap = acknowledged - (count - len(group))
         if group and overlap >= 1:
             groups.append(_Group(group, overlap))
-    alive_until_ms = ended_ms
-    for found in groups:
-        last_ms = found.reached_by([last.clock_ms for last in found.statements])
-        alive_until_ms = min(alive_until_ms, last_ms + GRACE_MS)
-    for last in statements:
-        if last.waived_since(as_of_ms):
-            last_ms = max(last.clock_ms + GRACE_MS, last.waived_ms + WAIVER_MS)
-            alive_until_ms = min(alive_until_ms, last_ms)
-    return WitnessReport(alive_until_ms, (), tuple(groups))
+    bounds_ms = [
+        found.reached_by([last.clock_ms for last in found.statements]) + GRACE_MS
+        for found in groups
+    ]
+    bounds_ms += [
+        max(last.clock_ms + GRACE_MS, last.waived_ms + WAIVER_MS)
+        for last in statements
+        if last.waived_since(as_of_ms)
+    ]
+    # Datagrams have the clock in whole milliseconds.
+    alive_until_ms = min(bounds_ms, default=ended_ms) + 1.0
+    return WitnessReport(min(ended_ms, alive_until_ms), (), tuple(groups))
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -445,6 +445,22 @@
         used = max_used_tokens(row, report, AllowanceOptions().growth)
         self.assertEqual(used[ACCOUNT], 5000)
 
+    # Guards against tokens that are returned although they were used in the part of a
+    # millisecond that datagrams do not carry.
+    def test_a_rounded_clock_hides_no_growth(self) -> None:
+        """The router's limit grew until 1500.9 ms and the grace period after it."""
+        growth = AllowanceOptions().growth
+        terms = Terms(900_000, 0, 500_000, 1000)
+        three = (B, C, D)
+        row = HolderRow(InstanceId("a"), 9, {ACCOUNT: terms}, three, needed=3)
+        for waived_ms, bound_ms in ((-math.inf, GRACE_MS), (1500.0, WAIVER_MS)):
+            with self.subTest(waived_ms=waived_ms):
+                received = {B: Statement(1, 1500.0, {}, waived_ms=waived_ms)}
+                report = witness_report(three, received, 9000.0, 3, row.as_of_ms)
+                used = max_used_tokens(row, report, growth)[ACCOUNT]
+                permitted = terms.limit_at_tokens(1500.9 + bound_ms, growth)
+                self.assertGreaterEqual(used, permitted)
+
     # Guards against requests that are refused until a dead witness is left out.
     def test_requests_are_served_when_a_witness_dies(self) -> None:
         """While the store answers, a row that holds outright replaces its word."""
@@ -498,7 +514,7 @@
         self.assertEqual(report.used_tokens(ACCOUNT, 500, 3000), 3000)
         received[C] = Statement(3, 1400.0, {ACCOUNT: 650})
         report = witness_report(three, received, 9000.0)
-        self.assertEqual(report.alive_until_ms, 1500.0 + GRACE_MS)
+        self.assertEqual(report.alive_until_ms, 1500.0 + GRACE_MS + 1.0)
         self.assertEqual(report.used_tokens(ACCOUNT, 500, 3000), 700)
         self.assertEqual(report.used_tokens(ACCOUNT, 800, 3000), 800)
         self.assertEqual(witness_report((), {}, 9000.0).alive_until_ms, 9000.0)
