Log answers that carry no id, and how long two targets have a request

Issue: something that must run once ran twice. Nothing told apart whether an answer was attributed by its id or by its place on the connection, how many answers belonged to nobody, and for how long an attempt overlapped with one beside it.

Event 9137 and a counter name each answer that does not carry the id of the request in progress, with its status and whether it says "not run". Event 9136 gives the time for which two targets had one request, taken after the connection of the first was closed. No decision changes.

--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -127,8 +127,9 @@
     :param on_first_data: called when the first data of the answer has arrived.
     :param start_send: called right before the request is sent; returns whether the
         target still accepts work, which may have changed while a connection was opened.
-    :param on_metadata: called with the metadata of each answer head, including late
-        answers to earlier requests on the connection, which the same target sent.
+    :param on_metadata: called with the status and the metadata of each answer head,
+        including late answers to earlier requests on the connection, which the same
+        target sent.
     :param cancel_if_caller_left: called right before the request is sent; cancels the
         request if its caller has disconnected.
     :param is_cancelled: returns whether another attempt was preferred to this one.
@@ -147,7 +148,7 @@
         relay_events: Callable[[bytes], Awaitable[None]],
         on_first_data: Callable[[], None],
         start_send: Callable[[], bool],
-        on_metadata: Callable[[AnswerMetadata], None],
+        on_metadata: Callable[[int, AnswerMetadata], None],
         cancel_if_caller_left: Callable[[], None],
         is_cancelled: Callable[[], bool],
         on_silent: Callable[[], None],
@@ -248,7 +249,7 @@
         id. An answer with the id of another request belongs to that request.
         """
         metadata = self._metadata = self._wire.read_answer_fields(status, fields)
-        self._on_metadata(metadata)
+        self._on_metadata(status, metadata)
         if metadata.request_id is None:
             return status >= 400
         return metadata.request_id == self._request_id
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -179,8 +179,13 @@
             lambda data: self._relay_events(running, data),
             lambda: self._record_first_data(running),
             lambda: self._start_send(running),
-            lambda metadata: apply_target_report(
-                context, admitted.request_id, placement, metadata, running.sent_s
+            lambda status, metadata: apply_target_report(
+                context,
+                admitted.request_id,
+                placement,
+                status,
+                metadata,
+                running.sent_s,
             ),
             self._writer.cancel_if_caller_left,
             lambda: running.scope.cancel_called,
@@ -209,6 +214,7 @@
                 # The attempt was cancelled. An unsent request is not charged.
                 end = AttemptOutcome.LOST if attempt.sent else AttemptOutcome.NOT_SENT
                 self._report(running, AttemptResult(end, "cancelled"), False)
+                self._record_overlap(running)
         self._report(running, result, True)
         try:
             await self._quarantine_check.record_attempt(
@@ -218,6 +224,22 @@
             record_failure(context.log, "record of an attempt", error)
         return result
 
+    def _record_overlap(self, running: _RunningAttempt) -> None:
+        """Log for how long a closed attempt overlapped with one beside it."""
+        others = [other for other in self._running if other is not running]
+        sent_s = [other.sent_s for other in others if other.sent_s]
+        if not sent_s or not running.sent_s:
+            return
+        overlap_s = self._context.clock() - max(running.sent_s, min(sent_s))
+        self._context.log.emit(
+            events.ATTEMPT_ENDED_BESIDE,
+            request_id=self._admitted.request_id,
+            target=running.placement.target,
+            others=[other.placement.target for other in others if other.sent_s],
+            overlap_s=round(overlap_s, 4),
+            events=self._progress.stream_progress.events,
+        )
+
     def _handle_silence(self, running: _RunningAttempt) -> None:
         """Let another target run the request beside one that is silent, if possible."""
         running.silent = True
--- a/src/endivegw/relay/target_report.py
+++ b/src/endivegw/relay/target_report.py
@@ -27,6 +27,7 @@
     context: RelayContext,
     request_id: str,
     placement: Placement,
+    status: int,
     metadata: AnswerMetadata,
     sent_s: float,
 ) -> None:
@@ -34,11 +35,14 @@
 
     :param request_id: id of the request during which the answer was read.
     :param placement: placement of that request; its connection delivered the answer.
+    :param status: HTTP status of the answer.
     :param metadata: what the header fields of the answer state.
     :param sent_s: time at which that request was sent.
     """
     start = TargetStart(placement.instance_id, placement.started_ms)
     _log_unknown_fields(context, request_id, placement, metadata)
+    if metadata.request_id != request_id:
+        _record_unmatched(context, request_id, placement, status, metadata)
     if not metadata.replaced and not metadata.limit_unreadable:
         is_late = metadata.request_id != request_id
         # A late answer belongs to a request that was sent earlier.
@@ -64,6 +68,25 @@
         availability.back_off(placement.target, placement.started_ms, until_s)
 
 
+def _record_unmatched(
+    context: RelayContext,
+    request_id: str,
+    placement: Placement,
+    status: int,
+    metadata: AnswerMetadata,
+) -> None:
+    """Count and log an answer that does not carry the id of the current request."""
+    context.metrics.record_unmatched_answer(metadata.request_id is not None)
+    context.log.emit(
+        events.ANSWER_UNMATCHED,
+        request_id=request_id,
+        target=placement.target,
+        status=status,
+        answer_id=metadata.request_id,
+        not_run=metadata.not_run,
+    )
+
+
 def _log_unknown_fields(
     context: RelayContext,
     request_id: str,
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -3,6 +3,8 @@
 from endivegw.telemetry.event import Event, Level
 
 __all__ = [
+    "ANSWER_UNMATCHED",
+    "ATTEMPT_ENDED_BESIDE",
     "ATTEMPT_FAILED",
     "CONFIGURATION_IN_FORCE",
     "CONFIGURATION_UNREADABLE",
@@ -153,6 +155,22 @@
     " and is also sent to the target beside it, unless this is null.",
     ("request_id", "target", "events", "beside"),
 )
+ATTEMPT_ENDED_BESIDE = Event(
+    9136,
+    "relay-attempt-ended-beside",
+    Level.INFO,
+    "An attempt was closed while other targets had the same request; overlap_s is the"
+    " time for which this target and another one had it.",
+    ("request_id", "target", "others", "overlap_s", "events"),
+)
+ANSWER_UNMATCHED = Event(
+    9137,
+    "relay-answer-unmatched",
+    Level.WARNING,
+    "An answer of a target does not carry the id of the request in progress on its"
+    " connection; answer_id is null if it carries none.",
+    ("request_id", "target", "status", "answer_id", "not_run"),
+)
 TARGET_WARMING_UP = Event(
     9117,
     "relay-target-warming-up",
--- a/src/endivegw/telemetry/exposition.py
+++ b/src/endivegw/telemetry/exposition.py
@@ -81,6 +81,13 @@
             ("cause",),
             registry=self._registry,
         )
+        self._unmatched_answers = Counter(
+            "endivegw_answers_unmatched",
+            "Answers of targets that do not carry the id of the request in progress on"
+            " their connection, by whether they carry another id.",
+            ("has_id",),
+            registry=self._registry,
+        )
         self.gauge(
             "resident_bytes", "Peak resident memory of the process.", _resident_bytes
         )
@@ -117,6 +124,10 @@
         """Count a send of a request after its first one."""
         self._retries.inc()
 
+    def record_unmatched_answer(self, has_id: bool) -> None:
+        """Count an answer that does not carry the id of the request in progress."""
+        self._unmatched_answers.labels("yes" if has_id else "no").inc()
+
     def connection_ended(self, cause: str, unanswered: int) -> None:
         """Count the end of a caller's connection.
 
