--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -8,9 +8,9 @@
 import anyio
 import h11
 from anyio.abc import SocketStream
-from attrs import define, field
+from attrs import define, field, frozen
 
-__all__ = ["PlatformWorker", "WorkerRun"]
+__all__ = ["ExtraAnswer", "PlatformWorker", "WorkerRun"]
 
 #: Factor on the rate that a cold worker bears, and requests beyond it, at which it
 #: crashes.
@@ -21,6 +21,19 @@
 _CRASH_DELAY_S = 0.03
 
 
+@frozen
+class ExtraAnswer:
+    """An additional answer, sent as soon as the next request has arrived.
+
+    :param has_id: whether it carries the id of the request before.
+    :param fields: further header fields, each with a line end.
+    """
+
+    status: int
+    has_id: bool = False
+    fields: str = ""
+
+
 @define
 class WorkerRun:
     """One request that ran.
@@ -69,6 +82,8 @@
     :ivar silent_after_events: number of events after which a stream is silent; before
         its answer if 0. Plain answers are silent before they begin.
     :ivar remaining_silences: number of next requests that are silent once.
+    :ivar extra_answer: what is sent in addition to answers; the connection stays open.
+    :ivar remaining_extras: number of next answers that an additional one follows.
     :ivar software_version: added to the data of each event; None to omit it.
     :ivar arrivals_s: times at which requests arrived, including refused ones.
     """
@@ -97,6 +112,8 @@
     silent_s: float = 0.0
     silent_after_events: int = 0
     remaining_silences: int = 0
+    extra_answer: ExtraAnswer = ExtraAnswer(503)
+    remaining_extras: int = 0
     software_version: str | None = None
     arrivals_s: list[float] = field(factory=list)
     _cold_arrivals_s: deque[float] = field(factory=deque)
@@ -111,10 +128,17 @@
         disconnect_errors = (anyio.BrokenResourceError, anyio.ClosedResourceError)
         with contextlib.suppress(*disconnect_errors):
             async with stream:
-                while await self._exchange(stream):
-                    pass
+                answered: str | None = await self._exchange(stream, None)
+                while answered is not None:
+                    answered = await self._exchange(stream, answered)
+
+    async def _exchange(self, stream: SocketStream, before: str | None) -> str | None:
+        """Serve one request.
 
-    async def _exchange(self, stream: SocketStream) -> bool:
+        :param before: id of the request before on this connection; None if it is the
+            first one.
+        :returns: the id of the request; None if the connection must be closed.
+        """
         connection = h11.Connection(h11.SERVER)
         request: h11.Request | None = None
         body = b""
@@ -128,15 +152,27 @@
                 case h11.EndOfMessage():
                     break
                 case h11.ConnectionClosed():
-                    return False
+                    return None
                 case _:
                     try:
                         connection.receive_data(await stream.receive())
                     except (anyio.EndOfStream, anyio.BrokenResourceError):
-                        return False
+                        return None
         assert request is not None
         fields = {name.decode(): value.decode() for name, value in request.headers}
-        return await self._answer(stream, fields, body)
+        if before is not None and self.remaining_extras:
+            self.remaining_extras -= 1
+            await self._send_extra(stream, before)
+        if not await self._answer(stream, fields, body):
+            return None
+        return fields.get("endivegw-attempt-id", "")
+
+    async def _send_extra(self, stream: SocketStream, before: str) -> None:
+        """Send an additional answer to the request before."""
+        extra = self.extra_answer
+        named = f"endivegw-attempt-id: {before}\r\n" if extra.has_id else ""
+        head = f"HTTP/1.1 {extra.status} X\r\n{named}{extra.fields}"
+        await stream.send(f"{head}content-length: 0\r\n\r\n".encode())
 
     async def _answer(
         self, stream: SocketStream, fields: dict[str, str], body: bytes
