Only an answer that carries the request's id decides about the request

What callers saw: something that must run once ran twice; requests that ran were answered 503; a sound target got no more requests, or a whole service was refused.

Cause: an answer without an id and with a status of 400 or more counted as the answer to the request in progress, by its place on the connection. A faulty target sends additional answers, and one that arrives between a send and its answer then said "not run" of a request that ran: it was sent again, or refused. A 421 said that the target was replaced; Retry-After, Server-Leaving and Server-Limit were applied to a sound target.

Ruled out: late answers with the id of an earlier request (they were skipped before), refusals with the id (they are true).

Now only the id decides. Other answers are skipped, up to two; one without an id says nothing about its target; the connection is not used again, as it may be out of step. The bound counted one answer less than it says.

--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -245,13 +245,11 @@
     def _matches_request(self, status: int, fields: HeaderFields) -> bool:
         """Return whether an answer belongs to this request.
 
-        A target that refuses a request before reading it may answer without a request
-        id. An answer with the id of another request belongs to that request.
+        Only its id shows that. A faulty target sends additional answers, which may
+        arrive where the next one is due.
         """
         metadata = self._metadata = self._wire.read_answer_fields(status, fields)
         self._on_metadata(status, metadata)
-        if metadata.request_id is None:
-            return status >= 400
         return metadata.request_id == self._request_id
 
     async def _read_body(self, connection: TargetConnection) -> bytes:
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -24,12 +24,12 @@
 #: answer is read.
 _SMALL_BODY_BYTES = 16384
 
-#: Maximum number of answers to earlier requests that are skipped before the request
-#: fails.
-_MAX_STALE_ANSWERS = 2
+#: Maximum number of answers to other requests, or to none, that are skipped before the
+#: request fails.
+_MAX_SKIPPED_ANSWERS = 2
 
 #: Maximum size of the body of such an answer.
-_MAX_STALE_BODY_BYTES = 1024 * 1024
+_MAX_SKIPPED_BODY_BYTES = 1024 * 1024
 
 #: Methods whose requests state a length even if they have no body.
 _METHODS_WITH_BODY = (b"POST", b"PUT", b"PATCH")
@@ -76,6 +76,7 @@
         self.used = False
         self._parser = AnswerParser()
         self._sent = True
+        self._has_skipped = False
         self._on_silent = _ignore_silence
 
     def watch_silence(
@@ -95,8 +96,11 @@
 
     @property
     def reusable(self) -> bool:
-        """Return whether the last exchange left the connection ready for another."""
-        return self._sent and self._parser.keeps_connection
+        """Return whether the last exchange left the connection ready for another.
+
+        A target that has sent an answer to no request may send another one.
+        """
+        return self._sent and not self._has_skipped and self._parser.keeps_connection
 
     def has_no_input(self) -> bool:
         """Return whether nothing is received that was not read yet.
@@ -205,12 +209,13 @@
     async def _read_matching_head(
         self, matches_request: Callable[[int, HeaderFields], bool]
     ) -> TargetHead:
-        """Return the head of this request's answer, skipping stale answers."""
-        for _ in range(_MAX_STALE_ANSWERS):
+        """Return the head of this request's answer, skipping answers to others."""
+        for _ in range(_MAX_SKIPPED_ANSWERS + 1):
             head = await self._read_head()
             if matches_request(head.status, head.fields):
                 self._record_keep_alive(head)
                 return head
+            self._has_skipped = True
             await self._discard_body()
             self._parser.skip_answer()
         raise AnswerBroken("received only answers to other requests")
@@ -220,10 +225,10 @@
         size = 0
         while (part := await self.body()) is not None:
             size += len(part)
-            if size > _MAX_STALE_BODY_BYTES:
+            if size > _MAX_SKIPPED_BODY_BYTES:
                 raise AnswerBroken(
                     f"got {size} bytes of an answer to another request, the limit is "
-                    f"{_MAX_STALE_BODY_BYTES}"
+                    f"{_MAX_SKIPPED_BODY_BYTES}"
                 )
 
     async def _read_head(self) -> TargetHead:
--- a/src/endivegw/relay/target_report.py
+++ b/src/endivegw/relay/target_report.py
@@ -33,6 +33,8 @@
 ) -> None:
     """Apply that a target leaves, warms up, asks for a pause or limits its requests.
 
+    An answer without an id belongs to no request, and says nothing about the target.
+
     :param request_id: id of the request during which the answer was read.
     :param placement: placement of that request; its connection delivered the answer.
     :param status: HTTP status of the answer.
@@ -40,9 +42,11 @@
     :param sent_s: time at which that request was sent.
     """
     start = TargetStart(placement.instance_id, placement.started_ms)
-    _log_unknown_fields(context, request_id, placement, metadata)
     if metadata.request_id != request_id:
         _record_unmatched(context, request_id, placement, status, metadata)
+    if metadata.request_id is None:
+        return
+    _log_unknown_fields(context, request_id, placement, metadata)
     if not metadata.replaced and not metadata.limit_unreadable:
         is_late = metadata.request_id != request_id
         # A late answer belongs to a request that was sent earlier.
