Refuse a request without an id at once

What callers saw: a request without an id ran, and got 502 or 504, since its answer cannot be told from another one; the target's own word for it is 400.

It is answered 400 now and does not run. The test failed with 504 before.

--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -119,6 +119,10 @@
     account = table.account(metadata.key) if metadata.key is not None else None
     if account is None and table.needs_key(route):
         return Refused(Reason.BAD_KEY, "no client account has this key")
+    if not metadata.request_id:
+        return Refused(
+            Reason.BAD_REQUEST, "the request has no id, by which its answer is known"
+        )
     wait_s = _DEFAULT_DEADLINE_S if metadata.deadline_s is None else metadata.deadline_s
     service = table.service(route, _service_rng(route, metadata, rng))
     return AdmittedRequest(
@@ -129,7 +133,7 @@
         service_kind=table.service_kind(service),
         account=account,
         deadline_s=request.arrived_s + min(wait_s, route.timeout_s),
-        request_id=metadata.request_id or f"own-{rng.getrandbits(64):016x}",
+        request_id=metadata.request_id,
     )
 
 
--- a/tests/test_additional_answers.py
+++ b/tests/test_additional_answers.py
@@ -9,12 +9,18 @@
 from typing import Callable
 
 import anyio
+import h11
 from attrs import define, field
 
 from endivegw.types import TargetName
 from endivegw_standins.platform_target import PlatformTarget
 from endivegw_standins.platform_worker import ExtraAnswer, PlatformWorker
-from tests.platform_fleet import CONFIGURATION, ClientFleet, platform_fleet
+from tests.platform_fleet import (
+    CONFIGURATION,
+    ClientFleet,
+    exchange,
+    platform_fleet,
+)
 
 _ROUTES = ("print", "chat", "notice", "resumable")
 _STREAMS = frozenset({"chat", "resumable"})
@@ -179,5 +185,26 @@
         self.check(lambda report: self.assertEqual(report.shunned, []))
 
 
+class UnidentifiedRequestTests(unittest.TestCase):
+    """A request without an id, whose answer could not be told from another one."""
+
+    # Guards against a request that runs and is not answered.
+    def test_a_request_without_an_id_is_refused_at_once(self) -> None:
+        async def play() -> None:
+            fields = [("host", "h.example"), ("authorization", "Bearer key-1")]
+            for ids in ([], [("endivegw-attempt-id", "")]):
+                request = h11.Request(
+                    method="POST",
+                    target="/print/x",
+                    headers=[*fields, *ids, ("content-length", "0")],
+                )
+                async with platform_fleet() as fleet:
+                    answer = await exchange(fleet.ports[0], request, b"")
+                    self.assertEqual(answer.status, 400)
+                    self.assertEqual(fleet.workers["p-1"].runs, [])
+
+        anyio.run(play)
+
+
 if __name__ == "__main__":
     unittest.main()
