Two targets that respond do not both keep a stream

Cause: a stream whose target is silent is sent to a second target, and the first one was closed only at the second one's first event, so that both had it for as long as the second one read the prompt.

Now both are asked for their report, which engines give without a slot. After 0.25 s at most one that responded keeps the stream: the second one, which has not refused it, else the first one. If none responds, none works, and both wait as before. So a sound target that pauses while the second one is dead still goes on.

Ruled out: closing the first one without a probe loses such a stream (two tests of silent targets failed); closing it when the second is sent loses it to a refusal.

--- a/src/endivegw/platform/wire.py
+++ b/src/endivegw/platform/wire.py
@@ -75,6 +75,9 @@
 #: Status that is returned if another instance now listens at the target's address.
 _MISDIRECTED = 421
 
+#: Path at which engines report their load.
+_REPORT_PATH = b"/report"
+
 #: Upper limit of requested pauses. Few target instances live for a day.
 _MAX_PAUSE_S = 86_400.0
 
@@ -162,6 +165,10 @@
             tuple(unknown_fields),
         )
 
+    def probe_path(self) -> bytes | None:
+        """Return the path of an engine's report on itself."""
+        return _REPORT_PATH
+
     def router_answer_fields(self, request_id: str | None) -> HeaderFields:
         """Return the fields of an answer that the router generates itself."""
         if request_id is None:
--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -85,9 +85,12 @@
     :param silence_s: seconds without data after which a further target may be sent a
         repeatable request. Callers disconnect after 2 s at the earliest, so that target
         still has time to continue the stream. Fully loaded engines pause for less.
+    :param overlap_s: maximum time for which two targets that both respond have one
+        stream. A target that has no room refuses a request sooner.
     """
 
     silence_s: float = 1.2
+    overlap_s: float = 0.25
 
 
 @define
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -6,12 +6,13 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import define, evolve, field
+from attrs import evolve
 
 from endivegw.decisions import AttemptEnd, AttemptKind, Placement
 from endivegw.relay.admission import AdmittedRequest, work_item
 from endivegw.relay.answer_writer import AnswerWriter, CallerGone
 from endivegw.relay.attempt import Attempt, AttemptOutcome, AttemptResult
+from endivegw.relay.attempt_overlap import limit_overlap
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import TargetHead, end_to_end
 from endivegw.relay.request_log import record_placement
@@ -22,11 +23,13 @@
     attempt_kind,
     lower_quartile,
 )
+from endivegw.relay.running_attempt import RunningAttempt
 from endivegw.relay.stream_binding import StreamBinding
 from endivegw.relay.suspicion import QuarantineCheck
 from endivegw.relay.target_connection import OutgoingRequest
 from endivegw.relay.target_report import apply_target_report
 from endivegw.relay.wire import SendMetadata
+from endivegw.routing import ServiceKind
 from endivegw.supervision import record_failure
 from endivegw.telemetry.catalogue import relay as events
 
@@ -36,36 +39,14 @@
 EndedAttempt = tuple[Placement, AttemptResult]
 
 
-@define(eq=False)
-class _RunningAttempt:
-    """Hold one attempt in progress.
-
-    :ivar silent: whether its target has said nothing for some time.
-    :ivar has_data: whether any data of its answer has arrived.
-    :ivar answering: whether a part of its answer was relayed.
-    :ivar sent_s: time at which the request was sent.
-    """
-
-    placement: Placement
-    scope: anyio.CancelScope = field(factory=anyio.CancelScope)
-    silent: bool = False
-    has_data: bool = False
-    answering: bool = False
-    sent_s: float = 0.0
-
-    @property
-    def work_id(self) -> str:
-        """Return the id under which the dispatcher knows the attempt."""
-        return self.placement.item.request_id
-
-
 class AttemptRace:
     """Run the attempts of one request; the first that answers ends the others.
 
     A sound target may be silent for a second or so and go on, and only time shows
     whether it does. Silence therefore ends no attempt. If the request may run twice and
     another target has room, it is sent there as well, and goes on at the target that
-    speaks first. Otherwise it waits.
+    speaks first. Otherwise it waits. Of the targets that have a stream, at most one
+    that responds keeps it for longer.
     """
 
     def __init__(
@@ -83,7 +64,7 @@
         self._progress = progress
         self._quarantine_check = quarantine_check
         self._binding = binding
-        self._running: list[_RunningAttempt] = []
+        self._running: list[RunningAttempt] = []
         self._ended: list[EndedAttempt] = []
         self._decided = False
         self._error: Exception | None = None
@@ -125,12 +106,12 @@
         failed = answer.head.status >= MIN_SERVER_ERROR_STATUS
         return not failed and not self._writer.started
 
-    def _add(self, placement: Placement) -> _RunningAttempt:
-        running = _RunningAttempt(placement)
+    def _add(self, placement: Placement) -> RunningAttempt:
+        running = RunningAttempt(placement)
         self._running.append(running)
         return running
 
-    async def _run_attempt(self, running: _RunningAttempt) -> None:
+    async def _run_attempt(self, running: RunningAttempt) -> None:
         """Run one attempt; record its result unless another one has decided."""
         result: AttemptResult | None = None
         try:
@@ -142,6 +123,7 @@
             self._cancel_others(running)
         finally:
             self._running.remove(running)
+            running.overlap_scope.cancel()
         if result is None or self._decided or running.scope.cancel_called:
             return
         self._ended.append((running.placement, result))
@@ -160,12 +142,12 @@
             for other in self._running:
                 other.scope.cancel()
 
-    def _cancel_others(self, running: _RunningAttempt) -> None:
+    def _cancel_others(self, running: RunningAttempt) -> None:
         for other in self._running:
             if other is not running:
                 other.scope.cancel()
 
-    async def _attempt(self, running: _RunningAttempt) -> AttemptResult:
+    async def _attempt(self, running: RunningAttempt) -> AttemptResult:
         context = self._context
         admitted = self._admitted
         kind = admitted.route.kind
@@ -224,7 +206,7 @@
             record_failure(context.log, "record of an attempt", error)
         return result
 
-    def _record_overlap(self, running: _RunningAttempt) -> None:
+    def _record_overlap(self, running: RunningAttempt) -> None:
         """Log for how long a closed attempt overlapped with one beside it."""
         others = [other for other in self._running if other is not running]
         sent_s = [other.sent_s for other in others if other.sent_s]
@@ -240,7 +222,7 @@
             events=self._progress.stream_progress.events,
         )
 
-    def _handle_silence(self, running: _RunningAttempt) -> None:
+    def _handle_silence(self, running: RunningAttempt) -> None:
         """Let another target run the request beside one that is silent, if possible."""
         running.silent = True
         if self._decided or running.scope.cancel_called:
@@ -256,7 +238,7 @@
         if beside is None:
             self._end_if_answered()
 
-    def _run_beside(self) -> _RunningAttempt | None:
+    def _run_beside(self) -> RunningAttempt | None:
         """Run an attempt beside those that are silent; None if there can be none."""
         placement = self._place_beside()
         if placement is None or self._tasks is None:
@@ -276,6 +258,9 @@
         running = self._running
         if self._tasks is None or any(not other.silent for other in running):
             return None
+        # A target that took a stream over responds; it needs time to read the prompt.
+        if any(other.took_over and not other.has_data for other in running):
+            return None
         if progress.target_count + len(running) >= route.max_targets:
             return None
         if self._context.retries.exhausted:
@@ -300,7 +285,7 @@
         self._context.metrics.record_retry()
         return placement
 
-    def _start_send(self, running: _RunningAttempt) -> bool:
+    def _start_send(self, running: RunningAttempt) -> bool:
         """Record the send; return False if the target must not get the request."""
         check = self._quarantine_check
         if check.refusal() is not None:
@@ -310,9 +295,21 @@
             return False
         now_s = running.sent_s = self._context.clock()
         placement = running.placement
-        return self._context.queue.dispatcher.availability.start_send(
+        availability = self._context.queue.dispatcher.availability
+        may_send = availability.start_send(
             running.work_id, placement.target, now_s, placement.software_version
         )
+        if may_send and self._tasks is not None and len(self._running) > 1:
+            self._tasks.start_soon(self._limit_overlap, running)
+        return may_send
+
+    async def _limit_overlap(self, running: RunningAttempt) -> None:
+        """Let one of the targets that work go on with a stream of an engine."""
+        admitted = self._admitted
+        is_engine = admitted.service_kind is ServiceKind.ENGINE
+        if is_engine and admitted.route.kind.is_stream:
+            with running.overlap_scope:
+                await limit_overlap(self._context, running, self._running)
 
     def _build_request(self, placement: Placement) -> OutgoingRequest:
         admitted = self._admitted
@@ -330,7 +327,7 @@
         return OutgoingRequest(request.method, request.target, fields, request.body)
 
     def _report(
-        self, running: _RunningAttempt, result: AttemptResult, done: bool
+        self, running: RunningAttempt, result: AttemptResult, done: bool
     ) -> None:
         """Report the result of an attempt to the dispatcher, and count the attempt.
 
@@ -381,14 +378,14 @@
         return min(sent, self._admitted.metadata.max_output_tokens)
 
     async def _relay_head(
-        self, running: _RunningAttempt, head: TargetHead, data: bytes
+        self, running: RunningAttempt, head: TargetHead, data: bytes
     ) -> None:
         self._take_over(running)
         self._progress.last_relayed_s = self._context.clock()
         self._binding.begin(running.placement)
         await self._writer.start(head.status, head.fields, data)
 
-    async def _relay_events(self, running: _RunningAttempt, data: bytes) -> None:
+    async def _relay_events(self, running: RunningAttempt, data: bytes) -> None:
         self._take_over(running)
         progress = self._progress
         now_s = self._context.clock()
@@ -397,7 +394,7 @@
         progress.last_relayed_s = now_s
         await self._writer.send_chunk(data)
 
-    def _take_over(self, running: _RunningAttempt) -> None:
+    def _take_over(self, running: RunningAttempt) -> None:
         """Let a stream go on at the target that has just sent its next events."""
         running.silent = False
         self._progress.target = running.placement.target
@@ -407,7 +404,7 @@
         if len(self._running) > 1:
             self._cancel_others(running)
 
-    def _record_first_data(self, running: _RunningAttempt) -> None:
+    def _record_first_data(self, running: RunningAttempt) -> None:
         if running.has_data:
             return
         running.has_data = True
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -216,18 +216,18 @@
                 self._record_keep_alive(head)
                 return head
             self._has_skipped = True
-            await self._discard_body()
+            await self.discard_body()
             self._parser.skip_answer()
         raise AnswerBroken("received only answers to other requests")
 
-    async def _discard_body(self) -> None:
-        """Read the body of an answer to another request."""
+    async def discard_body(self) -> None:
+        """Read the body of an answer that is not used."""
         size = 0
         while (part := await self.body()) is not None:
             size += len(part)
             if size > _MAX_SKIPPED_BODY_BYTES:
                 raise AnswerBroken(
-                    f"got {size} bytes of an answer to another request, the limit is "
+                    f"got {size} bytes of an answer that is not used, the limit is "
                     f"{_MAX_SKIPPED_BODY_BYTES}"
                 )
 
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -9,7 +9,11 @@
 import anyio
 from attrs import define, field, frozen
 
-from endivegw.relay.target_connection import TargetConnection
+from endivegw.relay.target_connection import (
+    AnswerBroken,
+    OutgoingRequest,
+    TargetConnection,
+)
 from endivegw.tcp_stream import TcpStream, TrafficMeter, connect_tcp
 
 __all__ = ["ConnectFailed", "PoolLimits", "TargetPool"]
@@ -106,6 +110,28 @@
                 return False
         return False
 
+    async def probe(self, address: str, path: bytes) -> bool:
+        """Return whether the process at an address responds; may wait for ever."""
+        fields = [(b"host", address.encode())]
+        request = OutgoingRequest(b"GET", path, fields, b"")
+        try:
+            connection = await self.acquire(address, False)
+        except ConnectFailed:
+            return False
+        responds = False
+        try:
+            await connection.send_request(request, lambda status, fields: True)
+            await connection.discard_body()
+            responds = True
+        except AnswerBroken:
+            pass
+        finally:
+            if responds:
+                await self.release(connection)
+            else:
+                await connection.close()
+        return responds
+
     async def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
--- a/src/endivegw/relay/wire.py
+++ b/src/endivegw/relay/wire.py
@@ -126,5 +126,8 @@
     def read_answer_fields(self, status: int, fields: HeaderFields) -> AnswerMetadata:
         """Return the metadata of an answer."""
 
+    def probe_path(self) -> bytes | None:
+        """Return a path at which an engine responds without a slot; None if none."""
+
     def router_answer_fields(self, request_id: str | None) -> HeaderFields:
         """Return the fields that every router-generated answer carries."""
--- a/src/endivegw_standins/platform_worker.py
+++ b/src/endivegw_standins/platform_worker.py
@@ -17,6 +17,8 @@
 _COLD_OVERAGE = 1.5
 _COLD_SLACK = 5
 
+_REPORT_PATH = b"/report"
+
 #: Delay between the start of a request and the crash that it causes.
 _CRASH_DELAY_S = 0.03
 
@@ -82,6 +84,7 @@
     :ivar silent_after_events: number of events after which a stream is silent; before
         its answer if 0. Plain answers are silent before they begin.
     :ivar remaining_silences: number of next requests that are silent once.
+    :ivar reports: whether it responds to requests for its report at once.
     :ivar extra_answer: what is sent in addition to answers; the connection stays open.
     :ivar remaining_extras: number of next answers that an additional one follows.
     :ivar software_version: added to the data of each event; None to omit it.
@@ -112,6 +115,7 @@
     silent_s: float = 0.0
     silent_after_events: int = 0
     remaining_silences: int = 0
+    reports: bool = False
     extra_answer: ExtraAnswer = ExtraAnswer(503)
     remaining_extras: int = 0
     software_version: str | None = None
@@ -159,6 +163,8 @@
                     except (anyio.EndOfStream, anyio.BrokenResourceError):
                         return None
         assert request is not None
+        if request.target == _REPORT_PATH:
+            return await self._report(stream)
         fields = {name.decode(): value.decode() for name, value in request.headers}
         if before is not None and self.remaining_extras:
             self.remaining_extras -= 1
@@ -167,6 +173,12 @@
             return None
         return fields.get("endivegw-attempt-id", "")
 
+    async def _report(self, stream: SocketStream) -> str:
+        if not self.reports:
+            await anyio.sleep_forever()
+        await stream.send(b"HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\n{}")
+        return ""
+
     async def _send_extra(self, stream: SocketStream, before: str) -> None:
         """Send an additional answer to the request before."""
         extra = self.extra_answer
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -4,12 +4,17 @@
 
 import contextlib
 import unittest
+from unittest import mock
 
 import anyio
 from anyio.abc import SocketStream
 from attrs import define
 
+from endivegw.relay.attempt import AttemptLimits
+from endivegw.relay.attempt_overlap import limit_overlap
+from endivegw.relay.running_attempt import RunningAttempt
 from endivegw_standins.platform_worker import PlatformWorker
+from endivegw_standins.virtual_time import VirtualLoop
 from tests.platform_fleet import Answer, ClientFleet
 from tests.test_attempt_races import run_script
 
@@ -32,6 +37,7 @@
     :ivar silent_s: length of that silence.
     :ivar silent_after_events: number of events before it.
     :ivar prefill_s: time that the second target reads the prompt.
+    :ivar responding: numbers of the targets that respond to requests for a report.
     :ivar arrived_s: when the second target got the request.
     :ivar closed_s: when the first target's connection was closed.
     """
@@ -39,6 +45,7 @@
     silent_s: float
     silent_after_events: int
     prefill_s: float
+    responding: frozenset[int] = frozenset({0, 1})
     arrived_s: float = 0.0
     closed_s: float = 0.0
     answer: Answer | None = None
@@ -61,6 +68,7 @@
         body: bytes,
         number: int,
     ) -> bool:
+        worker.reports = number in self.responding
         if number:
             self.arrived_s = anyio.current_time()
             await anyio.sleep(self.prefill_s)
@@ -82,6 +90,46 @@
         scope.cancel()
 
 
+class DecisionTests(unittest.TestCase):
+    """Which attempts are ended, by the targets that respond; in virtual time."""
+
+    def ended(self, responding: str, probe_path: bytes | None = b"/report") -> str:
+        """Return the attempts of targets a and b that are ended within a second.
+
+        :param responding: targets that respond; b has got the stream last.
+        """
+
+        async def probe(address: str, path: bytes) -> bool:
+            if address not in responding:
+                await anyio.sleep_forever()
+            return True
+
+        async def run() -> str:
+            running = [
+                RunningAttempt(mock.Mock(address=address)) for address in ("a", "b")
+            ]
+            context = mock.Mock(limits=AttemptLimits())
+            context.wire.probe_path.return_value = probe_path
+            context.pool.probe = probe
+            with anyio.move_on_after(1.0):
+                await limit_overlap(context, running[1], running)
+            ended = [each for each in running if each.scope.cancel_called]
+            return "".join(each.placement.address for each in ended)
+
+        return anyio.run(run, backend_options={"loop_factory": VirtualLoop})
+
+    # Guards against two targets that work on one stream, and against a stream that is
+    # taken from its target in favour of a dead one.
+    def test_at_most_one_target_that_responds_keeps_a_stream(self) -> None:
+        for responding, ended in (("ab", "a"), ("b", "a"), ("a", "b"), ("", "")):
+            with self.subTest(responding=responding):
+                self.assertEqual(self.ended(responding), ended)
+
+    def test_targets_that_cannot_be_probed_keep_a_stream(self) -> None:
+        """Targets of which nothing is known may both be silent and sound."""
+        self.assertEqual(self.ended("ab", probe_path=None), "")
+
+
 class OverlapTests(unittest.TestCase):
     """A second target gets a stream of which the first one says nothing more."""
 
@@ -100,6 +148,7 @@
                 play = _Play(_FOREVER_S, events, prefill_s=1.0)
                 play.run()
                 self.check_whole(play)
+                self.assertGreater(play.arrived_s, 0.0)
                 self.assertLess(play.closed_s - play.arrived_s, _MAX_OVERLAP_S)
 
     # Guards against an answer that is thrown away just before it goes on.
@@ -112,6 +161,23 @@
                 self.assertGreater(play.arrived_s, 0.0)
                 self.assertEqual(play.closed_s, 0.0)
 
+    # Guards against a sound target whose stream is ended in favour of a dead one.
+    def test_a_second_target_that_does_not_respond_gets_nothing(self) -> None:
+        for responding in (frozenset({0}), frozenset[int]()):
+            with self.subTest(responding=responding):
+                play = _Play(1.9, 2, prefill_s=_FOREVER_S, responding=responding)
+                play.run()
+                self.check_whole(play)
+                self.assertGreater(play.arrived_s, 0.0)
+                self.assertEqual(play.closed_s, 0.0)
+
+    # Guards against a stream that waits for a dead target.
+    def test_a_first_target_that_does_not_respond_is_left(self) -> None:
+        play = _Play(_FOREVER_S, 2, prefill_s=1.0, responding=frozenset({1}))
+        play.run()
+        self.check_whole(play)
+        self.assertLess(play.closed_s - play.arrived_s, _MAX_OVERLAP_S)
+
 
 if __name__ == "__main__":
     unittest.main()
