Store the version of a service also while it is the only one

What callers saw (a report from a system like this one): streams taken up again after the loss of all routers hold text of two software versions.

Cause: the versions of a service were stored only once it had several. If the only version was replaced while no router ran, or all routers were lost before the row of a second version was written, the routers that started knew of one version only, the new one, and took each stream for its own.

Now the row is written when the first version is seen, by two routers, once. Routers that start find the old version there, and refuse a stream of which nobody knows the version. A version that is stored and no longer registered is not the only one either.

--- a/src/endivegw/streams/manager.py
+++ b/src/endivegw/streams/manager.py
@@ -69,9 +69,9 @@
     """Decide at which software version a stream may go on.
 
     What targets of two versions write does not fit together. While a service has one
-    version, nothing is sent. Else the version of each stream is sent to few routers
-    when its first event is relayed, since its own router may die and its caller
-    continue at another one.
+    version, nothing is sent or stored about its streams. Else the version of each
+    stream is sent to few routers when its first event is relayed, since its own router
+    may die and its caller continue at another one.
 
     :param vm: name of this router's vm, whose row it writes.
     :param unavailable_s: returns for how long the registry of targets has not answered.
@@ -175,10 +175,11 @@
             before = self._several(service)
             versions = frozenset(registered.get(service, ()))
             new = self.history.register(service, versions, now_s)
-            if new is None or not self._several(service):
+            if new is None:
                 continue
-            for version in new:
-                self._peers.broadcast(VersionSeen(service, version))
+            if self._several(service):
+                for version in new:
+                    self._peers.broadcast(VersionSeen(service, version))
             self._on_versions(service, before)
 
     def receive(self, seen: VersionSeen) -> None:
@@ -189,10 +190,12 @@
             self._on_versions(seen.service, before)
 
     def _on_versions(self, service: str, several_before: bool) -> None:
-        """Send the records of streams that began while there was one version."""
-        if not self._several(service):
-            return
-        if not several_before:
+        """Send the records of streams that began while there was one version.
+
+        The versions are also stored while there is one: it may be gone when the next
+        routers start.
+        """
+        if self._several(service) and not several_before:
             versions = sorted(self.history.versions(service, self._clock()))
             self._log.emit(
                 events.SEVERAL_VERSIONS, service=service, software_versions=versions
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -25,6 +25,9 @@
 #: Seconds after which a stream's record survives the loss of all routers.
 SAVED_WITHIN_S = 1.5
 
+#: Seconds within which targets start again.
+REPLACED_WITHIN_S = 1.0
+
 #: Three targets of each of two software versions.
 VERSIONS = {f"e-{number}": "v1" if number <= 3 else "v2" for number in range(1, 7)}
 
@@ -206,6 +209,36 @@
 
         anyio.run(scenario)
 
+    # Guards against streams that go on at a version which took the place of theirs
+    # while no router ran.
+    def test_a_version_that_changes_while_no_router_runs_joins_no_streams(self) -> None:
+        async def scenario() -> None:
+            versions = dict.fromkeys(VERSIONS, "v1")
+            async with platform_fleet(4, 6, software_versions=versions) as fleet:
+                begun = [await self.leave_stream(fleet, n) for n in range(LEFT)]
+                fleet.kill_routers()
+                for name in VERSIONS:
+                    fleet.targets[name].software_version = "v2"
+                    fleet.workers[name].terminated.set()
+                await anyio.sleep(REPLACED_WITHIN_S)
+                for _ in range(4):
+                    fleet.start_router()
+                await fleet.wait_ready()
+                statuses = {
+                    (
+                        await fleet.send_request(
+                            "resumable",
+                            router=number % 4,
+                            tokens=(20, 32),
+                            fields=(("last-event-id", "2"), ("resumes", attempt_id)),
+                        )
+                    ).status
+                    for number, (attempt_id, _) in enumerate(begun)
+                }
+                self.assertEqual(statuses, {503})
+
+        anyio.run(scenario)
+
     async def leave_stream(self, fleet: ClientFleet, number: int) -> tuple[str, str]:
         """Leave a stream after two events; return its attempt and its version."""
         attempt_id = f"left-{number}"
