--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -54,6 +54,7 @@
         deadline_ms: int = 3000,
         attempt_id: str | None = None,
         fields: Sequence[tuple[str, str]] = (),
+        method: str = "POST",
         leave_after_events: int | None = None,
     ) -> Answer:
         """Send one request on a new connection.
@@ -73,7 +74,7 @@
         ]
         if tokens is not None:
             all_fields.append(("endivegw-token-counts", f"{tokens[0]},{tokens[1]}"))
-        request = h11.Request(method="POST", target=f"/{route}/x", headers=all_fields)
+        request = h11.Request(method=method, target=f"/{route}/x", headers=all_fields)
         return await exchange(self.ports[router], request, body, leave_after_events)
 
     async def ready_status(self, router: int = 0) -> int:
