Sidecars send one request on each connection to a target

What callers would see: the answer of an additional 503 in place of their own; a request that runs counts as not started. It is the cause of the requests that ran twice, in the other fleet: an answer was attributed by its place on the connection, and an engine's or a service's answer need not carry an id.

Ruled out: the engine's client of streams, which closes its connection behind the end mark.

Without an id nothing tells a late answer from the next one, so the target's next request gets a connection of its own.

The test of the service failed with 503 before.

--- a/src/endivegw/targets/http_common.py
+++ b/src/endivegw/targets/http_common.py
@@ -41,16 +41,15 @@
 #: current engines leaves connections for orders and load reports beside the streams.
 MAX_CONNECTIONS = 512
 
-_KEEP_ALIVE_S = 30.0
-
 
 def default_pool() -> httpcore.AsyncConnectionPool:
-    """Return a connection pool for one target, without automatic retries."""
+    """Return a connection pool for one target, without automatic retries.
+
+    A connection carries one request: answers need not carry an id, so that an
+    additional one would be taken for the answer to the next request.
+    """
     return httpcore.AsyncConnectionPool(
-        max_connections=MAX_CONNECTIONS,
-        max_keepalive_connections=MAX_CONNECTIONS,
-        keepalive_expiry=_KEEP_ALIVE_S,
-        retries=0,
+        max_connections=MAX_CONNECTIONS, max_keepalive_connections=0, retries=0
     )
 
 
