Targets of the soak send additional answers and report that they respond

The soak's targets record each run by its id, and the checks "ran twice" and "ran though it was refused" stand since long; no target sent an answer to none, so neither could fail for it.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -32,7 +32,7 @@
 from endivegw_standins.arrivals import most_arrivals
 from endivegw_standins.platform_store_app import PlatformStoreApp
 from endivegw_standins.platform_target import PlatformTarget
-from endivegw_standins.platform_worker import PlatformWorker
+from endivegw_standins.platform_worker import ExtraAnswer, PlatformWorker
 from endivegw_standins.ports import reserve_datagram_port, reserve_port
 from tests.caller_promises import (
     Evidence,
@@ -111,6 +111,18 @@
 #: Folder of the logs of failed seeds.
 _RESULTS = pathlib.Path("results")
 
+#: Additional answers of targets; the last one carries the id of the request before.
+_NOT_EXECUTED = "endivegw-not-executed: 1\r\n"
+_EXTRA_ANSWERS = (
+    ExtraAnswer(200),
+    ExtraAnswer(400, fields=_NOT_EXECUTED),
+    ExtraAnswer(421),
+    ExtraAnswer(500),
+    ExtraAnswer(503, fields=_NOT_EXECUTED),
+    ExtraAnswer(503, fields=f"{_NOT_EXECUTED}retry-after: 5\r\nserver-leaving: 1\r\n"),
+    ExtraAnswer(503, has_id=True, fields=_NOT_EXECUTED),
+)
+
 #: Sample routes whose requests may run at most once.
 _ONCE = frozenset({"print", "chat"})
 
@@ -175,6 +187,7 @@
         ):
             worker = self.workers[name] = PlatformWorker(name, event_pause_s=0.02)
             worker.crash_trigger = _CRASHING_PREFIX
+            worker.reports = True
             target = PlatformTarget(name, service, worker, zone=f"zone-{name}")
             if service == "engine":
                 target.warm_up_s = _WARM_UP_S
@@ -530,6 +543,7 @@
         self.put_configuration()
         for worker in self.workers.values():
             worker.remaining_silences = 0
+            worker.remaining_extras = 0
 
     async def inject_faults(self) -> None:
         """Inject random, overlapping faults until cancelled."""
@@ -541,7 +555,7 @@
                 + [self._configure_often, self._silence, self._stop]
                 + [self._shed, self._leave, self._replace]
                 + [self._evacuate, self._limit]
-                + [self._turn_away, self._burst, self._read_nothing]
+                + [self._turn_away, self._burst, self._read_nothing, self._extra]
             )
             self.report.faults.append(fault.__name__.strip("_"))
             self.tasks.start_soon(fault)
@@ -699,6 +713,13 @@
         if self.rng.random() < 0.5:
             worker.break_after_events = self.rng.randrange(1, _EVENTS)
 
+    async def _extra(self) -> None:
+        """Let targets send answers to none in addition to their next answers."""
+        workers = list(self.workers.values())
+        for worker in self.rng.sample(workers, self.rng.choice([1, len(workers)])):
+            worker.extra_answer = self.rng.choice(_EXTRA_ANSWERS)
+            worker.remaining_extras += self.rng.randrange(1, 20)
+
     async def _evacuate(self) -> None:
         target = self.rng.choice(self.targets)
         self.store.put("op", f"evacuate/{target.zone}", {})
