Pass on all known ends of a request that may end targets

Cause: news of an end was passed on as it came. A router that started after the first end, of which no row tells, counted one end less than all others until it read the row, up to 5 s later.

Requests that a target has completed are left out, as they are likely beside the cause.

The test failed before at 5 and 29 routers.

--- a/src/endivegw/quarantine/manager.py
+++ b/src/endivegw/quarantine/manager.py
@@ -193,7 +193,7 @@
                 start, in_progress[first : first + _MAX_FINGERPRINTS]
             )
             self._merge(evidence, "own")
-            self._broadcast(evidence)
+            self._share(evidence)
         for fingerprint in in_progress:
             if self.ledger.is_suspect(fingerprint):
                 self._schedule_write(fingerprint)
@@ -224,7 +224,29 @@
             >= self._options.refresh_every_s / 2
         )
         if self._merge(evidence, "peer") or stale:
-            self._broadcast(evidence)
+            self._share(evidence)
+
+    def _share(self, evidence: Evidence) -> None:
+        """Send evidence to peers, for suspects together with what is known before it.
+
+        A peer that started meanwhile has missed the first termination, of which no row
+        tells either.
+        """
+        match evidence:
+            case RequestRecord(fingerprint):
+                self._broadcast(self.ledger.record(fingerprint))
+            case TargetTerminated(start, fingerprints):
+                suspects = [name for name in fingerprints if self._is_unanswered(name)]
+                others = tuple(name for name in fingerprints if name not in suspects)
+                if others:
+                    self._broadcast(TargetTerminated(start, others))
+                for fingerprint in suspects:
+                    self._broadcast(self.ledger.record(fingerprint))
+
+    def _is_unanswered(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request is a suspect that no target has completed."""
+        record = self.ledger.record(fingerprint)
+        return not record.was_answered and self.ledger.is_suspect(fingerprint)
 
     def _refresh(self, fingerprint: Fingerprint, now_s: float) -> None:
         """Refresh a request that still arrives at all routers and in the store."""
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -97,6 +97,23 @@
 
         run_fleet(body)
 
+    # Guards against a router that sends a deadly request on, because it started after
+    # the first end, of which no row tells.
+    def test_a_router_that_starts_between_two_ends_counts_both(self) -> None:
+        async def body(world: QuarantineWorld) -> None:
+            for number in range(3):
+                router = world.routers[number].manager
+                router.record_termination(world.targets[number].start, [DEADLY[0]])
+                await anyio.sleep(0.2)
+                if not number:
+                    world.start(4)
+                    await anyio.sleep(0.2)
+            self.assertEqual(count_quarantining(world), len(world.routers))
+
+        for routers in (5, 29):
+            with self.subTest(routers=routers):
+                run_fleet(body, routers=routers)
+
     def test_repeated_reports_count_once(self) -> None:
         """Guards against counting reports instead of terminations."""
 
