Streams that fall silent at one target share a probe

A target that is paused with 48 streams would have got hundreds of connections from one router within its pause.

Probes of one address share a request, which stays until the target responds; one that fails is repeated at doubling intervals.

--- a/src/endivegw/relay/attempt_overlap.py
+++ b/src/endivegw/relay/attempt_overlap.py
@@ -24,34 +24,44 @@
     :param running: the attempts of the race; attempts that end leave it.
     """
     path = context.wire.probe_path()
-    while path is not None and len(running) > 1:
-        responding = await _responding(context, running, path)
-        others = [attempt for attempt in running if attempt is not newest]
-        if newest in responding:
-            newest.took_over = True
-            for attempt in others:
-                attempt.scope.cancel()
-            return
-        if any(attempt in responding for attempt in others):
-            newest.silent = True
-            newest.scope.cancel()
-            return
-
-
-async def _responding(
-    context: RelayContext, running: Sequence[RunningAttempt], path: bytes
-) -> list[RunningAttempt]:
-    """Return the attempts whose targets respond to a probe in time."""
-    found: list[RunningAttempt] = []
-
-    async def probe(attempt: RunningAttempt) -> None:
-        if await context.pool.probe(attempt.placement.address, path):
-            found.append(attempt)
-
+    if path is None:
+        return
+    responding: list[RunningAttempt] = []
     async with anyio.create_task_group() as tasks:
         for attempt in running:
-            tasks.start_soon(probe, attempt)
-        # A refusal may take as long as a response to the probe.
-        await anyio.sleep(context.limits.overlap_s)
+            tasks.start_soon(_probe, context, attempt, path, responding)
+        while len(running) > 1 and not newest.took_over:
+            # A refusal may take as long as a response to the probe.
+            await anyio.sleep(context.limits.overlap_s)
+            _end_attempts(newest, running, responding)
         tasks.cancel_scope.cancel()
-    return found
+
+
+def _end_attempts(
+    newest: RunningAttempt,
+    running: Sequence[RunningAttempt],
+    responding: Sequence[RunningAttempt],
+) -> None:
+    """End the attempts of all targets but one, if it is known which one responds."""
+    others = [attempt for attempt in running if attempt is not newest]
+    if newest in responding:
+        newest.took_over = True
+        for attempt in others:
+            attempt.scope.cancel()
+    elif any(attempt in responding for attempt in others):
+        newest.silent = True
+        newest.scope.cancel()
+
+
+async def _probe(
+    context: RelayContext,
+    attempt: RunningAttempt,
+    path: bytes,
+    responding: list[RunningAttempt],
+) -> None:
+    """Add an attempt to those whose target responds, as soon as it does."""
+    pause_s = context.limits.overlap_s
+    while not await context.pool.probe(attempt.placement.address, path):
+        await anyio.sleep(pause_s)
+        pause_s *= 2.0
+    responding.append(attempt)
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -53,6 +53,14 @@
     sweep_every_s: float = 2.0
 
 
+@define
+class _Probe:
+    """Hold a probe in progress, for which several requests may wait."""
+
+    responds: bool = False
+    ended: anyio.Event = field(factory=anyio.Event)
+
+
 @define
 class TargetPool:
     """Open, hand out and pool connections by target address.
@@ -66,6 +74,7 @@
     meter: TrafficMeter = field(factory=TrafficMeter)
     connections_opened: int = 0
     _idle: dict[str, list[TargetConnection]] = field(factory=dict)
+    _probes: dict[str, _Probe] = field(factory=dict)
 
     async def acquire(self, address: str, require_fresh: bool) -> TargetConnection:
         """Return a connection that is ready for a request.
@@ -111,7 +120,24 @@
         return False
 
     async def probe(self, address: str, path: bytes) -> bool:
-        """Return whether the process at an address responds; may wait for ever."""
+        """Return whether the process at an address responds; may wait for ever.
+
+        Probes of one address at the same time share one request.
+        """
+        probe = self._probes.get(address)
+        if probe is not None:
+            await probe.ended.wait()
+            return probe.responds
+        probe = self._probes[address] = _Probe()
+        try:
+            probe.responds = await self._request(address, path)
+        finally:
+            del self._probes[address]
+            probe.ended.set()
+        return probe.responds
+
+    async def _request(self, address: str, path: bytes) -> bool:
+        """Return whether the process at an address answers a request."""
         fields = [(b"host", address.encode())]
         request = OutgoingRequest(b"GET", path, fields, b"")
         try:
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -65,5 +65,56 @@
         self.assertEqual(counts, [3 * _CONNECTIONS, 3 * _CONNECTIONS, 0])
 
 
+class ProbeTests(unittest.TestCase):
+    """Requests that show whether a target responds."""
+
+    # Guards against a connection for each stream of a target that is paused.
+    def test_probes_of_one_target_share_a_connection(self) -> None:
+        accepted: list[SocketStream] = []
+        resumed = anyio.Event()
+
+        async def pause(stream: SocketStream) -> None:
+            accepted.append(stream)
+            await resumed.wait()
+            await answer(stream)
+
+        async def scenario() -> list[bool]:
+            found: list[bool] = []
+            pool = TargetPool(lambda: 0.0, _LIMITS)
+
+            async def probe() -> None:
+                found.append(await pool.probe(address, b"/x"))
+
+            async with (
+                await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+                anyio.create_task_group() as tasks,
+            ):
+                tasks.start_soon(listener.serve, pause)
+                address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+                with anyio.fail_after(10.0):
+                    async with anyio.create_task_group() as probes:
+                        for _ in range(_CONNECTIONS):
+                            probes.start_soon(probe)
+                        await anyio.sleep(0.1)
+                        resumed.set()
+                tasks.cancel_scope.cancel()
+            await pool.close()
+            return found
+
+        self.assertEqual(anyio.run(scenario), [True] * _CONNECTIONS)
+        self.assertEqual(len(accepted), 1)
+
+    def test_a_target_that_refuses_connections_does_not_respond(self) -> None:
+        """Nobody listens at the address."""
+
+        async def scenario() -> bool:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            address = f"127.0.0.1:{listener.extra(SocketAttribute.local_port)}"
+            await listener.aclose()
+            return await TargetPool(lambda: 0.0, _LIMITS).probe(address, b"/x")
+
+        self.assertFalse(anyio.run(scenario))
+
+
 if __name__ == "__main__":
     unittest.main()
