An error of a probe does not end a stream

Found on reading: an unexpected error in the task that limits an overlap would have ended the request with its task group. It is logged and the attempts go on. The test failed with a cut stream before.

The line on an overlap is written by the module that limits it.

--- a/src/endivegw/relay/admission.py
+++ b/src/endivegw/relay/admission.py
@@ -121,7 +121,7 @@
         return Refused(Reason.BAD_KEY, "no client account has this key")
     if not metadata.request_id:
         return Refused(
-            Reason.BAD_REQUEST, "the request has no id, by which its answer is known"
+            Reason.BAD_REQUEST, "the request has no id to identify its answer by"
         )
     wait_s = _DEFAULT_DEADLINE_S if metadata.deadline_s is None else metadata.deadline_s
     service = table.service(route, _service_rng(route, metadata, rng))
--- a/src/endivegw/relay/attempt_overlap.py
+++ b/src/endivegw/relay/attempt_overlap.py
@@ -8,8 +8,9 @@
 
 from endivegw.relay.context import RelayContext
 from endivegw.relay.running_attempt import RunningAttempt
+from endivegw.telemetry.catalogue import relay as events
 
-__all__ = ["limit_overlap"]
+__all__ = ["limit_overlap", "record_overlap"]
 
 
 async def limit_overlap(
@@ -65,3 +66,23 @@
         await anyio.sleep(pause_s)
         pause_s *= 2.0
     responding.append(attempt)
+
+
+def record_overlap(
+    context: RelayContext,
+    request_id: str,
+    closed: RunningAttempt,
+    running: Sequence[RunningAttempt],
+) -> None:
+    """Log for how long an attempt that was closed overlapped with those beside it."""
+    others = [each for each in running if each is not closed and each.sent_s]
+    if not others or not closed.sent_s:
+        return
+    began_s = max(closed.sent_s, min(other.sent_s for other in others))
+    context.log.emit(
+        events.ATTEMPT_ENDED_BESIDE,
+        request_id=request_id,
+        target=closed.placement.target,
+        others=[other.placement.target for other in others],
+        overlap_s=round(context.clock() - began_s, 4),
+    )
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -12,7 +12,7 @@
 from endivegw.relay.admission import AdmittedRequest, work_item
 from endivegw.relay.answer_writer import AnswerWriter, CallerGone
 from endivegw.relay.attempt import Attempt, AttemptOutcome, AttemptResult
-from endivegw.relay.attempt_overlap import limit_overlap
+from endivegw.relay.attempt_overlap import limit_overlap, record_overlap
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import TargetHead, end_to_end
 from endivegw.relay.request_log import record_placement
@@ -196,7 +196,7 @@
                 # The attempt was cancelled. An unsent request is not charged.
                 end = AttemptOutcome.LOST if attempt.sent else AttemptOutcome.NOT_SENT
                 self._report(running, AttemptResult(end, "cancelled"), False)
-                self._record_overlap(running)
+                record_overlap(context, admitted.request_id, running, self._running)
         self._report(running, result, True)
         try:
             await self._quarantine_check.record_attempt(
@@ -206,22 +206,6 @@
             record_failure(context.log, "record of an attempt", error)
         return result
 
-    def _record_overlap(self, running: RunningAttempt) -> None:
-        """Log for how long a closed attempt overlapped with one beside it."""
-        others = [other for other in self._running if other is not running]
-        sent_s = [other.sent_s for other in others if other.sent_s]
-        if not sent_s or not running.sent_s:
-            return
-        overlap_s = self._context.clock() - max(running.sent_s, min(sent_s))
-        self._context.log.emit(
-            events.ATTEMPT_ENDED_BESIDE,
-            request_id=self._admitted.request_id,
-            target=running.placement.target,
-            others=[other.placement.target for other in others if other.sent_s],
-            overlap_s=round(overlap_s, 4),
-            events=self._progress.stream_progress.events,
-        )
-
     def _handle_silence(self, running: RunningAttempt) -> None:
         """Let another target run the request beside one that is silent, if possible."""
         running.silent = True
@@ -307,9 +291,13 @@
         """Let one of the targets that work go on with a stream of an engine."""
         admitted = self._admitted
         is_engine = admitted.service_kind is ServiceKind.ENGINE
-        if is_engine and admitted.route.kind.is_stream:
+        if not is_engine or not admitted.route.kind.is_stream:
+            return
+        try:
             with running.overlap_scope:
                 await limit_overlap(self._context, running, self._running)
+        except Exception as error:
+            record_failure(self._context.log, "limit of an overlap", error)
 
     def _build_request(self, placement: Placement) -> OutgoingRequest:
         admitted = self._admitted
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -161,7 +161,7 @@
     Level.INFO,
     "An attempt was closed while other targets had the same request; overlap_s is the"
     " time for which this target and another one had it.",
-    ("request_id", "target", "others", "overlap_s", "events"),
+    ("request_id", "target", "others", "overlap_s"),
 )
 ANSWER_UNMATCHED = Event(
     9137,
--- a/tests/test_attempt_overlap.py
+++ b/tests/test_attempt_overlap.py
@@ -13,6 +13,7 @@
 from endivegw.relay.attempt import AttemptLimits
 from endivegw.relay.attempt_overlap import limit_overlap
 from endivegw.relay.running_attempt import RunningAttempt
+from endivegw.relay.target_pool import TargetPool
 from endivegw_standins.platform_worker import PlatformWorker
 from endivegw_standins.virtual_time import VirtualLoop
 from tests.platform_fleet import Answer, ClientFleet
@@ -171,6 +172,13 @@
                 self.assertGreater(play.arrived_s, 0.0)
                 self.assertEqual(play.closed_s, 0.0)
 
+    # Guards against a stream that an error beside it ends.
+    def test_an_error_of_a_probe_does_not_end_a_stream(self) -> None:
+        with mock.patch.object(TargetPool, "probe", side_effect=ValueError("probe")):
+            play = _Play(1.9, 2, prefill_s=_FOREVER_S)
+            play.run()
+        self.check_whole(play)
+
     # Guards against a stream that waits for a dead target.
     def test_a_first_target_that_does_not_respond_is_left(self) -> None:
         play = _Play(_FOREVER_S, 2, prefill_s=1.0, responding=frozenset({1}))
