The soak's own faults do not remove the limit that its check states

Trace (routers' event 9125): the limit of the check came at 30.499 and was gone at 33.64 in the target's own answers, while arrivals were counted. A fault "limit" that began before the faults ended removes the limit of its target after up to 3 s, also when it is the check's by then.

Now the end of all faults removes their limits, and the check's limit stays for as long as arrivals are counted, so that the check is as strict in every play.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -171,6 +171,8 @@
         self.request_count = 0
         self.vm_count = 0
         self.calm = False
+        #: Faults, and starts and ends of processes, each with the time of day.
+        self.history: list[str] = []
 
     # Fleet.
 
@@ -222,6 +224,7 @@
     def start_router(self, number: int) -> None:
         """Start a router's process and redirect its output to a file."""
         self.start_count += 1
+        self._record(f"router {number} is started")
         self.incarnations[number] = f"{number}.{self.start_count}"
         log = open(self.folder / f"router-{number}.log", "ab")
         settings = str(self.folder / f"router-{number}.ini")
@@ -231,6 +234,9 @@
         )
         log.close()
 
+    def _record(self, what: str) -> None:
+        self.history.append(f"{_clock(anyio.current_time())} {what}")
+
     def kill_all(self) -> None:
         """Kill the processes that this test started."""
         for process in self.routers.values():
@@ -544,6 +550,7 @@
         for worker in self.workers.values():
             worker.remaining_silences = 0
             worker.remaining_extras = 0
+            worker.limit = None
 
     async def inject_faults(self) -> None:
         """Inject random, overlapping faults until cancelled."""
@@ -558,6 +565,7 @@
                 + [self._turn_away, self._burst, self._read_nothing, self._extra]
             )
             self.report.faults.append(fault.__name__.strip("_"))
+            self._record(f"fault {fault.__name__}")
             self.tasks.start_soon(fault)
 
     async def _kill(self) -> None:
@@ -600,6 +608,7 @@
         with anyio.move_on_after(within_s):
             while process.poll() is None:
                 await anyio.sleep(0.05)
+        self._record(f"router {number} has ended: {process.poll() is not None}")
         if process.poll() is None:
             self._kill_router(number)
         await anyio.sleep(self.rng.random() * 0.5)
@@ -730,7 +739,9 @@
         worker = self.rng.choice(list(self.workers.values()))
         worker.limit = self.rng.choice(["0.4", "1", "2.5", "0", "soon", "nan", "-1"])
         await anyio.sleep(self.rng.random() * 3.0)
-        worker.limit = None
+        # The limit of the check that follows the faults must stay.
+        if not self.calm:
+            worker.limit = None
 
     async def _leave(self) -> None:
         target = self.rng.choice(self.targets)
@@ -774,6 +785,7 @@
     results.mkdir(parents=True, exist_ok=True)
     for log in soak.folder.glob("*.log"):
         (results / log.name).write_bytes(log.read_bytes())
+    (results / "history.log").write_text("\n".join(soak.history) + "\n")
 
 
 async def run_seed(
