Event 9103 tells which connection an attempt used, and the count of its requests

Two sends of one request on one connection could not be told from sends on two, so that an additional answer to the first send, which carries the request's id, left no trace. No decision changes. In a play of tests.test_repeated_sends the second attempt of print-0 has the connection of the first, and exchange 2.

--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -139,6 +139,9 @@
     :param on_silent: called whenever the target has sent nothing for some time.
     :param held_answers: bounds the answers that are read whole.
     :ivar sent: whether any byte of the request may have reached the target.
+    :ivar connection: number of the connection that was used; None if there was none.
+    :ivar exchange: which request on that connection this one was, counted from 1; 0 if
+        it was not sent.
     """
 
     def __init__(
@@ -172,6 +175,8 @@
         self._held_answers = held_answers
         self._metadata = AnswerMetadata(None, False)
         self.sent = False
+        self.connection: int | None = None
+        self.exchange = 0
 
     async def run(
         self,
@@ -205,6 +210,8 @@
                 )
             clean = False
             self.sent = True
+            self.connection = connection.number
+            self.exchange = connection.request_count + 1
             connection.watch_silence(silence_s, self._on_silent)
             result = await self._exchange(connection, outgoing, stream)
             clean = result.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.NOT_RUN)
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -195,9 +195,9 @@
             if result is None:
                 # The attempt was cancelled. An unsent request is not charged.
                 end = AttemptOutcome.LOST if attempt.sent else AttemptOutcome.NOT_SENT
-                self._report(running, AttemptResult(end, "cancelled"), False)
+                self._report(running, attempt, AttemptResult(end, "cancelled"), False)
                 record_overlap(context, admitted.request_id, running, self._running)
-        self._report(running, result, True)
+        self._report(running, attempt, result, True)
         try:
             await self._quarantine_check.record_attempt(
                 placement, result, running.answering
@@ -315,7 +315,11 @@
         return OutgoingRequest(request.method, request.target, fields, request.body)
 
     def _report(
-        self, running: RunningAttempt, result: AttemptResult, done: bool
+        self,
+        running: RunningAttempt,
+        attempt: Attempt,
+        result: AttemptResult,
+        done: bool,
     ) -> None:
         """Report the result of an attempt to the dispatcher, and count the attempt.
 
@@ -356,6 +360,8 @@
                 fingerprint=(
                     self._quarantine_check.fingerprint if result.broken else None
                 ),
+                connection=attempt.connection,
+                exchange=attempt.exchange,
             )
 
     def output_tokens(self) -> int:
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -65,15 +65,20 @@
 
     :param opened_s: time at which the connection was opened; its first idle period
         starts then.
+    :param number: tells the connections of a process apart.
+    :ivar request_count: number of requests that were sent.
     """
 
-    def __init__(self, stream: TcpStream, address: str, opened_s: float) -> None:
+    def __init__(
+        self, stream: TcpStream, address: str, opened_s: float, number: int = 0
+    ) -> None:
         self._stream = stream
         self.address = address
+        self.number = number
+        self.request_count = 0
         self.idle_since_s = opened_s
         #: Idle time-out that the target announced, None if it announced none.
         self.keep_alive_s: float | None = None
-        self.used = False
         self._parser = AnswerParser()
         self._sent = True
         self._has_skipped = False
@@ -124,7 +129,7 @@
             the answer to this request.
         :raises AnswerBroken: if no answer was received; the request may have run.
         """
-        self.used = True
+        self.request_count += 1
         self._sent = False
         self._parser = AnswerParser(head_only=outgoing.method == b"HEAD")
         data = _encode(outgoing)
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -213,7 +213,7 @@
         except OSError as error:
             raise ConnectFailed(str(error)) from error
         self.connections_opened += 1
-        return TargetConnection(stream, address, self.clock())
+        return TargetConnection(stream, address, self.clock(), self.connections_opened)
 
 
 async def _is_dropped(stream: TcpStream, within_s: float) -> bool:
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -64,8 +64,19 @@
     9103,
     "relay-attempt-failed",
     Level.WARNING,
-    "An attempt at a target ended without a complete answer.",
-    ("request_id", "target", "address", "end", "detail", "events", "fingerprint"),
+    "An attempt at a target ended without a complete answer. connection tells the"
+    " router's connections to targets apart, and exchange counts the requests on it.",
+    (
+        "request_id",
+        "target",
+        "address",
+        "end",
+        "detail",
+        "events",
+        "fingerprint",
+        "connection",
+        "exchange",
+    ),
 )
 REQUEST_ENDED = Event(
     9104,
