Test that fails: an answer to the first send of a request answers its second

A target's address is listed for a former instance too. The new instance rejects the request with 421 and repeats that answer when the next request has arrived. The next request on the connection is the same one again, with the same id.

--- a/tests/test_repeated_sends.py
+++ b/tests/test_repeated_sends.py
@@ -22,6 +22,9 @@
 _DEADLINE_MS = 1500
 _NOT_EXECUTED = "endivegw-not-executed: 1\r\n"
 
+#: Zone without a router, whose targets are preferred by none.
+_OTHER_ZONE = "y"
+
 #: Statuses that guarantee that a request did not run.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -53,8 +56,8 @@
     async with platform_fleet() as fleet:
         assert fleet.tasks is not None
         worker = fleet.workers["p-2"] = PlatformWorker("p-2")
-        fleet.targets["p-2"] = PlatformTarget("p-2", "plain", worker)
-        fleet.tasks.start_soon(partial(fleet.targets["p-2"].run, fleet.store))
+        other = PlatformTarget("p-2", "plain", worker, zone=_OTHER_ZONE)
+        fleet.tasks.start_soon(partial(other.run, fleet.store))
         restarted = fleet.workers["p-1"]
         restarted.extra_answer, restarted.remaining_extras = extra, _MAX_REQUESTS
         for number in range(_MAX_REQUESTS):
