Send a request again to an address only on a connection that is new

Callers of a route with one attempt saw a request run at two targets, or got 503 or 500 for one that ran, and a sound target got nothing more. Cause: a request that another instance rejects (421) may go to the next instance at the same address; its connection is in order after the rejection and is used again, so that both sends have one id on one connection. An additional answer to the first send was taken for the answer to the second.

Each connection now carries a request at most once: an address that was sent the request gets it on a new connection, on which no earlier answer can arrive.

--- a/src/endivegw/relay/attempt.py
+++ b/src/endivegw/relay/attempt.py
@@ -184,6 +184,7 @@
         outgoing: OutgoingRequest,
         *,
         require_fresh: bool,
+        require_new: bool,
         stream: bool,
         silence_s: float | None,
     ) -> AttemptResult:
@@ -191,12 +192,14 @@
 
         :param require_fresh: whether the request must not run twice, so that only a
             recently used connection may be reused.
+        :param require_new: whether the address was sent the request before. The id
+            tells an answer to that send from the next one only on another connection.
         :param stream: whether a successful answer is relayed event by event.
         :param silence_s: time without data after which the target counts as silent;
             None if it never does.
         """
         try:
-            connection = await self._pool.acquire(address, require_fresh)
+            connection = await self._pool.acquire(address, require_fresh, require_new)
         except ConnectFailed as error:
             return AttemptResult(AttemptOutcome.NOT_SENT, str(error))
         # A connection that carried no byte of this request can be reused.
--- a/src/endivegw/relay/attempt_race.py
+++ b/src/endivegw/relay/attempt_race.py
@@ -181,6 +181,7 @@
                 placement.address,
                 self._build_request(placement),
                 require_fresh=not kind.may_repeat,
+                require_new=placement.address in self._progress.addresses,
                 stream=kind.is_stream,
                 silence_s=context.limits.silence_s if kind.may_repeat else None,
             )
@@ -283,6 +284,8 @@
         may_send = availability.start_send(
             running.work_id, placement.target, now_s, placement.software_version
         )
+        if may_send:
+            self._progress.addresses.add(placement.address)
         if may_send and self._tasks is not None and len(self._running) > 1:
             self._tasks.start_soon(self._limit_overlap, running)
         return may_send
--- a/src/endivegw/relay/request_progress.py
+++ b/src/endivegw/relay/request_progress.py
@@ -42,6 +42,7 @@
         addressed target had ended.
     :ivar may_have_run: whether some target may have run the request.
     :ivar excluded: targets that must not receive the request again.
+    :ivar addresses: addresses that were sent the request.
     :ivar fallback: a failure that a target answered, for which another target may still
         have a better answer; None if there is none.
     :ivar first_data_s: time at which the first data of an answer arrived.
@@ -55,6 +56,7 @@
     replaced_count: int = 0
     may_have_run: bool = False
     excluded: set[TargetName] = field(factory=set)
+    addresses: set[str] = field(factory=set)
     fallback: CompleteAnswer | None = None
     first_data_s: float | None = None
     last_relayed_s: float | None = None
--- a/src/endivegw/relay/target_pool.py
+++ b/src/endivegw/relay/target_pool.py
@@ -76,15 +76,18 @@
     _idle: dict[str, list[TargetConnection]] = field(factory=dict)
     _probes: dict[str, _Probe] = field(factory=dict)
 
-    async def acquire(self, address: str, require_fresh: bool) -> TargetConnection:
+    async def acquire(
+        self, address: str, require_fresh: bool, require_new: bool = False
+    ) -> TargetConnection:
         """Return a connection that is ready for a request.
 
         :param require_fresh: whether the request must not run twice; connections with
             a longer idle time are then not reused.
+        :param require_new: whether no connection is reused at all.
         :raises ConnectFailed: if no connection was opened in time.
         """
         pooled = self._idle.get(address, [])
-        while pooled:
+        while pooled and not require_new:
             connection = pooled.pop()
             if self._usable(connection, require_fresh) and connection.has_no_input():
                 return connection
