--- a/src/endivegw_standins/stream_world.py
+++ b/src/endivegw_standins/stream_world.py
@@ -64,6 +64,7 @@
 class StreamWorld:
     """Routers in front of one service, and the software versions of its targets.
 
+    :ivar behind: vms whose routers read no further rows of targets.
     :ivar outcomes: number of resumed streams by outcome: ``continued``, ``refused``
         or ``joined``.
     """
@@ -74,6 +75,7 @@
     network: SimulatedNetwork = field(init=False)
     routers: dict[str, StreamRouter] = field(factory=dict)
     versions: frozenset[str] = frozenset({"v1"})
+    behind: set[str] = field(factory=set)
     outcomes: Counter[str] = field(factory=Counter)
     _starts: int = 0
     _streams: int = 0
@@ -107,7 +109,13 @@
 
     async def _read_rows(self, router: StreamRouter, versions: frozenset[str]) -> None:
         await anyio.sleep(self.rng.random() * _ROW_DELAY_S)
-        router.streams.register({SERVICE: versions})
+        if router.vm not in self.behind | self.store.cut:
+            router.streams.register({SERVICE: versions})
+
+    def cut_off(self, *vms: str) -> None:
+        """Cut routers off from the store and from all other routers."""
+        self.store.cut.update(vms)
+        self.network.groups.update(dict.fromkeys(vms, 1))
 
     def begin(self, vm: str, version: str) -> str:
         """Relay the first event of a stream; return the attempt's id."""
--- /dev/null
+++ b/tests/test_streams_out_of_step.py
@@ -0,0 +1,105 @@
+"""Streams that are resumed at a router which is out of step with the others."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import Awaitable, Callable
+
+import anyio
+
+from endivegw_standins.stream_world import StreamWorld
+from endivegw_standins.virtual_time import VirtualLoop
+
+#: Routers that are out of step.
+_OUT_OF_STEP = ("vm-1", "vm-2")
+
+#: Numbers of routers.
+_SIZES = (4, 26)
+
+#: Times at which streams are resumed, after the second version has joined. A router
+#: that hears nothing takes over a second to notice.
+_RESUMED_AFTER_S = (0.02, 0.1, 0.3, 0.6, 0.9, 1.2, 2.0)
+
+#: Time between the first event of a stream and its resumption elsewhere.
+_BROKEN_S = 0.01
+
+Scenario = Callable[[StreamWorld], Awaitable[None]]
+
+
+def run_world(body: Scenario, routers: int = 4) -> StreamWorld:
+    """Run a scenario on a fleet in virtual time and return the fleet."""
+    worlds: list[StreamWorld] = []
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tasks:
+            world = StreamWorld(random.Random(routers), tasks)
+            worlds.append(world)
+            for number in range(routers):
+                world.start(f"vm-{number}")
+            await anyio.sleep(0.5)
+            await body(world)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run, backend_options={"loop_factory": VirtualLoop})
+    return worlds[0]
+
+
+async def join_second_version(world: StreamWorld) -> None:
+    """Let a second version join, and resume its streams at routers out of step."""
+    world.set_versions("v1", "v2")
+    started_s = anyio.current_time()
+    for after_s in _RESUMED_AFTER_S:
+        await anyio.sleep(started_s + after_s - anyio.current_time())
+        for vm in _OUT_OF_STEP:
+            attempt_id = world.begin("vm-0", "v2")
+            await anyio.sleep(_BROKEN_S)
+            await world.resume(vm, attempt_id, "v2")
+
+
+class SecondVersionTests(unittest.TestCase):
+    """A second version joins while some routers are out of step."""
+
+    def check_joins_none(self, disturb: Callable[[StreamWorld], None]) -> None:
+        """Check that no stream goes on at a version other than its own."""
+
+        async def scenario(world: StreamWorld) -> None:
+            disturb(world)
+            await anyio.sleep(0.2)
+            await join_second_version(world)
+
+        for routers in _SIZES:
+            with self.subTest(routers=routers):
+                outcomes = run_world(scenario, routers).outcomes
+                self.assertEqual(outcomes["joined"], 0, outcomes)
+
+    # Guards against streams that go on at the only version that a router has heard of,
+    # because it hears nothing.
+    def test_a_router_that_is_cut_off_joins_no_streams(self) -> None:
+        self.check_joins_none(lambda world: world.cut_off("vm-1"))
+
+    # Guards against routers that are cut off together and confirm each other.
+    def test_routers_that_are_cut_off_together_join_no_streams(self) -> None:
+        self.check_joins_none(lambda world: world.cut_off(*_OUT_OF_STEP))
+
+    # Guards against a router whose calls arrive and whose answers are lost.
+    def test_a_router_that_gets_no_answers_joins_no_streams(self) -> None:
+        def disturb(world: StreamWorld) -> None:
+            world.cut_off("vm-1")
+            world.store.cut.clear()
+            world.store.unanswered.add("vm-1")
+            world.behind.add("vm-1")
+
+        self.check_joins_none(disturb)
+
+    # Guards against a router that stood still and has read nothing since.
+    def test_a_router_that_has_just_woken_up_joins_no_streams(self) -> None:
+        self.check_joins_none(lambda world: world.behind.update(_OUT_OF_STEP))
+
+    # Guards against a router that loses the store and does not ask the others.
+    def test_a_router_without_the_store_joins_no_streams(self) -> None:
+        self.check_joins_none(lambda world: world.store.cut.add("vm-1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
