The soak lists former instances at the addresses of targets that repeat their answers

The cause of the incident could not arise there: no entry named an address at which another instance served.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -47,6 +47,7 @@
 from tests.platform_fleet import serve_asgi_on_loopback
 from tests.soak_callers import Call, CallerLink
 from tests.soak_configuration import KEY, SPARE_SERVICE, SoakConfiguration
+from tests.soak_entries import SoakEntries
 from tests.soak_proxy import Proxy
 
 __all__ = ["SoakReport", "run_seed"]
@@ -165,6 +166,7 @@
         self.start_count = 0
         self.refused: set[str] = set()
         self.configuration = SoakConfiguration(_PREPAID, self.rng)
+        self.entries = SoakEntries(self.store, self.rng)
         self.evidence = Evidence()
         self.sent: list[SentRequest] = []
         self.idle_closes: list[IdleClose] = []
@@ -198,6 +200,7 @@
             proxy = Proxy(target.port)
             self.proxies.append(proxy)
             address = f"127.0.0.1:{await self._serve(proxy.serve)}"
+            self.entries.addresses.append((target, address))
             run = functools.partial(target.run, address=address, slots=16)
             self.tasks.start_soon(run, self.store)
         self.put_configuration()
@@ -563,6 +566,7 @@
                 + [self._shed, self._leave, self._replace]
                 + [self._evacuate, self._limit]
                 + [self._turn_away, self._burst, self._read_nothing, self._extra]
+                + [self.entries.list_former]
             )
             self.report.faults.append(fault.__name__.strip("_"))
             self._record(f"fault {fault.__name__}")
