--- a/src/endivegw_standins/platform_store_app.py
+++ b/src/endivegw_standins/platform_store_app.py
@@ -46,6 +46,13 @@
         self._set(table, key, _encode_value(document))
         self._wake()
 
+    def put_value(self, table: str, key: str, value: bytes, part: str = "") -> None:
+        """Write a row with any value, like another writer."""
+        self.revision += 1
+        encoded = base64.b64encode(value).decode()
+        self._rows[table, key] = _Row(encoded, self.revision, part=part)
+        self._wake()
+
     def drop(self, table: str, key: str) -> None:
         """Delete a row, like the operator or a target."""
         self.revision += 1
--- /dev/null
+++ b/tests/test_odd_rows.py
@@ -0,0 +1,193 @@
+"""Rows of other writers that no decoder expects."""
+
+from __future__ import annotations
+
+import json
+import random
+import unittest
+from typing import Any, Callable
+
+import anyio
+
+from endivegw.allowances.rows import decode_budget, decode_holder
+from endivegw.gossip import PeerEntry
+from endivegw.gossip.messages import decode
+from endivegw.platform.configuration import decode_configuration, decode_target
+from endivegw.quarantine.rows import decode_record
+from endivegw.streams.rows import decode_records, decode_versions
+from endivegw_standins.platform_target import TARGET_ENTRY
+from tests.odd_values import ODD_VALUES, odd_documents
+from tests.platform_fleet import CONFIGURATION, ClientFleet, platform_fleet
+
+_SEED = 1
+_ROUTERS = 2
+_REQUESTS = 20
+
+#: Number of times that odd rows are written while routers run, and the time between.
+_WRITES = 30
+_WRITE_INTERVAL_S = 0.03
+
+_TARGET = {
+    **TARGET_ENTRY,
+    "Service": "other",
+    "Address": "127.0.0.1:9",
+    "Zone": "z",
+    "born": 1,
+}
+
+#: A sound document of each table that routers read.
+_DOCUMENTS: dict[str, Any] = {
+    "servers": _TARGET,
+    "router-addresses": {
+        "instance": "vm-9-1",
+        "host": "127.0.0.1",
+        "port": 9,
+        "availability_zone": "z",
+    },
+    "token-budgets": {"drawn": 10},
+    "token-holders": {
+        "instance": "vm-9-1",
+        "sequence": 1,
+        "as_of_ms": 10,
+        "witnesses": ["vm-8-1"],
+        "needed": 1,
+        "outright": False,
+        "lasts_ms": 20_000,
+        "accounts": {"hotel": [10, 5, 1]},
+    },
+    "quarantined-requests": {
+        "ends": [["e-1", 1], ["e-2", None]],
+        "void": [["e-1", 1]],
+        "answered": False,
+    },
+    "software-versions": {"v1": None, "v2": 10},
+    "stream-records": {"engine": {"v1": ["AAAAAAAAAAAAAAAA"]}},
+}
+
+_DECODERS: dict[str, Callable[[bytes], object]] = {
+    "servers": lambda value: decode_target("i-1", value),
+    "router-addresses": lambda value: PeerEntry.decode("vm-9", value),
+    "token-budgets": lambda value: decode_budget(value, 1),
+    "token-holders": decode_holder,
+    "quarantined-requests": lambda value: decode_record("k", value),
+    "software-versions": decode_versions,
+    "stream-records": decode_records,
+}
+
+
+def _odd_values(table: str) -> list[bytes]:
+    return [*ODD_VALUES, *odd_documents(_DOCUMENTS[table])]
+
+
+class DecoderTests(unittest.TestCase):
+    """Each decoder returns a value, or says that there is none."""
+
+    # Guards against a row that ends a task, and with it the process.
+    def test_any_row_is_decoded_or_rejected(self) -> None:
+        documents = {"op": CONFIGURATION, **_DOCUMENTS}
+        decoders = {"op": decode_configuration, **_DECODERS}
+        for table, decoder in decoders.items():
+            decoder(json.dumps(documents[table]).encode())
+            for value in [*ODD_VALUES, *odd_documents(documents[table])]:
+                with self.subTest(table=table, value=value[:60], size=len(value)):
+                    try:
+                        decoder(value)
+                    except ValueError as error:
+                        self.assertLess(len(str(error)), 400)
+
+    # Guards against an address to which no datagram can be sent.
+    def test_an_address_of_a_router_can_be_sent_to(self) -> None:
+        document = _DOCUMENTS["router-addresses"]
+        for host in ("", "localhost", "a\x00b", "::1", "10.0.0.256", "10.0.0.1\n"):
+            with self.subTest(host=host), self.assertRaises(ValueError):
+                PeerEntry.decode("vm", json.dumps({**document, "host": host}).encode())
+        for port in (-1, 0, 65536, 99999, 10**400, True, "9", 9.0, None):
+            with self.subTest(port=port), self.assertRaises(ValueError):
+                PeerEntry.decode("vm", json.dumps({**document, "port": port}).encode())
+
+    # Guards against a budget that seems to have more tokens than were paid for.
+    def test_no_budget_has_drawn_less_than_nothing(self) -> None:
+        for drawn in (-1, -(10**9), True, "1", 0.5):
+            with self.subTest(drawn=drawn), self.assertRaises(ValueError):
+                decode_budget(json.dumps({"drawn": drawn}).encode(), 1)
+
+    # Guards against a datagram that is not handled like one that is malformed.
+    def test_any_datagram_is_decoded_or_ignored(self) -> None:
+        for message in (
+            ["state", "vm", 1, {"hotel": 5}, {"e-1": [1, 2]}, 0.1, None, True],
+            ["limits", "vm", 1, 10, {"hotel": 5}, False],
+            ["version", "vm", "engine", "v1"],
+            ["began", "vm", [["k", "engine", "v1"]]],
+            ["limit", "vm", ["e-1", 1], 2.5, 1],
+            ["zone", "vm", "z", True, 1],
+        ):
+            self.assertIsNotNone(decode(json.dumps(message).encode()), message)
+            for value in [*ODD_VALUES, *odd_documents(message)]:
+                decode(value)
+
+
+class FleetTests(unittest.TestCase):
+    """Odd rows in all tables that routers read."""
+
+    # Guards against routers that end, or are not ready, for as long as an odd row is
+    # there.
+    def test_routers_start_beside_odd_rows_of_each_table(self) -> None:
+        async def scenario() -> None:
+            for table in _DOCUMENTS:
+                with self.subTest(table=table):
+                    async with platform_fleet(0) as fleet:
+                        self.write_rows(fleet, table, _odd_values(table))
+                        for _ in range(_ROUTERS):
+                            fleet.start_router()
+                        await fleet.wait_ready()
+                        await self.check_serves(fleet)
+
+        anyio.run(scenario)
+
+    # Guards against routers that end, or stop following a table, when an odd row is
+    # written while they run.
+    def test_routers_go_on_beside_odd_rows_that_are_written(self) -> None:
+        async def scenario() -> None:
+            rng = random.Random(_SEED)
+            values = {table: _odd_values(table) for table in _DOCUMENTS}
+            async with platform_fleet(_ROUTERS) as fleet:
+                for _ in range(_WRITES):
+                    for table, odd in values.items():
+                        self.write_rows(fleet, table, rng.sample(odd, 3))
+                    await anyio.sleep(_WRITE_INTERVAL_S)
+                await self.check_serves(fleet)
+                await self.check_follows(fleet)
+
+        anyio.run(scenario)
+
+    def write_rows(self, fleet: ClientFleet, table: str, values: list[bytes]) -> None:
+        """Write odd rows under keys that no process uses."""
+        for number, value in enumerate(values):
+            fleet.store.put_value(table, f"odd-{number}", value)
+
+    async def check_serves(self, fleet: ClientFleet) -> None:
+        """Check that all routers are ready and serve requests and streams."""
+        await self.wait_for_target(fleet, "p-1")
+        self.assertTrue(fleet.ready)
+        for number in range(_REQUESTS):
+            for route, tokens in (("print", None), ("resumable", (20, 8))):
+                answer = await fleet.send_request(
+                    route, router=number % _ROUTERS, tokens=tokens
+                )
+                self.assertEqual(answer.status, 200, (route, answer.body))
+
+    async def check_follows(self, fleet: ClientFleet) -> None:
+        """Check that the routers read a target that is registered now."""
+        fleet.store.put("servers", "new-1", _TARGET)
+        await self.wait_for_target(fleet, "new-1")
+
+    async def wait_for_target(self, fleet: ClientFleet, name: str) -> None:
+        """Wait until all routers have read a target's entry."""
+        with anyio.fail_after(5.0):
+            for router in fleet.routers:
+                while name not in router._parts.targets.view.targets:
+                    await anyio.sleep(0.02)
+
+
+if __name__ == "__main__":
+    unittest.main()
