A router replaces its datagram socket when it breaks

Routers ended when a send failed in an unexpected way: asyncio closes the socket then, and the error of its reader took the process along. The reader now opens another one. tests.test_odd_rows, test_a_router_replaces_a_socket_that_breaks, failed before (the router ended within .3 s).

--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -58,6 +58,12 @@
 MAX_WITNESSES = 3
 
 
+#: Pause before a broken socket is replaced.
+_REOPEN_S = 0.1
+
+_SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
 async def _confirm_none(service: str) -> str | None:
     return None
 
@@ -194,13 +200,18 @@
         )
 
     async def run(self) -> None:
-        """Receive datagrams and report this router's figures, until cancelled."""
-        host, port = self.entry.host, self.entry.port
-        async with await anyio.create_udp_socket(
-            local_host=host, local_port=port
-        ) as self._socket:
+        """Receive datagrams and report this router's figures, until cancelled.
+
+        A socket that breaks is replaced.
+
+        :raises OSError: if the first socket cannot be opened.
+        """
+        self._socket = await self._open_socket()
+        try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._listen, tasks)
+                tasks.start_soon(
+                    keep_running, "datagrams", lambda: self._receive(tasks), self._log
+                )
                 tasks.start_soon(
                     keep_running,
                     "statements",
@@ -213,6 +224,22 @@
                     keep_running, "records of streams", self.streams.run, self._log
                 )
                 await keep_running("reports to routers", self._send_states, self._log)
+        finally:
+            await anyio.aclose_forcefully(self._socket)
+
+    async def _open_socket(self) -> UDPSocket:
+        host, port = self.entry.host, self.entry.port
+        return await anyio.create_udp_socket(local_host=host, local_port=port)
+
+    async def _receive(self, tasks: TaskGroup) -> None:
+        """Receive datagrams; replace the socket whenever it has broken."""
+        while True:
+            try:
+                await self._listen(tasks)
+            except _SOCKET_ERRORS as error:
+                record_failure(self._log, "datagrams", error)
+            await anyio.sleep(_REOPEN_S)
+            self._socket = await self._open_socket()
 
     async def _send_states(self) -> None:
         while True:
@@ -479,6 +506,6 @@
         try:
             async with self._send_lock:
                 await self._socket.sendto(data, host, port)
-        except (OSError, anyio.BrokenResourceError):
+        except _SOCKET_ERRORS:
             # An unreachable peer becomes unresponsive, which is handled elsewhere.
             return
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -8,13 +8,19 @@
 from typing import Any, Callable
 
 import anyio
+import logbook
 
 from endivegw.allowances.rows import decode_budget, decode_holder
 from endivegw.gossip import PeerEntry
 from endivegw.gossip.messages import decode
 from endivegw.platform.configuration import decode_configuration, decode_target
 from endivegw.quarantine.rows import decode_record
+from endivegw.services.row_store import StoredRow
+from endivegw.services.unreadable_rows import UnreadableRows
 from endivegw.streams.rows import decode_records, decode_versions
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue import relay as events
+from endivegw.types import InstanceId
 from endivegw_standins.platform_target import TARGET_ENTRY
 from tests.odd_values import ODD_VALUES, odd_documents
 from tests.platform_fleet import CONFIGURATION, ClientFleet, platform_fleet
@@ -27,12 +33,15 @@
 _WRITES = 30
 _WRITE_INTERVAL_S = 0.03
 
+#: Time for which a router sends to an address that closes its socket, longer than it
+#: takes until others count as unresponsive.
+_BROKEN_S = 1.5
+
 _TARGET = {
     **TARGET_ENTRY,
     "Service": "other",
     "Address": "127.0.0.1:9",
     "Zone": "z",
-    "born": 1,
 }
 
 #: A sound document of each table that routers read.
@@ -126,6 +135,27 @@
                 decode(value)
 
 
+class LogTests(unittest.TestCase):
+    """Rows that do not decode are logged."""
+
+    # Guards against a log that an odd row fills, a line whenever its table is read.
+    def test_a_row_is_logged_once_until_it_decodes(self) -> None:
+        log = EventLog("test")
+        with logbook.TestHandler() as handler:
+            rows = UnreadableRows(log, events.CONFIGURATION_UNREADABLE)
+            for revision in range(1, 4):
+                row = StoredRow("servers", "odd", b"", revision)
+                rows.record(row, ValueError("malformed"))
+            self.assertEqual(len(handler.records), 1)
+            rows.clear(row)
+            rows.record(row, ValueError("malformed"))
+            self.assertEqual(len(handler.records), 2)
+            for number in range(5000):
+                row = StoredRow("servers", f"odd-{number}", b"", 1)
+                rows.record(row, ValueError("malformed"))
+            self.assertLess(len(handler.records), 2000)
+
+
 class FleetTests(unittest.TestCase):
     """Odd rows in all tables that routers read."""
 
@@ -160,6 +190,23 @@
 
         anyio.run(scenario)
 
+    # Guards against a router that ends, or hears of no other, once a send has closed
+    # its socket.
+    def test_a_router_replaces_a_socket_that_breaks(self) -> None:
+        async def scenario() -> None:
+            async with platform_fleet(_ROUTERS) as fleet:
+                link = fleet.routers[0]._parts.link
+                unusable = PeerEntry("vm-9", InstanceId("vm-9-1"), "127.0.0.1", 99999)
+                link.peers.put(unusable)
+                await anyio.sleep(_BROKEN_S)
+                link.peers.remove(unusable.vm)
+                with anyio.fail_after(5.0):
+                    while not link.peers.live(link._clock()):
+                        await anyio.sleep(0.02)
+                await self.check_serves(fleet)
+
+        anyio.run(scenario)
+
     def write_rows(self, fleet: ClientFleet, table: str, values: list[bytes]) -> None:
         """Write odd rows under keys that no process uses."""
         for number, value in enumerate(values):
