Decode rows of any bytes to a value that can be used, or to an error

One odd row of another writer ended every router at each start (an address with port 99999), kept all from staying ready (a budget that is nested deeply or 1e999) or from becoming so (a quarantined request that is nested deeply). Each decoder listed exceptions of its own, and checked the type of a value and not its use.

endivegw.documents parses what other processes wrote: integers of 64 bits, finite numbers, texts that can be encoded, printable names of 200 bytes, addresses to which something can be sent; any error becomes the decoder's own, in a short text.

--- a/src/endivegw/allowances/rows.py
+++ b/src/endivegw/allowances/rows.py
@@ -4,12 +4,21 @@
 
 import json
 import math
-from typing import Any, Mapping
+from typing import Mapping
 
 from attrs import Factory, field, frozen
 
 from endivegw.allowances.funds import Terms
 from endivegw.allowances.witnesses import majority
+from endivegw.documents import (
+    DocumentError,
+    decoding,
+    parse_document,
+    read_count,
+    read_integer,
+    read_name,
+    read_text,
+)
 from endivegw.types import ClientAccountName, InstanceId
 
 __all__ = [
@@ -32,7 +41,7 @@
 BUDGETS_TABLE = "token-budgets"
 
 
-class RowError(ValueError):
+class RowError(DocumentError):
     """Raised if a row's value cannot be decoded."""
 
 
@@ -115,29 +124,26 @@
 
 def decode_holder(value: bytes) -> HolderRow:
     """Decode a router's row; raises :exc:`RowError` if the value is malformed."""
-    try:
-        document = json.loads(value)
-        as_of_ms = int(document["as_of_ms"])
+    with decoding("row of a token holder", RowError):
+        document = parse_document(value)
+        as_of_ms = read_count(document["as_of_ms"])
         terms = {
             ClientAccountName(account): Terms(
-                int(drawn), int(limit), int(growth), as_of_ms
+                read_integer(drawn), read_integer(limit), read_integer(growth), as_of_ms
             )
             for account, (drawn, limit, growth) in document["accounts"].items()
         }
-        instance_id = InstanceId(str(document["instance"]))
-        witnesses = tuple(InstanceId(str(name)) for name in document["witnesses"])
+        witnesses = tuple(InstanceId(read_name(name)) for name in document["witnesses"])
         lasts_ms = document.get("lasts_ms")
         return HolderRow(
-            instance_id,
-            int(document["sequence"]),
+            InstanceId(read_text(document["instance"])),
+            read_count(document["sequence"]),
             terms,
             witnesses,
             bool(document["outright"]),
-            math.inf if lasts_ms is None else int(lasts_ms) / 1000.0,
-            int(document.get("needed", majority(len(witnesses)))),
+            math.inf if lasts_ms is None else read_count(lasts_ms) / 1000.0,
+            read_count(document.get("needed", majority(len(witnesses)))),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        raise RowError(f"malformed row of a token holder: {error!r}") from error
 
 
 def encode_budget(drawn_tokens: int) -> bytes:
@@ -147,8 +153,5 @@
 
 def decode_budget(value: bytes, revision: int) -> BudgetTotal:
     """Decode a budget's row; raises :exc:`RowError` if the value is malformed."""
-    try:
-        document: Any = json.loads(value)
-        return BudgetTotal(int(document["drawn"]), revision)
-    except (ValueError, TypeError, KeyError) as error:
-        raise RowError(f"malformed row of a budget: {error!r}") from error
+    with decoding("row of a budget", RowError):
+        return BudgetTotal(read_count(parse_document(value)["drawn"]), revision)
--- a/src/endivegw/gossip/peer_entry.py
+++ b/src/endivegw/gossip/peer_entry.py
@@ -6,6 +6,14 @@
 
 from attrs import frozen
 
+from endivegw.documents import (
+    decoding,
+    parse_address,
+    parse_document,
+    read_integer,
+    read_name,
+    read_text,
+)
 from endivegw.types import AvailabilityZone, InstanceId
 
 __all__ = ["PEERS_TABLE", "PeerEntry"]
@@ -36,12 +44,19 @@
 
     @classmethod
     def decode(cls, vm: str, value: bytes) -> PeerEntry:
-        """Decode a row; raises :exc:`ValueError` if the value is malformed."""
-        try:
-            document = json.loads(value)
-            instance_id = InstanceId(str(document["instance"]))
-            zone = AvailabilityZone(str(document.get("availability_zone", "")))
-            host, port = str(document["host"]), int(document["port"])
-            return cls(vm, instance_id, host, port, zone)
-        except (TypeError, KeyError, AttributeError) as error:
-            raise ValueError(f"malformed row of a router: {error!r}") from error
+        """Decode a row.
+
+        :raises DocumentError: if the value is malformed, or nothing can be sent to the
+            address.
+        """
+        with decoding("row of a router"):
+            document = parse_document(value)
+            port = read_integer(document["port"])
+            host, port = parse_address(f"{read_name(document['host'])}:{port}")
+            return cls(
+                read_name(vm),
+                InstanceId(read_name(document["instance"])),
+                host,
+                port,
+                AvailabilityZone(read_text(document.get("availability_zone", ""))),
+            )
--- a/src/endivegw/platform/configuration.py
+++ b/src/endivegw/platform/configuration.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import hashlib
-import ipaddress
-import json
-import math
 from typing import Any, Iterable, Mapping
 
 from endivegw.decisions import WarmUpLimits
+from endivegw.documents import (
+    DocumentError,
+    decoding,
+    parse_address,
+    parse_document,
+    read_count,
+    read_name,
+)
 from endivegw.routing import (
     CallerLimits,
     ClientAccount,
@@ -57,19 +62,8 @@
 #: Longest software version that is kept as it is.
 _MAX_VERSION_BYTES = 64
 
-#: Exceptions that decoding arbitrary bytes may raise, including documents that are
-#: nested too deeply or hold numbers outside the range of a type.
-_DECODE_ERRORS = (
-    ValueError,
-    TypeError,
-    KeyError,
-    AttributeError,
-    OverflowError,
-    RecursionError,
-)
-
 
-class DecodeError(ValueError):
+class DecodeError(DocumentError):
     """Raised if a row of the operator or of a target cannot be decoded."""
 
 
@@ -78,8 +72,8 @@
 
     :raises DecodeError: if the row is not a valid configuration.
     """
-    try:
-        document = json.loads(value)
+    with decoding("configuration row", DecodeError):
+        document = parse_document(value)
         services = document.get("Services") or ()
         return FleetConfiguration(
             version=int(document["Version"]),
@@ -101,8 +95,6 @@
             copy_s_per_token=_copy_s_per_token(services),
             warm_ups=_warm_ups(services),
         )
-    except _DECODE_ERRORS as error:
-        raise DecodeError(f"invalid configuration row: {error!r}") from error
 
 
 def decode_target(key: str, value: bytes) -> DirectTarget:
@@ -111,10 +103,8 @@
     :param key: the row's key, which alone holds the id of the instance.
     :raises DecodeError: if the row is not a valid entry of a target.
     """
-    try:
-        return _decode_entry(InstanceId(key), json.loads(value))
-    except _DECODE_ERRORS as error:
-        raise DecodeError(f"invalid target entry: {error!r}") from error
+    with decoding("target entry", DecodeError):
+        return _decode_entry(InstanceId(read_name(key)), parse_document(value))
 
 
 def decode_evacuation(key: str) -> AvailabilityZone | None:
@@ -134,50 +124,38 @@
     of a number that is given as text, would send callers to an address without a
     target.
     """
-    _read_integer(entry, "Sequence")
-    state = _read_string(entry, "State")
+    read_count(entry["Sequence"])
+    state = entry["State"]
     if state not in _STATES:
-        raise DecodeError(f"unknown target state {state!r}")
-    slots = _read_integer(entry, "Slots")
+        raise DecodeError(f"unknown target state {state!r:.40}")
+    slots = read_count(entry["Slots"])
     if not 1 <= slots <= _MAX_SLOTS:
         raise DecodeError(f"Slots is {slots}, not between 1 and {_MAX_SLOTS}")
     return DirectTarget(
         instance_id=instance_id,
-        service=_read_string(entry, "Service"),
-        address=_check_address(_read_string(entry, "Address")),
-        availability_zone=AvailabilityZone(_read_string(entry, "Zone")),
+        service=read_name(entry["Service"]),
+        address=_check_address(read_name(entry["Address"])),
+        availability_zone=AvailabilityZone(read_name(entry["Zone"])),
         slots=slots,
         leaving=state == "draining",
         # The field "born" holds the start time of this incarnation.
-        started_ms=_read_integer(entry, "born") if "born" in entry else None,
+        started_ms=read_count(entry["born"]) if "born" in entry else None,
         warm_up_s=_read_warm_up_s(entry),
-        software_version=_bounded_version(_read_string(entry, "Version")),
+        software_version=_read_version(entry),
     )
 
 
-def _bounded_version(version: str) -> str:
+def _read_version(entry: Mapping[str, Any]) -> str:
     """Return a version, or a digest of one that is too long for datagrams."""
+    version = entry["Version"]
+    if not isinstance(version, str) or not version:
+        raise DecodeError(f"Version is not a non-empty string: {version!r:.40}")
     encoded = version.encode()
     if len(encoded) <= _MAX_VERSION_BYTES:
-        return version
+        return read_name(version)
     return hashlib.blake2b(encoded, digest_size=_MAX_VERSION_BYTES // 2).hexdigest()
 
 
-def _read_string(entry: Mapping[str, Any], name: str) -> str:
-    value = entry[name]
-    if not isinstance(value, str) or not value:
-        raise DecodeError(f"{name} is not a non-empty string: {value!r:.40}")
-    return value
-
-
-def _read_integer(entry: Mapping[str, Any], name: str) -> int:
-    value = entry[name]
-    # bool is a subclass of int in Python, but not an integer in JSON.
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise DecodeError(f"{name} is not a non-negative integer: {value!r:.40}")
-    return value
-
-
 def _read_number(entry: Mapping[str, Any], name: str) -> float:
     value = entry[name]
     if isinstance(value, bool) or not isinstance(value, (int, float)):
@@ -188,7 +166,7 @@
 def _read_warm_up_s(entry: Mapping[str, Any]) -> float:
     """Return how long the target warms up; 0 if that time is over."""
     remaining_ms = _read_number(entry, "ColdRemainingMs")
-    if math.isnan(remaining_ms) or remaining_ms > _MAX_WARM_UP_MS:
+    if remaining_ms > _MAX_WARM_UP_MS:
         raise DecodeError(
             f"ColdRemainingMs is {remaining_ms:g}, the limit is {_MAX_WARM_UP_MS:g}"
         )
@@ -197,10 +175,7 @@
 
 def _check_address(value: str) -> str:
     """Check that a connection can be opened to an address and return it."""
-    host, _, port = value.rpartition(":")
-    ipaddress.IPv4Address(host)
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise DecodeError(f"no valid port in address {value!r:.60}")
+    parse_address(value)
     return value
 
 
--- a/src/endivegw/quarantine/evidence.py
+++ b/src/endivegw/quarantine/evidence.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from endivegw.documents import read_integer, read_name
 from endivegw.quarantine.fingerprint import Fingerprint
 from endivegw.quarantine.lost_sends import TargetStart
 from endivegw.types import InstanceId
@@ -62,8 +63,8 @@
     """
     return frozenset(
         TargetStart(
-            InstanceId(str(instance_id)),
-            None if started_ms is None else int(started_ms),
+            InstanceId(read_name(instance_id)),
+            None if started_ms is None else read_integer(started_ms),
         )
         for instance_id, started_ms in values
     )
--- a/src/endivegw/quarantine/rows.py
+++ b/src/endivegw/quarantine/rows.py
@@ -4,6 +4,7 @@
 
 import json
 
+from endivegw.documents import decoding, parse_document
 from endivegw.quarantine.evidence import RequestRecord, decode_starts, encode_starts
 from endivegw.quarantine.fingerprint import Fingerprint
 
@@ -26,12 +27,13 @@
 def decode_record(key: str, value: bytes) -> RequestRecord:
     """Decode the value of a request's row.
 
-    :raises ValueError: if the value is malformed.
+    :raises DocumentError: if the value is malformed.
     """
-    try:
-        document = json.loads(value)
-        ends, void = decode_starts(document["ends"]), decode_starts(document["void"])
-        was_answered = bool(document["answered"])
-    except (TypeError, KeyError) as error:
-        raise ValueError(f"malformed quarantine row: {error!r}") from error
-    return RequestRecord(Fingerprint(key), ends, void, was_answered)
+    with decoding("quarantine row"):
+        document = parse_document(value)
+        return RequestRecord(
+            Fingerprint(key),
+            decode_starts(document["ends"]),
+            decode_starts(document["void"]),
+            bool(document["answered"]),
+        )
--- a/src/endivegw/streams/rows.py
+++ b/src/endivegw/streams/rows.py
@@ -5,6 +5,7 @@
 import json
 from typing import Iterable, Mapping
 
+from endivegw.documents import decoding, parse_document, read_count, read_name
 from endivegw.streams.records import StreamKey, StreamRecord
 
 __all__ = [
@@ -35,15 +36,13 @@
 def decode_versions(value: bytes) -> dict[str, int | None]:
     """Decode the value of a service's row.
 
-    :raises ValueError: if the value is malformed.
+    :raises DocumentError: if the value is malformed.
     """
-    try:
+    with decoding("row of software versions"):
         return {
-            str(version): None if last_ms is None else int(last_ms)
-            for version, last_ms in json.loads(value).items()
+            read_name(version): None if last_ms is None else read_count(last_ms)
+            for version, last_ms in parse_document(value).items()
         }
-    except (TypeError, AttributeError) as error:
-        raise ValueError(f"malformed row of software versions: {error!r}") from error
 
 
 def encode_records(records: Iterable[StreamRecord]) -> bytes:
@@ -58,14 +57,14 @@
 def decode_records(value: bytes) -> list[StreamRecord]:
     """Decode the value of a router's row.
 
-    :raises ValueError: if the value is malformed.
+    :raises DocumentError: if the value is malformed.
     """
-    try:
+    with decoding("row of stream records"):
         return [
-            StreamRecord(StreamKey(str(key)), service, version)
-            for service, versions in json.loads(value).items()
+            StreamRecord(
+                StreamKey(read_name(key)), read_name(service), read_name(version)
+            )
+            for service, versions in parse_document(value).items()
             for version, keys in versions.items()
             for key in keys
         ]
-    except (TypeError, AttributeError) as error:
-        raise ValueError(f"malformed row of stream records: {error!r}") from error
