An odd row is logged once, and takes no other row along

An unreadable row of a router, a budget, a quarantined request or a version was logged with each reading of its table. Each is logged once until it decodes. A row that fails unexpectedly is left out, and one service whose versions cannot be written does not hold up the others' rows.

--- a/src/endivegw/allowances/row_writer.py
+++ b/src/endivegw/allowances/row_writer.py
@@ -36,6 +36,8 @@
     RowsPort,
     StoredRow,
 )
+from endivegw.services.unreadable_rows import UnreadableRows
+from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import allowances as events
 from endivegw.types import ClientAccountName, InstanceId
@@ -82,6 +84,7 @@
         self._peers = peers
         self._clock = clock
         self._log = log
+        self._unreadable = UnreadableRows(log, events.ROW_UNREADABLE)
         self._rng = random.Random(ledger.instance_id)
         self._started_s = clock() if started_s is None else started_s
         self.registered = False
@@ -245,7 +248,7 @@
         self._record_answer(rows.value.timestamp.now_ms, now_s, sent_s)
         self._read_at_s = now_s
         for row in rows.value.rows:
-            self._apply_budget(row)
+            contain(self._log, "budgets", self._apply_budget, row, row.key)
 
     def _decode_row(self, row: StoredRow) -> HolderRow:
         """Decode this router's row.
@@ -257,24 +260,16 @@
         try:
             return decode_holder(row.value)
         except RowError as error:
-            self._log_unreadable(row, error)
+            self._unreadable.record(row, error)
             return HolderRow(InstanceId(""), 0)
 
-    def _log_unreadable(self, row: StoredRow, error: RowError) -> None:
-        self._log.emit(
-            events.ROW_UNREADABLE,
-            table=row.table,
-            key=row.key,
-            revision=row.revision,
-            detail=str(error),
-        )
-
     def _apply_budget(self, row: StoredRow) -> None:
         try:
             total = decode_budget(row.value, row.revision)
         except RowError as error:
-            self._log_unreadable(row, error)
+            self._unreadable.record(row, error)
             return
+        self._unreadable.clear(row)
         self._ledger.totals[ClientAccountName(row.key)] = total
 
     async def _write(self) -> bool:
--- a/src/endivegw/allowances/takeover.py
+++ b/src/endivegw/allowances/takeover.py
@@ -41,6 +41,7 @@
     RowsPort,
     StoredRow,
 )
+from endivegw.services.unreadable_rows import UnreadableRows
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import allowances as events
 from endivegw.types import ClientAccountName
@@ -87,6 +88,7 @@
         self._peers = peers
         self._clock = clock
         self._log = log
+        self._unreadable = UnreadableRows(log, events.ROW_UNREADABLE)
         self._on_removed = on_removed
         self._unresponsive: dict[str, _UnresponsiveRouter] = {}
 
@@ -125,13 +127,7 @@
             # Its successor on the same machine logs this as well; no tokens are
             # returned.
             unresponsive.next_check_s = self._clock() + self._options.validity_s
-            self._log.emit(
-                events.ROW_UNREADABLE,
-                table=HOLDERS_TABLE,
-                key=vm,
-                revision=row.revision,
-                detail=str(error),
-            )
+            self._unreadable.record(row, error)
             return
         remaining_ms = _expires_ms(holder) - rows.value.timestamp.now_ms
         if holder.instance_id != NOBODY and remaining_ms > 0.0:
--- a/src/endivegw/daemons/direct_readers.py
+++ b/src/endivegw/daemons/direct_readers.py
@@ -10,12 +10,13 @@
 from endivegw.relay.context import RelayContext
 from endivegw.routing import DirectTarget, FleetConfiguration, RoutingTable
 from endivegw.services.row_store import ExpectedRow, RowsPort, StoredRow
+from endivegw.services.unreadable_rows import UnreadableRows
 from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import AvailabilityZone, ClientAccountName
 
-__all__ = ["ConfigurationReader", "PeerReader", "RowDecoder", "log_unreadable"]
+__all__ = ["ConfigurationReader", "PeerReader", "RowDecoder"]
 
 
 #: Maximum budgets named in one log line; a first configuration may have tens of
@@ -43,17 +44,6 @@
         """Decode a target's entry."""
 
 
-def log_unreadable(log: EventLog, row: StoredRow, error: ValueError) -> None:
-    """Log that a row does not decode; the last valid state stays in force."""
-    log.emit(
-        events.CONFIGURATION_UNREADABLE,
-        table=row.table,
-        key=row.key,
-        revision=row.revision,
-        detail=str(error),
-    )
-
-
 def _changed_budgets(
     before: RoutingTable | None, after: RoutingTable
 ) -> dict[ClientAccountName, int]:
@@ -84,6 +74,7 @@
         self._decoder = decoder
         self._on_change = on_change
         self._log = log
+        self._unreadable = UnreadableRows(log, events.CONFIGURATION_UNREADABLE)
 
     def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
         """Apply all rows of the table."""
@@ -97,8 +88,9 @@
         try:
             configuration = self._decoder.configuration(row.value)
         except ValueError as error:
-            log_unreadable(self._log, row, error)
+            self._unreadable.record(row, error)
             return
+        self._unreadable.clear(row)
         table = self._context.table
         if table is not None and configuration.version <= table.version:
             return
@@ -136,6 +128,7 @@
         self._peers = peers
         self._local_entry = local_entry
         self._log = log
+        self._unreadable = UnreadableRows(log, events.CONFIGURATION_UNREADABLE)
         self.own_revision = 0
         self.registered = False
         self._revisions: dict[str, int] = {}
@@ -169,12 +162,16 @@
         if row.deleted:
             self._peers.remove(row.key)
             self._revisions.pop(row.key, None)
+            self._unreadable.clear(row)
             return
         self._revisions[row.key] = row.revision
         try:
-            self._peers.put(PeerEntry.decode(row.key, row.value))
+            entry = PeerEntry.decode(row.key, row.value)
         except ValueError as error:
-            log_unreadable(self._log, row, error)
+            self._unreadable.record(row, error)
+            return
+        self._unreadable.clear(row)
+        self._peers.put(entry)
 
     def on_unavailable(self) -> None:
         """Do nothing: the known routers stay."""
--- a/src/endivegw/daemons/target_reader.py
+++ b/src/endivegw/daemons/target_reader.py
@@ -4,7 +4,7 @@
 
 from typing import Callable
 
-from endivegw.daemons.direct_readers import RowDecoder, log_unreadable
+from endivegw.daemons.direct_readers import RowDecoder
 from endivegw.decisions import (
     NO_SENDS,
     SERVICE_PREFIX,
@@ -27,6 +27,7 @@
     ZoneEvacuations,
 )
 from endivegw.services.row_store import StoredRow
+from endivegw.services.unreadable_rows import UnreadableRows
 from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
@@ -88,8 +89,7 @@
         #: learned of it. A row that still shows a start as ready does not revoke
         #: the announcement, because the row was written earlier.
         self._leaving: dict[TargetStart, float] = {}
-        #: Keys of rows that did not decode when they were last read.
-        self._unusable: set[str] = set()
+        self._unreadable = UnreadableRows(log, events.CONFIGURATION_UNREADABLE)
 
     def on_listing(self, rows: tuple[StoredRow, ...], revision: int) -> None:
         """Apply all rows of the table; targets without a row are removed."""
@@ -237,7 +237,7 @@
         instance_id = InstanceId(row.key)
         before = self.view.targets.get(instance_id)
         if row.deleted:
-            self._unusable.discard(row.key)
+            self._unreadable.clear(row)
             self.view.remove(instance_id, self._clock())
             if before is not None:
                 self._log_change(before, "removed", row.revision)
@@ -246,9 +246,11 @@
             target = self._decoder.target(row.key, row.value)
             _check_start_present(target, before)
         except ValueError as error:
-            self._drop_unreadable(row, instance_id, error)
+            # Another writer has corrupted the row.
+            self.view.drop(instance_id)
+            self._unreadable.record(row, error)
             return
-        self._unusable.discard(row.key)
+        self._unreadable.clear(row)
         if (target.instance_id, target.started_ms) in self._replaced:
             return
         self.view.put(target)
@@ -256,16 +258,6 @@
             self._register_warm_up(target)
         self._on_entry(before, target, row.revision)
 
-    def _drop_unreadable(
-        self, row: StoredRow, instance_id: InstanceId, error: ValueError
-    ) -> None:
-        """Drop a target whose row another writer corrupted; log it only once."""
-        self.view.drop(instance_id)
-        if row.key in self._unusable:
-            return
-        self._unusable.add(row.key)
-        log_unreadable(self._log, row, error)
-
     def _on_entry(
         self, before: DirectTarget | None, target: DirectTarget, revision: int
     ) -> None:
--- a/src/endivegw/quarantine/manager.py
+++ b/src/endivegw/quarantine/manager.py
@@ -30,6 +30,8 @@
     StoredRow,
     StoreTimestamp,
 )
+from endivegw.services.unreadable_rows import UnreadableRows
+from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import quarantine as events
 
@@ -109,6 +111,7 @@
         self._rng = rng
         self._clock = clock
         self._log = log
+        self._unreadable = UnreadableRows(log, events.ROW_UNREADABLE)
         self._policy = policy
         self._options = options
         self._rows: dict[Fingerprint, _Row] = {}
@@ -288,7 +291,7 @@
         listed = set()
         for row in changes.rows:
             listed.add(Fingerprint(row.key))
-            self._apply_row(row)
+            contain(self._log, "quarantine", self._apply_row, row, row.key)
         for fingerprint, known in list(self._rows.items()):
             # The row may have been written after the listing was read.
             if fingerprint in listed or known.revision > changes.timestamp.revision:
@@ -306,8 +309,9 @@
         try:
             record = decode_record(row.key, row.value)
         except ValueError as error:
-            self._log.emit(events.ROW_UNREADABLE, key=row.key, detail=str(error))
+            self._unreadable.record(row, error)
             return
+        self._unreadable.clear(row)
         self._rows[fingerprint] = _Row(row.revision, record, self._clock())
         self._merge(record, "store")
 
--- a/src/endivegw/streams/manager.py
+++ b/src/endivegw/streams/manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from itertools import chain, islice
 from typing import Awaitable, Callable, Iterable, Mapping, Protocol
 
@@ -16,11 +17,13 @@
     RowsPort,
     StoredRow,
 )
+from endivegw.services.unreadable_rows import UnreadableRows
 from endivegw.streams.history import VersionHistory, VersionSeen
 from endivegw.streams.records import StreamKey, StreamRecord, StreamRecords, stream_key
 from endivegw.streams.registry_check import RegistryCheck
 from endivegw.streams.rows import VERSIONS_TABLE, decode_versions, encode_versions
 from endivegw.streams.saver import RecordSaver
+from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import ClientAccountName
@@ -129,6 +132,7 @@
         self._unavailable_s = unavailable_s
         self._clock = clock
         self._log = log
+        self._unreadable = UnreadableRows(log, events.CONFIGURATION_UNREADABLE)
         self.history = VersionHistory(_RETENTION_S)
         #: Records that this router keeps for others.
         self._kept = StreamRecords(_RETENTION_S)
@@ -288,7 +292,9 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             while self._changed:
-                if not await self._write(self._changed.pop()):
+                changed, self._changed = self._changed, set()
+                written = [await self._write(service) for service in sorted(changed)]
+                if not all(written):
                     await anyio.sleep(_RETRY_S)
 
     async def _read_versions(self) -> bool:
@@ -315,22 +321,18 @@
         if not isinstance(result, Done):
             return False
         self._loaded = True
+        apply_row = partial(self._apply_row, now_ms=result.value.timestamp.now_ms)
         for row in result.value.rows:
-            self._apply_row(row, result.value.timestamp.now_ms)
+            contain(self._log, "streams", apply_row, row, row.key)
         return True
 
     def _apply_row(self, row: StoredRow, now_ms: int) -> None:
         try:
             versions = decode_versions(row.value)
         except ValueError as error:
-            self._log.emit(
-                events.CONFIGURATION_UNREADABLE,
-                table=row.table,
-                key=row.key,
-                revision=row.revision,
-                detail=str(error),
-            )
+            self._unreadable.record(row, error)
             return
+        self._unreadable.clear(row)
         now_s = self._clock()
         before = self._several(row.key)
         for version, last_ms in versions.items():
--- a/src/endivegw/streams/saver.py
+++ b/src/endivegw/streams/saver.py
@@ -8,6 +8,7 @@
 
 from endivegw.results import Done
 from endivegw.services.row_store import Conflict, ExpectedRow, NewRow, RowsPort
+from endivegw.services.unreadable_rows import UnreadableRows
 from endivegw.streams.records import StreamRecord
 from endivegw.streams.rows import RECORDS_TABLE, decode_records, encode_records
 from endivegw.telemetry import EventLog
@@ -45,7 +46,7 @@
         self._vm = vm
         self._records = records
         self._restore = restore
-        self._log = log
+        self._unreadable = UnreadableRows(log, events.CONFIGURATION_UNREADABLE)
         self._saved: frozenset[StreamRecord] = frozenset()
         self._revision = 0
 
@@ -70,13 +71,7 @@
             try:
                 self._restore(decode_records(row.value))
             except ValueError as error:
-                self._log.emit(
-                    events.CONFIGURATION_UNREADABLE,
-                    table=row.table,
-                    key=row.key,
-                    revision=row.revision,
-                    detail=str(error),
-                )
+                self._unreadable.record(row, error)
         return True
 
     async def _save(self) -> None:
