An odd entry of the list of vms leaves the others

In the fleet with sidecars one entry that did not decode failed the whole list, so that no process followed it while the entry was there. It is left out and logged (5004).

--- a/src/endivegw/composition/platform.py
+++ b/src/endivegw/composition/platform.py
@@ -21,6 +21,8 @@
 from endivegw.services.signing import Credentials
 from endivegw.services.weight_store import HttpWeightStore
 from endivegw.settings import PlatformSettings
+from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue.membership import VM_UNREADABLE
 
 __all__ = ["Platform", "open_platform"]
 
@@ -58,7 +60,12 @@
     objects = S3Objects(
         settings.object_store_url, credentials=credentials, client_name=client_name
     )
-    vms = HttpVmList(settings.vm_list_url, client_name=client_name)
+    log = EventLog("platform")
+    vms = HttpVmList(
+        settings.vm_list_url,
+        client_name=client_name,
+        on_unreadable=lambda error: log.emit(VM_UNREADABLE, detail=str(error)),
+    )
     weights = HttpWeightStore(settings.weight_store_url, client_name=client_name)
     return Platform(
         table=GuardedTable(table, daemons=settings.fleet_daemons, random_source=rng),
--- a/src/endivegw/configuration/rows.py
+++ b/src/endivegw/configuration/rows.py
@@ -39,7 +39,14 @@
 #: Exceptions raised when parsing a row that was written manually or by a newer version.
 #: They must not terminate a daemon, which would also interrupt responses in progress.
 #: The daemon keeps its revision, and adoption reports show operators that it lags.
-ROW_ERRORS = (KeyError, TypeError, ValueError)
+ROW_ERRORS = (
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def document_partition(kind: DocumentKind) -> str:
--- a/src/endivegw/documents.py
+++ b/src/endivegw/documents.py
@@ -15,11 +15,12 @@
 __all__ = [
     "DocumentError",
     "decoding",
-    "parse_address",
     "parse_document",
     "read_count",
     "read_integer",
+    "read_ip",
     "read_name",
+    "read_port",
     "read_text",
 ]
 
@@ -31,6 +32,8 @@
 #: hold several names.
 _MAX_NAME_BYTES = 200
 
+_MAX_PORT = 65_535
+
 #: Maximum length of the part of an error that describes a value.
 _MAX_DETAIL = 160
 
@@ -124,17 +127,20 @@
     return read_text(value)
 
 
-def parse_address(value: str) -> tuple[str, int]:
-    """Return the host and port of an address.
+def read_ip(value: Any) -> str:
+    """Return an IP address; :raises DocumentError: for any other value."""
+    with decoding("IP address"):
+        name = read_name(value)
+        ipaddress.ip_address(name)
+        return name
 
-    :raises DocumentError: if nothing can be sent there.
-    """
-    with decoding("address"):
-        host, _, port = value.rpartition(":")
-        ipaddress.IPv4Address(host)
-        if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-            raise DocumentError(f"no valid port in {value!r:.60}")
-        return host, int(port)
+
+def read_port(value: Any) -> int:
+    """Return the number of a port; :raises DocumentError: for any other value."""
+    port = read_integer(value)
+    if not 0 < port <= _MAX_PORT:
+        raise DocumentError(f"not a port: {port!r:.40}")
+    return port
 
 
 def _parse_integer(text: str) -> int:
--- a/src/endivegw/gossip/peer_entry.py
+++ b/src/endivegw/gossip/peer_entry.py
@@ -8,10 +8,10 @@
 
 from endivegw.documents import (
     decoding,
-    parse_address,
     parse_document,
-    read_integer,
+    read_ip,
     read_name,
+    read_port,
     read_text,
 )
 from endivegw.types import AvailabilityZone, InstanceId
@@ -51,12 +51,10 @@
         """
         with decoding("row of a router"):
             document = parse_document(value)
-            port = read_integer(document["port"])
-            host, port = parse_address(f"{read_name(document['host'])}:{port}")
             return cls(
                 read_name(vm),
                 InstanceId(read_name(document["instance"])),
-                host,
-                port,
+                read_ip(document["host"]),
+                read_port(document["port"]),
                 AvailabilityZone(read_text(document.get("availability_zone", ""))),
             )
--- a/src/endivegw/platform/configuration.py
+++ b/src/endivegw/platform/configuration.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 from typing import Any, Iterable, Mapping
 
 from endivegw.decisions import WarmUpLimits
 from endivegw.documents import (
     DocumentError,
     decoding,
-    parse_address,
     parse_document,
     read_count,
     read_name,
+    read_port,
 )
 from endivegw.routing import (
     CallerLimits,
@@ -175,7 +176,11 @@
 
 def _check_address(value: str) -> str:
     """Check that a connection can be opened to an address and return it."""
-    parse_address(value)
+    host, _, port = value.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdigit():
+        raise DecodeError(f"no valid port in address {value!r:.60}")
+    read_port(int(port))
     return value
 
 
--- a/src/endivegw/services/dynamo_table.py
+++ b/src/endivegw/services/dynamo_table.py
@@ -43,7 +43,14 @@
 _CONFLICTS = ("TransactionCanceledException", "TransactionConflictException")
 #: Raised when parsing a response that the table service did not produce, such as
 #: the error page of an intermediate proxy.
-_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+_MALFORMED = (
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 
 _CONDITION_FAILED = "ConditionalCheckFailed"
 
--- a/src/endivegw/telemetry/catalogue/membership.py
+++ b/src/endivegw/telemetry/catalogue/membership.py
@@ -10,6 +10,7 @@
     "ORDER_WINDOW_MISSED",
     "PEER_CHANGED",
     "VM_LIST_UNREADABLE",
+    "VM_UNREADABLE",
 ]
 
 PEER_CHANGED = Event(
@@ -33,6 +34,13 @@
     "The platform's list of vms could not be read; the last list stays in use.",
     ("reason",),
 )
+VM_UNREADABLE = Event(
+    5004,
+    "vm-list-entry-unread",
+    Level.WARNING,
+    "An entry of the platform's list of vms does not decode and is left out.",
+    ("detail",),
+)
 ORDER_SENT = Event(
     5101,
     "order-sent",
