--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -5,7 +5,51 @@
 import json
 from typing import Any, Iterator
 
-__all__ = ["ODD_VALUES", "odd_documents"]
+from endivegw_standins.platform_target import TARGET_ENTRY
+
+__all__ = [
+    "ODD_VALUES",
+    "ROW_DOCUMENTS",
+    "TARGET_DOCUMENT",
+    "odd_documents",
+    "odd_rows",
+]
+
+TARGET_DOCUMENT = {
+    **TARGET_ENTRY,
+    "Service": "other",
+    "Address": "127.0.0.1:9",
+    "Zone": "z",
+}
+
+#: A sound document of each table that routers read.
+ROW_DOCUMENTS: dict[str, Any] = {
+    "servers": TARGET_DOCUMENT,
+    "router-addresses": {
+        "instance": "vm-9-1",
+        "host": "127.0.0.1",
+        "port": 9,
+        "availability_zone": "z",
+    },
+    "token-budgets": {"drawn": 10},
+    "token-holders": {
+        "instance": "vm-9-1",
+        "sequence": 1,
+        "as_of_ms": 10,
+        "witnesses": ["vm-8-1"],
+        "needed": 1,
+        "outright": False,
+        "lasts_ms": 20_000,
+        "accounts": {"hotel": [10, 5, 1]},
+    },
+    "quarantined-requests": {
+        "ends": [["e-1", 1], ["e-2", None]],
+        "void": [["e-1", 1]],
+        "answered": False,
+    },
+    "software-versions": {"v1": None, "v2": 10},
+    "stream-records": {"engine": {"v1": ["AAAAAAAAAAAAAAAA"]}},
+}
 
 #: Depth of nested documents, which a row of 64 KB holds.
 _DEEP = 10_000
@@ -60,6 +104,11 @@
 _PLACEHOLDER = "\x01"
 
 
+def odd_rows(table: str) -> list[bytes]:
+    """Return odd values for a row of a table."""
+    return [*ODD_VALUES, *odd_documents(ROW_DOCUMENTS[table])]
+
+
 def odd_documents(document: Any) -> Iterator[bytes]:
     """Yield a document with each of its parts in turn replaced by an odd one."""
     for changed in _replaced(document):
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -566,7 +566,7 @@
                 + [self._shed, self._leave, self._replace]
                 + [self._evacuate, self._limit]
                 + [self._turn_away, self._burst, self._read_nothing, self._extra]
-                + [self.entries.list_former]
+                + [self.entries.list_former, self.entries.write_odd]
             )
             self.report.faults.append(fault.__name__.strip("_"))
             self._record(f"fault {fault.__name__}")
--- a/tests/soak_entries.py
+++ b/tests/soak_entries.py
@@ -1,4 +1,4 @@
-"""Entries that do not describe a target that serves, for the soak test."""
+"""Rows that do not describe what is there, for the soak test."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from endivegw_standins.platform_store_app import PlatformStoreApp
 from endivegw_standins.platform_target import TARGET_ENTRY, PlatformTarget
 from endivegw_standins.platform_worker import ExtraAnswer
+from tests.odd_values import ROW_DOCUMENTS, odd_rows
 
 __all__ = ["SoakEntries"]
 
@@ -25,9 +26,14 @@
 _MAX_FORMER = 4
 _MAX_LISTED_S = 1.5
 
+#: Tables with odd rows of one fault, rows in each, and keys of all such rows.
+_ODD_TABLES = 3
+_ODD_ROWS = 4
+_ODD_KEYS = 50
+
 
 class SoakEntries:
-    """Write entries to the list of targets.
+    """Write rows like a process that has ended, or like one that is not of the fleet.
 
     :ivar addresses: the targets, each with the address that it registers.
     """
@@ -62,3 +68,10 @@
         await anyio.sleep(self._rng.random() * _MAX_LISTED_S)
         for name in names:
             self._store.drop("servers", name)
+
+    async def write_odd(self) -> None:
+        """Leave odd rows in some tables, under keys that no process uses."""
+        for table in self._rng.sample(sorted(ROW_DOCUMENTS), _ODD_TABLES):
+            for value in self._rng.sample(odd_rows(table), _ODD_ROWS):
+                key = f"odd-{self._rng.randrange(_ODD_KEYS)}"
+                self._store.put_value(table, key, value)
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -5,7 +5,7 @@
 import json
 import random
 import unittest
-from typing import Any, Callable
+from typing import Callable
 
 import anyio
 import logbook
@@ -23,8 +23,13 @@
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import InstanceId
-from endivegw_standins.platform_target import TARGET_ENTRY
-from tests.odd_values import ODD_VALUES, odd_documents
+from tests.odd_values import (
+    ODD_VALUES,
+    ROW_DOCUMENTS,
+    TARGET_DOCUMENT,
+    odd_documents,
+    odd_rows,
+)
 from tests.platform_fleet import CONFIGURATION, ClientFleet, platform_fleet
 
 _SEED = 1
@@ -39,42 +44,6 @@
 #: takes until others count as unresponsive.
 _BROKEN_S = 1.5
 
-_TARGET = {
-    **TARGET_ENTRY,
-    "Service": "other",
-    "Address": "127.0.0.1:9",
-    "Zone": "z",
-}
-
-#: A sound document of each table that routers read.
-_DOCUMENTS: dict[str, Any] = {
-    "servers": _TARGET,
-    "router-addresses": {
-        "instance": "vm-9-1",
-        "host": "127.0.0.1",
-        "port": 9,
-        "availability_zone": "z",
-    },
-    "token-budgets": {"drawn": 10},
-    "token-holders": {
-        "instance": "vm-9-1",
-        "sequence": 1,
-        "as_of_ms": 10,
-        "witnesses": ["vm-8-1"],
-        "needed": 1,
-        "outright": False,
-        "lasts_ms": 20_000,
-        "accounts": {"hotel": [10, 5, 1]},
-    },
-    "quarantined-requests": {
-        "ends": [["e-1", 1], ["e-2", None]],
-        "void": [["e-1", 1]],
-        "answered": False,
-    },
-    "software-versions": {"v1": None, "v2": 10},
-    "stream-records": {"engine": {"v1": ["AAAAAAAAAAAAAAAA"]}},
-}
-
 _DECODERS: dict[str, Callable[[bytes], object]] = {
     "servers": lambda value: decode_target("i-1", value),
     "router-addresses": lambda value: PeerEntry.decode("vm-9", value),
@@ -86,16 +55,12 @@
 }
 
 
-def _odd_values(table: str) -> list[bytes]:
-    return [*ODD_VALUES, *odd_documents(_DOCUMENTS[table])]
-
-
 class DecoderTests(unittest.TestCase):
     """Each decoder returns a value, or says that there is none."""
 
     # Guards against a row that ends a task, and with it the process.
     def test_any_row_is_decoded_or_rejected(self) -> None:
-        documents = {"op": CONFIGURATION, **_DOCUMENTS}
+        documents = {"op": CONFIGURATION, **ROW_DOCUMENTS}
         decoders = {"op": decode_configuration, **_DECODERS}
         for table, decoder in decoders.items():
             decoder(json.dumps(documents[table]).encode())
@@ -108,7 +73,7 @@
 
     # Guards against an address to which no datagram can be sent.
     def test_an_address_of_a_router_can_be_sent_to(self) -> None:
-        document = _DOCUMENTS["router-addresses"]
+        document = ROW_DOCUMENTS["router-addresses"]
         for host in ("", "localhost", "a\x00b", "10.0.0.256", "10.0.0.1\n", 7, None):
             with self.subTest(host=host), self.assertRaises(ValueError):
                 PeerEntry.decode("vm", json.dumps({**document, "host": host}).encode())
@@ -190,10 +155,10 @@
     # there.
     def test_routers_start_beside_odd_rows_of_each_table(self) -> None:
         async def scenario() -> None:
-            for table in _DOCUMENTS:
+            for table in ROW_DOCUMENTS:
                 with self.subTest(table=table):
                     async with platform_fleet(0) as fleet:
-                        self.write_rows(fleet, table, _odd_values(table))
+                        self.write_rows(fleet, table, odd_rows(table))
                         for _ in range(_ROUTERS):
                             fleet.start_router()
                         await fleet.wait_ready()
@@ -206,7 +171,7 @@
     def test_routers_go_on_beside_odd_rows_that_are_written(self) -> None:
         async def scenario() -> None:
             rng = random.Random(_SEED)
-            values = {table: _odd_values(table) for table in _DOCUMENTS}
+            values = {table: odd_rows(table) for table in ROW_DOCUMENTS}
             async with platform_fleet(_ROUTERS) as fleet:
                 for _ in range(_WRITES):
                     for table, odd in values.items():
@@ -252,7 +217,7 @@
 
     async def check_follows(self, fleet: ClientFleet) -> None:
         """Check that the routers read a target that is registered now."""
-        fleet.store.put("servers", "new-1", _TARGET)
+        fleet.store.put("servers", "new-1", TARGET_DOCUMENT)
         await self.wait_for_target(fleet, "new-1")
 
     async def wait_for_target(self, fleet: ClientFleet, name: str) -> None:
