In an outage of the store, most routers must know one version before a stream goes on

Routers that are asked answer what they know and whether the store confirms it. Where it confirms nothing, a stream goes on at the one version that all who answer know, if they and the asking router are more than half of those that were asked, and of all that are registered: in an outage for all nobody learns of a version, and a smaller part that is cut off has no majority. At most three are asked, of several zones.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -151,7 +151,7 @@
         on_permits=lambda *answer: queue.add_permits(*answer),
         on_streams=lambda records: streams.keep(records),
         find_stream=lambda key: streams.find(key),
-        confirm_sole=lambda service: streams.confirm_sole(service),
+        sole_version=lambda service: streams.sole_version(service),
         max_witnesses=MAX_WITNESSES if mechanisms.witnesses else 0,
         reaches_store=lambda: relayed_store.reachable,
         headroom=lambda: capacity.headroom() if capacity else None,
--- a/src/endivegw/gossip/link.py
+++ b/src/endivegw/gossip/link.py
@@ -33,6 +33,7 @@
     StreamsBegun,
     Update,
     VersionQuery,
+    VersionResponse,
     Waiver,
     decode,
     encode,
@@ -43,7 +44,7 @@
 from endivegw.gossip.permit_exchange import PermitExchange
 from endivegw.gossip.stream_exchange import StreamExchange
 from endivegw.rendezvous import rendezvous_order
-from endivegw.streams import StreamKey, StreamRecord
+from endivegw.streams import SoleVersion, StreamKey, StreamRecord
 from endivegw.supervision import keep_running, record_failure
 from endivegw.telemetry import EventLog
 from endivegw.types import ClientAccountName, InstanceId, TargetName
@@ -64,8 +65,8 @@
 _SOCKET_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
-async def _confirm_none(service: str) -> str | None:
-    return None
+async def _know_nothing(service: str) -> SoleVersion:
+    return SoleVersion(None)
 
 
 class PeerLink:
@@ -88,8 +89,8 @@
     :param on_permits: called with the answer to each request for permits.
     :param on_streams: called with records of streams that this router is to keep.
     :param find_stream: returns the version that began a stream, None if unknown here.
-    :param confirm_sole: returns the only version of a service, as the store confirms;
-        None if there may be another one.
+    :param sole_version: returns the only version of a service, confirmed by the store
+        if it answers.
     :param headroom: returns what this router can carry beyond its load; None if its
         capacity is not known.
     :param reaches_store: returns whether the store answers this router's calls.
@@ -125,7 +126,7 @@
         ] = lambda target, started_ms, permits: None,
         on_streams: Callable[[tuple[StreamRecord, ...]], None] = lambda records: None,
         find_stream: Callable[[StreamKey], str | None] = lambda key: None,
-        confirm_sole: Callable[[str], Awaitable[str | None]] = _confirm_none,
+        sole_version: Callable[[str], Awaitable[SoleVersion]] = _know_nothing,
         max_witnesses: int = MAX_WITNESSES,
         headroom: Callable[[], Headroom | None] = lambda: None,
         reaches_store: Callable[[], bool] = lambda: True,
@@ -161,7 +162,7 @@
         self._gossip = GossipQueue(self._send_data, peers.entries, rng)
         self._on_streams = on_streams
         self._find_stream = find_stream
-        self._confirm_sole = confirm_sole
+        self._sole_version = sole_version
         self.streams = StreamExchange(
             entry.instance_id, peers, self._send_data, self.broadcast, clock
         )
@@ -409,7 +410,7 @@
                 await self._send_to(encode(found), host, port)
             case VersionQuery():
                 tasks.start_soon(self._answer_version_query, message, host, port)
-            case StreamResponse():
+            case StreamResponse() | VersionResponse():
                 self.streams.receive(message)
             case BroadcastMessage(_, update):
                 self._on_broadcast(update)
@@ -460,11 +461,11 @@
         self, query: VersionQuery, host: str, port: int
     ) -> None:
         try:
-            version = await self._confirm_sole(query.service)
+            version = await self._sole_version(query.service)
         except Exception as error:
             self._record_failure(error, host)
             return
-        response = StreamResponse(self.entry.instance_id, query.number, version)
+        response = VersionResponse(self.entry.instance_id, query.number, version)
         await self._send_to(encode(response), host, port)
 
     def _record_failure(self, error: Exception, host: str) -> None:
--- a/src/endivegw/gossip/message_types.py
+++ b/src/endivegw/gossip/message_types.py
@@ -9,7 +9,7 @@
 from endivegw.decisions import LocalLoad, Permits
 from endivegw.quarantine import Evidence
 from endivegw.routing import LimitReport, ZoneChange
-from endivegw.streams import StreamKey, StreamRecord, VersionSeen
+from endivegw.streams import SoleVersion, StreamKey, StreamRecord, VersionSeen
 from endivegw.types import (
     ClientAccountName,
     InstanceId,
@@ -37,6 +37,7 @@
     "TargetLeaving",
     "Update",
     "VersionQuery",
+    "VersionResponse",
     "Waiver",
 ]
 
@@ -205,9 +206,21 @@
     service: str
 
 
+@frozen
+class VersionResponse:
+    """Answers a query for the only software version of a service.
+
+    :param number: number of the query at its sender.
+    """
+
+    sender: InstanceId
+    number: int
+    version: SoleVersion
+
+
 @frozen
 class StreamResponse:
-    """Answers a query for a stream, or for the only version of a service.
+    """Answers a query for a stream.
 
     :param software_version: None if the sender does not know it.
     """
@@ -244,6 +257,7 @@
     | StreamsBegun
     | StreamQuery
     | VersionQuery
+    | VersionResponse
     | StreamResponse
     | BroadcastMessage
 )
--- a/src/endivegw/gossip/messages.py
+++ b/src/endivegw/gossip/messages.py
@@ -35,6 +35,7 @@
     TargetLeaving,
     Update,
     VersionQuery,
+    VersionResponse,
     Waiver,
 )
 from endivegw.quarantine import (
@@ -45,7 +46,7 @@
     encode_starts,
 )
 from endivegw.routing import LimitReport, ZoneChange
-from endivegw.streams import StreamKey, StreamRecord, VersionSeen
+from endivegw.streams import SoleVersion, StreamKey, StreamRecord, VersionSeen
 from endivegw.types import (
     AvailabilityZone,
     ClientAccountName,
@@ -79,6 +80,7 @@
     "TargetLeaving",
     "Update",
     "VersionQuery",
+    "VersionResponse",
     "Waiver",
 ]
 
@@ -162,6 +164,8 @@
             document = ["stream", sender, number, key]
         case VersionQuery(sender, number, service):
             document = ["sole-version", sender, number, service]
+        case VersionResponse(sender, number, SoleVersion(version, confirmed)):
+            document = ["sole-version-is", sender, number, version, confirmed]
         case StreamResponse(sender, number, version):
             document = ["stream-version", sender, number, version]
         case BroadcastMessage(sender, VersionSeen(service, version)):
@@ -278,6 +282,9 @@
                 return StreamQuery(name, int(number), StreamKey(str(key)))
             case "sole-version", [number, service]:
                 return VersionQuery(name, int(number), str(service))
+            case "sole-version-is", [number, version, bool(confirmed)]:
+                sole = None if version is None else str(version)
+                return VersionResponse(name, int(number), SoleVersion(sole, confirmed))
             case "stream-version", [number, version]:
                 began = None if version is None else str(version)
                 return StreamResponse(name, int(number), began)
--- a/src/endivegw/gossip/peers.py
+++ b/src/endivegw/gossip/peers.py
@@ -34,6 +34,9 @@
 #: Number of routers that keep each record, of which all but one may be lost.
 _KEEPERS = 3
 
+#: Number of routers that are asked what the fleet knows.
+_ADVISERS = 3
+
 #: Number of choices of keepers.
 _KEEPER_GROUPS = 1024
 
@@ -265,6 +268,29 @@
             vms = self._keepers[group] = order[:_KEEPERS]
         return [self._peers[vm].entry for vm in vms if vm in self._peers]
 
+    def advisers(self, key: str, now_s: float) -> list[PeerEntry]:
+        """Return a few routers to ask what the fleet knows, of several zones.
+
+        Routers of other zones are less likely to be cut off together with this one.
+        Those that respond and reach the store come first.
+        """
+        responsive = self._responsive_vms(now_s)
+
+        def rank(vm: str) -> tuple[bool, bool]:
+            state = self._peers[vm].state
+            return vm not in responsive, state is None or not state.reaches_store
+
+        order = sorted(rendezvous_order(key, self._peers), key=rank)
+        zones = {self.own_zone}
+        spread: list[str] = []
+        for vm in order:
+            zone = self._peers[vm].entry.availability_zone
+            if zone not in zones and vm in responsive:
+                zones.add(zone)
+                spread.append(vm)
+        chosen = [*spread, *(vm for vm in order if vm not in spread)]
+        return [self._peers[vm].entry for vm in chosen[:_ADVISERS]]
+
     def is_writer(self, key: str, now_s: float) -> bool:
         """Return whether this router is among the few that write a row for all."""
         responsive = self._responsive_vms(now_s)
--- a/src/endivegw/gossip/stream_exchange.py
+++ b/src/endivegw/gossip/stream_exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Awaitable, Callable, Iterable
+from typing import Awaitable, Callable, Iterable, Sequence
 
 import anyio
 from attrs import define, field
@@ -12,10 +12,11 @@
     StreamQuery,
     StreamResponse,
     VersionQuery,
+    VersionResponse,
 )
 from endivegw.gossip.messages import encode, stream_datagrams
 from endivegw.gossip.peers import PeerEntry, PeerTable
-from endivegw.streams import PeerAnswer, StreamKey, StreamRecord, VersionSeen
+from endivegw.streams import StreamKey, StreamRecord, VersionPoll, VersionSeen
 from endivegw.types import InstanceId
 
 __all__ = ["StreamExchange"]
@@ -25,9 +26,9 @@
 _TRIES = 3
 _RESEND_S = 0.06
 
-#: How long a router that asks the store first is waited for after the last try. It
-#: waits for up to two answers of the store itself.
-_CONFIRMATION_S = 0.6
+#: How long routers that ask the store first are waited for after the last try, so that
+#: its time of an answer may pass there.
+_CONFIRMATION_S = 0.3
 
 #: Maximum number of datagrams that wait to be sent.
 _MAX_QUEUED = 4096
@@ -35,11 +36,13 @@
 #: Maximum number of queries in progress.
 _MAX_QUERIES = 256
 
+Response = StreamResponse | VersionResponse
+
 
 @define
 class _Query:
     unanswered: set[InstanceId]
-    software_version: str | None = None
+    responses: list[Response] = field(factory=list)
     decided: anyio.Event = field(factory=anyio.Event)
 
 
@@ -91,43 +94,61 @@
         async for datagram, keeper in self._receiver:
             await self._send(datagram, keeper)
 
-    async def find(self, key: StreamKey) -> PeerAnswer:
+    async def find(self, key: StreamKey) -> str | None:
         """Ask the keepers of a stream which software version began it."""
-        return await self._ask(
-            key, lambda number: StreamQuery(self._own_id, number, key), 0.0
+        keepers = self._peers.keepers(key)
+        responses = await self._ask(
+            keepers, lambda number: StreamQuery(self._own_id, number, key), 0.0
         )
+        for response in responses:
+            if isinstance(response, StreamResponse) and response.software_version:
+                return response.software_version
+        return None
 
-    async def find_sole(self, key: StreamKey, service: str) -> PeerAnswer:
-        """Ask the keepers of a stream for the version of its service if it has one.
+    async def poll_sole(self, service: str) -> VersionPoll:
+        """Ask a few routers for the only version of a service.
 
         They ask the store before they answer.
         """
-        return await self._ask(
-            key,
+        now_s = self._clock()
+        asked = self._peers.advisers(service, now_s)
+        responses = await self._ask(
+            asked,
             lambda number: VersionQuery(self._own_id, number, service),
             _CONFIRMATION_S,
         )
+        return VersionPoll(
+            tuple(
+                response.version
+                for response in responses
+                if isinstance(response, VersionResponse)
+            ),
+            len(asked),
+            self._peers.reachable_share(now_s),
+        )
 
     async def _ask(
-        self, key: StreamKey, make_query: Callable[[int], Message], patience_s: float
-    ) -> PeerAnswer:
-        """Ask the keepers of a stream for a version; the first that one names counts.
+        self,
+        asked: Sequence[PeerEntry],
+        make_query: Callable[[int], Message],
+        patience_s: float,
+    ) -> list[Response]:
+        """Send a query to routers, and return the responses up to a decisive one.
 
         :param patience_s: how long to wait after the last try.
         """
-        keepers = self._peers.keepers(key)
-        if not keepers or len(self._queries) >= _MAX_QUERIES:
-            return PeerAnswer()
+        if not asked or len(self._queries) >= _MAX_QUERIES:
+            return []
         self._numbers += 1
         number = self._numbers
-        query = _Query({keeper.instance_id for keeper in keepers})
+        query = _Query({entry.instance_id for entry in asked})
         self._queries[number] = query
         message = encode(make_query(number))
         try:
             for _ in range(_TRIES):
-                for keeper in keepers:
-                    if keeper.instance_id in query.unanswered:
-                        await self._send(message, keeper)
+                for entry in asked:
+                    if entry.instance_id in query.unanswered:
+                        await self._send(message, entry)
                 with anyio.move_on_after(_RESEND_S):
                     await query.decided.wait()
                     break
@@ -135,16 +156,23 @@
                 await query.decided.wait()
         finally:
             del self._queries[number]
-        responded = len(query.unanswered) < len(keepers)
-        return PeerAnswer(query.software_version, responded)
+        return query.responses
 
-    def receive(self, response: StreamResponse) -> None:
-        """Apply a keeper's answer."""
+    def receive(self, response: Response) -> None:
+        """Apply a response of another router."""
         query = self._queries.get(response.number)
-        if query is None:
+        if query is None or response.sender not in query.unanswered:
             return
         query.unanswered.discard(response.sender)
-        if response.software_version is not None:
-            query.software_version = response.software_version
-        if query.software_version is not None or not query.unanswered:
+        query.responses.append(response)
+        if _is_decisive(response) or not query.unanswered:
             query.decided.set()
+
+
+def _is_decisive(response: Response) -> bool:
+    """Return whether no further response is needed."""
+    match response:
+        case StreamResponse(_, _, software_version):
+            return software_version is not None
+        case VersionResponse(_, _, version):
+            return version.is_confirmed and version.software_version is not None
--- a/src/endivegw/streams/manager.py
+++ b/src/endivegw/streams/manager.py
@@ -23,12 +23,13 @@
 from endivegw.streams.registry_check import RegistryCheck
 from endivegw.streams.rows import VERSIONS_TABLE, decode_versions, encode_versions
 from endivegw.streams.saver import RecordSaver
+from endivegw.streams.version_poll import SoleVersion, VersionPoll
 from endivegw.supervision import contain
 from endivegw.telemetry import EventLog
 from endivegw.telemetry.catalogue import relay as events
 from endivegw.types import ClientAccountName
 
-__all__ = ["PeerAnswer", "StreamOrigin", "StreamPeers", "StreamVersions"]
+__all__ = ["StreamOrigin", "StreamPeers", "StreamVersions"]
 
 #: Time for which callers may resume a stream; the tries of one caller take less.
 _RETENTION_S = 60.0
@@ -59,37 +60,26 @@
 class StreamOrigin:
     """Hold the software version that began a stream.
 
-    :param source: how it is known: ``record`` (kept here), ``registry`` (the only one),
-        ``peer`` (kept there) or ``peer-registry`` (the only one, confirmed by a peer).
+    :param source: how it is known: ``record`` (kept here) or ``peer`` (kept there);
+        otherwise the only one, as confirmed by the store here (``registry``), by the
+        store at a peer (``peer-registry``), or by peers in an outage (``agreement``).
     """
 
     software_version: str
     source: str
 
 
-@frozen
-class PeerAnswer:
-    """Hold what other routers answered to a query.
-
-    :param software_version: None if none of them knows it.
-    :param responded: whether any of them answered in time.
-    """
-
-    software_version: str | None = None
-    responded: bool = False
-
-
 class StreamPeers(Protocol):
     """The other routers, some of which keep the records of streams."""
 
     def keep(self, records: Iterable[StreamRecord]) -> None:
         """Send records to the routers that keep them."""
 
-    async def find(self, key: StreamKey) -> PeerAnswer:
-        """Ask the routers that keep a record which version began a stream."""
+    async def find(self, key: StreamKey) -> str | None:
+        """Ask the routers that keep a record; None if none of them has it."""
 
-    async def find_sole(self, key: StreamKey, service: str) -> PeerAnswer:
-        """Ask these routers for the version of a service if there is only one."""
+    async def poll_sole(self, service: str) -> VersionPoll:
+        """Ask a few routers for the only version of a service."""
 
     def broadcast(self, seen: VersionSeen) -> None:
         """Tell all routers of a version."""
@@ -106,9 +96,9 @@
     stream is sent to few routers when its first event is relayed, since its own router
     may die and its caller continue at another one.
 
-    That a service has one version is never concluded from what was heard of until now.
+    That a service has one version is not concluded from what was heard of until now.
     Where no record of a stream is found, the store is asked, or a router that reaches
-    it.
+    it. Where the store answers none of those that are asked, most of them must agree.
 
     :param vm: name of this router's vm, whose row it writes.
     :param read_registry: reads the registered targets up to a moment after the call,
@@ -190,23 +180,15 @@
             known = self.find(key)
             if known is not None:
                 return StreamOrigin(known, "record")
-        sole = await self.confirm_sole(service)
-        if sole is not None:
-            return StreamOrigin(sole, "registry")
-        if attempt_id is None:
-            return Refused(
-                Reason.UNKNOWN_STREAM,
-                "several software versions may serve, and the attempt that began the"
-                " stream is not stated",
-                _UNKNOWN_RETRY_S,
-            )
-        answer = await self._peers.find(key)
-        if answer.software_version is not None:
-            return StreamOrigin(answer.software_version, "peer")
-        if answer.responded and not self._several(service):
-            answer = await self._peers.find_sole(key, service)
-            if answer.software_version is not None:
-                return StreamOrigin(answer.software_version, "peer-registry")
+        sole = await self.sole_version(service)
+        if sole.is_confirmed and sole.software_version is not None:
+            return StreamOrigin(sole.software_version, "registry")
+        may_be_sole = not sole.is_confirmed and not self._several(service)
+        origins = await self._ask_peers(
+            None if attempt_id is None else key, service if may_be_sole else None
+        )
+        if origins:
+            return origins[0]
         return Refused(
             Reason.UNKNOWN_STREAM,
             "several software versions may serve, and no router that responds knows"
@@ -214,16 +196,61 @@
             _UNKNOWN_RETRY_S,
         )
 
-    async def confirm_sole(self, service: str) -> str | None:
-        """Return the only version of a service as of a moment after this call.
+    async def sole_version(self, service: str) -> SoleVersion:
+        """Return the only version of a service, confirmed by the store if it answers.
 
-        None if there may be another one that has begun a stream.
+        A confirmed one holds for streams that began before this call.
+        """
+        is_confirmed = False
+        if not self._several(service) and self._unavailable_s() <= 0.0:
+            is_confirmed = await self._check.confirm(_MAX_CHECK_S)
+        if not self._loaded:
+            return SoleVersion(None)
+        version = self.history.sole_version(service, self._clock())
+        return SoleVersion(version, is_confirmed)
+
+    async def _ask_peers(
+        self, key: StreamKey | None, service: str | None
+    ) -> list[StreamOrigin]:
+        """Ask peers for the record of a stream and for the only version of its service.
+
+        Both at once, as a router that is cut off gets no answers.
+
+        :param key: None if the stream is not stated.
+        :param service: None if the service has several versions.
+        :returns: what was found, a record first.
         """
-        if self._several(service) or self._unavailable_s() > 0.0:
-            return None
-        if not await self._check.confirm(_MAX_CHECK_S):
-            return None
-        return self.history.sole_version(service, self._clock())
+        records: list[StreamOrigin] = []
+        versions: list[StreamOrigin] = []
+
+        async def find_record(key: StreamKey) -> None:
+            version = await self._peers.find(key)
+            if version is not None:
+                records.append(StreamOrigin(version, "peer"))
+                tasks.cancel_scope.cancel()
+
+        async def find_sole(service: str) -> None:
+            origin = await self._poll_peers(service)
+            if origin is not None:
+                versions.append(origin)
+
+        async with anyio.create_task_group() as tasks:
+            if key is not None:
+                tasks.start_soon(find_record, key)
+            if service is not None:
+                tasks.start_soon(find_sole, service)
+        return records + versions
+
+    async def _poll_peers(self, service: str) -> StreamOrigin | None:
+        """Return the only version of a service as peers confirm it, or None."""
+        poll = await self._peers.poll_sole(service)
+        confirmed = poll.confirmed()
+        if confirmed is not None:
+            return StreamOrigin(confirmed, "peer-registry")
+        own = self.history.sole_version(service, self._clock())
+        if own is not None and self._loaded and poll.agrees(own):
+            return StreamOrigin(own, "agreement")
+        return None
 
     # Versions.
 
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -188,8 +188,8 @@
     "relay-stream-resumed",
     Level.INFO,
     "A caller resumes a stream, which goes on at the version that began it. Sources are"
-    " record (kept by this router), registry (the only version), peer and"
-    " peer-registry.",
+    " record (kept by this router), registry (the only version), peer, peer-registry"
+    " and agreement (of routers that the store does not answer).",
     ("request_id", "resumes", "service", "software_version", "source"),
 )
 TARGET_WARMING_UP = Event(
--- a/src/endivegw_standins/stream_world.py
+++ b/src/endivegw_standins/stream_world.py
@@ -138,8 +138,11 @@
         self.routers[vm].streams.begin(None, attempt_id, SERVICE, version)
         return attempt_id
 
-    async def resume(self, vm: str, attempt_id: str, version: str) -> None:
-        """Resume a stream at a router, and count what becomes of it."""
+    async def resume(self, vm: str, attempt_id: str | None, version: str) -> None:
+        """Resume a stream at a router, and count what becomes of it.
+
+        :param attempt_id: the attempt that began it; None if the caller names none.
+        """
         found = await self.routers[vm].streams.version_of(None, attempt_id, SERVICE)
         if isinstance(found, Refused):
             self.outcomes["refused"] += 1
@@ -176,7 +179,7 @@
         on_broadcast=on_broadcast,
         on_streams=lambda records: router.streams.keep(records),
         find_stream=lambda key: router.streams.find(key),
-        confirm_sole=lambda service: router.streams.confirm_sole(service),
+        sole_version=lambda service: router.streams.sole_version(service),
         rng=router.world.rng,
     )
     link.network = router.world.network
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -16,6 +16,7 @@
     StreamResponse,
     StreamsBegun,
     VersionQuery,
+    VersionResponse,
     decode,
     encode,
     stream_datagrams,
@@ -24,6 +25,7 @@
 from endivegw.platform.wire import PlatformWire
 from endivegw.results import Refused
 from endivegw.streams import (
+    SoleVersion,
     StreamRecord,
     StreamRecords,
     VersionHistory,
@@ -402,6 +404,8 @@
             StreamsBegun(sender, (StreamRecord(key, SERVICE, "v1"),)),
             StreamQuery(sender, 7, key),
             VersionQuery(sender, 7, SERVICE),
+            VersionResponse(sender, 7, SoleVersion("v1", True)),
+            VersionResponse(sender, 7, SoleVersion(None)),
             StreamResponse(sender, 7, None),
             StreamResponse(sender, 7, "v1"),
             BroadcastMessage(sender, VersionSeen(SERVICE, "v1")),
--- a/tools/import_rules.py
+++ b/tools/import_rules.py
@@ -48,6 +48,7 @@
     "streams/history.py",
     "streams/records.py",
     "streams/rows.py",
+    "streams/version_poll.py",
     "documents.py",
     "gossip/peers.py",
     "relay/admission.py",
