The soak reads only the entry that it changes

A soak ended with an error of its own at seed 638: it decoded all entries of targets to let one leave, among them the odd ones that it had written.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -752,7 +752,7 @@
         worker, name = target.worker, target.worker.instance_id
         worker.leaving = True
         await anyio.sleep(self.rng.random() * 3.0)
-        row = self.store.documents("servers").get(name)
+        row = self.entries.read(name)
         if row is not None:
             self.store.put("servers", name, {**row, "State": "draining"})
         await anyio.sleep(2.0 + self.rng.random())
--- a/tests/soak_entries.py
+++ b/tests/soak_entries.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import base64
 import itertools
+import json
 import random
+from typing import Any
 
 import anyio
 
@@ -44,6 +47,14 @@
         self._numbers = itertools.count()
         self.addresses: list[tuple[PlatformTarget, str]] = []
 
+    def read(self, name: str) -> dict[str, Any] | None:
+        """Return a target's entry, or None if there is none."""
+        row = self._store._rows.get(("servers", name))
+        if row is None or row.deleted:
+            return None
+        entry: dict[str, Any] = json.loads(base64.b64decode(row.value))
+        return entry
+
     async def list_former(self) -> None:
         """List instances that have ended, at the address of one that serves.
 
