--- a/tests/test_silent_terminations.py
+++ b/tests/test_silent_terminations.py
@@ -19,11 +19,11 @@
 
 
 async def _acquire_slowly(
-    pool: TargetPool, address: str, require_fresh: bool
+    pool: TargetPool, address: str, require_fresh: bool, require_new: bool
 ) -> TargetConnection:
     """Open a connection as slowly as a router allows."""
     await anyio.sleep(0.24)
-    return await _acquire(pool, address, require_fresh)
+    return await _acquire(pool, address, require_fresh, require_new)
 
 
 class _Engines:
