--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -88,8 +89,10 @@
         router_profile: pathlib.Path | None,
         fast_recovery: bool,
         drain_bound_s: float,
+        router_descriptors: int | None,
     ) -> None:
         self.folder = folder
+        self.router_descriptors = router_descriptors
         self.drain_bound_s = drain_bound_s
         self.fast_recovery = fast_recovery
         self.router_profile = router_profile
@@ -157,7 +160,11 @@
         ) + _ROUTER.format(http=f"{LOOPBACK}:{self.http_ports[number]}")
         if self.fast_recovery:
             text += _FAST_RECOVERY
-        self.routers[number] = self._start("router", f"entry-{number}", text)
+        process = self._start("router", f"entry-{number}", text)
+        self.routers[number] = process
+        if self.router_descriptors is not None:
+            limits = (self.router_descriptors, self.router_descriptors)
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
 
     def url(self, number: int) -> str:
         """Return the URL on which the numbered router serves callers."""
@@ -236,6 +243,7 @@
     router_profile: pathlib.Path | None = None,
     fast_recovery: bool = True,
     drain_bound_s: float = 20,
+    router_descriptors: int | None = None,
 ) -> Iterator[ProcessFleet]:
     """Run stand-ins and processes; yield when every router is ready.
 
@@ -243,6 +251,8 @@
     :param fast_recovery: whether routers check for terminated routers every second
         instead of at the default interval.
     :param drain_bound_s: how long a stopped process waits for work in progress.
+    :param router_descriptors: limit of each router's descriptors; None for that of this
+        process.
     """
     with tempfile.TemporaryDirectory() as folder, start_blocking_portal() as portal:
         fleet = ProcessFleet(
@@ -252,6 +262,7 @@
             router_profile,
             fast_recovery,
             drain_bound_s,
+            router_descriptors,
         )
         served, _ = portal.start_task(fleet.serve_standins)
         try:
