Decode chunked bodies with httptools, and hold them in parts

What callers saw: beside 60 bodies in chunks of one byte, an ordinary caller had no answer within 40 s, and the readiness check neither.

It must not see what follows the body, so that input is cut after each empty line, where alone a body can end.

Framing stays strict: heads are parsed by h11 as before, and chunk framing is now rejected in more forms (blanks after a size, bare line feeds in trailers, trailers that name a length). Framing is bounded by 16 bytes for each byte of data and the limit of a head; one byte a chunk needs six. A body is held in parts of 64 KiB, as one growing buffer is moved again and again, and is dropped at its end: parser and body refer to each other, so that they stayed until the next garbage collection.

--- a/src/endivegw/relay/request_parser.py
+++ b/src/endivegw/relay/request_parser.py
@@ -14,6 +14,12 @@
 from attrs import define, field, frozen
 
 from endivegw.relay.messages import CallerRequest
+from endivegw.relay.request_body import (
+    ChunkedBody,
+    LengthBody,
+    MalformedBody,
+    RequestBody,
+)
 from endivegw.relay.wire import HeaderFields
 from endivegw.routing import CallerLimits
 
@@ -46,48 +52,63 @@
     limits: CallerLimits
     expects_continue: bool = False
     _buffer: bytearray = field(factory=bytearray)
-    _parser: h11.Connection | None = None
     _head: h11.Request | None = None
-    _body: bytearray = field(factory=bytearray)
+    _body: RequestBody | None = None
 
     @property
     def idle(self) -> bool:
         """Return whether no byte of a next request has been received."""
-        return self._parser is None and not self._buffer
+        return self._head is None and not self._buffer
 
     @property
     def in_body(self) -> bool:
         """Return whether the head was parsed and the body is incomplete."""
-        return self._parser is not None
+        return self._head is not None
 
     @property
     def buffered_bytes(self) -> int:
         """Return the number of buffered bytes."""
-        return len(self._buffer) + len(self._body)
+        body_bytes = 0 if self._body is None else self._body.size
+        return len(self._buffer) + body_bytes
+
+    @property
+    def unparsed_bytes(self) -> int:
+        """Return the number of buffered bytes that were not parsed yet."""
+        return len(self._buffer)
+
+    def request_head(self, now_s: float) -> CallerRequest | None:
+        """Return the request whose body is incomplete, without it; None if none is."""
+        return None if self._head is None else _request(self._head, b"", now_s)
 
     def feed(self, data: bytes) -> None:
         """Add received bytes to the buffer."""
         self._buffer += data
         self._skip_blank_lines()
 
+    def discard(self) -> None:
+        """Drop what is buffered; what follows cannot be parsed any more."""
+        self._buffer.clear()
+        self._head = None
+        if self._body is not None:
+            self._body.clear()
+        self._body = None
+
     def next_request(self, now_s: float) -> CallerRequest | MalformedRequest | None:
         """Return the next request, None if more bytes are needed."""
         try:
-            if self._parser is None:
+            if self._head is None:
                 refusal = self._parse_head()
-                if refusal is not None or self._parser is None:
+                if refusal is not None or self._head is None:
                     return refusal
-            elif self._buffer:
-                # h11 takes empty input for the end of the connection.
-                self._parser.receive_data(bytes(self._buffer))
-                self._buffer.clear()
             return self._read_body(now_s)
         except h11.RemoteProtocolError as error:
             return MalformedRequest(error.error_status_hint, str(error))
+        except MalformedBody as error:
+            return MalformedRequest(_BAD_REQUEST, str(error))
 
     def _skip_blank_lines(self) -> None:
         """Skip blank lines before a request line (RFC 9112, section 2.2)."""
-        if self._parser is None:
+        if self._head is None:
             while self._buffer[:2] == b"\r\n":
                 del self._buffer[:2]
 
@@ -111,59 +132,64 @@
             # h11 merges equal lengths into one; a target may interpret the second
             # field differently.
             return MalformedRequest(_BAD_REQUEST, "conflicting body lengths")
-        self._parser = h11.Connection(
+        parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.head_bytes
         )
-        self._parser.receive_data(bytes(self._buffer))
-        self._buffer.clear()
-        event = self._parser.next_event()
+        parser.receive_data(bytes(head))
+        event = parser.next_event()
         if not isinstance(event, h11.Request):
             return MalformedRequest(_BAD_REQUEST, "the input is not an HTTP request")
-        self._head = event
-        self.expects_continue = self._parser.they_are_waiting_for_100_continue
-        return _validate_head(event, self.limits)
+        del self._buffer[: len(head)]
+        refusal = _validate_head(event, self.limits)
+        if refusal is None:
+            self._head = event
+            self._body = _expected_body(event, self.limits)
+            self.expects_continue = parser.they_are_waiting_for_100_continue
+        return refusal
 
     def _read_body(self, now_s: float) -> CallerRequest | MalformedRequest | None:
-        assert self._parser is not None and self._head is not None
-        while True:
-            event = self._parser.next_event()
-            match event:
-                case h11.Data():
-                    self._body += event.data
-                    if len(self._body) > self.limits.body_bytes:
-                        return MalformedRequest(
-                            _BODY_TOO_LARGE,
-                            f"request body of {len(self._body)} bytes exceeds the "
-                            f"limit of {self.limits.body_bytes}",
-                        )
-                case h11.EndOfMessage():
-                    return self._finish_request(now_s)
-                case _:
-                    return None
-
-    def _finish_request(self, now_s: float) -> CallerRequest:
-        assert self._parser is not None and self._head is not None
-        head = self._head
-        request = CallerRequest(
-            method=head.method,
-            target=head.target,
-            fields=list(head.headers),
-            body=bytes(self._body),
-            http_version=head.http_version,
-            close_after=self._parser.our_state is h11.MUST_CLOSE
-            or _requests_close(list(head.headers), head.http_version),
-            arrived_s=now_s,
-        )
-        rest, _ = self._parser.trailing_data
-        self._buffer += rest
-        self._parser = None
-        self._skip_blank_lines()
+        assert self._head is not None and self._body is not None
+        self._body.take(self._buffer)
+        size = self._body.size
+        if size > self.limits.body_bytes:
+            return MalformedRequest(
+                _BODY_TOO_LARGE,
+                f"request body of {size} bytes exceeds the limit of "
+                f"{self.limits.body_bytes}",
+            )
+        if not self._body.complete:
+            return None
+        request = _request(self._head, self._body.take_data(), now_s)
         self._head = None
-        self._body = bytearray()
+        self._body = None
         self.expects_continue = False
+        self._skip_blank_lines()
         return request
 
 
+def _request(head: h11.Request, body: bytes, now_s: float) -> CallerRequest:
+    fields = list(head.headers)
+    return CallerRequest(
+        method=head.method,
+        target=head.target,
+        fields=fields,
+        body=body,
+        http_version=head.http_version,
+        close_after=_requests_close(fields, head.http_version),
+        arrived_s=now_s,
+    )
+
+
+def _expected_body(head: h11.Request, limits: CallerLimits) -> RequestBody:
+    """Return the decoder of the body that a valid head announces."""
+    for name, value in head.headers:
+        if name == b"transfer-encoding":
+            return ChunkedBody(limits.head_bytes)
+        if name == b"content-length":
+            return LengthBody(int(value))
+    return LengthBody(0)
+
+
 def _validate_head(head: h11.Request, limits: CallerLimits) -> MalformedRequest | None:
     names = [name for name, _ in head.headers]
     lengths = names.count(b"content-length")
