One limit on what is held for all peers together

What callers saw: a process of 128 MB grew to 330 MB with 200 bodies that stopped short of their end, 404 MB with whole bodies that waited, 257 MB with input behind streams, 705 MB while it read on after a refusal; on a machine of that size it is killed, and all requests in progress with it.

Cause: each part had a bound of its own (a body, read-ahead, unread bytes, answers), and nothing bounded their sum over connections. Whole bodies and bodies being read were in no count. After a refusal, input went on being buffered. Ended connections stayed until the next garbage collection: the error of the cancelled reader kept them (the frame that handles it refers to it), 380 of them at a time, found by counting what refers to parsers.

HeldMemory counts all of it by connection, when it grows, and not in samples: a crowd sends 60 MB between two of them. Beyond a quarter of memory_mb ([capacity] held_share) the account that holds the most gives way, with its largest request that has not run, which gets 503; of equal ones the one that has not grown for longest. Requests that a target may run never give way. They were counted before they were sent, so that the sum holds. Bodies over 64 KiB get three quarters of it, so that a small request finds room. If nothing else can give way, the slowest readers are closed, as before. The largest body of the configuration is always taken (event 9139 where the share is too small). Input behind a refusal is read and dropped. Reads are of 64 KiB at most, 16 KiB are parsed in a turn, and a large body is sent without a copy.

--- a/src/endivegw/capacity/__init__.py
+++ b/src/endivegw/capacity/__init__.py
@@ -1,7 +1,9 @@
 """What a router's machine can carry, and decisions from that."""
 
 from endivegw.capacity.gate import CapacityGate
+from endivegw.capacity.held_memory import HeldMemory, HeldShare, Holder
 from endivegw.capacity.model import (
+    DEFAULT_TOTAL_SHARE,
     Headroom,
     LoadSample,
     RequestNeed,
@@ -11,9 +13,13 @@
 from endivegw.capacity.sizes import AnswerSize, RequestSizes
 
 __all__ = [
+    "DEFAULT_TOTAL_SHARE",
     "AnswerSize",
     "CapacityGate",
     "Headroom",
+    "HeldMemory",
+    "HeldShare",
+    "Holder",
     "LoadSample",
     "RequestNeed",
     "RequestSizes",
--- a/src/endivegw/capacity/model.py
+++ b/src/endivegw/capacity/model.py
@@ -6,7 +6,13 @@
 
 from attrs import frozen
 
-__all__ = ["Headroom", "LoadSample", "RequestNeed", "RouterCapacity"]
+__all__ = [
+    "DEFAULT_TOTAL_SHARE",
+    "Headroom",
+    "LoadSample",
+    "RequestNeed",
+    "RouterCapacity",
+]
 
 _BITS_PER_BYTE = 8
 _BYTES_PER_MB = 1_000_000
@@ -15,6 +21,14 @@
 #: and its requests need the rest.
 _HELD_SHARE = 0.2
 
+#: Share of the memory that may hold data for all peers: bodies, requests that wait,
+#: answers, and data for peers that read slowly. The process itself, its connections and
+#: copies of messages that are being passed on need the rest.
+DEFAULT_TOTAL_SHARE = 0.25
+
+#: Memory that is assumed if it is not stated.
+_DEFAULT_MEMORY_MB = 300.0
+
 
 @frozen
 class RouterCapacity:
@@ -45,6 +59,14 @@
             return math.inf
         return self.memory_mb * _BYTES_PER_MB * _HELD_SHARE
 
+    def max_total_bytes(self, share: float) -> float:
+        """Return how much may be held for all peers together.
+
+        :param share: part of the memory.
+        """
+        memory_mb = _DEFAULT_MEMORY_MB if self.memory_mb is None else self.memory_mb
+        return memory_mb * _BYTES_PER_MB * share
+
 
 @frozen
 class RequestNeed:
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -10,7 +10,9 @@
 from attrs import evolve
 
 from endivegw.allowances import AllowanceManager, AllowanceOptions
+from endivegw.capacity import HeldMemory, RouterCapacity
 from endivegw.composition.router_gauges import (
+    add_caller_gauges,
     add_capacity_gauges,
     add_router_gauges,
 )
@@ -55,6 +57,7 @@
 from endivegw.streams import StreamVersions, VersionSeen
 from endivegw.tcp_stream import TrafficMeter
 from endivegw.telemetry import EventLog
+from endivegw.telemetry.catalogue.relay import BODY_LIMIT_LARGE
 from endivegw.telemetry.exposition import RouterMetrics
 from endivegw.types import InstanceId, TargetName
 
@@ -156,7 +159,7 @@
         reaches_store=lambda: relayed_store.reachable,
         headroom=lambda: capacity.headroom() if capacity else None,
     )
-    meter = TrafficMeter()
+    meter = _traffic_meter(settings)
     capacity = _capacity_watch(settings, peers, meter, clock, log)
     streams = StreamVersions(
         store,
@@ -206,7 +209,7 @@
         log=log,
         metrics=metrics,
         capacity=capacity,
-        held_answers=_held_answers(settings),
+        held_answers=_held_answers(settings, meter.memory),
     )
     evacuations = ZoneEvacuations()
     targets = TargetReader(
@@ -228,6 +231,7 @@
         log,
     )
     add_router_gauges(metrics, context)
+    add_caller_gauges(metrics, meter.memory)
     if capacity is not None:
         add_capacity_gauges(metrics, capacity)
     metrics.gauge(
@@ -282,6 +286,7 @@
 
     def on_configuration() -> None:
         if context.table is not None:
+            _apply_largest_body(meter.memory, context.table.limits.body_bytes, log)
             allowances.set_prepaid(context.table.prepaid_tokens())
             targets.apply()
 
@@ -361,13 +366,34 @@
     return options
 
 
-def _held_answers(settings: DirectRouterSettings) -> HeldAnswers:
+def _traffic_meter(settings: DirectRouterSettings) -> TrafficMeter:
+    """Return the meter of all connections, with the limit on what is held for them."""
+    capacity = settings.capacity or RouterCapacity()
+    max_bytes = capacity.max_total_bytes(settings.held_share)
+    return TrafficMeter(memory=HeldMemory(max_bytes))
+
+
+def _apply_largest_body(memory: HeldMemory, body_bytes: int, log: EventLog) -> None:
+    """Make room for the largest body that the configuration allows."""
+    if memory.largest_bytes == body_bytes:
+        return
+    memory.largest_bytes = body_bytes
+    if memory.limit_bytes > memory.max_bytes:
+        log.emit(
+            BODY_LIMIT_LARGE,
+            body_bytes=body_bytes,
+            held_bytes=int(memory.max_bytes),
+            needed_bytes=int(memory.limit_bytes),
+        )
+
+
+def _held_answers(settings: DirectRouterSettings, memory: HeldMemory) -> HeldAnswers:
     """Return the bounds of answers that are read whole."""
     max_bytes = int(settings.max_answer_mb * MEGABYTE)
     max_total_bytes = _MAX_ANSWERS * max_bytes
     if settings.capacity is not None and settings.capacity.memory_mb is not None:
         max_total_bytes = int(settings.capacity.max_held_bytes)
-    return HeldAnswers(min(max_bytes, max_total_bytes), max_total_bytes)
+    return HeldAnswers(min(max_bytes, max_total_bytes), max_total_bytes, memory=memory)
 
 
 def _placement_policy(mechanisms: Mechanisms) -> Policy:
--- a/src/endivegw/composition/router_gauges.py
+++ b/src/endivegw/composition/router_gauges.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from endivegw.capacity import HeldMemory
 from endivegw.daemons.capacity_watch import CapacityWatch
 from endivegw.relay.context import RelayContext
 from endivegw.telemetry.exposition import RouterMetrics
 
-__all__ = ["add_capacity_gauges", "add_router_gauges"]
+__all__ = ["add_caller_gauges", "add_capacity_gauges", "add_router_gauges"]
 
 
 def add_router_gauges(metrics: RouterMetrics, context: RelayContext) -> None:
@@ -54,3 +55,22 @@
         "Whether the load balancer should send new connections: 1 or 0.",
         lambda: float(capacity.in_rotation),
     )
+
+
+def add_caller_gauges(metrics: RouterMetrics, memory: HeldMemory) -> None:
+    """Register gauges of what callers occupy, and of what gave way to others."""
+    metrics.gauge(
+        "held_bytes",
+        "Data that is held in memory for callers and other peers.",
+        lambda: memory.total_bytes,
+    )
+    metrics.gauge(
+        "held_bytes_limit",
+        "Size of held data beyond which requests that have not run give way.",
+        lambda: memory.limit_bytes,
+    )
+    metrics.gauge(
+        "requests_gave_way",
+        "Requests refused so far because too much was held.",
+        lambda: memory.given_up,
+    )
--- a/src/endivegw/daemons/capacity_watch.py
+++ b/src/endivegw/daemons/capacity_watch.py
@@ -62,6 +62,7 @@
         self._zone_routers = zone_routers
         self._meter = meter
         self._max_held_bytes = capacity.max_held_bytes
+        meter.memory.on_full = self._limit_held_bytes
         self.clock = clock
         self._log = log
 
@@ -117,7 +118,9 @@
         meter = self._meter
         if meter.held_bytes > self._max_held_bytes * _UPDATED_SHARE:
             meter.update()
-        while meter.held_bytes > self._max_held_bytes and meter.blocked:
+        while meter.blocked and (
+            meter.held_bytes > self._max_held_bytes or meter.memory.is_exceeded
+        ):
             slowest = next(iter(meter.blocked))
             self._log.emit(
                 events.READER_CLOSED,
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -41,6 +41,9 @@
 #: Interval at which this router's row is checked, and written if it is missing.
 _REGISTER_INTERVAL_S = 0.2
 
+#: Minimum interval of the log lines on requests that gave way.
+_GAVE_WAY_INTERVAL_S = 1.0
+
 #: Maximum number of requests that one log line names.
 _MAX_LOGGED_REQUESTS = 8
 
@@ -181,6 +184,7 @@
             ("streams", context.streams.run),
             ("registration", self._maintain_registration),
             ("load", self._report_load),
+            ("gave way", self._report_gave_way),
         ]
         if context.capacity is not None:
             found.append(("capacity", context.capacity.run))
@@ -392,6 +396,24 @@
                 dispatcher.report(name, figures, now_s)
             parts.context.queue.wake()
 
+    async def _report_gave_way(self) -> None:
+        """Log how many requests have given way to others."""
+        meter = self._parts.meter
+        requests = 0
+        while True:
+            await anyio.sleep(_GAVE_WAY_INTERVAL_S)
+            if requests == meter.memory.given_up:
+                continue
+            self._parts.log.emit(
+                events.CALLERS_GAVE_WAY,
+                requests=meter.memory.given_up - requests,
+                held_bytes=meter.memory.total_bytes,
+                limit_bytes=int(meter.memory.limit_bytes),
+                open_connections=meter.open_connections,
+                client_account=meter.memory.largest_account(),
+            )
+            requests = meter.memory.given_up
+
     async def _maintain_registration(self) -> None:
         """Write this router's row whenever the store does not have it.
 
--- a/src/endivegw/relay/answer_writer.py
+++ b/src/endivegw/relay/answer_writer.py
@@ -10,6 +10,7 @@
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.wire import HeaderFields
 from endivegw.tcp_stream import TcpStream
+from endivegw.types import ClientAccountName
 
 __all__ = ["AnswerWriter", "CONNECTION_ERRORS", "CallerGone", "encode_head"]
 
@@ -29,6 +30,7 @@
     :param cancel_if_caller_left: see :meth:`CallerConnection.cancel_if_caller_left`.
     :param caller_left: returns whether the caller is known to have closed the
         connection.
+    :ivar withdraw: refuses the request, which has not run; None if it may have run.
     :ivar body_bytes: size of the body so far.
     :ivar started: whether any byte of the answer may have been sent.
     :ivar finished: whether the answer was sent completely.
@@ -49,10 +51,15 @@
         self._head_only = request.method == b"HEAD"
         self._closing = closing
         self.close_after = request.close_after
+        self.withdraw: Callable[[], None] | None = None
         self.body_bytes = 0
         self.started = False
         self.finished = False
 
+    def set_account(self, account: ClientAccountName | None) -> None:
+        """Record to which client account the request belongs."""
+        self._stream.held.account = account
+
     @property
     def truncated(self) -> bool:
         """Return whether the answer was started but not finished.
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -15,10 +15,14 @@
     CallerGone,
     encode_head,
 )
+from endivegw.relay.answers import router_answer
 from endivegw.relay.connection_end import ConnectionEnd, EndCause
+from endivegw.relay.held_input import HeldInput
 from endivegw.relay.messages import CallerRequest
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
 from endivegw.relay.request_wait import RequestPhase, RequestWait
+from endivegw.relay.wire import HeaderFields
+from endivegw.results import Reason, Refused
 from endivegw.routing import CallerLimits
 from endivegw.sockets import (
     has_no_pending_input,
@@ -33,6 +37,13 @@
 #: Beyond it, reading from the caller pauses until the answer is finished.
 _MAX_READ_AHEAD_BYTES = 65536
 
+#: Bytes of one connection that are parsed before others get their turn.
+_PIECE_BYTES = 16384
+
+#: Retry-after for requests that gave way to others; callers' retries reach other
+#: routers.
+_GAVE_WAY_RETRY_S = 0.2
+
 #: Interval of the checks whether a caller has disconnected while reading is paused.
 _CLOSE_CHECK_INTERVAL_S = 0.2
 
@@ -46,6 +57,10 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+_GAVE_WAY = Refused(
+    Reason.ROUTER_FULL, "too much is held for requests", _GAVE_WAY_RETRY_S
+)
+
 Handler = Callable[[CallerRequest, AnswerWriter], Awaitable[None]]
 
 
@@ -86,6 +101,10 @@
         self._answered_s: float | None = None
         self._last_input_s = self._opened_s
         self._in_request = False
+        #: Ends the task that reads. Had the task group cancelled it, the error would
+        #: keep the connection in memory until the next garbage collection.
+        self._reading = anyio.CancelScope()
+        self._held = HeldInput(stream, self._parser, self._handle_give_up)
 
     async def serve(self) -> None:
         """Read and answer requests one after the other."""
@@ -93,9 +112,10 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._read_input)
                 await self._serve_requests()
-                tasks.cancel_scope.cancel()
+                self._reading.cancel()
         finally:
             self._report_end()
+            self._held.close()
             with anyio.CancelScope(shield=True), anyio.move_on_after(_LINGER_TIMEOUT_S):
                 await self._stream.aclose()
 
@@ -109,6 +129,10 @@
         self._closing = True
         self._state_changed.set()
 
+    def _handle_give_up(self) -> None:
+        self._read_resumed.set()
+        self._state_changed.set()
+
     def handle_new_limits(self) -> None:
         """Apply limits that have just come into force to the wait for the caller."""
         self._state_changed.set()
@@ -172,11 +196,12 @@
         An engine would otherwise continue to generate an answer that nobody reads.
         """
         try:
-            while True:
-                await self._wait_buffered_requests()
-                self._parser.feed(await self._stream.receive())
-                self._last_input_s = self._clock()
-                self._state_changed.set()
+            with self._reading:
+                while True:
+                    await self._wait_buffered_requests()
+                    size = self._feed(await self._stream.receive(_PIECE_BYTES))
+                    if size == _PIECE_BYTES:
+                        await anyio.lowlevel.checkpoint()
         except (anyio.EndOfStream, anyio.BrokenResourceError, OSError):
             self._handle_caller_left()
         except anyio.ClosedResourceError:
@@ -184,6 +209,14 @@
             self._record_cause(EndCause.READER_CLOSED)
             self._handle_caller_left()
 
+    def _feed(self, data: bytes) -> int:
+        """Give received bytes to the parser; return their number."""
+        self._parser.feed(data)
+        self._last_input_s = self._clock()
+        self._held.update()
+        self._state_changed.set()
+        return len(data)
+
     async def _wait_buffered_requests(self) -> None:
         """Wait while too much is buffered; detect a disconnect meanwhile."""
         while self._parser.buffered_bytes > _MAX_READ_AHEAD_BYTES and self._scope:
@@ -198,6 +231,10 @@
             match request:
                 case None:
                     return
+                case Refused():
+                    self._record_cause(EndCause.GAVE_WAY)
+                    await self._refuse_given_up(request)
+                    return
                 case MalformedRequest():
                     self._record_cause(EndCause.MALFORMED)
                     await self._reject(request)
@@ -206,7 +243,9 @@
                     if not await self._handle_request(request):
                         return
 
-    async def _next_request(self) -> CallerRequest | MalformedRequest | None:
+    async def _next_request(
+        self,
+    ) -> CallerRequest | MalformedRequest | Refused | None:
         """Return the next request, None if the connection delivers no more."""
         self._in_request = False
         idle_since_s = self._clock()
@@ -229,6 +268,8 @@
                 return request
             if self._caller_left:
                 return None
+            if self._held.gave_way:
+                return _GAVE_WAY
             if self._closing and self._is_idle():
                 self._record_cause(EndCause.STOPPING)
                 return None
@@ -296,6 +337,7 @@
             lambda: self._caller_left,
         )
         self._current = request, writer
+        self._held.begin(request, writer)
         try:
             with anyio.CancelScope() as scope:
                 self._scope = scope
@@ -316,6 +358,7 @@
             self._record_cause(EndCause.ANSWER_CUT)
             return False
         self._current = None
+        self._held.end()
         self._answered_s = self._clock()
         if writer.close_after:
             self._record_cause(EndCause.ANSWER_CLOSES)
@@ -330,17 +373,32 @@
             await writer.send_complete(HTTPStatus.BAD_GATEWAY, [], b"")
             self._current = None
 
-    async def _reject(self, malformed: MalformedRequest) -> None:
+    async def _refuse_given_up(self, refused: Refused) -> None:
+        """Refuse the request that gave way to others."""
+        answer = router_answer(refused)
+        await self._reject(
+            MalformedRequest(answer.status, refused.detail), answer.fields()
+        )
+
+    async def _reject(
+        self, malformed: MalformedRequest, more_fields: HeaderFields | None = None
+    ) -> None:
         """Answer a malformed request, then wait briefly for the caller to close."""
         body = f"{malformed.detail}\n".encode()
-        fields = [(b"content-type", b"text/plain")]
-        fields.append((b"content-length", str(len(body)).encode()))
+        fields = more_fields or [(b"content-type", b"text/plain")]
+        fields = [*fields, (b"content-length", str(len(body)).encode())]
         head = encode_head(malformed.status, fields, True)
         try:
             await self._stream.send(head + body)
-            await self._stream.send_eof()
         except CONNECTION_ERRORS:
             return
+        await self._linger()
+
+    async def _linger(self) -> None:
+        """Wait briefly for the caller to close, and drop what it sends."""
+        self._held.discard()
+        with contextlib.suppress(*CONNECTION_ERRORS):
+            await self._stream.send_eof()
         with anyio.move_on_after(_LINGER_TIMEOUT_S):
             while not self._caller_left:
                 await self._state_changed.wait()
--- a/src/endivegw/relay/held_answers.py
+++ b/src/endivegw/relay/held_answers.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from endivegw.capacity import HeldMemory, HeldShare
 from endivegw.relay.answer_parser import AnswerBroken
 
 __all__ = ["MEGABYTE", "HeldAnswer", "HeldAnswers"]
@@ -22,6 +23,7 @@
     """
 
     answers: HeldAnswers
+    _share: HeldShare
     held_bytes: int = 0
     _parts: list[bytes] = field(factory=list)
     _given_up: bool = False
@@ -34,6 +36,7 @@
         self._raise_if_given_up()
         self._parts.append(part)
         self.held_bytes += len(part)
+        self._share.add(len(part))
         self.answers.add(len(part), self)
         self._raise_if_given_up()
 
@@ -54,6 +57,7 @@
         """Release what was received."""
         self.answers.total_bytes -= self.held_bytes
         self.held_bytes = 0
+        self._share.close()
         self._parts.clear()
 
     def _raise_if_given_up(self) -> None:
@@ -69,17 +73,19 @@
     :ivar max_total_bytes: largest size of all of them; beyond it, the largest one is
         given up, because the others are more likely to end.
     :ivar total_bytes: size of what is held now.
+    :ivar memory: sum of what the process holds, to which the answers count.
     """
 
     max_answer_bytes: int = 16 * MEGABYTE
     max_total_bytes: int = 64 * MEGABYTE
     total_bytes: int = 0
+    memory: HeldMemory = field(factory=HeldMemory)
     _open: set[HeldAnswer] = field(factory=set)
 
     @contextlib.contextmanager
     def open(self) -> Iterator[HeldAnswer]:
         """Collect one answer, and release it at the end."""
-        held = HeldAnswer(self)
+        held = HeldAnswer(self, share=HeldShare(self.memory))
         self._open.add(held)
         try:
             yield held
--- a/src/endivegw/relay/request_run.py
+++ b/src/endivegw/relay/request_run.py
@@ -46,6 +46,13 @@
 #: of targets at once.
 _REPLACED_RETRY_S = 0.05
 
+#: Retry-after in seconds where the request gave way to others in this router.
+_WITHDRAWN_RETRY_S = 0.2
+
+_WITHDRAWN = Refused(
+    Reason.ROUTER_FULL, "too much is held for requests", _WITHDRAWN_RETRY_S
+)
+
 
 class RequestRun:
     """Run one admitted request from its token reservation to its settlement."""
@@ -69,6 +76,7 @@
         self._binding = StreamBinding(context.streams, admitted, context.log)
         self._scope: anyio.CancelScope | None = None
         self._stopping = False
+        self._withdrawn = False
         self._race = AttemptRace(
             context,
             admitted,
@@ -83,13 +91,15 @@
         left_s = self._admitted.deadline_s - self._context.clock()
         outcome: str | None = None
         self._context.running.add(self)
+        self._writer.set_account(self._admitted.account_name)
+        self._writer.withdraw = self.withdraw
         try:
             with anyio.move_on_after(max(0.0, left_s)) as self._scope:
                 outcome = await self._serve()
             if outcome is None:
                 outcome = await self._relay_fallback()
             if outcome is None:
-                outcome = "stopped" if self._stopping else "deadline"
+                outcome = self._cancelled_outcome()
                 await self._send_router_answer(self._unfinished_result())
         except CallerGone:
             outcome = "caller-left"
@@ -114,6 +124,17 @@
         if self._scope is not None:
             self._scope.cancel()
 
+    def withdraw(self) -> None:
+        """Refuse the request now, which has not run, in favour of others."""
+        self._withdrawn = True
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def _cancelled_outcome(self) -> str:
+        if self._withdrawn:
+            return _WITHDRAWN.reason.value
+        return "stopped" if self._stopping else "deadline"
+
     async def _serve(self) -> str:
         refused = await self._binding.find() or await self._reserve()
         if refused is None:
@@ -177,6 +198,12 @@
             self._binding.software_version,
         )
         placement = await context.queue.place(item)
+        if isinstance(placement, Placement):
+            # From here on a target may get the request.
+            self._writer.withdraw = None
+            if self._withdrawn:
+                context.queue.release(placement)
+                return _WITHDRAWN
         if isinstance(placement, Placement):
             refused = self._quarantine_check.refusal()
             if refused is not None:
@@ -264,6 +291,8 @@
 
     def _unfinished_result(self) -> Refused | Unknown:
         """Return the result of a request that its deadline or a shutdown ended."""
+        if self._withdrawn and not self._progress.may_have_run:
+            return _WITHDRAWN
         if self._stopping and self._progress.may_have_run:
             return Unknown(Reason.ANSWER_LOST, "the router stops")
         if self._stopping:
--- a/src/endivegw/relay/target_connection.py
+++ b/src/endivegw/relay/target_connection.py
@@ -132,13 +132,13 @@
         self.request_count += 1
         self._sent = False
         self._parser = AnswerParser(head_only=outgoing.method == b"HEAD")
-        data = _encode(outgoing)
+        head = _encode_head(outgoing)
         try:
             if len(outgoing.body) <= _SMALL_BODY_BYTES:
-                await self._stream.send(data)
+                await self._stream.send(head + outgoing.body)
                 self._sent = True
                 return await self._read_matching_head(matches_request)
-            return await self._send_large_request(data, matches_request)
+            return await self._send_large_request(head, outgoing.body, matches_request)
         except _CONNECTION_ERRORS as error:
             raise AnswerBroken(f"{type(error).__name__} before an answer") from error
 
@@ -172,7 +172,10 @@
         await anyio.aclose_forcefully(self._stream)
 
     async def _send_large_request(
-        self, data: bytes, matches_request: Callable[[int, HeaderFields], bool]
+        self,
+        head: bytes,
+        body: bytes,
+        matches_request: Callable[[int, HeaderFields], bool],
     ) -> TargetHead:
         """Send a large body and wait for the answer concurrently.
 
@@ -183,14 +186,14 @@
         The first bytes are sent before this method yields to the event loop, so that
         what the sender of the request has just checked still holds.
         """
-        head: TargetHead | None = None
+        answer: TargetHead | None = None
         read_error: Exception | None = None
         send_error: Exception | None = None
 
         async def read_head() -> None:
-            nonlocal head, read_error
+            nonlocal answer, read_error
             try:
-                head = await self._read_matching_head(matches_request)
+                answer = await self._read_matching_head(matches_request)
             except _READ_ERRORS as error:
                 read_error = error
             # The rest of the body is not sent once the answer is known.
@@ -199,17 +202,19 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(read_head)
             try:
-                await self._stream.send(data)
+                # A copy of the body with its head would be held until it is sent.
+                await self._stream.send(head)
+                await self._stream.send(body)
                 self._sent = True
             except _CONNECTION_ERRORS as error:
                 # An answer may have been received nevertheless. If not, reading it
                 # fails as well and reports the error.
                 send_error = error
-        if head is None:
+        if answer is None:
             raise AnswerBroken(
                 f"no answer: {read_error!r} {send_error!r}"
             ) from read_error
-        return head
+        return answer
 
     async def _read_matching_head(
         self, matches_request: Callable[[int, HeaderFields], bool]
@@ -268,8 +273,8 @@
                     self.keep_alive_s = float(number)
 
 
-def _encode(outgoing: OutgoingRequest) -> bytes:
-    """Return the bytes of a request.
+def _encode_head(outgoing: OutgoingRequest) -> bytes:
+    """Return the head of a request.
 
     :raises AnswerBroken: if a field would end its line and begin another one.
     """
@@ -279,4 +284,4 @@
         lines.append(b"content-length: %d" % len(outgoing.body))
     if any(b"\r" in line or b"\n" in line for line in lines):
         raise AnswerBroken("a header field contains a line break")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + outgoing.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -6,7 +6,7 @@
 
 from attrs import frozen
 
-from endivegw.capacity import RouterCapacity
+from endivegw.capacity import DEFAULT_TOTAL_SHARE, RouterCapacity
 from endivegw.settings.mechanisms import Mechanisms, read_mechanisms
 from endivegw.settings.reader import Address, SettingsReader
 from endivegw.types import AvailabilityZone
@@ -33,6 +33,7 @@
         partitions; the row of each router is then in a partition of its own.
     :param row_lasts_s: how long a router that cannot write to the store continues to
         use the tokens that it drew; other routers then return the remaining tokens.
+    :param held_share: share of the machine's memory that may hold data for peers.
     :param max_answer_mb: largest body of an answer that is read whole.
     :param mechanisms: optional mechanisms that are enabled.
     :param capacity: limits of the machine; None if the settings state none, so that
@@ -52,6 +53,7 @@
     metrics: Address | None = None
     spread_rows: bool = False
     row_lasts_s: float = 20.0
+    held_share: float = DEFAULT_TOTAL_SHARE
     max_answer_mb: float = 16.0
     mechanisms: Mechanisms = Mechanisms()
     capacity: RouterCapacity | None = None
@@ -77,6 +79,9 @@
         row_lasts_s=reader.number(
             "budgets", "row_lasts_s", 20.0, minimum=2.0, maximum=3600.0
         ),
+        held_share=reader.number(
+            "capacity", "held_share", DEFAULT_TOTAL_SHARE, minimum=0.05, maximum=0.6
+        ),
         max_answer_mb=reader.number(
             "answers", "max_mb", 16.0, minimum=1.0, maximum=1024.0
         ),
--- a/src/endivegw/tcp_stream.py
+++ b/src/endivegw/tcp_stream.py
@@ -16,11 +16,16 @@
 from anyio.abc import ByteStream, SocketAttribute, TaskGroup
 from attrs import define, field
 
+from endivegw.capacity import HeldMemory, HeldShare
+
 __all__ = ["TcpStream", "TrafficMeter", "connect_tcp", "serve_tcp"]
 
 #: Received bytes of one connection that are buffered until reading from it stops.
 _MAX_UNREAD_BYTES = 65536
 
+#: Maximum bytes of one connection that are received at once.
+_RECEIVE_BYTES = 65536
+
 
 @define
 class TrafficMeter:
@@ -31,11 +36,15 @@
         that the kernel has not yet taken from a sender.
     :ivar blocked: connections whose peer does not read, or not yet all; as of the last
         :meth:`update`, those whose peer has read nothing for the longest time first.
+    :ivar memory: sum of what is held for these connections and others.
+    :ivar receive_buffer: receives the bytes of one connection after the other.
     """
 
     open_connections: int = 0
     held_bytes: int = 0
+    memory: HeldMemory = field(factory=HeldMemory)
     blocked: dict[TcpStream, None] = field(factory=dict)
+    receive_buffer: bytearray = field(factory=lambda: bytearray(_RECEIVE_BYTES))
 
     def update(self) -> None:
         """Count what peers have read since the last call of what was held for them."""
@@ -52,7 +61,7 @@
         return -1
 
 
-class TcpStream(asyncio.Protocol, ByteStream):
+class TcpStream(asyncio.BufferedProtocol, ByteStream):
     """One TCP connection, which one task reads and one task writes.
 
     :param meter: counts the connection and what is held for it.
@@ -80,7 +89,10 @@
         self._at_eof = False
         self._closed = False
         self._error: Exception | None = None
+        self._discarding = False
         self.idle_timeout_s: float | None = None
+        #: What is held for this connection, by whoever uses it.
+        self.held = HeldShare(self._meter.memory)
 
     # Interface for the tasks that use the connection.
 
@@ -94,6 +106,17 @@
         """Return whether received data or an end of the stream is pending."""
         return bool(self._received) or self._at_eof or self._is_closing()
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return the size of what was received and not read yet."""
+        return self._unread_bytes
+
+    def discard_input(self) -> None:
+        """Drop what was received and is not read yet, and all that follows."""
+        self._discarding = True
+        self._discard_unread()
+        self._resume_reading()
+
     async def receive(self, max_bytes: int = _MAX_UNREAD_BYTES) -> bytes:
         """Return the next received bytes, waiting for some if there are none.
 
@@ -110,12 +133,9 @@
         if len(data) > max_bytes:
             self._received.appendleft(data[max_bytes:])
             data = data[:max_bytes]
-        self._unread_bytes -= len(data)
-        self._meter.held_bytes -= len(data)
-        if self._reading_paused and self._unread_bytes < _MAX_UNREAD_BYTES:
-            self._reading_paused = False
-            if self._transport is not None and not self._is_closing():
-                self._transport.resume_reading()
+        self._count_unread(-len(data))
+        if self._unread_bytes < _MAX_UNREAD_BYTES:
+            self._resume_reading()
         return data
 
     async def send(self, item: bytes) -> None:
@@ -150,6 +170,7 @@
         self._closed = True
         self._discard_unread()
         self._release_unsent()
+        self.held.close()
         if self._transport is not None:
             self._transport.abort()
 
@@ -158,8 +179,7 @@
         if self._writer is None or self._transport is None:
             return False
         read_bytes = self._unsent_bytes - self._transport.get_write_buffer_size()
-        self._unsent_bytes -= read_bytes
-        self._meter.held_bytes -= read_bytes
+        self._count_unsent(-read_bytes)
         return read_bytes > 0
 
     # Interface for the event loop.
@@ -169,14 +189,21 @@
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(0)
         self._meter.open_connections += 1
+        self._meter.memory.enter(self.held)
         if self._on_connected is not None:
             self._on_connected(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Buffer received bytes, and stop reading once too many are buffered."""
-        self._received.append(data)
-        self._unread_bytes += len(data)
-        self._meter.held_bytes += len(data)
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where the next bytes are received."""
+        return self._meter.receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take received bytes, and stop reading once too many are not read."""
+        if self._discarding:
+            return
+        with memoryview(self._meter.receive_buffer) as received:
+            self._received.append(bytes(received[:nbytes]))
+        self._count_unread(nbytes)
         if self._unread_bytes >= _MAX_UNREAD_BYTES and not self._reading_paused:
             self._reading_paused = True
             assert self._transport is not None
@@ -248,9 +275,8 @@
 
     async def _wait_writable(self) -> None:
         assert self._transport is not None
-        self._unsent_bytes = self._transport.get_write_buffer_size()
-        self._meter.held_bytes += self._unsent_bytes
         self._meter.blocked[self] = None
+        self._count_unsent(self._transport.get_write_buffer_size())
         self._writer = self._loop.create_future()
         try:
             await self._writer
@@ -260,13 +286,32 @@
 
     def _release_unsent(self) -> None:
         self._meter.blocked.pop(self, None)
-        self._meter.held_bytes -= self._unsent_bytes
-        self._unsent_bytes = 0
+        self._count_unsent(-self._unsent_bytes)
 
     def _discard_unread(self) -> None:
-        self._meter.held_bytes -= self._unread_bytes
-        self._unread_bytes = 0
         self._received.clear()
+        self._count_unread(-self._unread_bytes)
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused:
+            self._reading_paused = False
+            if self._transport is not None and not self._is_closing():
+                self._transport.resume_reading()
+
+    def _count_unread(self, size_bytes: int) -> None:
+        self._unread_bytes += size_bytes
+        self._count_held(size_bytes)
+
+    def _count_unsent(self, size_bytes: int) -> None:
+        self._unsent_bytes += size_bytes
+        self._count_held(size_bytes)
+
+    def _count_held(self, size_bytes: int) -> None:
+        self._meter.held_bytes += size_bytes
+        if size_bytes > 0:
+            self.held.add(size_bytes)
+        else:
+            self.held.release(-size_bytes)
 
 
 def _wake(waiter: asyncio.Future[None] | None) -> None:
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -6,6 +6,8 @@
     "ANSWER_UNMATCHED",
     "ATTEMPT_ENDED_BESIDE",
     "ATTEMPT_FAILED",
+    "BODY_LIMIT_LARGE",
+    "CALLERS_GAVE_WAY",
     "CONFIGURATION_IN_FORCE",
     "CONFIGURATION_UNREADABLE",
     "CONNECTION_FAILED",
@@ -341,6 +343,28 @@
     " is started again.",
     ("task", "item", "detail"),
 )
+BODY_LIMIT_LARGE = Event(
+    9139,
+    "relay-body-limit-large",
+    Level.WARNING,
+    "The configuration allows bodies that are too large for the share of the memory"
+    " that may hold data for callers. They are taken one at a time, beyond that share.",
+    ("body_bytes", "held_bytes", "needed_bytes"),
+)
+CALLERS_GAVE_WAY = Event(
+    9140,
+    "relay-callers-gave-way",
+    Level.WARNING,
+    "Since the last such line, requests that had not run were refused because too much"
+    " was held in memory. client_account holds the most memory.",
+    (
+        "requests",
+        "held_bytes",
+        "limit_bytes",
+        "open_connections",
+        "client_account",
+    ),
+)
 LINES_DROPPED = Event(
     9130,
     "log-lines-left-out",
