Answer requests without their bodies if they cannot be served

Cause: key and route were looked at after the last byte, and the readiness and metrics listeners read bodies that they never use.

Once the head of an incomplete request is parsed, its handler says whether its body is needed. If not, it is answered at once, by the same code as before, so that status, fields and log line are the same; the rest is dropped, and the connection closes. A request that is whole with its head is handled as before and keeps its connection. The head also tells the client account to which the body counts, and a request that gives way gets its answer with its id.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -306,9 +306,11 @@
             for table, reader in readers.items()
         ),
     )
+    handler = RequestHandler(context)
     parts = DirectRouterParts(
         context=context,
-        handler=RequestHandler(context).handle,
+        handler=handler.handle,
+        intake=handler,
         allowances=allowances,
         link=link,
         store=store,
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -21,6 +21,7 @@
 from endivegw.relay.connection_end import ConnectionEnd
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
+from endivegw.relay.request_intake import ANY_BODY, NO_BODY, RequestIntake
 from endivegw.results import Refused
 from endivegw.routing import CallerLimits
 from endivegw.services.relayed_rows import RELAY_PATH, RelayedRowStore
@@ -77,6 +78,7 @@
 
     context: RelayContext
     handler: Handler
+    intake: RequestIntake
     allowances: AllowanceManager
     link: PeerLink
     store: RowStorePort
@@ -93,6 +95,20 @@
     log: EventLog
 
 
+@frozen
+class _Listener:
+    """Hold an address, and how requests that arrive there are answered.
+
+    :param accepting: stops the listener when cancelled; None for one that runs as long
+        as the router.
+    """
+
+    address: Address
+    handler: Handler
+    intake: RequestIntake
+    accepting: anyio.CancelScope | None = None
+
+
 class DirectRouter:
     """Run one router until it is drained."""
 
@@ -138,27 +154,19 @@
             tasks.start_soon(self._run_allowances)
             # Without its socket, the link must not seem to run.
             tasks.start_soon(parts.link.run)
-            tasks.start_soon(
-                self._listen, parts.ready_address, self._serve_readiness, tasks, None
-            )
-            tasks.start_soon(
-                self._listen, parts.peers_address, self._serve_store_calls, tasks, None
-            )
-            tasks.start_soon(
-                self._listen,
-                parts.callers_address,
-                parts.handler,
-                tasks,
-                self._accepting,
-            )
+            listeners = [
+                _Listener(parts.ready_address, self._serve_readiness, NO_BODY),
+                _Listener(parts.peers_address, self._serve_store_calls, ANY_BODY),
+                _Listener(
+                    parts.callers_address, parts.handler, parts.intake, self._accepting
+                ),
+            ]
             if parts.metrics_address is not None:
-                tasks.start_soon(
-                    self._listen,
-                    parts.metrics_address,
-                    self._serve_metrics,
-                    tasks,
-                    None,
+                listeners.append(
+                    _Listener(parts.metrics_address, self._serve_metrics, NO_BODY)
                 )
+            for listener in listeners:
+                tasks.start_soon(self._listen, listener, tasks)
             parts.log.emit(
                 events.PROCESS_STARTED,
                 vm=parts.link.entry.vm,
@@ -249,40 +257,31 @@
             while any(connection.busy for connection in self._connections):
                 await anyio.sleep(0.01)
 
-    async def _listen(
-        self,
-        address: Address,
-        handler: Handler,
-        tasks: TaskGroup,
-        accepting: anyio.CancelScope | None,
-    ) -> None:
-        """Serve connections in ``tasks``, so that they outlive the listener.
-
-        :param accepting: stops the listener when cancelled; None for a listener
-            that runs as long as the router.
-        """
+    async def _listen(self, listener: _Listener, tasks: TaskGroup) -> None:
+        """Serve connections in ``tasks``, so that they outlive the listener."""
 
         async def serve(stream: TcpStream) -> None:
-            await self._serve_connection(stream, handler)
+            await self._serve_connection(stream, listener)
 
-        with accepting or anyio.CancelScope():
+        with listener.accepting or anyio.CancelScope():
             await serve_tcp(
                 serve,
-                address.ip,
-                address.port,
+                listener.address.ip,
+                listener.address.port,
                 backlog=_BACKLOG,
                 tasks=tasks,
                 meter=self._parts.meter,
             )
 
-    async def _serve_connection(self, stream: TcpStream, handler: Handler) -> None:
+    async def _serve_connection(self, stream: TcpStream, listener: _Listener) -> None:
         connection = CallerConnection(
             stream,
-            handler,
+            listener.handler,
             self._limits,
             self._moves_callers,
             self._parts.clock,
             self._record_connection_end,
+            listener.intake,
         )
         self._connections.add(connection)
         try:
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -8,6 +8,7 @@
 
 import anyio
 from anyio.abc import SocketAttribute
+from attrs import evolve
 
 from endivegw.relay.answer_writer import (
     CONNECTION_ERRORS,
@@ -19,6 +20,7 @@
 from endivegw.relay.connection_end import ConnectionEnd, EndCause
 from endivegw.relay.held_input import HeldInput
 from endivegw.relay.messages import CallerRequest
+from endivegw.relay.request_intake import ANY_BODY, BodyPlan, RequestIntake
 from endivegw.relay.request_parser import MalformedRequest, RequestParser
 from endivegw.relay.request_wait import RequestPhase, RequestWait
 from endivegw.relay.wire import HeaderFields
@@ -71,6 +73,7 @@
     :param limits: returns the limits that are currently configured.
     :param closing: returns whether callers should open new connections elsewhere.
     :param on_end: called once, when the connection has ended.
+    :param intake: decides on the bodies of requests.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         closing: Callable[[], bool],
         clock: Callable[[], float],
         on_end: Callable[[ConnectionEnd], None] = lambda end: None,
+        intake: RequestIntake = ANY_BODY,
     ) -> None:
         self._stream = stream
         self._handler = handler
@@ -104,7 +108,11 @@
         #: Ends the task that reads. Had the task group cancelled it, the error would
         #: keep the connection in memory until the next garbage collection.
         self._reading = anyio.CancelScope()
-        self._held = HeldInput(stream, self._parser, self._handle_give_up)
+        self._intake = intake
+        self._plan: BodyPlan | None = None
+        #: Whether the request in progress is answered without its body.
+        self._without_body = False
+        self._held = HeldInput(stream, self._parser, clock, self._handle_give_up)
 
     async def serve(self) -> None:
         """Read and answer requests one after the other."""
@@ -240,7 +248,10 @@
                     await self._reject(request)
                     return
                 case CallerRequest():
-                    if not await self._handle_request(request):
+                    is_open = await self._handle_request(request)
+                    if self._without_body:
+                        await self._linger()
+                    if not is_open:
                         return
 
     async def _next_request(
@@ -248,6 +259,7 @@
     ) -> CallerRequest | MalformedRequest | Refused | None:
         """Return the next request, None if the connection delivers no more."""
         self._in_request = False
+        self._plan = None
         idle_since_s = self._clock()
         head_since_s: float | None = None
         wait = RequestWait(self._limits())
@@ -263,6 +275,8 @@
             wait.update(phase, since_s, self._limits(), self._clock())
             self._parser.limits = wait.limits
             request = self._parser.next_request(self._arrived_s())
+            if request is None and self._parser.in_body:
+                request = self._plan_body()
             if request is not None:
                 self._in_request = True
                 return request
@@ -280,6 +294,20 @@
             with anyio.move_on_after(max(_MIN_WAIT_S, left_s)):
                 await self._state_changed.wait()
 
+    def _plan_body(self) -> CallerRequest | None:
+        """Decide on an incomplete body; return a request to answer without it."""
+        if self._plan is not None:
+            return None
+        request = self._parser.request_head(self._arrived_s())
+        assert request is not None
+        self._plan = self._intake.plan_body(request)
+        if self._plan is not None:
+            self._stream.held.account = self._plan.account
+            return None
+        self._without_body = True
+        self._held.discard()
+        return evolve(request, close_after=True)
+
     def _time_out(self) -> MalformedRequest | None:
         """Return the answer to a request that is late, None if none has begun."""
         if self._parser.idle:
@@ -329,13 +357,7 @@
 
     async def _handle_request(self, request: CallerRequest) -> bool:
         """Answer one request; return whether the connection stays open."""
-        writer = AnswerWriter(
-            self._stream,
-            request,
-            self._closes_after_answer,
-            self.cancel_if_caller_left,
-            lambda: self._caller_left,
-        )
+        writer = self._new_writer(request)
         self._current = request, writer
         self._held.begin(request, writer)
         try:
@@ -373,12 +395,28 @@
             await writer.send_complete(HTTPStatus.BAD_GATEWAY, [], b"")
             self._current = None
 
+    def _new_writer(self, request: CallerRequest) -> AnswerWriter:
+        return AnswerWriter(
+            self._stream,
+            request,
+            self._closes_after_answer,
+            self.cancel_if_caller_left,
+            lambda: self._caller_left,
+        )
+
     async def _refuse_given_up(self, refused: Refused) -> None:
         """Refuse the request that gave way to others."""
-        answer = router_answer(refused)
-        await self._reject(
-            MalformedRequest(answer.status, refused.detail), answer.fields()
-        )
+        request = self._held.given_up
+        if request is None:
+            answer = router_answer(refused)
+            await self._reject(
+                MalformedRequest(answer.status, refused.detail), answer.fields()
+            )
+            return
+        writer = self._new_writer(evolve(request, close_after=True))
+        with contextlib.suppress(CallerGone):
+            await self._intake.refuse(request, refused, writer)
+            await self._linger()
 
     async def _reject(
         self, malformed: MalformedRequest, more_fields: HeaderFields | None = None
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -8,6 +8,7 @@
 from endivegw.relay.answers import router_answer
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
+from endivegw.relay.request_intake import BodyPlan
 from endivegw.relay.request_run import RequestRun
 from endivegw.relay.suspicion import QuarantineCheck
 from endivegw.results import Reason, Refused
@@ -45,6 +46,23 @@
             return
         await RequestRun(context, admitted, writer, check).run()
 
+    def plan_body(self, request: CallerRequest) -> BodyPlan | None:
+        """Return how to read a body; None if the request is refused without it."""
+        context = self._context
+        now_s = context.clock()
+        admitted = admit(request, context.table, context.wire, context.rng, now_s)
+        if isinstance(admitted, Refused) or context.stopped:
+            return None
+        return BodyPlan(admitted.account_name)
+
+    async def refuse(
+        self, request: CallerRequest, refused: Refused, writer: AnswerWriter
+    ) -> None:
+        """Refuse a request whose body was not read."""
+        metadata = self._context.wire.read_caller_fields(request.fields)
+        request_id = None if isinstance(metadata, Refused) else metadata.request_id
+        await self._send_refusal(request_id, refused, writer)
+
     def _capacity_refusal(self, admitted: AdmittedRequest) -> Refused | None:
         """Return why the router cannot take on a request, None if it does."""
         capacity = self._context.capacity
--- a/src/endivegw/relay/held_input.py
+++ b/src/endivegw/relay/held_input.py
@@ -23,12 +23,15 @@
     """Count the received bytes of one connection until their requests have ended.
 
     :ivar gave_way: whether requests were dropped in favour of other connections.
+    :ivar given_up: the request whose body was dropped, if its head was known.
     """
 
     _stream: TcpStream
     _parser: RequestParser
+    _clock: Callable[[], float]
     _on_give_up: Callable[[], None]
     gave_way: bool = False
+    given_up: CallerRequest | None = None
     _current: tuple[CallerRequest, AnswerWriter] | None = None
     _counts_current: bool = False
     _held_bytes: int = 0
@@ -88,7 +91,9 @@
     def give_up(self) -> None:
         """Drop all that belongs to requests that have not run."""
         self.gave_way = True
-        if self._current is not None:
+        if self._current is None:
+            self.given_up = self._parser.request_head(self._clock())
+        else:
             self._withdraw_current(self._current[1])
         self.discard()
         self._on_give_up()
