Bodies must be complete before their deadline

What callers saw: a byte now and then held a connection for ever: 50 of 50 connections were open 40 s after a deadline of 2 s.

Cause: each byte of a body started the wait anew, and a connection with unread input was never timed out.

A body is due at the deadline that its request states, counted from the head, and after [callers] max_body_s (120 s; 4 MB at 0.3 Mbit/s) in any case. The caller of a request whose deadline has passed has left. Nothing was sent on, so that 408 is true. The route's time limit is not applied to the body: a slow link's body was served beyond it, and still is.

--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -306,7 +306,7 @@
             for table, reader in readers.items()
         ),
     )
-    handler = RequestHandler(context)
+    handler = RequestHandler(context, settings.max_body_s)
     parts = DirectRouterParts(
         context=context,
         handler=handler.handle,
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -290,6 +290,10 @@
             left_s = wait.due_s - self._clock()
             if left_s <= 0.0 and not self._has_unread_input():
                 return self._time_out()
+            if self._plan is not None:
+                left_s = min(left_s, self._plan.due_s - self._clock())
+                if self._clock() >= self._plan.due_s:
+                    return self._time_out()
             await self._invite_body()
             with anyio.move_on_after(max(_MIN_WAIT_S, left_s)):
                 await self._state_changed.wait()
--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -8,7 +8,7 @@
 from endivegw.relay.answers import router_answer
 from endivegw.relay.context import RelayContext
 from endivegw.relay.messages import CallerRequest
-from endivegw.relay.request_intake import BodyPlan
+from endivegw.relay.request_intake import DEFAULT_MAX_BODY_S, BodyPlan
 from endivegw.relay.request_run import RequestRun
 from endivegw.relay.suspicion import QuarantineCheck
 from endivegw.results import Reason, Refused
@@ -18,10 +18,16 @@
 
 
 class RequestHandler:
-    """Handle the requests of one router."""
+    """Handle the requests of one router.
 
-    def __init__(self, context: RelayContext) -> None:
+    :param max_body_s: longest time for the body of a request.
+    """
+
+    def __init__(
+        self, context: RelayContext, max_body_s: float = DEFAULT_MAX_BODY_S
+    ) -> None:
         self._context = context
+        self._max_body_s = max_body_s
 
     async def handle(self, request: CallerRequest, writer: AnswerWriter) -> None:
         """Handle one request and write its answer."""
@@ -53,7 +59,10 @@
         admitted = admit(request, context.table, context.wire, context.rng, now_s)
         if isinstance(admitted, Refused) or context.stopped:
             return None
-        return BodyPlan(admitted.account_name)
+        due_s = request.arrived_s + self._max_body_s
+        if admitted.metadata.deadline_s is not None:
+            due_s = min(due_s, request.arrived_s + admitted.metadata.deadline_s)
+        return BodyPlan(admitted.account_name, due_s)
 
     async def refuse(
         self, request: CallerRequest, refused: Refused, writer: AnswerWriter
--- a/src/endivegw/relay/request_intake.py
+++ b/src/endivegw/relay/request_intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Protocol
 
 from attrs import frozen
@@ -14,20 +15,26 @@
 
 __all__ = [
     "ANY_BODY",
+    "DEFAULT_MAX_BODY_S",
     "NO_BODY",
     "BodyPlan",
     "RequestIntake",
 ]
 
+#: Longest time for the body of a request; a body of 4 MB needs it at 0.3 Mbit/s.
+DEFAULT_MAX_BODY_S = 120.0
+
 
 @frozen
 class BodyPlan:
     """Hold how the body of one request is read.
 
     :param account: client account of the request; None if it has none.
+    :param due_s: time by which the body must be complete.
     """
 
     account: ClientAccountName | None = None
+    due_s: float = math.inf
 
 
 class RequestIntake(Protocol):
@@ -49,7 +56,7 @@
     """Read the bodies of all requests."""
 
     def plan_body(self, request: CallerRequest) -> BodyPlan | None:
-        """Return a plan for no account."""
+        """Return a plan without bounds."""
         return BodyPlan()
 
     async def refuse(
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from endivegw.capacity import DEFAULT_TOTAL_SHARE, RouterCapacity
+from endivegw.relay.request_intake import DEFAULT_MAX_BODY_S
 from endivegw.settings.mechanisms import Mechanisms, read_mechanisms
 from endivegw.settings.reader import Address, SettingsReader
 from endivegw.types import AvailabilityZone
@@ -33,6 +34,7 @@
         partitions; the row of each router is then in a partition of its own.
     :param row_lasts_s: how long a router that cannot write to the store continues to
         use the tokens that it drew; other routers then return the remaining tokens.
+    :param max_body_s: longest time for the body of a request.
     :param held_share: share of the machine's memory that may hold data for peers.
     :param max_answer_mb: largest body of an answer that is read whole.
     :param mechanisms: optional mechanisms that are enabled.
@@ -53,6 +55,7 @@
     metrics: Address | None = None
     spread_rows: bool = False
     row_lasts_s: float = 20.0
+    max_body_s: float = DEFAULT_MAX_BODY_S
     held_share: float = DEFAULT_TOTAL_SHARE
     max_answer_mb: float = 16.0
     mechanisms: Mechanisms = Mechanisms()
@@ -79,6 +82,9 @@
         row_lasts_s=reader.number(
             "budgets", "row_lasts_s", 20.0, minimum=2.0, maximum=3600.0
         ),
+        max_body_s=reader.number(
+            "callers", "max_body_s", DEFAULT_MAX_BODY_S, minimum=1.0, maximum=3600.0
+        ),
         held_share=reader.number(
             "capacity", "held_share", DEFAULT_TOTAL_SHARE, minimum=0.05, maximum=0.6
         ),
