Limit callers' connections; close those that bring no request

What callers saw: beside 1,000 connections that send nothing, with 400 descriptors, every ordinary request was refused with 503.

Cause: at nine tenths of the descriptors requests were refused, ordinary ones first, while connections without any kept theirs.

Three quarters of the descriptors ([callers] max_connections) are for connections of callers. For one more, a connection that waits for its caller is closed: first those that never brought a request, then idle ones, then requests that are incomplete, the longest wait first. If all have requests in progress, the new one is closed unread. Connections are accepted by the listener's own callback, 8 in a turn, since a server of the event loop accepts a whole backlog of 1,024 before anything can be closed. If accept finds no descriptor, it is tried again after 50 ms; the listener stays readable, and the loop would spin.

--- a/src/endivegw/capacity/__init__.py
+++ b/src/endivegw/capacity/__init__.py
@@ -1,5 +1,6 @@
 """What a router's machine can carry, and decisions from that."""
 
+from endivegw.capacity.connection_limit import ConnectionLimit, ConnectionState
 from endivegw.capacity.gate import CapacityGate
 from endivegw.capacity.held_memory import HeldMemory, HeldShare, Holder
 from endivegw.capacity.model import (
@@ -16,6 +17,8 @@
     "DEFAULT_TOTAL_SHARE",
     "AnswerSize",
     "CapacityGate",
+    "ConnectionLimit",
+    "ConnectionState",
     "Headroom",
     "HeldMemory",
     "HeldShare",
--- a/src/endivegw/capacity/model.py
+++ b/src/endivegw/capacity/model.py
@@ -29,6 +29,10 @@
 #: Memory that is assumed if it is not stated.
 _DEFAULT_MEMORY_MB = 300.0
 
+#: Share of the descriptors that may be connections of callers. The rest is for targets,
+#: the store, other routers and files.
+_CALLERS_SHARE = 0.75
+
 
 @frozen
 class RouterCapacity:
@@ -67,6 +71,13 @@
         memory_mb = _DEFAULT_MEMORY_MB if self.memory_mb is None else self.memory_mb
         return memory_mb * _BYTES_PER_MB * share
 
+    @property
+    def max_connections(self) -> float:
+        """Return how many connections of callers may be open."""
+        if self.descriptors is None:
+            return math.inf
+        return self.descriptors * _CALLERS_SHARE
+
 
 @frozen
 class RequestNeed:
--- a/src/endivegw/composition/direct_router.py
+++ b/src/endivegw/composition/direct_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import resource
 import time
 import uuid
 from typing import Callable
@@ -10,7 +11,7 @@
 from attrs import evolve
 
 from endivegw.allowances import AllowanceManager, AllowanceOptions
-from endivegw.capacity import HeldMemory, RouterCapacity
+from endivegw.capacity import ConnectionLimit, HeldMemory, RouterCapacity
 from endivegw.composition.router_gauges import (
     add_caller_gauges,
     add_capacity_gauges,
@@ -38,6 +39,7 @@
 from endivegw.gossip.messages import TargetLeaving, Update
 from endivegw.gossip.peers import PEERS_TABLE
 from endivegw.quarantine import QuarantineManager, TargetStart
+from endivegw.relay.caller_connection import CallerConnection
 from endivegw.relay.context import RelayContext
 from endivegw.relay.handler import RequestHandler
 from endivegw.relay.held_answers import MEGABYTE, HeldAnswers
@@ -230,8 +232,9 @@
         lambda zone: len(targets.targets_in(zone)),
         log,
     )
+    connection_limit = ConnectionLimit[CallerConnection](_max_connections(settings))
     add_router_gauges(metrics, context)
-    add_caller_gauges(metrics, meter.memory)
+    add_caller_gauges(metrics, meter.memory, connection_limit)
     if capacity is not None:
         add_capacity_gauges(metrics, capacity)
     metrics.gauge(
@@ -323,6 +326,7 @@
         peers_address=settings.peers,
         relayed_store=relayed_store,
         meter=meter,
+        connection_limit=connection_limit,
         clock=clock,
         log=log,
     )
@@ -375,6 +379,17 @@
     return TrafficMeter(memory=HeldMemory(max_bytes))
 
 
+def _max_connections(settings: DirectRouterSettings) -> float:
+    """Return how many connections of callers may be open."""
+    if settings.max_connections is not None:
+        return settings.max_connections
+    capacity = settings.capacity or RouterCapacity()
+    if capacity.descriptors is None:
+        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        capacity = evolve(capacity, descriptors=soft_limit)
+    return capacity.max_connections
+
+
 def _apply_largest_body(memory: HeldMemory, body_bytes: int, log: EventLog) -> None:
     """Make room for the largest body that the configuration allows."""
     if memory.largest_bytes == body_bytes:
--- a/src/endivegw/composition/router_gauges.py
+++ b/src/endivegw/composition/router_gauges.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from endivegw.capacity import HeldMemory
+from endivegw.capacity import ConnectionLimit, HeldMemory
 from endivegw.daemons.capacity_watch import CapacityWatch
+from endivegw.relay.caller_connection import CallerConnection
 from endivegw.relay.context import RelayContext
 from endivegw.telemetry.exposition import RouterMetrics
 
@@ -57,7 +58,11 @@
     )
 
 
-def add_caller_gauges(metrics: RouterMetrics, memory: HeldMemory) -> None:
+def add_caller_gauges(
+    metrics: RouterMetrics,
+    memory: HeldMemory,
+    connections: ConnectionLimit[CallerConnection],
+) -> None:
     """Register gauges of what callers occupy, and of what gave way to others."""
     metrics.gauge(
         "held_bytes",
@@ -74,3 +79,8 @@
         "Requests refused so far because too much was held.",
         lambda: memory.given_up,
     )
+    metrics.gauge(
+        "connections_gave_way",
+        "Connections closed so far because too many were open.",
+        lambda: connections.closed,
+    )
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from endivegw.allowances import AllowanceManager
+from endivegw.capacity import ConnectionLimit
 from endivegw.daemons.direct_readers import PeerReader
 from endivegw.daemons.row_feed import RowFeed
 from endivegw.daemons.target_reader import TargetReader
@@ -42,7 +43,7 @@
 #: Interval at which this router's row is checked, and written if it is missing.
 _REGISTER_INTERVAL_S = 0.2
 
-#: Minimum interval of the log lines on requests that gave way.
+#: Minimum interval of the log lines on requests and connections that gave way.
 _GAVE_WAY_INTERVAL_S = 1.0
 
 #: Maximum number of requests that one log line names.
@@ -91,6 +92,7 @@
     peers_address: Address
     relayed_store: RelayedRowStore
     meter: TrafficMeter
+    connection_limit: ConnectionLimit[CallerConnection]
     clock: Callable[[], float]
     log: EventLog
 
@@ -271,9 +273,21 @@
                 backlog=_BACKLOG,
                 tasks=tasks,
                 meter=self._parts.meter,
+                make_room=self._make_room,
             )
 
+    def _make_room(self) -> bool:
+        """Make room for a connection; return whether there is any."""
+        limit = self._parts.connection_limit
+        while limit.is_full:
+            waiting = limit.pop_waiting()
+            if waiting is None:
+                return False
+            waiting.close_for_another()
+        return True
+
     async def _serve_connection(self, stream: TcpStream, listener: _Listener) -> None:
+        limit = self._parts.connection_limit
         connection = CallerConnection(
             stream,
             listener.handler,
@@ -282,6 +296,7 @@
             self._parts.clock,
             self._record_connection_end,
             listener.intake,
+            limit.set_state,
         )
         self._connections.add(connection)
         try:
@@ -294,6 +309,7 @@
             )
         finally:
             self._connections.discard(connection)
+            limit.remove(connection)
 
     def _record_connection_end(self, end: ConnectionEnd) -> None:
         """Count the end of a connection; log it if something was left unanswered."""
@@ -396,22 +412,24 @@
             parts.context.queue.wake()
 
     async def _report_gave_way(self) -> None:
-        """Log how many requests have given way to others."""
+        """Log how many requests and connections have given way to others."""
         meter = self._parts.meter
-        requests = 0
+        limit = self._parts.connection_limit
+        requests, connections = 0, 0
         while True:
             await anyio.sleep(_GAVE_WAY_INTERVAL_S)
-            if requests == meter.memory.given_up:
+            if (requests, connections) == (meter.memory.given_up, limit.closed):
                 continue
             self._parts.log.emit(
                 events.CALLERS_GAVE_WAY,
                 requests=meter.memory.given_up - requests,
+                connections=limit.closed - connections,
                 held_bytes=meter.memory.total_bytes,
                 limit_bytes=int(meter.memory.limit_bytes),
                 open_connections=meter.open_connections,
                 client_account=meter.memory.largest_account(),
             )
-            requests = meter.memory.given_up
+            requests, connections = meter.memory.given_up, limit.closed
 
     async def _maintain_registration(self) -> None:
         """Write this router's row whenever the store does not have it.
--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -10,6 +10,7 @@
 from anyio.abc import SocketAttribute
 from attrs import evolve
 
+from endivegw.capacity import ConnectionState
 from endivegw.relay.answer_writer import (
     CONNECTION_ERRORS,
     AnswerWriter,
@@ -74,6 +75,7 @@
     :param closing: returns whether callers should open new connections elsewhere.
     :param on_end: called once, when the connection has ended.
     :param intake: decides on the bodies of requests.
+    :param on_state: called with the connection and each state that it comes into.
     """
 
     def __init__(
@@ -85,6 +87,9 @@
         clock: Callable[[], float],
         on_end: Callable[[ConnectionEnd], None] = lambda end: None,
         intake: RequestIntake = ANY_BODY,
+        on_state: Callable[
+            [CallerConnection, ConnectionState], None
+        ] = lambda connection, state: None,
     ) -> None:
         self._stream = stream
         self._handler = handler
@@ -109,6 +114,7 @@
         #: keep the connection in memory until the next garbage collection.
         self._reading = anyio.CancelScope()
         self._intake = intake
+        self._on_state = on_state
         self._plan: BodyPlan | None = None
         #: Whether the request in progress is answered without its body.
         self._without_body = False
@@ -137,6 +143,12 @@
         self._closing = True
         self._state_changed.set()
 
+    def close_for_another(self) -> None:
+        """Close the connection, which waits for its caller, to open another one."""
+        self._record_cause(EndCause.GAVE_WAY)
+        self._stream.abort()
+        self._handle_caller_left()
+
     def _handle_give_up(self) -> None:
         self._read_resumed.set()
         self._state_changed.set()
@@ -260,6 +272,7 @@
         """Return the next request, None if the connection delivers no more."""
         self._in_request = False
         self._plan = None
+        is_used = self._answered_s is not None
         idle_since_s = self._clock()
         head_since_s: float | None = None
         wait = RequestWait(self._limits())
@@ -284,6 +297,12 @@
                 return None
             if self._held.gave_way:
                 return _GAVE_WAY
+            if not self._parser.idle:
+                self._on_state(self, ConnectionState.RECEIVING)
+            elif is_used:
+                self._on_state(self, ConnectionState.IDLE)
+            else:
+                self._on_state(self, ConnectionState.UNUSED)
             if self._closing and self._is_idle():
                 self._record_cause(EndCause.STOPPING)
                 return None
@@ -364,6 +383,7 @@
         writer = self._new_writer(request)
         self._current = request, writer
         self._held.begin(request, writer)
+        self._on_state(self, ConnectionState.BUSY)
         try:
             with anyio.CancelScope() as scope:
                 self._scope = scope
--- a/src/endivegw/relay/connection_end.py
+++ b/src/endivegw/relay/connection_end.py
@@ -32,7 +32,7 @@
     CANCELLED = "cancelled"
     #: Too much was held for peers that read slowly, of which this was one.
     READER_CLOSED = "reader-closed"
-    #: What was held for it gave way to others.
+    #: It gave way to other connections, or what was held for it did.
     GAVE_WAY = "gave-way"
     #: The handler of a request raised an exception.
     HANDLER_FAILED = "handler-failed"
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -35,6 +35,8 @@
     :param row_lasts_s: how long a router that cannot write to the store continues to
         use the tokens that it drew; other routers then return the remaining tokens.
     :param max_body_s: longest time for the body of a request.
+    :param max_connections: connections of callers that may be open at once; None for
+        a share of the descriptors.
     :param held_share: share of the machine's memory that may hold data for peers.
     :param max_answer_mb: largest body of an answer that is read whole.
     :param mechanisms: optional mechanisms that are enabled.
@@ -56,6 +58,7 @@
     spread_rows: bool = False
     row_lasts_s: float = 20.0
     max_body_s: float = DEFAULT_MAX_BODY_S
+    max_connections: int | None = None
     held_share: float = DEFAULT_TOTAL_SHARE
     max_answer_mb: float = 16.0
     mechanisms: Mechanisms = Mechanisms()
@@ -85,6 +88,7 @@
         max_body_s=reader.number(
             "callers", "max_body_s", DEFAULT_MAX_BODY_S, minimum=1.0, maximum=3600.0
         ),
+        max_connections=_read_max_connections(reader),
         held_share=reader.number(
             "capacity", "held_share", DEFAULT_TOTAL_SHARE, minimum=0.05, maximum=0.6
         ),
@@ -102,6 +106,12 @@
     return settings
 
 
+def _read_max_connections(reader: SettingsReader) -> int | None:
+    """Read the limit on callers' connections; None if it is absent."""
+    limit = reader.optional_positive("callers", "max_connections")
+    return None if limit is None else max(1, int(limit))
+
+
 def _read_capacity(reader: SettingsReader) -> RouterCapacity | None:
     """Read the section ``[capacity]``; None if all its keys are absent."""
     share = reader.optional_positive("capacity", "processor_share")
--- a/src/endivegw/tcp_stream.py
+++ b/src/endivegw/tcp_stream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from collections import deque
 from typing import Any, Callable, Coroutine, Mapping, cast
@@ -26,6 +27,14 @@
 #: Maximum bytes of one connection that are received at once.
 _RECEIVE_BYTES = 65536
 
+#: Connections that are accepted before the event loop runs anything else.
+_ACCEPTED_AT_ONCE = 8
+
+#: Errors of ``accept`` that last until something else is closed, and the time until the
+#: next attempt.
+_OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_ACCEPT_AGAIN_S = 0.05
+
 
 @define
 class TrafficMeter:
@@ -65,18 +74,12 @@
     """One TCP connection, which one task reads and one task writes.
 
     :param meter: counts the connection and what is held for it.
-    :param on_connected: called once the connection is open.
     :ivar idle_timeout_s: time without data after which :meth:`receive` fails with
         :exc:`TimeoutError`; None to wait for ever.
     """
 
-    def __init__(
-        self,
-        meter: TrafficMeter | None = None,
-        on_connected: Callable[[TcpStream], None] | None = None,
-    ) -> None:
+    def __init__(self, meter: TrafficMeter | None = None) -> None:
         self._meter = meter if meter is not None else TrafficMeter()
-        self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
         self._received: deque[bytes] = deque()
@@ -190,8 +193,6 @@
         self._transport.set_write_buffer_limits(0)
         self._meter.open_connections += 1
         self._meter.memory.enter(self.held)
-        if self._on_connected is not None:
-            self._on_connected(self)
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return where the next bytes are received."""
@@ -344,29 +345,55 @@
     backlog: int,
     tasks: TaskGroup,
     meter: TrafficMeter | None = None,
+    make_room: Callable[[], bool] = lambda: True,
 ) -> None:
     """Accept connections until cancelled, and handle each in a task of its own.
 
     :param tasks: runs the handlers, which outlive the listener.
     :param backlog: maximum number of connections that wait to be accepted.
+    :param make_room: called for each accepted connection, which is closed at once if it
+        returns False.
     """
-    accepting = True
+    loop = asyncio.get_running_loop()
 
-    def on_connected(stream: TcpStream) -> None:
-        if accepting:
-            tasks.start_soon(handler, stream)
-        else:
-            stream.abort()
-
-    server = await asyncio.get_running_loop().create_server(
-        lambda: TcpStream(meter, on_connected),
-        host,
-        port,
-        family=socket.AF_INET,
-        backlog=backlog,
-    )
-    try:
-        await anyio.sleep_forever()
-    finally:
-        accepting = False
-        server.close()
+    async def serve(client: socket.socket) -> None:
+        try:
+            _, stream = await loop.connect_accepted_socket(
+                lambda: TcpStream(meter), client
+            )
+        except OSError:
+            client.close()
+            return
+        await handler(stream)
+
+    def accept_some() -> None:
+        for _ in range(_ACCEPTED_AT_ONCE):
+            try:
+                client, _ = listener.accept()
+            except OSError as error:
+                if error.errno in _OUT_OF_DESCRIPTORS:
+                    # The listener stays readable, which would keep the loop busy.
+                    loop.remove_reader(listener)
+                    loop.call_later(_ACCEPT_AGAIN_S, resume)
+                return
+            if not make_room():
+                client.close()
+                continue
+            client.setblocking(False)
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            tasks.start_soon(serve, client)
+
+    def resume() -> None:
+        if listener.fileno() >= 0:
+            loop.add_reader(listener, accept_some)
+
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as listener:
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, port))
+        listener.listen(backlog)
+        loop.add_reader(listener, accept_some)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            loop.remove_reader(listener)
--- a/src/endivegw/telemetry/catalogue/relay.py
+++ b/src/endivegw/telemetry/catalogue/relay.py
@@ -356,9 +356,11 @@
     "relay-callers-gave-way",
     Level.WARNING,
     "Since the last such line, requests that had not run were refused because too much"
-    " was held in memory. client_account holds the most memory.",
+    " was held in memory, or connections that waited for their callers were closed"
+    " because too many were open. client_account holds the most memory.",
     (
         "requests",
+        "connections",
         "held_bytes",
         "limit_bytes",
         "open_connections",
--- a/tests/test_capacity_settings.py
+++ b/tests/test_capacity_settings.py
@@ -11,7 +11,10 @@
 from endivegw.exceptions import SettingsError
 from endivegw.gossip.messages import PeerState, decode, encode
 from endivegw.gossip.peers import PeerEntry, PeerTable
-from endivegw.settings.direct import load_direct_router_settings
+from endivegw.settings.direct import (
+    DirectRouterSettings,
+    load_direct_router_settings,
+)
 from endivegw.types import AvailabilityZone, InstanceId
 
 _SETTINGS = """
@@ -31,10 +34,13 @@
     """The section ``[capacity]`` of a direct router's settings."""
 
     def _load(self, section: str) -> RouterCapacity | None:
+        return self._load_settings(section).capacity
+
+    def _load_settings(self, section: str) -> DirectRouterSettings:
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "router.ini"
             path.write_text(_SETTINGS + section)
-            return load_direct_router_settings(path).capacity
+            return load_direct_router_settings(path)
 
     def test_capacity_is_optional(self) -> None:
         self.assertIsNone(self._load(""))
@@ -47,6 +53,35 @@
         )
         self.assertEqual(self._load(section), RouterCapacity(1.5, 5.0, 200.0, 4200))
 
+    def test_limits_on_callers_are_read(self) -> None:
+        settings = self._load_settings("")
+        self.assertEqual(
+            (settings.max_body_s, settings.max_connections, settings.held_share),
+            (120.0, None, 0.25),
+        )
+        section = (
+            "[callers]\nmax_body_s = 30\nmax_connections = 500\n"
+            "[capacity]\nheld_share = 0.2\nmemory_mb = 200\n"
+        )
+        settings = self._load_settings(section)
+        self.assertEqual(
+            (settings.max_body_s, settings.max_connections, settings.held_share),
+            (30.0, 500, 0.2),
+        )
+
+    # Guards against limits that would refuse every caller.
+    def test_values_that_are_no_limits_are_refused(self) -> None:
+        for section, key in (
+            ("callers", "max_body_s"),
+            ("callers", "max_connections"),
+            ("capacity", "held_share"),
+        ):
+            for value in ("0", "-1", "much", "nan"):
+                with self.subTest(key=key, value=value):
+                    with self.assertRaises(SettingsError) as caught:
+                        self._load_settings(f"[{section}]\n{key} = {value}\n")
+                    self.assertIn(f"[{section}] {key}", str(caught.exception))
+
     # Guards against a capacity that would refuse every request, or none.
     def test_values_that_are_no_capacity_are_refused(self) -> None:
         for key in ("processor_share", "link_mbps", "memory_mb", "descriptors"):
