Parse the connections of a router with sidecars in turns

What callers saw: beside 100 bodies in chunks of one byte an ordinary request was refused with 503; 240,000 pipelined requests on 60 connections took the process to 881 MB.

Cause: uvicorn parses all that one read of the socket brings, up to 250 KB, in one go: 42,000 chunks, each with a call and an event of its own, or thousands of requests, each with its objects, long before the first is answered.

--- a/src/endivegw/http_server.py
+++ b/src/endivegw/http_server.py
@@ -11,7 +11,8 @@
 import uvicorn
 from anyio.abc import TaskStatus
 
-from endivegw.http_protocol import BoundedHttpProtocol, HeaderLimit
+from endivegw.http_connections import SharedHttpProtocol
+from endivegw.http_protocol import HeaderLimit
 
 __all__ = ["ServedAddress", "serve_asgi"]
 
@@ -89,7 +90,7 @@
     """Return uvicorn's setting for the protocol class of a connection."""
     if limit is None:
         return "httptools"
-    return functools.partial(BoundedHttpProtocol, limit=limit)
+    return functools.partial(SharedHttpProtocol, limit=limit)
 
 
 async def _run_until_cancelled(server: _Server, listener: socket.socket) -> None:
