One limit on what a router with sidecars holds for its callers

Cause: only a single body was bounded.

Each connection counts what it holds in one HeldMemory ([http] held_mb, 96 by default), a body four times: as received, as parsed, and as sent on. The parts of a body that are passed on to a service's target are released. Who gives way is decided as at direct routers; the request gets 503 as not run, and its connection closes. Bodies of which a part was sent on never give way.

--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -41,6 +41,7 @@
     ServiceCall,
 )
 from endivegw.exceptions import EndivegwError
+from endivegw.http_connections import request_input
 from endivegw.http_protocol import (
     client_has_disconnected,
     seconds_since_arrival,
@@ -212,7 +213,11 @@
         receive: Receive,
         send: Send,
     ) -> None:
-        body = await read_body(receive, self._limits.max_body_bytes)
+        body = await read_body(
+            receive,
+            self._limits.max_body_bytes,
+            request_input(scope),
+        )
         if isinstance(body, Refused):
             await _refuse(send, body, caller.keyed)
             return
@@ -265,7 +270,15 @@
         raw_rest = raw.decode("latin-1").removeprefix(_SERVICE_PREFIX).partition("/")[2]
         query = scope.get("query_string", b"").decode("latin-1")
         path = f"/{raw_rest}" + (f"?{query}" if query else "")
-        body, more = await read_leading(receive, _MAX_BUFFERED_BODY_BYTES)
+        leading = await read_leading(
+            receive,
+            _MAX_BUFFERED_BODY_BYTES,
+            request_input(scope),
+        )
+        if isinstance(leading, Refused):
+            await _refuse(send, leading, caller.keyed)
+            return
+        body, more = leading
         if more is not None and caller.idempotency_key is not None:
             # Only the digest of the complete body can distinguish a retry from
             # another request under the same key.
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -11,6 +11,7 @@
 from endivegw.budgets import BudgetManager
 from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.background import Background
+from endivegw.daemons.client_limits import client_limits
 from endivegw.daemons.evidence_broadcaster import EvidenceBroadcaster
 from endivegw.daemons.http_front import HttpFrontend
 from endivegw.daemons.http_guard import AnswerGuard
@@ -87,6 +88,7 @@
         self._stopped = anyio.Event()
         self._frontend: HttpFrontend | None = None
         self._runner: RequestRunner | None = None
+        self._client_limits = client_limits(parts.settings.http)
 
     @property
     def ready(self) -> bool:
@@ -197,6 +199,7 @@
             port,
             graceful_s=CLOSE_CONNECTIONS_S,
             header_limit=header_limit(self._parts.settings.http.max_header_bytes),
+            client_limits=self._client_limits,
             task_status=task_status,
         )
 
--- a/src/endivegw/http_connections.py
+++ b/src/endivegw/http_connections.py
@@ -1,18 +1,29 @@
-"""Share the event loop between the connections of clients.
+"""Share memory, processor time and descriptors between the connections of clients.
 
-uvicorn parses all that was received of a connection at once.
+uvicorn parses all that was received of a connection at once, buffers it for the
+application, and waits for the rest of a request without a time limit.
 """
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Callable
+from typing import Any, Callable, Mapping, cast
 
+from attrs import define
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 
+from endivegw.capacity import HeldMemory, HeldShare
 from endivegw.http_protocol import BoundedHttpProtocol
 
-__all__ = ["SharedHttpProtocol"]
+__all__ = [
+    "BODY_COPIES",
+    "ClientLimits",
+    "RequestInput",
+    "SharedHttpProtocol",
+    "request_input",
+]
+
+_INPUT = "endivegw.input"
 
 #: Bytes that are parsed before other connections get their turn. Heads are small and
 #: expensive, so that fewer of their bytes are parsed at once.
@@ -22,6 +33,62 @@
 #: Requests of one connection that are parsed before the first of them is answered.
 _MAX_PIPELINED = 16
 
+#: Copies of a body while its request is in progress: as received, as parsed, and as
+#: sent on.
+BODY_COPIES = 4
+
+
+@define
+class ClientLimits:
+    """Hold what the connections of one server share.
+
+    :ivar memory: bounds what is held for them.
+    :ivar full_response: response to a request that gives way to others.
+    """
+
+    memory: HeldMemory
+    full_response: bytes
+
+
+@define
+class RequestInput:
+    """Tell the application about the body of one request.
+
+    :ivar gave_way: whether the body was dropped in favour of other requests.
+    :ivar passed_on: whether a part of it was sent to a target.
+    """
+
+    share: HeldShare
+    gave_way: bool = False
+    passed_on: bool = False
+    held_bytes: int = 0
+
+    def add(self, size_bytes: int) -> None:
+        """Count a received part of the body."""
+        held_bytes = size_bytes * BODY_COPIES
+        self.held_bytes += held_bytes
+        self.share.add(held_bytes)
+
+    def take(self, size_bytes: int) -> None:
+        """Count a part of the body that was sent on and is not held any more."""
+        held_bytes = min(self.held_bytes, size_bytes * BODY_COPIES)
+        self.held_bytes -= held_bytes
+        self.share.release(held_bytes)
+
+    def release(self) -> None:
+        """Count nothing of the body any more."""
+        self.share.release(self.held_bytes)
+        self.held_bytes = 0
+
+
+def request_input(scope: Mapping[str, Any]) -> RequestInput | None:
+    """Return the input of a request; None if its server does not share memory.
+
+    :param scope: the ASGI scope of the request.
+    """
+    found: RequestInput | None = scope.get("extensions", {}).get(_INPUT)
+    return found
+
 
 class _InputFlow(FlowControl):
     """Keep reading paused while received bytes wait to be parsed.
@@ -45,37 +112,54 @@
 
 
 class SharedHttpProtocol(BoundedHttpProtocol):
-    """Parse one connection in turns with others."""
+    """Parse one connection in turns with others, within limits that all share."""
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
+    def __init__(self, *args: Any, limits: ClientLimits, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        self._limits = limits
+        self._held = HeldShare(limits.memory, holder=self)
         self._unparsed = bytearray()
         #: Parts of a body that the parser has found in the present piece.
         self._found_body = bytearray()
         self._is_scheduled = False
+        self._gave_way = False
+        #: The input of the latest request.
+        self._input: RequestInput | None = None
 
     # Called by the event loop.
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
-        """Keep reading paused while received bytes wait to be parsed."""
+        """Share memory with other connections."""
         super().connection_made(transport)
         self.flow = _InputFlow(transport, self._schedule)
+        self._limits.memory.enter(self._held)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Drop what was not parsed."""
+        """Release what the connection holds."""
         self._unparsed.clear()
+        self._held.close()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, some at a time."""
+        if self._gave_way:
+            return
         self._unparsed += data
+        self._held.add(len(data))
         if not self._is_scheduled:
             self._parse_some()
 
     # Called by the parser.
 
+    def on_message_begin(self) -> None:
+        """Count for the new request."""
+        super().on_message_begin()
+        self._input = RequestInput(self._held)
+        extensions = cast(dict[str, Any], self.scope["extensions"])
+        extensions[_INPUT] = self._input
+
     def on_body(self, body: bytes) -> None:
         """Collect the parts of one piece: there may be one for each byte."""
         self._record_progress()
@@ -90,11 +174,52 @@
 
     def on_response_complete(self) -> None:
         """Parse on."""
+        answered = self._answering
+        if answered is not None:
+            answered_input = request_input(answered.scope)
+            if answered_input is not None:
+                answered_input.release()
         super().on_response_complete()
         self._schedule()
 
+    # Interface for the memory that connections share.
+
+    @property
+    def releasable_bytes(self) -> int:
+        """Return the size of what belongs to requests that have not run."""
+        size = len(self._unparsed)
+        if self._is_body_releasable and self._input is not None:
+            size += self._input.held_bytes
+        return size
+
+    def give_up(self) -> None:
+        """Drop what belongs to requests that have not run, and refuse them."""
+        is_body_releasable = self._is_body_releasable
+        self._gave_way = True
+        self._drop_unparsed()
+        if is_body_releasable and self._input is not None:
+            self._input.gave_way = True
+            self._input.release()
+            self.cycle.body = bytearray()
+            self.cycle.keep_alive = False
+            self.cycle.message_event.set()
+        else:
+            self._end_with(self._limits.full_response)
+
     # Implementation.
 
+    @property
+    def _is_body_releasable(self) -> bool:
+        """Return whether the application waits for the rest of a body."""
+        request = self._input
+        return (
+            self._in_body
+            and self._answering is self.cycle
+            and not self.cycle.response_started
+            and request is not None
+            and not request.passed_on
+        )
+
     def _schedule(self) -> None:
         """Parse more in a later turn of the event loop."""
         if self._unparsed and not self._is_scheduled:
@@ -104,12 +229,13 @@
     def _parse_some(self) -> None:
         self._is_scheduled = False
         if self.parser is None or self.transport.is_closing():
-            self._unparsed.clear()
+            self._drop_unparsed()
             return
         if self._unparsed and not self._is_application_behind():
             size = _BODY_PIECE_BYTES if self._in_body else _HEAD_PIECE_BYTES
             piece = bytes(self._unparsed[:size])
             del self._unparsed[:size]
+            self._held.release(len(piece))
             super().data_received(piece)
             self._pass_body()
             if not self._is_application_behind():
@@ -139,7 +265,14 @@
             return
         body = bytes(self._found_body)
         self._found_body.clear()
-        super().on_body(body)
+        if not self.cycle.response_complete and self._input is not None:
+            self._input.add(len(body))
+        if not self._gave_way:
+            super().on_body(body)
+
+    def _drop_unparsed(self) -> None:
+        self._held.release(len(self._unparsed))
+        self._unparsed.clear()
 
     def _has_no_pending_input(self) -> bool:
         return not self._unparsed and super()._has_no_pending_input()
--- a/src/endivegw/http_protocol.py
+++ b/src/endivegw/http_protocol.py
@@ -33,6 +33,7 @@
 __all__ = [
     "BoundedHttpProtocol",
     "HeaderLimit",
+    "closing_response",
     "client_has_disconnected",
     "seconds_since_arrival",
     "wait_reading_stopped",
@@ -307,7 +308,7 @@
 
     def _refuse(self) -> None:
         limit = self._limit
-        self._end_with(_closing_response(_TOO_LARGE, limit.fields, limit.body))
+        self._end_with(closing_response(_TOO_LARGE, limit.fields, limit.body))
 
     def _end_with(self, response: bytes) -> None:
         """Respond to the request being received, which cannot be read, and close.
@@ -355,12 +356,13 @@
 
 def _bad_request_response(detail: str) -> bytes:
     fields = (("content-type", "text/plain; charset=utf-8"),)
-    return _closing_response(_BAD_REQUEST, fields, detail.encode())
+    return closing_response(_BAD_REQUEST, fields, detail.encode())
 
 
-def _closing_response(
+def closing_response(
     status: int, fields: tuple[tuple[str, str], ...], body: bytes
 ) -> bytes:
+    """Return a complete response after which the connection is closed."""
     fields = (
         *fields,
         ("content-length", str(len(body))),
--- a/src/endivegw/http_server.py
+++ b/src/endivegw/http_server.py
@@ -11,8 +11,8 @@
 import uvicorn
 from anyio.abc import TaskStatus
 
-from endivegw.http_connections import SharedHttpProtocol
-from endivegw.http_protocol import HeaderLimit
+from endivegw.http_connections import ClientLimits, SharedHttpProtocol
+from endivegw.http_protocol import BoundedHttpProtocol, HeaderLimit
 
 __all__ = ["ServedAddress", "serve_asgi"]
 
@@ -51,6 +51,7 @@
     lifespan: bool = False,
     graceful_s: int = 5,
     header_limit: HeaderLimit | None = None,
+    client_limits: ClientLimits | None = None,
     task_status: TaskStatus[ServedAddress] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve until cancelled; report the address once the socket listens.
@@ -62,6 +63,7 @@
         cancellation before they are truncated.
     :param header_limit: limit of the size of header sections, None if all clients
         are trusted.
+    :param client_limits: what clients share; None if they share nothing.
     """
     # The protocol is explicit because the event loop disables Nagle's algorithm only
     # on sockets that have it. Otherwise a chunk of a response waits in the kernel
@@ -74,7 +76,7 @@
         address: ServedAddress = listener.getsockname()[:2]
         config = uvicorn.Config(
             app,
-            http=_protocol(header_limit),
+            http=_protocol(header_limit, client_limits),
             lifespan="on" if lifespan else "off",
             log_config=None,
             log_level="critical",
@@ -86,11 +88,13 @@
         await _run_until_cancelled(server, listener)
 
 
-def _protocol(limit: HeaderLimit | None) -> Any:
+def _protocol(limit: HeaderLimit | None, shared: ClientLimits | None) -> Any:
     """Return uvicorn's setting for the protocol class of a connection."""
     if limit is None:
         return "httptools"
-    return functools.partial(SharedHttpProtocol, limit=limit)
+    if shared is not None:
+        return functools.partial(SharedHttpProtocol, limit=limit, limits=shared)
+    return functools.partial(BoundedHttpProtocol, limit=limit)
 
 
 async def _run_until_cancelled(server: _Server, listener: socket.socket) -> None:
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -39,6 +39,7 @@
 DEFAULT_MAX_HEADER_BYTES = 32 * 1024
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_MAX_DEADLINE_S = 600.0
+DEFAULT_HELD_MB = 96.0
 DEFAULT_PLATFORM_TIMEOUT_S = 2.0
 DEFAULT_MAX_RUNNING = 64
 
@@ -111,6 +112,7 @@
         max_deadline_s=reader.number(
             "http", "max_deadline_s", DEFAULT_MAX_DEADLINE_S, minimum=0.1
         ),
+        held_mb=reader.number("http", "held_mb", DEFAULT_HELD_MB, minimum=1.0),
     )
 
 
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -117,12 +117,15 @@
     :param max_header_bytes: maximum size of the request headers.
     :param default_deadline_s: deadline of requests that do not set one.
     :param max_deadline_s: maximum deadline that a request may set.
+    :param held_mb: memory that all requests together may take while they are received
+        and answered.
     """
 
     max_body_bytes: int
     max_header_bytes: int
     default_deadline_s: float
     max_deadline_s: float
+    held_mb: float = 96.0
 
 
 @frozen
