Limit the connections of callers of routers with sidecars

What callers saw: 1,000 connections that send nothing take all descriptors; an ordinary caller is not answered, nor is the liveness check.

Cause: nothing bounded them, and idle ones were kept.

Three quarters of the process's limit on descriptors ([http] max_connections) are for callers; connections that wait for their caller give way as at direct routers.

--- a/src/endivegw/daemons/client_limits.py
+++ b/src/endivegw/daemons/client_limits.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from endivegw.capacity import HeldMemory
+import resource
+
+from endivegw.capacity import ConnectionLimit, HeldMemory, RouterCapacity
 from endivegw.daemons.http_messages import http_error
 from endivegw.http_connections import BODY_COPIES, ClientLimits
 from endivegw.http_protocol import closing_response
@@ -23,10 +25,18 @@
             max_bytes=limits.held_mb * _BYTES_PER_MB,
             largest_bytes=limits.max_body_bytes * BODY_COPIES,
         ),
+        connections=ConnectionLimit(_max_connections(limits)),
         full_response=_response("too much is held for requests"),
     )
 
 
+def _max_connections(limits: HttpLimits) -> float:
+    if limits.max_connections is not None:
+        return limits.max_connections
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return RouterCapacity(descriptors=soft_limit).max_connections
+
+
 def _response(detail: str) -> bytes:
     """Return the response to a request that has not run and may be sent again."""
     error = http_error(Refused(Reason.ROUTER_FULL, detail, _RETRY_S))
--- a/src/endivegw/http_connections.py
+++ b/src/endivegw/http_connections.py
@@ -12,7 +12,12 @@
 from attrs import define
 from uvicorn.protocols.http.flow_control import HIGH_WATER_LIMIT, FlowControl
 
-from endivegw.capacity import HeldMemory, HeldShare
+from endivegw.capacity import (
+    ConnectionLimit,
+    ConnectionState,
+    HeldMemory,
+    HeldShare,
+)
 from endivegw.http_protocol import BoundedHttpProtocol
 
 __all__ = [
@@ -43,10 +48,12 @@
     """Hold what the connections of one server share.
 
     :ivar memory: bounds what is held for them.
+    :ivar connections: bounds their number.
     :ivar full_response: response to a request that gives way to others.
     """
 
     memory: HeldMemory
+    connections: ConnectionLimit[SharedHttpProtocol]
     full_response: bytes
 
 
@@ -131,14 +138,23 @@
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
-        """Share memory with other connections."""
+        """Make room for the connection, or close it."""
         super().connection_made(transport)
         self.flow = _InputFlow(transport, self._schedule)
+        connections = self._limits.connections
+        if connections.is_full:
+            waiting = connections.pop_waiting()
+            if waiting is None:
+                transport.abort()
+                return
+            waiting.transport.abort()
+        connections.set_state(self, ConnectionState.UNUSED)
         self._limits.memory.enter(self._held)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds."""
         self._unparsed.clear()
+        self._limits.connections.remove(self)
         self._held.close()
         super().connection_lost(exc)
 
@@ -159,6 +175,8 @@
         self._input = RequestInput(self._held)
         extensions = cast(dict[str, Any], self.scope["extensions"])
         extensions[_INPUT] = self._input
+        if not self._is_answering:
+            self._limits.connections.set_state(self, ConnectionState.RECEIVING)
 
     def on_body(self, body: bytes) -> None:
         """Collect the parts of one piece: there may be one for each byte."""
@@ -169,6 +187,7 @@
         """Record that the request is whole."""
         self._pass_body()
         super().on_message_complete()
+        self._limits.connections.set_state(self, ConnectionState.BUSY)
 
     # Called by uvicorn.
 
@@ -180,6 +199,8 @@
             if answered_input is not None:
                 answered_input.release()
         super().on_response_complete()
+        if not self._is_answering and not self._in_message:
+            self._limits.connections.set_state(self, ConnectionState.IDLE)
         self._schedule()
 
     # Interface for the memory that connections share.
@@ -208,6 +229,11 @@
 
     # Implementation.
 
+    @property
+    def _is_answering(self) -> bool:
+        """Return whether a request is being answered."""
+        return self._answering is not None and not self._answering.response_complete
+
     @property
     def _is_body_releasable(self) -> bool:
         """Return whether the application waits for the rest of a body."""
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -99,6 +99,7 @@
 
 
 def _http(reader: SettingsReader) -> HttpLimits:
+    max_connections = reader.optional_positive("http", "max_connections")
     return HttpLimits(
         max_body_bytes=reader.integer(
             "http", "max_body_bytes", DEFAULT_MAX_BODY_BYTES, minimum=1
@@ -113,6 +114,7 @@
             "http", "max_deadline_s", DEFAULT_MAX_DEADLINE_S, minimum=0.1
         ),
         held_mb=reader.number("http", "held_mb", DEFAULT_HELD_MB, minimum=1.0),
+        max_connections=None if max_connections is None else int(max_connections),
     )
 
 
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -119,6 +119,8 @@
     :param max_deadline_s: maximum deadline that a request may set.
     :param held_mb: memory that all requests together may take while they are received
         and answered.
+    :param max_connections: connections of callers that may be open at once; None for
+        a share of the process's limit on descriptors.
     """
 
     max_body_bytes: int
@@ -126,6 +128,7 @@
     default_deadline_s: float
     max_deadline_s: float
     held_mb: float = 96.0
+    max_connections: int | None = None
 
 
 @frozen
