Time limits for heads, bodies and refused bodies at routers with sidecars

What callers saw: connections without a request, heads and bodies that never end, and bodies that go on after a refusal (no valid key, beyond the limit) were open 40 s later, 20 to 50 of as many, and would have stayed.

Cause: uvicorn has a time limit only for a connection that was answered; a body was awaited and, after a refusal, read for ever.

A connection that brings nothing is closed after 30 s, a head is due after [http] head_timeout_s (10 s), a body at its request's deadline, and the rest of a body whose request was answered without it after 5 s. Input that arrived while the process was paused counts as in time.

--- a/src/endivegw/daemons/client_limits.py
+++ b/src/endivegw/daemons/client_limits.py
@@ -15,6 +15,10 @@
 
 _BYTES_PER_MB = 1_000_000
 
+#: Time without a byte after which a new connection is closed. Load balancers open some
+#: in advance.
+_UNUSED_TIMEOUT_S = 30.0
+
 _RETRY_S = 1.0
 
 
@@ -26,7 +30,10 @@
             largest_bytes=limits.max_body_bytes * BODY_COPIES,
         ),
         connections=ConnectionLimit(_max_connections(limits)),
+        unused_timeout_s=_UNUSED_TIMEOUT_S,
+        head_timeout_s=limits.head_timeout_s,
         full_response=_response("too much is held for requests"),
+        late_response=_response("the request's head was not received in time"),
     )
 
 
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -217,6 +217,7 @@
             receive,
             self._limits.max_body_bytes,
             request_input(scope),
+            caller.deadline_s - self._clock(),
         )
         if isinstance(body, Refused):
             await _refuse(send, body, caller.keyed)
@@ -274,6 +275,7 @@
             receive,
             _MAX_BUFFERED_BODY_BYTES,
             request_input(scope),
+            caller.deadline_s - self._clock(),
         )
         if isinstance(leading, Refused):
             await _refuse(send, leading, caller.keyed)
--- a/src/endivegw/http_connections.py
+++ b/src/endivegw/http_connections.py
@@ -42,6 +42,12 @@
 #: sent on.
 BODY_COPIES = 4
 
+#: Time for the rest of a body whose request was answered without it.
+_DROP_TIMEOUT_S = 5.0
+
+#: Time until a timer is checked again that passed while the process was paused.
+_PENDING_INPUT_S = 0.1
+
 
 @define
 class ClientLimits:
@@ -49,12 +55,18 @@
 
     :ivar memory: bounds what is held for them.
     :ivar connections: bounds their number.
+    :ivar unused_timeout_s: time without a byte after which a new connection is closed.
+    :ivar head_timeout_s: longest time for the head of a request.
     :ivar full_response: response to a request that gives way to others.
+    :ivar late_response: response to a request whose head was late.
     """
 
     memory: HeldMemory
     connections: ConnectionLimit[SharedHttpProtocol]
+    unused_timeout_s: float
+    head_timeout_s: float
     full_response: bytes
+    late_response: bytes
 
 
 @define
@@ -130,6 +142,7 @@
         self._found_body = bytearray()
         self._is_scheduled = False
         self._gave_way = False
+        self._timer: asyncio.TimerHandle | None = None
         #: The input of the latest request.
         self._input: RequestInput | None = None
 
@@ -150,9 +163,11 @@
             waiting.transport.abort()
         connections.set_state(self, ConnectionState.UNUSED)
         self._limits.memory.enter(self._held)
+        self._start_timer(self._limits.unused_timeout_s, self._close_unused)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Release what the connection holds."""
+        self._stop_timer()
         self._unparsed.clear()
         self._limits.connections.remove(self)
         self._held.close()
@@ -164,20 +179,29 @@
             return
         self._unparsed += data
         self._held.add(len(data))
+        if not self._in_message and self._timer is None:
+            self._start_timer(self._limits.head_timeout_s, self._end_late)
         if not self._is_scheduled:
             self._parse_some()
 
     # Called by the parser.
 
     def on_message_begin(self) -> None:
-        """Count for the new request."""
+        """Start the time limit of the head, and count for the new request."""
         super().on_message_begin()
         self._input = RequestInput(self._held)
         extensions = cast(dict[str, Any], self.scope["extensions"])
         extensions[_INPUT] = self._input
+        self._start_timer(self._limits.head_timeout_s, self._end_late)
         if not self._is_answering:
             self._limits.connections.set_state(self, ConnectionState.RECEIVING)
 
+    def on_headers_complete(self) -> None:
+        """Stop the time limit of the head."""
+        super().on_headers_complete()
+        if self._in_body:
+            self._stop_timer()
+
     def on_body(self, body: bytes) -> None:
         """Collect the parts of one piece: there may be one for each byte."""
         self._record_progress()
@@ -186,20 +210,23 @@
     def on_message_complete(self) -> None:
         """Record that the request is whole."""
         self._pass_body()
+        self._stop_timer()
         super().on_message_complete()
         self._limits.connections.set_state(self, ConnectionState.BUSY)
 
     # Called by uvicorn.
 
     def on_response_complete(self) -> None:
-        """Parse on."""
+        """Parse on, and bound the time for the rest of a body."""
         answered = self._answering
         if answered is not None:
             answered_input = request_input(answered.scope)
             if answered_input is not None:
                 answered_input.release()
         super().on_response_complete()
-        if not self._is_answering and not self._in_message:
+        if self._in_body and answered is self.cycle:
+            self._start_timer(_DROP_TIMEOUT_S, self.transport.close)
+        elif not self._is_answering and not self._in_message:
             self._limits.connections.set_state(self, ConnectionState.IDLE)
         self._schedule()
 
@@ -302,3 +329,23 @@
 
     def _has_no_pending_input(self) -> bool:
         return not self._unparsed and super()._has_no_pending_input()
+
+    def _start_timer(self, timeout_s: float, expire: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = self.loop.call_later(timeout_s, expire)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _close_unused(self) -> None:
+        if self._has_no_pending_input():
+            self.transport.close()
+
+    def _end_late(self) -> None:
+        """End a request whose head is late, unless its rest was not read yet."""
+        if not self._has_no_pending_input():
+            self._start_timer(_PENDING_INPUT_S, self._end_late)
+            return
+        self._end_with(self._limits.late_response)
--- a/src/endivegw/settings/load.py
+++ b/src/endivegw/settings/load.py
@@ -40,6 +40,7 @@
 DEFAULT_DEADLINE_S = 60.0
 DEFAULT_MAX_DEADLINE_S = 600.0
 DEFAULT_HELD_MB = 96.0
+DEFAULT_HEAD_TIMEOUT_S = 10.0
 DEFAULT_PLATFORM_TIMEOUT_S = 2.0
 DEFAULT_MAX_RUNNING = 64
 
@@ -115,6 +116,9 @@
         ),
         held_mb=reader.number("http", "held_mb", DEFAULT_HELD_MB, minimum=1.0),
         max_connections=None if max_connections is None else int(max_connections),
+        head_timeout_s=reader.number(
+            "http", "head_timeout_s", DEFAULT_HEAD_TIMEOUT_S, minimum=0.1
+        ),
     )
 
 
--- a/src/endivegw/settings/model.py
+++ b/src/endivegw/settings/model.py
@@ -121,6 +121,7 @@
         and answered.
     :param max_connections: connections of callers that may be open at once; None for
         a share of the process's limit on descriptors.
+    :param head_timeout_s: maximum time for receiving a request's head.
     """
 
     max_body_bytes: int
@@ -129,6 +130,7 @@
     max_deadline_s: float
     held_mb: float = 96.0
     max_connections: int | None = None
+    head_timeout_s: float = 10.0
 
 
 @frozen
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,6 +26,25 @@
 
 
 class SettingsTests(unittest.TestCase):
+    def test_limits_on_callers_are_read(self):
+        limits = self.load(ROUTER).http
+        self.assertEqual(
+            (limits.held_mb, limits.max_connections, limits.head_timeout_s),
+            (96.0, None, 10.0),
+        )
+        more = "held_mb = 32\nmax_connections = 500\nhead_timeout_s = 3\n[peers]"
+        limits = self.load(ROUTER.replace("[peers]", more)).http
+        self.assertEqual(
+            (limits.held_mb, limits.max_connections, limits.head_timeout_s),
+            (32.0, 500, 3.0),
+        )
+
+    def test_values_that_are_no_limits_are_refused(self):
+        for key in ("held_mb", "max_connections", "head_timeout_s"):
+            for value in ("0", "-1", "much"):
+                more = f"{key} = {value}\n[peers]"
+                self.assert_problem(ROUTER.replace("[peers]", more), f"[http] {key}")
+
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
