Refuse unfinished bodies soon after a direct router stops accepting

Cause: a request that is being received counts as in progress, and a stop waits for it as long as it may.

A connection that is to close waits 1 s for the rest of a request, then answers 503: nothing was sent on.

--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from http import HTTPStatus
 from typing import Awaitable, Callable
 
@@ -47,6 +48,9 @@
 #: routers.
 _GAVE_WAY_RETRY_S = 0.2
 
+#: How long a connection that is to close waits for the rest of a request.
+_LAST_BODY_S = 1.0
+
 #: Interval of the checks whether a caller has disconnected while reading is paused.
 _CLOSE_CHECK_INTERVAL_S = 0.2
 
@@ -64,6 +68,8 @@
     Reason.ROUTER_FULL, "too much is held for requests", _GAVE_WAY_RETRY_S
 )
 
+_STOPPING = Refused(Reason.NOT_READY, "the router stops")
+
 Handler = Callable[[CallerRequest, AnswerWriter], Awaitable[None]]
 
 
@@ -101,6 +107,8 @@
         self._read_resumed = anyio.Event()
         self._caller_left = False
         self._closing = False
+        #: Time from which on a request that is not complete is refused.
+        self._stop_receiving_s = math.inf
         self._scope: anyio.CancelScope | None = None
         self._on_end = on_end
         self._cause: EndCause | None = None
@@ -139,8 +147,12 @@
         return self._in_request or not self._is_idle()
 
     def close_when_idle(self) -> None:
-        """Close the connection now, or after the request in progress."""
+        """Close the connection now, or after the request in progress.
+
+        A request that is not complete soon is refused.
+        """
         self._closing = True
+        self._stop_receiving_s = self._clock() + _LAST_BODY_S
         self._state_changed.set()
 
     def close_for_another(self) -> None:
@@ -251,8 +263,11 @@
             match request:
                 case None:
                     return
-                case Refused():
-                    self._record_cause(EndCause.GAVE_WAY)
+                case Refused(reason=reason):
+                    stopping = reason is Reason.NOT_READY
+                    self._record_cause(
+                        EndCause.STOPPING if stopping else EndCause.GAVE_WAY
+                    )
                     await self._refuse_given_up(request)
                     return
                 case MalformedRequest():
@@ -313,6 +328,10 @@
                 left_s = min(left_s, self._plan.due_s - self._clock())
                 if self._clock() >= self._plan.due_s:
                     return self._time_out()
+            left_s = min(left_s, self._stop_receiving_s - self._clock())
+            if self._clock() >= self._stop_receiving_s:
+                self._held.drop_request()
+                return _STOPPING
             await self._invite_body()
             with anyio.move_on_after(max(_MIN_WAIT_S, left_s)):
                 await self._state_changed.wait()
--- a/src/endivegw/relay/held_input.py
+++ b/src/endivegw/relay/held_input.py
@@ -92,12 +92,17 @@
         """Drop all that belongs to requests that have not run."""
         self.gave_way = True
         if self._current is None:
-            self.given_up = self._parser.request_head(self._clock())
+            self.drop_request()
         else:
             self._withdraw_current(self._current[1])
-        self.discard()
+            self.discard()
         self._on_give_up()
 
+    def drop_request(self) -> None:
+        """Drop the request that is being received."""
+        self.given_up = self._parser.request_head(self._clock())
+        self.discard()
+
     def _withdraw_current(self, writer: AnswerWriter) -> None:
         if writer.withdraw is not None:
             writer.withdraw()
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -10,6 +10,8 @@
 from attrs import define, frozen
 
 __all__ = [
+    "KIB",
+    "MIB",
     "Crowd",
     "ProcessUse",
     "ask",
@@ -184,8 +186,15 @@
                 if length:
                     await reader.readexactly(int(length.split(b"\r\n")[0]))
                 elif b"chunked" in head.lower():
-                    await reader.readuntil(b"0\r\n\r\n")
+                    await _read_chunks(reader)
                 return int(head.split()[1])
             finally:
                 writer.transport.abort()
     return 0
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> None:
+    """Read the body of an answer in chunks."""
+    while size := int(await reader.readline(), 16):
+        await reader.readexactly(size + len(b"\r\n"))
+    await reader.readline()
