Keep bodies of which a part was passed on to a target

A router with sidecars that held too much would have answered 503 as not run, which it must not promise, to a service's call of which a part had been sent on: the unparsed rest of such a body counted as releasable. Found on reading; tests/test_http_connections.py fails before for it. A connection that closes within a piece, or while room is made, is not paused any more.

--- a/src/endivegw/http_connections.py
+++ b/src/endivegw/http_connections.py
@@ -235,10 +235,12 @@
     @property
     def releasable_bytes(self) -> int:
         """Return the size of what belongs to requests that have not run."""
-        size = len(self._unparsed)
-        if self._is_body_releasable and self._input is not None:
-            size += self._input.held_bytes
-        return size
+        if not self._in_body:
+            return len(self._unparsed)
+        if not self._is_body_releasable or self._input is None:
+            # A target may have got a part of the body.
+            return 0
+        return len(self._unparsed) + self._input.held_bytes
 
     def give_up(self) -> None:
         """Drop what belongs to requests that have not run, and refuse them."""
@@ -291,6 +293,9 @@
             self._held.release(len(piece))
             super().data_received(piece)
             self._pass_body()
+            if self.transport.is_closing():
+                self._drop_unparsed()
+                return
             if not self._is_application_behind():
                 self._schedule()
         self._hold_reading(bool(self._unparsed))
--- a/src/endivegw/tcp_stream.py
+++ b/src/endivegw/tcp_stream.py
@@ -207,8 +207,8 @@
         self._count_unread(nbytes)
         if self._unread_bytes >= _MAX_UNREAD_BYTES and not self._reading_paused:
             self._reading_paused = True
-            assert self._transport is not None
-            self._transport.pause_reading()
+            if self._transport is not None and not self._is_closing():
+                self._transport.pause_reading()
         _wake(self._reader)
 
     def eof_received(self) -> bool:
