Report what gave way at routers with sidecars as well

Operators saw nothing there of requests and connections that gave way. Event 8006 counts them at most once a second and names the client account that holds the most memory, like 9140 of direct routers; the counters and gauges go to statsd. The account of a request is known to the sum from its head on, so that one account's crowd gives way before the requests of others.

--- a/src/endivegw/capacity/__init__.py
+++ b/src/endivegw/capacity/__init__.py
@@ -2,6 +2,7 @@
 
 from endivegw.capacity.connection_limit import ConnectionLimit, ConnectionState
 from endivegw.capacity.gate import CapacityGate
+from endivegw.capacity.gave_way import GaveWay, GaveWayCounter
 from endivegw.capacity.held_memory import HeldMemory, HeldShare, Holder
 from endivegw.capacity.model import (
     DEFAULT_TOTAL_SHARE,
@@ -19,6 +20,8 @@
     "CapacityGate",
     "ConnectionLimit",
     "ConnectionState",
+    "GaveWay",
+    "GaveWayCounter",
     "Headroom",
     "HeldMemory",
     "HeldShare",
--- a/src/endivegw/daemons/direct_router.py
+++ b/src/endivegw/daemons/direct_router.py
@@ -7,10 +7,10 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import frozen
+from attrs import asdict, frozen
 
 from endivegw.allowances import AllowanceManager
-from endivegw.capacity import ConnectionLimit
+from endivegw.capacity import ConnectionLimit, GaveWayCounter
 from endivegw.daemons.direct_readers import PeerReader
 from endivegw.daemons.row_feed import RowFeed
 from endivegw.daemons.target_reader import TargetReader
@@ -413,23 +413,13 @@
 
     async def _report_gave_way(self) -> None:
         """Log how many requests and connections have given way to others."""
-        meter = self._parts.meter
-        limit = self._parts.connection_limit
-        requests, connections = 0, 0
+        parts = self._parts
+        counter = GaveWayCounter(parts.meter.memory, parts.connection_limit)
         while True:
             await anyio.sleep(_GAVE_WAY_INTERVAL_S)
-            if (requests, connections) == (meter.memory.given_up, limit.closed):
-                continue
-            self._parts.log.emit(
-                events.CALLERS_GAVE_WAY,
-                requests=meter.memory.given_up - requests,
-                connections=limit.closed - connections,
-                held_bytes=meter.memory.total_bytes,
-                limit_bytes=int(meter.memory.limit_bytes),
-                open_connections=meter.open_connections,
-                client_account=meter.memory.largest_account(),
-            )
-            requests, connections = meter.memory.given_up, limit.closed
+            gave_way = counter.take()
+            if gave_way is not None:
+                parts.log.emit(events.CALLERS_GAVE_WAY, **asdict(gave_way))
 
     async def _maintain_registration(self) -> None:
         """Write this router's row whenever the store does not have it.
--- a/src/endivegw/daemons/http_front.py
+++ b/src/endivegw/daemons/http_front.py
@@ -173,6 +173,9 @@
         if isinstance(caller, Refused):
             await _refuse(send, caller, keyed)
             return
+        source = request_input(scope)
+        if source is not None:
+            source.share.account = caller.account.client_account
         if path == _MODELS_PATH or path.startswith(_MODEL_PREFIX):
             await self._models(scope["method"], path, caller, send)
         elif path in (_CHAT_PATH, _COMPLETION_PATH):
--- a/src/endivegw/daemons/router.py
+++ b/src/endivegw/daemons/router.py
@@ -6,9 +6,10 @@
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
-from attrs import frozen
+from attrs import asdict, frozen
 
 from endivegw.budgets import BudgetManager
+from endivegw.capacity import GaveWayCounter
 from endivegw.configuration.agent import ConfigurationAgent
 from endivegw.daemons.background import Background
 from endivegw.daemons.client_limits import client_limits
@@ -38,6 +39,9 @@
 #: Interval at which a graceful shutdown checks whether all answers have ended.
 _DRAIN_POLL_S = 0.05
 
+#: Interval of the reports on requests and connections that gave way.
+_GAVE_WAY_INTERVAL_S = 1.0
+
 #: Time for the load balancer to detect the failing readiness check before idle
 #: connections are closed. Requests that arrive in this time are refused as not run,
 #: and the load balancer's next try goes to another router.
@@ -133,6 +137,7 @@
                 parts.budget_manager.run,
                 parts.broadcaster.run,
                 parts.runner.quarantine.run,
+                self._report_gave_way,
             ):
                 tasks.start_soon(run)
             peers = parts.settings.peers.listen
@@ -203,6 +208,21 @@
             task_status=task_status,
         )
 
+    async def _report_gave_way(self) -> None:
+        """Report how many requests and connections have given way to others."""
+        shared = self._client_limits
+        metrics = self._parts.runner.metrics
+        counter = GaveWayCounter(shared.memory, shared.connections)
+        while True:
+            await anyio.sleep(_GAVE_WAY_INTERVAL_S)
+            metrics.gauge("held_bytes", shared.memory.total_bytes)
+            metrics.gauge("caller_connections", len(shared.connections))
+            gave_way = counter.take()
+            if gave_way is not None:
+                metrics.incr("requests_gave_way", gave_way.requests)
+                metrics.incr("connections_gave_way", gave_way.connections)
+                self._parts.log.emit(events.HTTP_CALLERS_GAVE_WAY, **asdict(gave_way))
+
     def _build_service(self) -> RouterService:
         parts = self._parts
         return RouterService(
--- a/src/endivegw/telemetry/catalogue/daemons.py
+++ b/src/endivegw/telemetry/catalogue/daemons.py
@@ -6,6 +6,7 @@
     "DAEMON_DRAINING",
     "DAEMON_STARTED",
     "DAEMON_STOPPED",
+    "HTTP_CALLERS_GAVE_WAY",
     "INVARIANT_BROKEN",
     "UNEXPECTED_ERROR",
 ]
@@ -46,3 +47,19 @@
     " told that the request may have run.",
     ("detail",),
 )
+HTTP_CALLERS_GAVE_WAY = Event(
+    8006,
+    "callers-gave-way",
+    Level.WARNING,
+    "Since the last such line, requests that had not run were refused because too much"
+    " was held in memory, or connections that waited for their callers were closed"
+    " because too many were open. client_account holds the most memory.",
+    (
+        "requests",
+        "connections",
+        "held_bytes",
+        "limit_bytes",
+        "open_connections",
+        "client_account",
+    ),
+)
--- a/tests/test_held_memory.py
+++ b/tests/test_held_memory.py
@@ -7,7 +7,13 @@
 
 from attrs import define, field
 
-from endivegw.capacity import HeldMemory, HeldShare
+from endivegw.capacity import (
+    ConnectionLimit,
+    ConnectionState,
+    GaveWayCounter,
+    HeldMemory,
+    HeldShare,
+)
 from endivegw.types import ClientAccountName
 
 _KB = 1000
@@ -134,6 +140,23 @@
         callers.send(3 * _KB, "b")
         self.assertEqual(callers.memory.largest_account(), "b")
 
+    # Guards against a crowd that is reported with each of its requests, or never.
+    def test_what_gave_way_is_reported_once(self) -> None:
+        callers = Callers()
+        limit = ConnectionLimit[str](1)
+        counter = GaveWayCounter(callers.memory, limit)
+        self.assertIsNone(counter.take())
+        limit.set_state("idle", ConnectionState.IDLE)
+        limit.pop_waiting()
+        for _ in range(10):
+            callers.send(1000 * _KB)
+        reported = counter.take()
+        assert reported is not None
+        gave_way = sum(request.gave_way for request in callers.requests)
+        self.assertEqual((reported.requests, reported.connections), (gave_way, 1))
+        self.assertEqual(reported.client_account, "a")
+        self.assertIsNone(counter.take())
+
     # Guards against counts that change after a connection has ended.
     def test_a_closed_share_counts_nothing(self) -> None:
         callers = Callers()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,6 +26,24 @@
 
 
 class SettingsTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "router.ini"
+
+    def load(self, text):
+        self.path.write_text(text)
+        return load_router_settings(self.path)
+
+    def assert_problem(self, text, *parts):
+        with self.assertRaises(SettingsError) as caught:
+            self.load(text)
+        message = caught.exception.message
+        self.assertEqual(caught.exception.exit_code, EXIT_USAGE)
+        self.assertNotIn("\n", message)
+        for part in (str(self.path), *parts):
+            self.assertIn(part, message)
+
     def test_limits_on_callers_are_read(self):
         limits = self.load(ROUTER).http
         self.assertEqual(
@@ -45,24 +63,6 @@
                 more = f"{key} = {value}\n[peers]"
                 self.assert_problem(ROUTER.replace("[peers]", more), f"[http] {key}")
 
-    def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.path = pathlib.Path(folder.name) / "router.ini"
-
-    def load(self, text):
-        self.path.write_text(text)
-        return load_router_settings(self.path)
-
-    def assert_problem(self, text, *parts):
-        with self.assertRaises(SettingsError) as caught:
-            self.load(text)
-        message = caught.exception.message
-        self.assertEqual(caught.exception.exit_code, EXIT_USAGE)
-        self.assertNotIn("\n", message)
-        for part in (str(self.path), *parts):
-            self.assertIn(part, message)
-
     def test_complete_file_loads(self):
         """A complete file loads as typed values with the documented defaults."""
         settings = self.load(ROUTER)
