--- a/benchmarks/pipelined_requests.py
+++ b/benchmarks/pipelined_requests.py
@@ -16,14 +16,24 @@
 import click
 from attrs import define
 
+from endivegw.daemons.client_limits import client_limits
 from endivegw.http_protocol import HeaderLimit
 from endivegw.http_server import ServedAddress, serve_asgi
+from endivegw.settings import HttpLimits
 
 _OFFER = b"connection: upgrade\r\nupgrade: h2c\r\n"
 _REQUEST = b"POST /a HTTP/1.1\r\nhost: a\r\n%bcontent-length: 5\r\n\r\nhello"
 _STATUS_LINE = b"HTTP/1.1 200"
 
 _MAX_HEADER_BYTES = 4096
+
+#: As routers serve their callers.
+_LIMITS = HttpLimits(
+    max_body_bytes=2 * 1024 * 1024,
+    max_header_bytes=_MAX_HEADER_BYTES,
+    default_deadline_s=60.0,
+    max_deadline_s=600.0,
+)
 _CLIENT_TIMEOUT_S = 60.0
 _TICK_S = 0.001
 _KIB = 1024
@@ -60,7 +70,9 @@
     limit = HeaderLimit(_MAX_HEADER_BYTES, (), b"")
     delay = LoopDelay()
     async with anyio.create_task_group() as tasks:
-        serve = functools.partial(serve_asgi, header_limit=limit)
+        serve = functools.partial(
+            serve_asgi, header_limit=limit, client_limits=client_limits(_LIMITS)
+        )
         address = await tasks.start(serve, _application, "127.0.0.1", 0)
         tasks.start_soon(delay.watch)
         memory_mb, cpu_s = _peak_memory_mb(), time.process_time()
