At a stop, count the wait for a request's rest from its begin

A request that began behind an answer which took longer than a second after the router had stopped accepting would have been refused at once. Found on reading the change; nothing was seen.

--- a/src/endivegw/relay/caller_connection.py
+++ b/src/endivegw/relay/caller_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import math
 from http import HTTPStatus
 from typing import Awaitable, Callable
 
@@ -107,8 +106,8 @@
         self._read_resumed = anyio.Event()
         self._caller_left = False
         self._closing = False
-        #: Time from which on a request that is not complete is refused.
-        self._stop_receiving_s = math.inf
+        #: Time from which on the connection is to close.
+        self._closing_s = 0.0
         self._scope: anyio.CancelScope | None = None
         self._on_end = on_end
         self._cause: EndCause | None = None
@@ -152,7 +151,7 @@
         A request that is not complete soon is refused.
         """
         self._closing = True
-        self._stop_receiving_s = self._clock() + _LAST_BODY_S
+        self._closing_s = self._clock()
         self._state_changed.set()
 
     def close_for_another(self) -> None:
@@ -290,6 +289,7 @@
         is_used = self._answered_s is not None
         idle_since_s = self._clock()
         head_since_s: float | None = None
+        began_s: float | None = None
         wait = RequestWait(self._limits())
         while True:
             self._state_changed = anyio.Event()
@@ -313,6 +313,7 @@
             if self._held.gave_way:
                 return _GAVE_WAY
             if not self._parser.idle:
+                began_s = self._clock() if began_s is None else began_s
                 self._on_state(self, ConnectionState.RECEIVING)
             elif is_used:
                 self._on_state(self, ConnectionState.IDLE)
@@ -328,10 +329,12 @@
                 left_s = min(left_s, self._plan.due_s - self._clock())
                 if self._clock() >= self._plan.due_s:
                     return self._time_out()
-            left_s = min(left_s, self._stop_receiving_s - self._clock())
-            if self._clock() >= self._stop_receiving_s:
-                self._held.drop_request()
-                return _STOPPING
+            if self._closing and began_s is not None:
+                last_s = max(self._closing_s, began_s) + _LAST_BODY_S
+                left_s = min(left_s, last_s - self._clock())
+                if self._clock() >= last_s:
+                    self._held.drop_request()
+                    return _STOPPING
             await self._invite_body()
             with anyio.move_on_after(max(_MIN_WAIT_S, left_s)):
                 await self._state_changed.wait()
