An answer whose status HTTP does not define is no answer

Callers got a faulty target's answer with the status 000 as their answer, with its body and its signature.

Cause: the parsers check that a status has three digits, not which ones. httptools accepts 000 to 999, h11 (sidecars, store, engine) 100 to 999, and whoever called them took that for a check of the status.

Now each is broken: callers get 502, since the request may have run; safe requests go to another target.

--- a/src/endivegw/relay/answer_parser.py
+++ b/src/endivegw/relay/answer_parser.py
@@ -7,6 +7,7 @@
 import httptools
 from attrs import define, field
 
+from endivegw.http_responses import STATUSES
 from endivegw.relay.messages import TargetHead
 from endivegw.relay.wire import HeaderFields
 
@@ -148,6 +149,8 @@
         if encoding is not None and encoding.strip().lower() != b"chunked":
             raise AnswerBroken(f"unknown transfer encoding {encoding!r}")
         status = self._parser.get_status_code()
+        if status not in STATUSES:
+            raise AnswerBroken(f"the status {status:03} is outside of 100 to 599")
         if status == _SWITCHING_PROTOCOLS:
             raise AnswerBroken("the target switched protocols without a request to")
         # Informational heads may come without end.
