An answer in another protocol or version is no answer

Callers of a direct router got what a target sent as RTSP/1.0, ICE/1.0, HTTP/2.0 or HTTP/0.9 as an answer in HTTP/1.1; sidecars and the client of the store took HTTP/2.0 and HTTP/0.9.

Why it works: the parser of direct routers compares the first bytes before it parses them; elsewhere the library tells the version, which is checked with the status. An answer that follows an informational one on the connection is not compared again.

--- a/src/endivegw/relay/answer_parser.py
+++ b/src/endivegw/relay/answer_parser.py
@@ -17,6 +17,10 @@
 #: trailers and of other data that is neither body nor the end of a message.
 _MAX_HEAD_BYTES = 16384
 
+#: How the first answer begins. The parser accepts other protocols and versions, whose
+#: messages differ.
+_PROTOCOL = b"HTTP/1."
+
 _INFORMATIONAL = range(100, 200)
 _SWITCHING_PROTOCOLS = 101
 
@@ -55,6 +59,7 @@
         self._error: str | None = None
         self._idle_bytes = 0
         self._progress = False
+        self._start = b""
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes.
@@ -64,6 +69,11 @@
         if self._error is not None:
             return
         self._progress = False
+        if len(self._start) < len(_PROTOCOL):
+            self._start = (self._start + data).lstrip(b"\r\n")[: len(_PROTOCOL)]
+            if not _PROTOCOL.startswith(self._start):
+                self._error = f"the answer begins with {self._start!r}"
+                return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
--- a/src/endivegw/services/http_calls.py
+++ b/src/endivegw/services/http_calls.py
@@ -9,7 +9,7 @@
 import httpcore
 from attrs import frozen
 
-from endivegw.http_responses import require_valid_status
+from endivegw.http_responses import require_valid_head
 from endivegw.results import Reason, Refused, Unknown
 
 __all__ = [
@@ -204,7 +204,7 @@
             content=body or None,
             extensions={"trace": progress.trace},
         ) as response:
-            require_valid_status(response)
+            require_valid_head(response)
             received = bytearray()
             async for chunk in response.aiter_stream():
                 received += chunk
--- a/src/endivegw/targets/http_service.py
+++ b/src/endivegw/targets/http_service.py
@@ -6,7 +6,7 @@
 
 import httpcore
 
-from endivegw.http_responses import require_valid_status
+from endivegw.http_responses import require_valid_head
 from endivegw.results import Reason
 from endivegw.targets.http_common import (
     HOP_BY_HOP,
@@ -60,7 +60,7 @@
                 content=await _content(body),
                 extensions=_TIMEOUTS,
             ) as response:
-                require_valid_status(response)
+                require_valid_head(response)
                 yield ServiceAnswerHead(response.status, _answer_fields(response))
                 async for data in response.aiter_stream():
                     yield data
--- a/src/endivegw/targets/openai_engine.py
+++ b/src/endivegw/targets/openai_engine.py
@@ -15,7 +15,7 @@
 import httpcore
 from attrs import define, evolve
 
-from endivegw.http_responses import require_valid_status
+from endivegw.http_responses import require_valid_head
 from endivegw.results import Done, Reason, Refused, Result, Unknown
 from endivegw.targets.engine_body import (
     EngineBody,
@@ -227,7 +227,7 @@
                 content=body.data,
                 extensions=_timeouts(request.deadline_s),
             ) as response:
-                require_valid_status(response)
+                require_valid_head(response)
                 if response.status != 200:
                     yield await _status_failure(response)
                     return
@@ -266,7 +266,7 @@
                 content=content,
                 extensions=_timeouts(timeout_s),
             ) as response:
-                require_valid_status(response)
+                require_valid_head(response)
                 body = await read_body(response, _MAX_REPORT_BYTES)
         except AnswerTooLarge as error:
             return Unknown(Reason.TARGET_FAILED, str(error))
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -43,6 +43,9 @@
     b"content length",
 )
 
+#: First lines of other protocols, and of versions whose messages differ.
+_PROTOCOLS = (b"HTTP/2.0", b"HTTP/0.9", b"RTSP/1.0", b"ICE/1.0")
+
 _START = b"HTTP/1.1 200 OK\r\n"
 _FRAMINGS = (
     b"content-length: 5\r\n\r\nhello",
@@ -58,6 +61,8 @@
         forms[f"status-{status}"] = f"HTTP/1.1 {status} OK\r\n".encode(), b""
     for number, name in enumerate(_NAMES):
         forms[f"name-{number}"] = _START, name + b": 1\r\n"
+    for number, protocol in enumerate(_PROTOCOLS):
+        forms[f"protocol-{number}"] = protocol + b" 200 OK\r\n", b""
     return forms
 
 
