A body may take as long as its route allows

Cause: the plan of a body took the smaller of the limit and the deadline, without a look at the route.

Evidence: test_slow_body_is_served_within_its_deadline, a real process with max_body_s = 1, a route of 30 s, a deadline of 25 s and a body that pauses for 3 s: 408 before, 200 now.

Why it works: the limit is there for requests that state no deadline. What a route allows is the operator's own bound, so that the larger of the two holds; a deadline still ends the wait before. What is held meanwhile is bounded by its size, as before.

--- a/src/endivegw/relay/handler.py
+++ b/src/endivegw/relay/handler.py
@@ -20,7 +20,7 @@
 class RequestHandler:
     """Handle the requests of one router.
 
-    :param max_body_s: longest time for the body of a request.
+    :param max_body_s: longest time for the body of a request whose route allows less.
     """
 
     def __init__(
@@ -59,10 +59,11 @@
         admitted = admit(request, context.table, context.wire, context.rng, now_s)
         if isinstance(admitted, Refused) or context.stopped:
             return None
-        due_s = request.arrived_s + self._max_body_s
+        # A route may allow its requests more time than most bodies need.
+        body_s = max(self._max_body_s, admitted.route.timeout_s)
         if admitted.metadata.deadline_s is not None:
-            due_s = min(due_s, request.arrived_s + admitted.metadata.deadline_s)
-        return BodyPlan(admitted.account_name, due_s)
+            body_s = min(body_s, admitted.metadata.deadline_s)
+        return BodyPlan(admitted.account_name, request.arrived_s + body_s)
 
     async def refuse(
         self, request: CallerRequest, refused: Refused, writer: AnswerWriter
--- a/src/endivegw/settings/direct.py
+++ b/src/endivegw/settings/direct.py
@@ -34,7 +34,7 @@
         partitions; the row of each router is then in a partition of its own.
     :param row_lasts_s: how long a router that cannot write to the store continues to
         use the tokens that it drew; other routers then return the remaining tokens.
-    :param max_body_s: longest time for the body of a request.
+    :param max_body_s: longest time for the body of a request whose route allows less.
     :param max_connections: connections of callers that may be open at once; None for
         a share of the descriptors.
     :param held_share: share of the machine's memory that may hold data for peers.
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -171,9 +171,10 @@
     return pieces
 
 
-async def ask(port: int, request: bytes) -> int:
+async def ask(port: int, request: bytes, *parts: tuple[float, bytes]) -> int:
     """Send a request on a new connection; return the status of its whole answer.
 
+    :param parts: further parts of the request, each after a pause in seconds.
     :returns: 0 if there is no whole answer within a long time.
     """
     with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -181,6 +182,9 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             try:
                 writer.write(request)
+                for pause_s, part in parts:
+                    await asyncio.sleep(pause_s)
+                    writer.write(part)
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = head.lower().partition(b"content-length:")[2]
                 if length:
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -38,6 +38,7 @@
     :ivar slots: number of requests that each target runs at once.
     :ivar event_pause_s: delay after each event of a stream.
     :ivar events: number of events of a stream.
+    :ivar max_body_s: longest time for a body, as in its settings; None for the default.
     """
 
     memory_mb: int
@@ -46,6 +47,7 @@
     slots: int = 8
     events: int = 5
     event_pause_s: float = 0.0
+    max_body_s: float | None = None
     port: int = field(factory=reserve_port)
     ready_port: int = field(factory=reserve_port)
     peers_port: int = field(factory=reserve_datagram_port)
@@ -85,6 +87,9 @@
     def start(self, folder: pathlib.Path) -> None:
         """Start the process, and wait until it is ready."""
         path = folder / "router.ini"
+        callers = ""
+        if self.max_body_s is not None:
+            callers = f"[callers]\nmax_body_s = {self.max_body_s}\n"
         path.write_text(
             "[process]\nvm = vm-1\navailability_zone = z\n"
             f"[listen]\ncallers = 127.0.0.1:{self.port}\n"
@@ -92,7 +97,7 @@
             f"peers = 127.0.0.1:{self.peers_port}\n"
             f"[store]\naddress = 127.0.0.1:{self.store_port}\nspread_rows = yes\n"
             f"[capacity]\nmemory_mb = {self.memory_mb}\n"
-            f"descriptors = {self.descriptors}\n"
+            f"descriptors = {self.descriptors}\n{callers}"
         )
         command = [sys.executable, "-m", "endivegw", "platform-router"]
         with (folder / "router.log").open("ab") as log:
--- a/tests/test_calm_bodies.py
+++ b/tests/test_calm_bodies.py
@@ -56,6 +56,20 @@
                     with self.subTest(memory_mb=memory_mb, form=name):
                         self.assertEqual(asyncio.run(ask(router.port, request)), 200)
 
+    # Guards against a limit on slow bodies that refuses those that are on time.
+    def test_slow_body_is_served_within_its_deadline(self) -> None:
+        limits = {"MaxBodyBytes": MIB}
+        router = RouterProcess(128, 400, limits, max_body_s=1.0)
+        head = self._HEAD + b"endivegw-deadline-ms: 25000\r\n"
+
+        async def scenario() -> int:
+            return await ask(
+                router.port, head + b"content-length: 2\r\n\r\nx", (3.0, b"x")
+            )
+
+        with router_process(router):
+            self.assertEqual(asyncio.run(scenario()), 200)
+
     # Guards against a stop that unfinished bodies hold up, and that cuts them.
     def test_unfinished_body_is_refused_at_a_stop(self) -> None:
         router = RouterProcess(128, 400, {"MaxBodyBytes": MIB})
