Run the test modules in processes of their own, several at a time

The tests wait more than they compute, and ran one after the other.

Now half as many modules as there are processors run at a time, and the three modules that check memory under load run alone after them. No test, bound or wait has changed; the number of tests is that of a discovery, which tests.test_module_runner checks, and a module whose process ends without a report has failed. Ports are reserved with bound sockets, which holds between processes as well.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -6,7 +6,8 @@
 
 import pathlib
 import sys
-import unittest
+
+from tests.module_runner import discover_modules, run_here, run_modules
 
 KNOWN_RED = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 
@@ -25,18 +26,10 @@
 
 
 def main() -> int:
-    """Run the tests; return 0 if all except the known failures passed, else 1."""
-    patterns = sys.argv[1:]
-    loader = unittest.TestLoader()
-    if patterns:
-        suite = loader.loadTestsFromNames(patterns)
-    else:
-        suite = loader.discover("tests", top_level_dir=".")
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
-    broken = [test for test, _ in result.failures + result.errors]
-    broken += result.unexpectedSuccesses
-    # A test with several failing subtests counts as one failed test.
-    failed = {getattr(test, "test_case", test).id() for test in broken}
+    """Run the tests that are named, or all; return 0 if only known faults failed."""
+    names = sys.argv[1:]
+    outcome = run_here(names) if names else run_modules(discover_modules())
+    failed = set(outcome.failed)
     red = failed & known_red()
     for name in sorted(known_red()):
         print(f"known red: {name}: {'failed' if name in red else 'not failed'} here")
@@ -44,8 +37,10 @@
         if name not in known_red():
             print(f"known red: {name}: not run here")
     failed -= red
-    passed = max(0, result.testsRun - len(failed | red) - len(result.skipped))
-    print(f"{passed} passed, {len(failed)} failed, {len(result.skipped)} skipped")
+    for name in sorted(failed):
+        print(f"failed: {name}")
+    passed = max(0, outcome.run - len(failed | red) - outcome.skipped)
+    print(f"{passed} passed, {len(failed)} failed, {outcome.skipped} skipped")
     return 0 if passed and not failed else 1
 
 
