--- a/tests/test_crowds_direct.py
+++ b/tests/test_crowds_direct.py
@@ -2,25 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 import unittest
 from typing import AsyncIterator
 
-from attrs import define
-
 from tests.crowd import (
     KIB,
     MIB,
     Crowd,
     Pieces,
-    ProcessUse,
-    ask,
     chunk,
     open_chunks,
     repeat,
     tiny_chunks,
     trickle,
 )
+from tests.crowd_observation import Observer, check_crowds
 from tests.router_process import RouterProcess, router_process
 
 #: Limits of the router's machine and of requests.
@@ -34,9 +30,6 @@
 #: Time for which a crowd sends, unless it has sent everything before.
 _SPAN_S = 8.0
 
-#: Time within which connections end whose requests cannot be served any more.
-_END_TIMEOUT_S = 40.0
-
 
 def _head(route: str = "notice", fields: bytes = b"", key: bytes = b"key-1") -> bytes:
     return (
@@ -88,59 +81,6 @@
         yield piece
 
 
-@define
-class _Observed:
-    """What was observed of a router.
-
-    :ivar status: status of one ordinary answer while the crowd is connected.
-    :ivar ready: status of the readiness check at that time.
-    :ivar open_clients: clients whose connection the router had not closed in the end.
-    """
-
-    alive: bool
-    peak_mb: float
-    descriptors: int
-    status: int
-    ready: int
-    open_clients: int
-
-
-async def _observe(
-    router: RouterProcess, crowds: list[Crowd], wait_ends: bool
-) -> _Observed:
-    use = ProcessUse(router.running.pid)
-    watch = asyncio.create_task(use.watch())
-    open_clients = 0
-    try:
-        async with asyncio.TaskGroup() as group:
-            connected = asyncio.Event()
-            done = asyncio.Event()
-
-            async def play(crowd: Crowd) -> None:
-                nonlocal open_clients, left
-                async with crowd.connected() as clients:
-                    left -= 1
-                    if not left:
-                        connected.set()
-                    await done.wait()
-                    if wait_ends:
-                        await asyncio.wait(clients, timeout=_END_TIMEOUT_S)
-                    open_clients += sum(not client.done() for client in clients)
-
-            left = len(crowds)
-            for crowd in crowds:
-                group.create_task(play(crowd))
-            await connected.wait()
-            status = await ask(router.port, _ORDINARY)
-            ready = await ask(router.ready_port, _READY)
-            done.set()
-    finally:
-        watch.cancel()
-    alive = router.running.poll() is None
-    peak_mb = use.peak_mb if alive else 0.0
-    return _Observed(alive, peak_mb, use.descriptors, status, ready, open_clients)
-
-
 class CrowdTests(unittest.TestCase):
     """The process lives, stays within its machine and answers an ordinary caller."""
 
@@ -152,13 +92,18 @@
         self, router: RouterProcess, *crowds: Crowd, wait_ends: bool = False
     ) -> None:
         with router_process(router):
-            seen = asyncio.run(_observe(router, list(crowds), wait_ends))
-        self.assertTrue(seen.alive, seen)
-        self.assertLess(seen.peak_mb, router.memory_mb, seen)
-        self.assertLessEqual(seen.descriptors, router.descriptors, seen)
-        self.assertEqual((seen.status, seen.ready), (200, 200), seen)
-        if wait_ends:
-            self.assertEqual(seen.open_clients, 0, seen)
+            check_crowds(
+                self,
+                Observer(
+                    router.running,
+                    ordinary=(router.port, _ORDINARY),
+                    health=(router.ready_port, _READY),
+                ),
+                crowds,
+                memory_mb=router.memory_mb,
+                descriptors=router.descriptors,
+                wait_ends=wait_ends,
+            )
 
     # Guards against a process that holds an unfinished body for each connection.
     def test_chunked_bodies_that_stop_short_of_their_end(self) -> None:
--- a/tests/test_crowds_sidecars.py
+++ b/tests/test_crowds_sidecars.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import unittest
 from typing import AsyncIterator
 
-from attrs import define
-
 from endivegw.dev.layout import MODEL
 from tests.crowd import (
     KIB,
@@ -16,29 +13,30 @@
     Crowd,
     Pieces,
     ProcessUse,
-    ask,
     chunk,
     open_chunks,
     repeat,
     tiny_chunks,
     trickle,
 )
-from tests.process_fleet import ProcessFleet, process_fleet
+from tests.crowd_observation import Observer, check_crowds
+from tests.process_fleet import process_fleet
 
 #: Memory and descriptors of the router's machine, and its limit on bodies.
 _MEMORY_MB = 256
 _DESCRIPTORS = 400
 _BODY_BYTES = 2 * MIB
 
+#: Memory of a target's machine.
+_SIDECAR_MEMORY_MB = 232
+
 #: What is left of a body that stops short of its end.
 _REST_BYTES = KIB
 
 #: Time for which a crowd sends, unless it has sent everything before.
 _SPAN_S = 8.0
 
-#: Time within which connections end whose requests cannot be served any more.
-_END_TIMEOUT_S = 40.0
-
+_HEALTH = b"GET /healthz HTTP/1.1\r\nhost: r\r\n\r\n"
 _CHUNKED = b"transfer-encoding: chunked\r\n"
 
 
@@ -98,43 +96,6 @@
         yield piece
 
 
-@define
-class _Observed:
-    """What was observed of a router.
-
-    :ivar status: status of one ordinary answer while the crowd is connected.
-    :ivar healthy: status of the liveness check at that time.
-    :ivar open_clients: clients whose connection the router had not closed in the end.
-    """
-
-    alive: bool
-    peak_mb: float
-    descriptors: int
-    status: int
-    healthy: int
-    open_clients: int
-
-
-async def _observe(
-    fleet: ProcessFleet, clients: int, span_s: float, pieces: Pieces, wait_ends: bool
-) -> _Observed:
-    port, process = fleet.http_ports[1], fleet.routers[1]
-    use = ProcessUse(process.pid)
-    watch = asyncio.create_task(use.watch())
-    open_clients = 0
-    crowd = Crowd(port, clients, span_s, pieces)
-    async with crowd.connected() as tasks:
-        status = await ask(port, _ordinary(fleet.accounts[0].key))
-        healthy = await ask(port, b"GET /healthz HTTP/1.1\r\nhost: r\r\n\r\n")
-        if wait_ends:
-            await asyncio.wait(tasks, timeout=_END_TIMEOUT_S)
-            open_clients = sum(not task.done() for task in tasks)
-    watch.cancel()
-    alive = process.poll() is None
-    peak_mb = use.peak_mb if alive else 0.0
-    return _Observed(alive, peak_mb, use.descriptors, status, healthy, open_clients)
-
-
 class CrowdTests(unittest.TestCase):
     """The process lives, stays within its machine and answers an ordinary caller."""
 
@@ -147,15 +108,24 @@
         wait_ends: bool = False,
     ) -> None:
         with process_fleet(routers=1, router_descriptors=_DESCRIPTORS) as fleet:
-            key = fleet.accounts[1].key
+            key, port = fleet.accounts[1].key, fleet.http_ports[1]
             made = _FORMS[pieces](key) if isinstance(pieces, str) else pieces
-            seen = asyncio.run(_observe(fleet, clients, span_s, made, wait_ends))
-        self.assertTrue(seen.alive, seen)
-        self.assertLess(seen.peak_mb, _MEMORY_MB, seen)
-        self.assertLessEqual(seen.descriptors, _DESCRIPTORS, seen)
-        self.assertEqual((seen.status, seen.healthy), (200, 200), seen)
-        if wait_ends:
-            self.assertEqual(seen.open_clients, 0, seen)
+            check_crowds(
+                self,
+                Observer(
+                    fleet.routers[1],
+                    ordinary=(port, _ordinary(fleet.accounts[0].key)),
+                    health=(port, _HEALTH),
+                ),
+                [Crowd(port, clients, span_s, made)],
+                memory_mb=_MEMORY_MB,
+                descriptors=_DESCRIPTORS,
+                wait_ends=wait_ends,
+            )
+            for name, process in fleet.sidecars.items():
+                self.assertIsNone(process.poll(), name)
+                peak_mb = ProcessUse(process.pid).peak_mb
+                self.assertLess(peak_mb, _SIDECAR_MEMORY_MB, name)
 
     # Guards against a process that holds an unfinished body for each connection.
     def test_chunked_bodies_that_stop_short_of_their_end(self) -> None:
