--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -7,22 +7,22 @@
 import struct
 import threading
 import unittest
-from typing import Any, AsyncIterator, Awaitable, Callable
+from typing import Any, Awaitable, Callable, Iterator
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
 from endivegw.relay.target_connection import (
     AnswerBroken,
     OutgoingRequest,
     TargetConnection,
 )
-from endivegw.services.http_calls import HttpCaller, ResponseLost
-from endivegw.targets import EngineFailed, HttpService, ServiceRequest
+from endivegw.services.http_calls import ResponseLost
+from endivegw.targets import EngineFailed
 from endivegw.tcp_stream import connect_tcp
-from endivegw.types import AttemptId
 from endivegw_standins.platform_worker import PlatformWorker
 from tests.platform_fleet import ClientFleet
+from tests.raw_target import call_service, call_store, raw_target
 from tests.test_attempt_races import run_script
 
 #: Statuses that are none, as sent in the first line of an answer.
@@ -117,67 +117,33 @@
         """Check the result of a call for each form of a broken answer."""
         answer = b""
 
-        async def serve(stream: SocketStream) -> None:
-            async with stream:
-                await stream.receive()
-                await stream.send(answer)
-
         async def scenario() -> None:
             nonlocal answer
-            async with (
-                await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
-                anyio.create_task_group() as tasks,
-            ):
-                port = listener.extra(SocketAttribute.local_port)
-                tasks.start_soon(listener.serve, serve)
+            async with raw_target(lambda: answer) as url:
                 for name, (first, field) in _forms().items():
                     for framing in _FRAMINGS:
                         answer = first + field + framing
                         with self.subTest(form=name, framing=framing):
                             with anyio.fail_after(5.0):
-                                check(await call(f"http://127.0.0.1:{port}"))
-                tasks.cancel_scope.cancel()
+                                check(await call(url))
 
         anyio.run(scenario)
 
     # Guards against bytes that are no answer and begin the answer of a service.
     def test_a_broken_answer_of_a_service_fails(self) -> None:
-        async def call(url: str) -> list[Any]:
-            return await _call_service(url, [b""])
-
         def check(found: list[Any]) -> None:
             self.assertEqual([type(event) for event in found], [EngineFailed])
             self.assertTrue(found[0].started)
 
-        self.check_each_form(call, check)
+        self.check_each_form(call_service, check)
 
     # Guards against bytes that are no answer and count as one of the store.
     def test_a_broken_answer_of_the_store_is_lost(self) -> None:
-        async def call(url: str) -> Any:
-            caller = HttpCaller(url)
-            found = await caller.call("GET", "/x", timeout_s=2.0)
-            await caller.close()
-            return found
-
         self.check_each_form(
-            call, lambda found: self.assertIsInstance(found, ResponseLost)
+            call_store, lambda found: self.assertIsInstance(found, ResponseLost)
         )
 
 
-async def _call_service(url: str, parts: list[bytes]) -> list[Any]:
-    """Return the events of a call of a service with a body in parts."""
-
-    async def body() -> AsyncIterator[bytes]:
-        for part in parts:
-            yield part
-
-    service = HttpService(url)
-    request = ServiceRequest(AttemptId("a1"), "POST", "/x", ())
-    found = [event async for event in service.call(request, body())]
-    await service.aclose()
-    return found
-
-
 #: Value of ``SO_LINGER``: a close resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -230,14 +196,14 @@
     # Guards against a part of an answer that is taken for all of it at its reset.
     def test_a_sidecar_gets_no_whole_answer(self) -> None:
         async def call(port: int) -> bool:
-            events = await _call_service(f"http://127.0.0.1:{port}", _UPLOAD)
+            events = await call_service(f"http://127.0.0.1:{port}", _UPLOAD)
             return not isinstance(events[-1], EngineFailed)
 
         self.check_each_size(call)
 
 
 @contextlib.contextmanager
-def _resetting_target(read_bytes: int, part_bytes: int) -> Any:
+def _resetting_target(read_bytes: int, part_bytes: int) -> Iterator[int]:
     """Yield the port of a target that resets its connections within an answer."""
 
     def serve() -> None:
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import unittest
-from typing import Any, AsyncIterator, Awaitable, Callable
+from typing import Any, Awaitable, Callable
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
-from endivegw.services.http_calls import HttpCaller, ResponseLost
-from endivegw.targets import EngineFailed, HttpService, ServiceRequest
-from endivegw.types import AttemptId
+from endivegw.services.http_calls import ResponseLost
+from endivegw.targets import EngineFailed
 from endivegw_standins.platform_worker import PlatformWorker
 from tests.platform_fleet import ClientFleet
+from tests.raw_target import call_service, call_store, raw_target
 from tests.test_attempt_races import run_script
 
 _ROUTES = ("print", "chat")
@@ -103,23 +103,12 @@
         """Check the result of a call for each cut of the head of its answer."""
         cut = 0
 
-        async def serve(stream: SocketStream) -> None:
-            async with stream:
-                await stream.receive()
-                await stream.send(_head(b"a1", framing)[:cut])
-
         async def scenario() -> None:
             nonlocal cut
-            async with (
-                await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
-                anyio.create_task_group() as tasks,
-            ):
-                port = listener.extra(SocketAttribute.local_port)
-                tasks.start_soon(listener.serve, serve)
+            async with raw_target(lambda: _head(b"a1", framing)[:cut]) as url:
                 for cut in range(len(_head(b"a1", framing))):
                     with anyio.fail_after(5.0):
-                        check(await call(f"http://127.0.0.1:{port}"))
-                tasks.cancel_scope.cancel()
+                        check(await call(url))
 
         for framing in (_WITH_LENGTH, _IN_CHUNKS, _WITH_CONNECTION):
             with self.subTest(framing=framing):
@@ -127,32 +116,16 @@
 
     # Guards against an answer of a service that begins although its head was cut.
     def test_an_answer_of_a_service_fails(self) -> None:
-        async def call(url: str) -> list[Any]:
-            async def no_body() -> AsyncIterator[bytes]:
-                yield b""
-
-            service = HttpService(url)
-            request = ServiceRequest(AttemptId("a1"), "GET", "/x", ())
-            found = [event async for event in service.call(request, no_body())]
-            await service.aclose()
-            return found
-
         def check(found: list[Any]) -> None:
             self.assertEqual([type(event) for event in found], [EngineFailed])
             self.assertTrue(found[0].started)
 
-        self.check_each_cut(call, check)
+        self.check_each_cut(call_service, check)
 
     # Guards against a row that counts as read although the answer's head was cut.
     def test_an_answer_of_the_store_is_lost(self) -> None:
-        async def call(url: str) -> Any:
-            caller = HttpCaller(url)
-            found = await caller.call("GET", "/x", timeout_s=2.0)
-            await caller.close()
-            return found
-
         self.check_each_cut(
-            call, lambda found: self.assertIsInstance(found, ResponseLost)
+            call_store, lambda found: self.assertIsInstance(found, ResponseLost)
         )
 
 
