--- a/tests/crowd_observation.py
+++ b/tests/crowd_observation.py
@@ -4,15 +4,28 @@
 
 import asyncio
 import contextlib
+import json
 import subprocess
 import unittest
 from typing import AsyncIterator, Sequence
 
 from attrs import define, frozen
 
+from endivegw.dev.layout import MODEL
 from tests.crowd import Crowd, ProcessUse, ask
+from tests.process_fleet import ProcessFleet
 
-__all__ = ["Observation", "Observer", "check_crowds"]
+__all__ = [
+    "Observation",
+    "Observer",
+    "chat_request",
+    "check_crowds",
+    "check_fleet_crowd",
+]
+
+#: Memory of the machines of routers with sidecars, and of their targets.
+_MEMORY_MB = 256
+_SIDECAR_MEMORY_MB = 232
 
 #: Time within which connections end whose requests cannot be served any more.
 _END_TIMEOUT_S = 40.0
@@ -118,3 +131,47 @@
     test.assertEqual(seen.status_afterwards, 200, seen)
     if wait_ends:
         test.assertEqual(seen.open_clients, 0, seen)
+
+
+def check_fleet_crowd(
+    test: unittest.TestCase,
+    fleet: ProcessFleet,
+    crowd: Crowd,
+    *,
+    wait_ends: bool = False,
+    free_descriptors: int = 0,
+) -> None:
+    """Check a router with sidecars, and its sidecars, while a crowd is connected.
+
+    :param free_descriptors: descriptors that the router always has left.
+    """
+    port = fleet.http_ports[1]
+    assert fleet.router_descriptors is not None
+    check_crowds(
+        test,
+        Observer(
+            fleet.routers[1],
+            ordinary=(port, chat_request(fleet.accounts[0].key, "hello")),
+            health=(port, b"GET /healthz HTTP/1.1\r\nhost: r\r\n\r\n"),
+        ),
+        [crowd],
+        memory_mb=_MEMORY_MB,
+        descriptors=fleet.router_descriptors - free_descriptors,
+        wait_ends=wait_ends,
+    )
+    for name, process in fleet.sidecars.items():
+        test.assertIsNone(process.poll(), name)
+        peak_mb = ProcessUse(process.pid).peak_mb
+        test.assertLess(peak_mb, _SIDECAR_MEMORY_MB, name)
+
+
+def chat_request(key: str, text: str) -> bytes:
+    """Return a request for a short answer of a model."""
+    messages = [{"role": "user", "content": text}]
+    document = {"model": MODEL, "messages": messages, "max_tokens": 20}
+    body = json.dumps(document).encode()
+    return (
+        b"POST /v1/chat/completions HTTP/1.1\r\nhost: h\r\n"
+        b"authorization: Bearer %b\r\ncontent-length: %d\r\n\r\n%b"
+        % (key.encode(), len(body), body)
+    )
--- a/tests/test_crowds_peers.py
+++ b/tests/test_crowds_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import struct
 import unittest
 from typing import AsyncIterator
@@ -10,15 +9,14 @@
 from h2.config import H2Configuration
 from h2.connection import H2Connection
 
-from endivegw.dev.layout import MODEL, router_address, target_address
-from tests.crowd import KIB, Crowd, Pieces, ProcessUse
-from tests.crowd_observation import Observer, check_crowds
+from endivegw.dev.layout import router_address, target_address
+from tests.crowd import KIB, Crowd, Pieces
+from tests.crowd_observation import check_fleet_crowd
 from tests.process_fleet import process_fleet
 
-#: Memory and descriptors of a router's machine, and memory of a target's.
-_MEMORY_MB = 256
-_SIDECAR_MEMORY_MB = 232
+#: Descriptors of a router's machine, and those that it needs for its callers.
 _DESCRIPTORS = 400
+_FREE_DESCRIPTORS = 100
 
 _SPAN_S = 8.0
 
@@ -90,39 +88,13 @@
         yield piece
 
 
-def _ordinary(key: str) -> bytes:
-    messages = [{"role": "user", "content": "hello"}]
-    body = json.dumps({"model": MODEL, "messages": messages, "max_tokens": 20}).encode()
-    return (
-        b"POST /v1/chat/completions HTTP/1.1\r\nhost: h\r\n"
-        b"authorization: Bearer %b\r\ncontent-length: %d\r\n\r\n"
-        % (key.encode(), len(body))
-    ) + body
-
-
 class PeerCrowdTests(unittest.TestCase):
     """The processes live, stay within their machines and answer a caller."""
 
     def _check(self, host: str, clients: int, pieces: Pieces) -> None:
         with process_fleet(routers=1, router_descriptors=_DESCRIPTORS) as fleet:
-            port = fleet.http_ports[1]
-            health = b"GET /healthz HTTP/1.1\r\nhost: r\r\n\r\n"
-            check_crowds(
-                self,
-                Observer(
-                    fleet.routers[1],
-                    ordinary=(port, _ordinary(fleet.accounts[0].key)),
-                    health=(port, health),
-                ),
-                [Crowd(fleet.peer_port, clients, _SPAN_S, pieces, host=host)],
-                memory_mb=_MEMORY_MB,
-                descriptors=_DESCRIPTORS,
-                wait_ends=False,
-            )
-            for name, process in fleet.sidecars.items():
-                self.assertIsNone(process.poll(), name)
-                peak_mb = ProcessUse(process.pid).peak_mb
-                self.assertLess(peak_mb, _SIDECAR_MEMORY_MB, name)
+            crowd = Crowd(fleet.peer_port, clients, _SPAN_S, pieces, host=host)
+            check_fleet_crowd(self, fleet, crowd, free_descriptors=_FREE_DESCRIPTORS)
 
     # Guards against messages that are received for calls without credentials.
     def test_unfinished_calls_of_a_sidecar(self) -> None:
--- a/tests/test_crowds_sidecars.py
+++ b/tests/test_crowds_sidecars.py
@@ -2,41 +2,33 @@
 
 from __future__ import annotations
 
-import json
 import unittest
 from typing import AsyncIterator
 
-from endivegw.dev.layout import MODEL
 from tests.crowd import (
     KIB,
     MIB,
     Crowd,
     Pieces,
-    ProcessUse,
     chunk,
     open_chunks,
     repeat,
     tiny_chunks,
     trickle,
 )
-from tests.crowd_observation import Observer, check_crowds
+from tests.crowd_observation import chat_request, check_fleet_crowd
 from tests.process_fleet import process_fleet
 
-#: Memory and descriptors of the router's machine, and its limit on bodies.
-_MEMORY_MB = 256
+#: Descriptors of the router's machine, and its limit on bodies.
 _DESCRIPTORS = 400
 _BODY_BYTES = 2 * MIB
 
-#: Memory of a target's machine.
-_SIDECAR_MEMORY_MB = 232
-
 #: What is left of a body that stops short of its end.
 _REST_BYTES = KIB
 
 #: Time for which a crowd sends, unless it has sent everything before.
 _SPAN_S = 8.0
 
-_HEALTH = b"GET /healthz HTTP/1.1\r\nhost: r\r\n\r\n"
 _CHUNKED = b"transfer-encoding: chunked\r\n"
 
 
@@ -51,17 +43,6 @@
     return b"content-length: %d\r\n" % size
 
 
-def _chat(text: str, **more: object) -> bytes:
-    messages = [{"role": "user", "content": text}]
-    document = {"model": MODEL, "messages": messages, "max_tokens": 20, **more}
-    return json.dumps(document).encode()
-
-
-def _ordinary(key: str) -> bytes:
-    body = _chat("hello")
-    return _head(key, _length(len(body))) + body
-
-
 def _open_length(key: str) -> Pieces:
     async def pieces() -> AsyncIterator[bytes]:
         yield _head(key, _length(_BODY_BYTES))
@@ -71,18 +52,17 @@
 
 
 def _whole_bodies(key: str) -> Pieces:
-    body = _chat("x" * (_BODY_BYTES - KIB))
+    request = chat_request(key, "x" * (_BODY_BYTES - KIB))
 
     async def pieces() -> AsyncIterator[bytes]:
         for _ in range(3):
-            yield _head(key, _length(len(body)))
-            yield body
+            yield request
 
     return pieces
 
 
 def _pipelined(key: str) -> Pieces:
-    request = _ordinary(key)
+    request = chat_request(key, "hello")
 
     async def pieces() -> AsyncIterator[bytes]:
         for _ in range(40):
@@ -108,24 +88,10 @@
         wait_ends: bool = False,
     ) -> None:
         with process_fleet(routers=1, router_descriptors=_DESCRIPTORS) as fleet:
-            key, port = fleet.accounts[1].key, fleet.http_ports[1]
+            key = fleet.accounts[1].key
             made = _FORMS[pieces](key) if isinstance(pieces, str) else pieces
-            check_crowds(
-                self,
-                Observer(
-                    fleet.routers[1],
-                    ordinary=(port, _ordinary(fleet.accounts[0].key)),
-                    health=(port, _HEALTH),
-                ),
-                [Crowd(port, clients, span_s, made)],
-                memory_mb=_MEMORY_MB,
-                descriptors=_DESCRIPTORS,
-                wait_ends=wait_ends,
-            )
-            for name, process in fleet.sidecars.items():
-                self.assertIsNone(process.poll(), name)
-                peak_mb = ProcessUse(process.pid).peak_mb
-                self.assertLess(peak_mb, _SIDECAR_MEMORY_MB, name)
+            crowd = Crowd(fleet.http_ports[1], clients, span_s, made)
+            check_fleet_crowd(self, fleet, crowd, wait_ends=wait_ends)
 
     # Guards against a process that holds an unfinished body for each connection.
     def test_chunked_bodies_that_stop_short_of_their_end(self) -> None:
