--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -147,10 +147,18 @@
         _, self.store_port = await self.tasks.start(serve_asgi_on_loopback, self.store)
 
     def start_worker(self, name: str, service: str, zone: str, slots: int) -> None:
+        _, target = self.add_worker(name, service, zone)
+        self.run_worker(target, slots)
+
+    def add_worker(
+        self, name: str, service: str, zone: str
+    ) -> tuple[PlatformWorker, PlatformTarget]:
         worker = self.workers[name] = PlatformWorker(name)
         worker.reports = True
         target = self.targets[name] = PlatformTarget(name, service, worker, zone=zone)
+        return worker, target
 
+    def run_worker(self, target: PlatformTarget, slots: int) -> None:
         async def run() -> None:
             await target.run(self.store.app, slots=slots)
 
@@ -298,10 +306,19 @@
         self._buffer = b""
 
     async def exchange(
-        self, method: str, path: str, host: str, fields: dict[str, str], body: bytes
+        self,
+        method: str,
+        path: str,
+        host: str,
+        fields: dict[str, str],
+        body: bytes,
+        answer: Answer | None = None,
     ) -> Answer:
-        """Send a request and read the answer as far as it comes."""
-        answer = Answer()
+        """Send a request and read the answer as far as it comes.
+
+        :param answer: filled as bytes arrive, for callers that give up.
+        """
+        answer = Answer() if answer is None else answer
         lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         lines.append(f"Content-Length: {len(body)}")
