--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -26,7 +26,7 @@
 sys.path[:0] = [str(ROOT / "src"), str(ROOT / "target" / "deps")]
 
 import anyio  # noqa: E402
-from anyio.abc import SocketAttribute, TaskGroup  # noqa: E402
+from anyio.abc import TaskGroup  # noqa: E402
 
 from endivegw_standins.platform_store_app import PlatformStoreApp  # noqa: E402
 from endivegw_standins.platform_target import PlatformTarget  # noqa: E402
@@ -205,7 +205,11 @@
         env["ENDIVEGW_SETTINGS"] = str(router.settings)
         with open(router.log, "ab") as log:
             router.process = subprocess.Popen(
-                shlex.split(self._role["run"]), cwd=ROOT, env=env, stdout=log, stderr=log
+                shlex.split(self._role["run"]),
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
             )
         self.record.show(f"{node} is started")
 
@@ -246,8 +250,11 @@
     async def _probe_router(self, router: Router) -> None:
         while True:
             ready = False
-            with anyio.move_on_after(0.9), contextlib.suppress(
-                OSError, anyio.BrokenResourceError, anyio.EndOfStream
+            with (
+                anyio.move_on_after(0.9),
+                contextlib.suppress(
+                    OSError, anyio.BrokenResourceError, anyio.EndOfStream
+                ),
             ):
                 async with await anyio.connect_tcp(LOOPBACK, router.ready) as stream:
                     await stream.send(b"GET /ready HTTP/1.1\r\nHost: r\r\n\r\n")
@@ -326,7 +333,12 @@
         try:
             await self.stream.send(data)
             await self._read(answer)
-        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream, anyio.ClosedResourceError):
+        except (
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.EndOfStream,
+            anyio.ClosedResourceError,
+        ):
             self.usable = False
         if answer.fields.get("connection", "").lower() == "close":
             self.usable = False
@@ -357,7 +369,9 @@
                 await self._take(2)
             await self._until(b"\r\n")
         else:
-            answer.body = await self._take(int(answer.fields.get("content-length", "0")))
+            answer.body = await self._take(
+                int(answer.fields.get("content-length", "0"))
+            )
         answer.complete = True
 
     async def close(self) -> None:
