--- a/review/6/case.py
+++ b/review/7/case.py
@@ -219,7 +219,9 @@
                 )
         goes_on = sum(taken_up) / max(1, len(taken_up))
         begins = sum(new) / max(1, len(new))
-        record.show(f"streams taken up in touch: {len(taken_up)}, of which go on {goes_on:.3f}")
+        record.show(
+            f"streams taken up in touch: {len(taken_up)}, of which go on {goes_on:.3f}"
+        )
         record.show(f"new streams in touch: {len(new)}, of which begin {begins:.3f}")
         record.show(f"streams joined from two versions: {case.joined}")
         broken = len(taken_up) >= LEAST and goes_on < begins / 2.0
